Add the whole path: nodes, stand-ins of the platform, one training step and its oracle

Cause: there was nothing. The first thing that counts is one training step through real sockets, judged by an oracle that shares no code with what it judges.

Change: nodes with SWIM membership, a configuration under compare-and-swap, load digests by gossip, homes that order weights with fences, partitions with epochs on two of three copies, claims for requests that run once, steps with slots and cursors, and stand-ins of engines, weight store, key-value service, machine list and scorer.

--- /dev/null
+++ b/internal/delivery/calls.go
@@ -0,0 +1,102 @@
+// Package delivery owns training steps: it keeps their samples on a quorum of stores, hands empty slots to executors
+// until each is filled, and delivers samples to trainers by cursor.
+package delivery
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thistlewalk/thistlewalk/internal/partition"
+	"github.com/thistlewalk/thistlewalk/internal/rollout"
+	"github.com/thistlewalk/thistlewalk/internal/step"
+)
+
+// PartitionOf returns the index of the partition that a step belongs to.
+func PartitionOf(stepID string) uint32 { return uint32(xxhash.Sum64String(stepID) % partition.Count) }
+
+// CreateCall asks for a step.
+type CreateCall struct {
+	Definition step.Definition `cbor:"1,keyasint"`
+}
+
+// CreateAnswer tells the step's size, and whether it existed before with the same content.
+type CreateAnswer struct {
+	Slots   int  `cbor:"1,keyasint"`
+	Existed bool `cbor:"2,keyasint"`
+}
+
+// FetchCall asks for the samples at a cursor.
+type FetchCall struct {
+	StepID  string            `cbor:"1,keyasint"`
+	Cursor  uint64            `cbor:"2,keyasint"`
+	Number  uint64            `cbor:"3,keyasint"`
+	Maximum int               `cbor:"4,keyasint"`
+	Wait    time.Duration     `cbor:"5,keyasint"`
+	Newest  map[string]uint64 `cbor:"6,keyasint"` // by policy: the version that the trainer has
+}
+
+// DeliveredSample is one sample of an answer.
+type DeliveredSample struct {
+	Slot              uint32         `cbor:"1,keyasint"`
+	Generation        uint32         `cbor:"2,keyasint"`
+	Sample            rollout.Sample `cbor:"3,keyasint"`
+	StalenessVersions uint64         `cbor:"4,keyasint"`
+	StalenessAge      time.Duration  `cbor:"5,keyasint"`
+}
+
+// FetchAnswer is what a fetch delivers. NextCursor is Cursor+1 when Samples is not empty, else Cursor.
+type FetchAnswer struct {
+	Samples    []DeliveredSample `cbor:"1,keyasint"`
+	NextCursor uint64            `cbor:"2,keyasint"`
+	State      step.State        `cbor:"3,keyasint"`
+	Slots      int               `cbor:"4,keyasint"`
+	Delivered  int               `cbor:"5,keyasint"`
+}
+
+// AcknowledgeCall moves the cursor past a delivered batch.
+type AcknowledgeCall struct {
+	StepID string `cbor:"1,keyasint"`
+	Cursor uint64 `cbor:"2,keyasint"`
+}
+
+// EndCall closes a step early.
+type EndCall struct {
+	StepID string `cbor:"1,keyasint"`
+}
+
+// Summary describes one step.
+type Summary struct {
+	StepID     string     `cbor:"1,keyasint" json:"step"`
+	Experiment string     `cbor:"2,keyasint" json:"experiment"`
+	State      step.State `cbor:"3,keyasint" json:"state"`
+	Slots      int        `cbor:"4,keyasint" json:"slots"`
+	Filled     int        `cbor:"5,keyasint" json:"filled"`
+	Delivered  int        `cbor:"6,keyasint" json:"delivered"`
+	Running    int        `cbor:"7,keyasint" json:"running"`
+	Dropped    uint64     `cbor:"8,keyasint" json:"dropped"`
+	Owner      string     `cbor:"9,keyasint" json:"owner"`
+	Copies     int        `cbor:"10,keyasint" json:"copies"`
+	Created    time.Time  `cbor:"11,keyasint" json:"created"`
+}
+
+// StalenessSummary is the distribution of staleness of recently delivered samples of one policy.
+type StalenessSummary struct {
+	Policy string `cbor:"1,keyasint" json:"policy"`
+	Count  int64  `cbor:"2,keyasint" json:"count"`
+	// Versions and Seconds are percentiles 50, 90, 99 and the maximum.
+	Versions [4]int64   `cbor:"3,keyasint" json:"versions"`
+	Seconds  [4]float64 `cbor:"4,keyasint" json:"seconds"`
+}
+
+// ListAnswer lists the steps of the partitions that a node owns, and the staleness that it delivered.
+type ListAnswer struct {
+	Steps     []Summary          `cbor:"1,keyasint"`
+	Staleness []StalenessSummary `cbor:"2,keyasint"`
+}
+
+// SlotRequestID returns the request identifier that engines see for a slot.
+func SlotRequestID(stepID string, slot, generation uint32) string {
+	return fmt.Sprintf("%s#%d.%d", stepID, slot, generation)
+}
--- /dev/null
+++ b/internal/lab/bench/report.go
@@ -0,0 +1,135 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/thistlewalk/thistlewalk/internal/experiment"
+	"github.com/thistlewalk/thistlewalk/internal/result"
+)
+
+// Percentiles of a distribution.
+type Percentiles struct {
+	P50 int64 `json:"p50"`
+	P99 int64 `json:"p99"`
+	Max int64 `json:"max"`
+}
+
+// Outcomes counts what callers were told, by class.
+type Outcomes struct {
+	Done      int `json:"done"`
+	NotRun    int `json:"not_run"`
+	Unknown   int `json:"unknown"`
+	Conflict  int `json:"conflict"`
+	Other     int `json:"other"`
+	NotSent   int `json:"not_sent"`
+	NotWhole  int `json:"not_whole"`
+	OnceSends int `json:"not_repeatable_sends"`
+}
+
+// Report is report.json.
+type Report struct {
+	Seed uint64 `json:"seed"`
+	Verdict
+	StalenessVersions  Percentiles `json:"staleness_versions"`
+	TrainerIdleSeconds float64     `json:"trainer_idle_seconds"`
+	StepSeconds        float64     `json:"step_seconds"`
+	Requests           int         `json:"requests"`
+	Outcomes           Outcomes    `json:"outcomes"`
+	Tokens             int         `json:"tokens"`
+	ResumedSamples     int         `json:"resumed_samples"`
+	MixedSamples       int         `json:"samples_of_more_than_one_version"`
+	ConfigRevision     uint64      `json:"config_revision"`
+	Seconds            float64     `json:"seconds"`
+	Events             []string    `json:"events"`
+}
+
+const (
+	maximumStaleness = 1 << 20
+	reportDigits     = 3
+)
+
+// NewReport judges the evidence and counts.
+func NewReport(seed uint64, evidence Evidence) Report {
+	report := Report{Seed: seed, Verdict: Judge(evidence), Requests: len(evidence.Told)}
+	staleness := hdrhistogram.New(1, maximumStaleness, reportDigits)
+	for _, received := range evidence.Received {
+		_ = staleness.RecordValue(int64(received.Body.StalenessVersions))
+		if len(received.Body.Sample.Replicas) > 1 {
+			report.ResumedSamples++
+		}
+		if len(received.Body.Sample.Spans) > 1 {
+			report.MixedSamples++
+		}
+	}
+	report.StalenessVersions = Percentiles{P50: staleness.ValueAtQuantile(50), P99: staleness.ValueAtQuantile(99), Max: staleness.Max()}
+	for _, chunk := range evidence.Produced {
+		report.Tokens += len(chunk.TokenIDs)
+	}
+	for _, told := range evidence.Told {
+		report.Outcomes.count(told)
+	}
+	return report
+}
+
+func (outcomes *Outcomes) count(told Told) {
+	if !told.Repeatable {
+		outcomes.OnceSends++
+	}
+	switch {
+	case told.NotSent:
+		outcomes.NotSent++
+	case told.Cut:
+		outcomes.NotWhole++
+	default:
+		outcomes.countCode(told.Code)
+	}
+}
+
+func (outcomes *Outcomes) countCode(code result.Code) {
+	switch code.Class() {
+	case result.ClassDone:
+		outcomes.Done++
+	case result.ClassNotRun:
+		outcomes.NotRun++
+	case result.ClassUnknown:
+		outcomes.Unknown++
+	case result.ClassConflict:
+		outcomes.Conflict++
+	default:
+		outcomes.Other++
+	}
+}
+
+// NoteDocument takes the revision from the stored configuration.
+func (report *Report) NoteDocument(content []byte) {
+	var document experiment.Document
+	if json.Unmarshal(content, &document) == nil {
+		report.ConfigRevision = document.Revision
+	}
+}
+
+// WriteWords writes the report for people.
+func (report Report) WriteWords(output io.Writer) {
+	fmt.Fprintf(output, "\nStep: %d of %d samples delivered in %.1f s; %d went on at a second engine, %d span more than one version.\n",
+		report.SamplesDelivered, report.SamplesRequested, report.StepSeconds, report.ResumedSamples, report.MixedSamples)
+	fmt.Fprintf(output, "Staleness in versions: half at most %d, 99%% at most %d, greatest %d.\n",
+		report.StalenessVersions.P50, report.StalenessVersions.P99, report.StalenessVersions.Max)
+	fmt.Fprintf(output, "Callers: %d requests: %d done, %d refused as not run, %d conflicts (the same request at two nodes), %d unknown.\n",
+		report.Requests, report.Outcomes.Done, report.Outcomes.NotRun, report.Outcomes.Conflict, report.Outcomes.Unknown)
+	fmt.Fprintf(output, "Engines produced %d tokens. Configuration revision %d.\n", report.Tokens, report.ConfigRevision)
+	if report.Breaches() == 0 {
+		fmt.Fprintln(output, "The oracle found no breach: nothing lost, doubled, mislabelled, over the bound, run twice or cut off.")
+		return
+	}
+	fmt.Fprintf(output, "The oracle found %d BREACHES: lost %d, doubled %d, mislabelled %d, over bound %d, not run but ran %d, ran twice %d, cut off %d, wrong %d\n",
+		report.Breaches(), report.SamplesLost, report.SamplesDuplicated, report.SamplesMislabelled, report.SamplesOverBound,
+		report.NotRunButRan, report.NotRepeatableRanTwice, report.RequestsCutOff, report.AnswersWrong)
+	for _, example := range slices.Clone(report.Examples) {
+		fmt.Fprintln(output, "  "+example)
+	}
+}
--- /dev/null
+++ b/internal/lab/platform/orders.go
@@ -0,0 +1,111 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/engine"
+)
+
+func (model *Engine) orders(writer http.ResponseWriter, request *http.Request) {
+	var order engine.Order
+	if err := json.NewDecoder(request.Body).Decode(&order); err != nil {
+		http.Error(writer, "bad body", http.StatusBadRequest)
+		return
+	}
+	model.mu.Lock()
+	defer model.mu.Unlock()
+	if model.faults.RefuseOrders {
+		http.Error(writer, "out of memory", http.StatusInternalServerError)
+		return
+	}
+	if !follows(order.Fence, model.fence) {
+		writeJSON(writer, http.StatusConflict, model.fence)
+		return
+	}
+	model.fence = order.Fence
+	if !model.obey(order) {
+		http.Error(writer, "version not staged", http.StatusPreconditionFailed)
+		return
+	}
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+// follows reports whether an order's fence is not behind the greatest taken.
+func follows(next, present engine.Fence) bool {
+	if next.Term != present.Term {
+		return next.Term > present.Term
+	}
+	return next.Holder == present.Holder && next.Revision >= present.Revision
+}
+
+// obey does what an order asks; must hold mu.
+func (model *Engine) obey(order engine.Order) bool {
+	weights, held := model.policies[order.Policy]
+	switch order.Action {
+	case engine.ActionStage:
+		if !held {
+			weights = &policyWeights{}
+			model.policies[order.Policy] = weights
+		}
+		if weights.staged != order.Version && weights.staging != order.Version {
+			weights.staging = order.Version
+			model.done.Go(func() { model.stage(order.Policy, order.Version) })
+		}
+	case engine.ActionActivate:
+		if !held || weights.staged != order.Version {
+			return false
+		}
+		if !model.faults.KeepVersion {
+			weights.active = order.Version
+		}
+	case engine.ActionDiscard:
+		if held {
+			weights.active, weights.staged = 0, 0
+		}
+	}
+	return true
+}
+
+const stageRetry = 100 * time.Millisecond
+
+// stage fetches weights, again while the weight store limits the rate, and loads them.
+func (model *Engine) stage(policy string, version uint64) {
+	for model.weights(model.ctx, policy, version) != nil {
+		select {
+		case <-model.ctx.Done():
+			return
+		case <-time.After(stageRetry):
+		}
+	}
+	select {
+	case <-model.ctx.Done():
+		return
+	case <-time.After(model.settings.StageTime):
+	}
+	model.mu.Lock()
+	defer model.mu.Unlock()
+	if weights := model.policies[policy]; weights.staging == version {
+		weights.staged, weights.staging = version, 0
+	}
+}
+
+// load reports the engine's state of a moment ago; what it holds is reported as it is.
+func (model *Engine) load(writer http.ResponseWriter, _ *http.Request) {
+	model.mu.Lock()
+	defer model.mu.Unlock()
+	now := time.Now()
+	fresh := engine.Report{Running: len(model.running), Queued: len(model.waiting), Capacity: model.settings.Capacity}
+	model.reports = append(model.reports, timedReport{now, fresh})
+	for len(model.reports) > 1 && now.Sub(model.reports[1].at) >= model.settings.ReportLag {
+		model.reports = model.reports[1:]
+	}
+	report := model.reports[0].report
+	report.Leaving = model.leaving
+	report.Fence = model.fence
+	for policy, weights := range model.policies {
+		report.Held = append(report.Held, engine.Held{Policy: policy, Active: weights.active, Staged: weights.staged})
+	}
+	writeJSON(writer, http.StatusOK, report)
+}
--- /dev/null
+++ b/internal/node/spread.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	controlv1 "github.com/thistlewalk/thistlewalk/api/control/v1"
+	"github.com/thistlewalk/thistlewalk/internal/configuration"
+	"github.com/thistlewalk/thistlewalk/internal/experiment"
+	"github.com/thistlewalk/thistlewalk/internal/keyvalue"
+	"github.com/thistlewalk/thistlewalk/internal/machines"
+	"github.com/thistlewalk/thistlewalk/internal/membership"
+	"github.com/thistlewalk/thistlewalk/internal/partition"
+	"github.com/thistlewalk/thistlewalk/internal/placement"
+)
+
+// spread moves configuration, partitions, the machine list and load digests between nodes. It implements the Twirp
+// services Configuration and Load, and membership.Spread.
+type spread struct {
+	node *Node
+
+	mu      sync.Mutex
+	pulling bool
+	olderAt time.Time // when an older revision of the service was last reported
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func newSpread(node *Node) *spread { return &spread{node: node} }
+
+// pushPeers is how many members are told at once of a revision that is new to this node.
+const pushPeers = 3
+
+// run watches for changes until halt: each is pushed on, and onChange is called.
+func (spread *spread) run(onChange func()) {
+	ctx, stop := context.WithCancel(context.Background())
+	spread.stop = stop
+	spread.done.Go(func() {
+		for {
+			changed := spread.node.follower.Changed()
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+				onChange()
+				spread.node.prober.Push(ctx, pushPeers)
+			}
+		}
+	})
+}
+
+func (spread *spread) halt() {
+	if spread.stop != nil {
+		spread.stop()
+		spread.done.Wait()
+	}
+}
+
+// Revisions implements membership.Spread.
+func (spread *spread) Revisions() membership.Revisions {
+	follower := spread.node.follower
+	return membership.Revisions{
+		Configuration: follower.Document().Revision, Partitions: follower.Table().Revision, Machines: follower.Machines().Revision,
+	}
+}
+
+// Heard implements membership.Spread: it pulls when the other node knows more. One pull runs at a time.
+func (spread *spread) Heard(address string, other membership.Revisions) {
+	own := spread.Revisions()
+	if other.Configuration <= own.Configuration && other.Partitions <= own.Partitions && other.Machines <= own.Machines {
+		return
+	}
+	spread.mu.Lock()
+	defer spread.mu.Unlock()
+	if spread.pulling {
+		return
+	}
+	spread.pulling = true
+	go spread.pull(address)
+}
+
+func (spread *spread) pull(address string) {
+	defer func() {
+		spread.mu.Lock()
+		spread.pulling = false
+		spread.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), spread.node.settings.Platform.Timeout)
+	defer cancel()
+	own := spread.Revisions()
+	answer, err := spread.node.directory.At(address).Configuration.Pull(ctx, &controlv1.PullRequest{Known: &controlv1.Revisions{
+		Configuration: own.Configuration, Partitions: own.Partitions, Machines: own.Machines,
+	}})
+	if err == nil {
+		err = spread.take(answer)
+	}
+	if err != nil {
+		spread.node.logger.Debug("pull failed", "address", address, "error", err)
+	}
+}
+
+// take offers what a pull brought.
+func (spread *spread) take(answer *controlv1.PullResponse) error {
+	var failure error
+	if content := answer.GetConfiguration(); len(content) > 0 {
+		var document experiment.Document
+		if err := configuration.DecodeBetweenNodes(content, &document); err != nil {
+			failure = errors.CombineErrors(failure, err)
+		} else if spread.node.follower.Offer(document) {
+			spread.node.logger.Info("configuration in force", "revision", document.Revision)
+		}
+	}
+	if content := answer.GetPartitions(); len(content) > 0 {
+		var table partition.Table
+		if err := configuration.DecodeBetweenNodes(content, &table); err != nil {
+			failure = errors.CombineErrors(failure, err)
+		} else {
+			spread.node.follower.OfferTable(table)
+		}
+	}
+	if content := answer.GetMachines(); len(content) > 0 {
+		var list machines.List
+		if err := configuration.DecodeBetweenNodes(content, &list); err != nil {
+			failure = errors.CombineErrors(failure, err)
+		} else {
+			spread.node.follower.OfferMachines(list)
+		}
+	}
+	return failure
+}
+
+// Pull implements the Twirp service: it gives what is newer than the caller knows.
+func (spread *spread) Pull(_ context.Context, request *controlv1.PullRequest) (*controlv1.PullResponse, error) {
+	follower := spread.node.follower
+	known := request.GetKnown()
+	response := &controlv1.PullResponse{}
+	var err error
+	if document := follower.Document(); document.Revision > known.GetConfiguration() {
+		response.Configuration, err = configuration.EncodeBetweenNodes(document)
+	}
+	if table := follower.Table(); err == nil && table.Revision > known.GetPartitions() {
+		response.Partitions, err = configuration.EncodeBetweenNodes(table)
+	}
+	if list := follower.Machines(); err == nil && list.Revision > known.GetMachines() {
+		response.Machines, err = configuration.EncodeBetweenNodes(list)
+	}
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return response, nil
+}
+
+// Exchange implements the Twirp service: it gives digests that are newer than the caller's.
+func (spread *spread) Exchange(_ context.Context, request *controlv1.ExchangeRequest) (*controlv1.ExchangeResponse, error) {
+	return &controlv1.ExchangeResponse{Newer: spread.node.loads.Newer(request.GetKnown())}, nil
+}
+
+// smallSystem is the number of replicas up to which digests travel between all nodes, not only inside a zone.
+const smallSystem = 64
+
+// exchange asks random peers for newer digests.
+func (spread *spread) exchange(ctx context.Context) {
+	node := spread.node
+	now := time.Now()
+	node.loads.Forget(now, forgetAges*node.settings.Replicas.MaximumAge)
+	peers := spread.exchangePeers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(len(peers), node.settings.Membership.ExchangePeers)] {
+		callCtx, cancel := context.WithTimeout(ctx, node.settings.Membership.ProbeTimeout)
+		answer, err := node.directory.At(peer.Address).Load.Exchange(callCtx, &controlv1.ExchangeRequest{Known: node.loads.Known()})
+		cancel()
+		if err == nil {
+			node.loads.Merge(answer.GetNewer(), time.Now())
+		}
+	}
+}
+
+// forgetAges is after how many maximum ages a digest's replica is forgotten.
+const forgetAges = 6
+
+// exchangePeers are the live others of the zone; of all zones in a small system.
+func (spread *spread) exchangePeers() []membership.Member {
+	node := spread.node
+	engines := 0
+	for _, machine := range node.follower.Machines().Machines {
+		if machine.Role == machines.RoleEngine {
+			engines++
+		}
+	}
+	var peers []membership.Member
+	for _, member := range node.members.View().Live {
+		if member.NodeID != node.settings.Node.ID && (engines <= smallSystem || member.Zone == node.settings.Node.Zone) {
+			peers = append(peers, member)
+		}
+	}
+	return peers
+}
+
+// isRelay reports whether this node watches the platform's services for its zone.
+func (spread *spread) isRelay() bool {
+	node := spread.node
+	var zone []string
+	for _, member := range node.members.View().Live {
+		if member.Zone == node.settings.Node.Zone {
+			zone = append(zone, member.NodeID)
+		}
+	}
+	ranked := placement.Rank("relay/"+node.settings.Node.Zone, zone, func(id string) string { return id })
+	for _, nodeID := range ranked[:min(len(ranked), node.settings.Membership.RelaysPerZone)] {
+		if nodeID == node.settings.Node.ID {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	watchWait    = 5 * time.Second
+	olderSilence = 30 * time.Second
+)
+
+// pollService watches the key-value service while this node is a relay.
+func (spread *spread) pollService(ctx context.Context) {
+	if !spread.isRelay() {
+		sleep(ctx, time.Second)
+		return
+	}
+	err := spread.node.relay.Poll(ctx, watchWait)
+	switch {
+	case err == nil || ctx.Err() != nil:
+	case errors.Is(err, configuration.ErrOlder):
+		spread.reportOlder(err)
+		sleep(ctx, time.Second)
+	case errors.Is(err, keyvalue.ErrLimited):
+		sleep(ctx, time.Second)
+	default:
+		spread.node.logger.Debug("key-value service not read", "error", err)
+		sleep(ctx, time.Second/2)
+	}
+}
+
+// reportOlder logs, now and then, that the service came back older.
+func (spread *spread) reportOlder(err error) {
+	if time.Since(spread.olderAt) < olderSilence {
+		return
+	}
+	spread.olderAt = time.Now()
+	spread.node.logger.Error("older configuration refused", "code", 602, "error", err)
+}
+
+// pollMachines reads the machine list while this node is a relay.
+func (spread *spread) pollMachines(ctx context.Context) {
+	if !spread.isRelay() {
+		return
+	}
+	list, newer, err := spread.node.source.Newer(ctx, spread.node.follower.Machines().Revision)
+	if err != nil {
+		spread.node.logger.Debug("machine list not read", "error", err)
+		return
+	}
+	if newer {
+		spread.node.follower.OfferMachines(list)
+	}
+}
+
+// sleep waits unless the context ends.
+func sleep(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
--- /dev/null
+++ b/internal/ownership/copies.go
@@ -0,0 +1,143 @@
+// Package ownership runs the partitions of a node: it answers for the copies the node holds, takes over vacant
+// partitions, and hands each owned one to its handler.
+package ownership
+
+import (
+	"context"
+	"sync"
+
+	"github.com/twitchtv/twirp"
+
+	controlv1 "github.com/thistlewalk/thistlewalk/api/control/v1"
+	"github.com/thistlewalk/thistlewalk/internal/partition"
+	"github.com/thistlewalk/thistlewalk/internal/peers"
+)
+
+// Copies are the partition replicas of this node. It implements the Twirp service Partition and is safe for concurrent
+// use.
+type Copies struct {
+	storage  partition.Storage // nil on nodes without a data folder
+	storeID  string            // identity of the storage; empty without one
+	memoryID string            // identity of copies in memory: that of the process
+	mu       sync.Mutex
+	replicas map[partition.Name]*partition.Replica
+}
+
+// NewCopies returns the copies of a node. storage is nil on nodes without a data folder.
+func NewCopies(storage partition.Storage, storeID, memoryID string) *Copies {
+	return &Copies{storage: storage, storeID: storeID, memoryID: memoryID, replicas: make(map[partition.Name]*partition.Replica)}
+}
+
+// ReplicaID returns the identity of this node's copies of a kind; empty when it can hold none.
+func (copies *Copies) ReplicaID(kind partition.Kind) string {
+	if kind == partition.KindSteps {
+		return copies.storeID
+	}
+	return copies.memoryID
+}
+
+// replica returns the copy of a partition if the identity asked for is this node's.
+func (copies *Copies) replica(name partition.Name, replicaID string) (*partition.Replica, error) {
+	if replicaID == "" || replicaID != copies.ReplicaID(name.Kind) {
+		return nil, twirp.FailedPrecondition.Errorf("no copy %q of partition %s here", replicaID, name)
+	}
+	copies.mu.Lock()
+	defer copies.mu.Unlock()
+	replica, ok := copies.replicas[name]
+	if !ok {
+		var storage partition.Storage
+		if name.Kind == partition.KindSteps {
+			storage = copies.storage
+		}
+		replica = partition.NewReplica(name, storage)
+		copies.replicas[name] = replica
+	}
+	return replica, nil
+}
+
+// Promise implements the Twirp service.
+func (copies *Copies) Promise(_ context.Context, request *controlv1.PromiseRequest) (*controlv1.PromiseResponse, error) {
+	replica, err := copies.replica(nameOf(request.GetPartition()), request.GetReplicaId())
+	if err != nil {
+		return nil, err
+	}
+	promise, err := replica.Promise(request.GetEpoch())
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &controlv1.PromiseResponse{Granted: promise.Granted, PromisedEpoch: promise.Epoch, Records: toRecords(promise.Registers)}, nil
+}
+
+// Append implements the Twirp service.
+func (copies *Copies) Append(_ context.Context, request *controlv1.AppendRequest) (*controlv1.AppendResponse, error) {
+	replica, err := copies.replica(nameOf(request.GetPartition()), request.GetReplicaId())
+	if err != nil {
+		return nil, err
+	}
+	accepted, promised, err := replica.Append(partition.Write{
+		Epoch: request.GetEpoch(), Registers: fromRecords(request.GetRecords()), RemovePrefixes: request.GetRemovePrefixes(),
+	})
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &controlv1.AppendResponse{Accepted: accepted, PromisedEpoch: promised}, nil
+}
+
+func nameOf(message *controlv1.PartitionName) partition.Name {
+	return partition.Name{Kind: partition.Kind(message.GetKind()), Index: message.GetIndex()}
+}
+
+func toRecords(registers []partition.Register) []*controlv1.Record {
+	records := make([]*controlv1.Record, 0, len(registers))
+	for _, register := range registers {
+		records = append(records, &controlv1.Record{Key: register.Key, Epoch: register.Epoch, Sequence: register.Sequence, Value: register.Value})
+	}
+	return records
+}
+
+func fromRecords(records []*controlv1.Record) []partition.Register {
+	registers := make([]partition.Register, 0, len(records))
+	for _, record := range records {
+		registers = append(registers, partition.Register{Key: record.GetKey(), Epoch: record.GetEpoch(), Sequence: record.GetSequence(), Value: record.GetValue()})
+	}
+	return registers
+}
+
+// remote is the partition.Transport over Twirp; the node's own copies are reached directly.
+type remote struct {
+	own       *Copies
+	ownID     string
+	directory *peers.Directory
+}
+
+func messageOf(name partition.Name) *controlv1.PartitionName {
+	return &controlv1.PartitionName{Kind: string(name.Kind), Index: name.Index}
+}
+
+func (transport remote) serviceAt(holder partition.Holder) controlv1.Partition {
+	if holder.NodeID == transport.ownID {
+		return transport.own
+	}
+	return transport.directory.At(holder.Address).Partition
+}
+
+// Promise implements partition.Transport.
+func (transport remote) Promise(ctx context.Context, holder partition.Holder, name partition.Name, epoch uint64) (partition.Promise, error) {
+	answer, err := transport.serviceAt(holder).Promise(ctx, &controlv1.PromiseRequest{Partition: messageOf(name), Epoch: epoch, ReplicaId: holder.ReplicaID})
+	if err != nil {
+		return partition.Promise{}, err
+	}
+	return partition.Promise{Granted: answer.GetGranted(), Epoch: answer.GetPromisedEpoch(), Registers: fromRecords(answer.GetRecords())}, nil
+}
+
+// Append implements partition.Transport.
+func (transport remote) Append(ctx context.Context, holder partition.Holder, name partition.Name, write partition.Write) (bool, uint64, error) {
+	answer, err := transport.serviceAt(holder).Append(ctx, &controlv1.AppendRequest{
+		Partition: messageOf(name), Epoch: write.Epoch, ReplicaId: holder.ReplicaID,
+		Records: toRecords(write.Registers), RemovePrefixes: write.RemovePrefixes,
+	})
+	if err != nil {
+		return false, 0, err
+	}
+	return answer.GetAccepted(), answer.GetPromisedEpoch(), nil
+}
--- /dev/null
+++ b/internal/partition/replica.go
@@ -0,0 +1,166 @@
+package partition
+
+import (
+	"sort"
+	"strings"
+	"sync"
+)
+
+// Register is one replicated value. Of two registers with one key the greater (Epoch, Sequence) wins.
+type Register struct {
+	Key      string `cbor:"1,keyasint"`
+	Epoch    uint64 `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
+	Value    []byte `cbor:"4,keyasint"`
+}
+
+// newer reports whether the register wins over the other one.
+func (register Register) newer(other Register) bool {
+	if register.Epoch != other.Epoch {
+		return register.Epoch > other.Epoch
+	}
+	return register.Sequence > other.Sequence
+}
+
+// Write is one set of registers that is stored together.
+type Write struct {
+	Epoch          uint64
+	Registers      []Register
+	RemovePrefixes []string
+}
+
+// Storage keeps what a replica must not forget. Implementations: memory (nothing is kept) and package samplestore.
+type Storage interface {
+	// Load returns the stored promise and registers of a partition.
+	Load(name Name) (promised uint64, registers []Register, err error)
+	// Save stores the promise, removes keys by prefix and then puts registers, all or nothing.
+	Save(name Name, promised uint64, removePrefixes []string, registers []Register) error
+}
+
+// Replica is one copy of a partition. It is safe for concurrent use.
+// Invariants: promised never shrinks; nothing is answered before it is stored.
+type Replica struct {
+	name      Name
+	storage   Storage // nil keeps nothing
+	mu        sync.Mutex
+	loaded    bool
+	promised  uint64
+	registers map[string]Register
+}
+
+// NewReplica returns the copy of a partition on this storage; nil storage keeps it in memory only.
+func NewReplica(name Name, storage Storage) *Replica {
+	return &Replica{name: name, storage: storage, registers: make(map[string]Register)}
+}
+
+// load reads the stored state once; must hold mu.
+func (replica *Replica) load() error {
+	if replica.loaded || replica.storage == nil {
+		return nil
+	}
+	promised, registers, err := replica.storage.Load(replica.name)
+	if err != nil {
+		return err
+	}
+	replica.promised = promised
+	for _, register := range registers {
+		replica.registers[register.Key] = register
+	}
+	replica.loaded = true
+	return nil
+}
+
+// save stores a change; must hold mu.
+func (replica *Replica) save(promised uint64, removePrefixes []string, registers []Register) error {
+	if replica.storage == nil {
+		return nil
+	}
+	return replica.storage.Save(replica.name, promised, removePrefixes, registers)
+}
+
+// Promise is the answer of a replica: whether it granted, the epoch it is bound to, and its registers when granted.
+type Promise struct {
+	Granted   bool
+	Epoch     uint64
+	Registers []Register
+}
+
+// Promise binds the replica to refuse epochs smaller than the one given.
+func (replica *Replica) Promise(epoch uint64) (Promise, error) {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	if err := replica.load(); err != nil {
+		return Promise{}, err
+	}
+	if epoch < replica.promised {
+		return Promise{Epoch: replica.promised}, nil
+	}
+	if epoch > replica.promised {
+		if err := replica.save(epoch, nil, nil); err != nil {
+			return Promise{}, err
+		}
+		replica.promised = epoch
+	}
+	return Promise{Granted: true, Epoch: epoch, Registers: replica.sorted()}, nil
+}
+
+// sorted returns the registers by key; must hold mu.
+func (replica *Replica) sorted() []Register {
+	registers := make([]Register, 0, len(replica.registers))
+	for _, register := range replica.registers {
+		registers = append(registers, register)
+	}
+	sort.Slice(registers, func(i, j int) bool { return registers[i].Key < registers[j].Key })
+	return registers
+}
+
+// Append stores a write unless a greater epoch was promised; it returns whether it was accepted and the promised epoch.
+func (replica *Replica) Append(write Write) (bool, uint64, error) {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	if err := replica.load(); err != nil {
+		return false, 0, err
+	}
+	if write.Epoch < replica.promised {
+		return false, replica.promised, nil
+	}
+	fresh := make([]Register, 0, len(write.Registers))
+	for _, register := range write.Registers {
+		if present, ok := replica.registers[register.Key]; !ok || register.newer(present) {
+			fresh = append(fresh, register)
+		}
+	}
+	if err := replica.save(write.Epoch, write.RemovePrefixes, fresh); err != nil {
+		return false, replica.promised, err
+	}
+	replica.promised = write.Epoch
+	replica.remove(write.RemovePrefixes)
+	for _, register := range fresh {
+		replica.registers[register.Key] = register
+	}
+	return true, replica.promised, nil
+}
+
+// remove deletes keys by prefix; must hold mu.
+func (replica *Replica) remove(prefixes []string) {
+	for _, prefix := range prefixes {
+		for key := range replica.registers {
+			if strings.HasPrefix(key, prefix) {
+				delete(replica.registers, key)
+			}
+		}
+	}
+}
+
+// Merge returns the winning registers of several copies, by key.
+func Merge(copies ...[]Register) map[string]Register {
+	merged := make(map[string]Register)
+	for _, registers := range copies {
+		for _, register := range registers {
+			if present, ok := merged[register.Key]; !ok || register.newer(present) {
+				merged[register.Key] = register
+			}
+		}
+	}
+	return merged
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,60 @@
+// Package peers keeps the Twirp clients of the other nodes, by address.
+package peers
+
+import (
+	"net/http"
+	"sync"
+
+	controlv1 "github.com/thistlewalk/thistlewalk/api/control/v1"
+)
+
+// Peer holds the clients of one node.
+type Peer struct {
+	Membership    controlv1.Membership
+	Configuration controlv1.Configuration
+	Load          controlv1.Load
+	Partition     controlv1.Partition
+	Steps         controlv1.Steps
+	Executor      controlv1.Executor
+	Claims        controlv1.Claims
+}
+
+// Directory makes clients on first use. It is safe for concurrent use.
+type Directory struct {
+	client *http.Client
+	scheme string
+	mu     sync.Mutex
+	peers  map[string]*Peer
+}
+
+// NewDirectory returns a directory whose clients use the HTTP client; scheme is "http" or "https".
+func NewDirectory(client *http.Client, scheme string) *Directory {
+	return &Directory{client: client, scheme: scheme, peers: make(map[string]*Peer)}
+}
+
+// maximumPeers bounds the clients kept; addresses of nodes long gone are dropped with the rest.
+const maximumPeers = 4096
+
+// At returns the clients of the node at a control address, "host:port".
+func (directory *Directory) At(address string) *Peer {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	if peer, ok := directory.peers[address]; ok {
+		return peer
+	}
+	if len(directory.peers) >= maximumPeers {
+		clear(directory.peers)
+	}
+	base := directory.scheme + "://" + address
+	peer := &Peer{
+		Membership:    controlv1.NewMembershipProtobufClient(base, directory.client),
+		Configuration: controlv1.NewConfigurationProtobufClient(base, directory.client),
+		Load:          controlv1.NewLoadProtobufClient(base, directory.client),
+		Partition:     controlv1.NewPartitionProtobufClient(base, directory.client),
+		Steps:         controlv1.NewStepsProtobufClient(base, directory.client),
+		Executor:      controlv1.NewExecutorProtobufClient(base, directory.client),
+		Claims:        controlv1.NewClaimsProtobufClient(base, directory.client),
+	}
+	directory.peers[address] = peer
+	return peer
+}
--- /dev/null
+++ b/internal/samplestore/store.go
@@ -0,0 +1,222 @@
+// Package samplestore keeps partitions' registers in a bbolt file of the node's data folder. Every value carries a
+// checksum. A file that cannot be read is moved aside and replaced by an empty one with a new identity, so that the
+// other replicas fill it again.
+package samplestore
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
+
+	"github.com/thistlewalk/thistlewalk/internal/partition"
+)
+
+const (
+	fileName       = "samples.db"
+	fileMode       = 0o600
+	folderMode     = 0o700
+	openTimeout    = time.Second
+	checksumLength = 8
+)
+
+var (
+	metaBucket  = []byte("meta")
+	identityKey = []byte("identity")
+	promiseKey  = []byte("\x00promise")
+)
+
+// ErrCorrupt means that stored bytes do not match their checksum.
+var ErrCorrupt = errors.New("stored bytes do not match their checksum")
+
+// Store is a partition.Storage in one file. It is safe for concurrent use.
+type Store struct {
+	database *bolt.DB
+	identity string
+	path     string
+	// Replaced is the path that an unreadable file was moved to; empty when the file was read.
+	Replaced string
+}
+
+// Open opens the store in a data folder, creating it when missing.
+func Open(folder string) (*Store, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, errors.Wrap(err, "data folder")
+	}
+	path := filepath.Join(folder, fileName)
+	store, err := open(path)
+	if err == nil {
+		return store, nil
+	}
+	if errors.Is(err, bolterrors.ErrTimeout) {
+		return nil, errors.Wrapf(err, "%s is in use by another process", path)
+	}
+	aside := fmt.Sprintf("%s.unreadable-%d", path, time.Now().UnixNano())
+	if renameErr := os.Rename(path, aside); renameErr != nil {
+		return nil, errors.CombineErrors(err, renameErr)
+	}
+	store, err = open(path)
+	if err != nil {
+		return nil, err
+	}
+	store.Replaced = aside
+	return store, nil
+}
+
+// open opens one file and verifies all of it.
+func open(path string) (store *Store, err error) {
+	defer func() {
+		// bbolt panics on some damaged files.
+		if cause := recover(); cause != nil {
+			store, err = nil, errors.Mark(errors.Newf("%s: %v", path, cause), ErrCorrupt)
+		}
+	}()
+	database, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: openTimeout, NoFreelistSync: true})
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	store = &Store{database: database, path: path}
+	if err := store.verify(); err != nil {
+		_ = database.Close()
+		return nil, err
+	}
+	if err := store.loadIdentity(); err != nil {
+		_ = database.Close()
+		return nil, err
+	}
+	return store, nil
+}
+
+// verify checks the pages' structure and every checksum.
+func (store *Store) verify() error {
+	return store.database.View(func(transaction *bolt.Tx) error {
+		for err := range transaction.Check() {
+			return errors.Mark(errors.Wrap(err, store.path), ErrCorrupt)
+		}
+		return transaction.ForEach(func(name []byte, bucket *bolt.Bucket) error {
+			return bucket.ForEach(func(key, value []byte) error {
+				_, err := open8(value)
+				return errors.Wrapf(err, "%s: bucket %s, key %q", store.path, name, key)
+			})
+		})
+	})
+}
+
+func (store *Store) loadIdentity() error {
+	return store.database.Update(func(transaction *bolt.Tx) error {
+		bucket, err := transaction.CreateBucketIfNotExists(metaBucket)
+		if err != nil {
+			return err
+		}
+		if sealed := bucket.Get(identityKey); sealed != nil {
+			identity, err := open8(sealed)
+			store.identity = string(identity)
+			return err
+		}
+		store.identity = uuid.NewString()
+		return bucket.Put(identityKey, seal([]byte(store.identity)))
+	})
+}
+
+// seal puts a checksum before the content; open8 checks and removes it.
+func seal(content []byte) []byte {
+	sealed := make([]byte, checksumLength, checksumLength+len(content))
+	binary.BigEndian.PutUint64(sealed, xxhash.Sum64(content))
+	return append(sealed, content...)
+}
+
+func open8(sealed []byte) ([]byte, error) {
+	if len(sealed) < checksumLength || binary.BigEndian.Uint64(sealed) != xxhash.Sum64(sealed[checksumLength:]) {
+		return nil, ErrCorrupt
+	}
+	return sealed[checksumLength:], nil
+}
+
+// Identity names the file; a replaced or emptied file has another one.
+func (store *Store) Identity() string { return store.identity }
+
+// Close closes the file.
+func (store *Store) Close() error { return store.database.Close() }
+
+// Load implements partition.Storage.
+func (store *Store) Load(name partition.Name) (uint64, []partition.Register, error) {
+	var promised uint64
+	var registers []partition.Register
+	err := store.database.View(func(transaction *bolt.Tx) error {
+		bucket := transaction.Bucket([]byte(name.String()))
+		if bucket == nil {
+			return nil
+		}
+		return bucket.ForEach(func(key, sealed []byte) error {
+			content, err := open8(sealed)
+			if err != nil {
+				return errors.Wrapf(err, "partition %s, key %q", name, key)
+			}
+			if bytes.Equal(key, promiseKey) {
+				return cbor.Unmarshal(content, &promised)
+			}
+			register, err := DecodeRegister(content)
+			registers = append(registers, register)
+			return err
+		})
+	})
+	return promised, registers, errors.Wrap(err, "sample store")
+}
+
+// DecodeRegister reads a stored register.
+func DecodeRegister(content []byte) (partition.Register, error) {
+	var register partition.Register
+	err := cbor.Unmarshal(content, &register)
+	return register, errors.Wrap(err, "stored register")
+}
+
+// Save implements partition.Storage.
+func (store *Store) Save(name partition.Name, promised uint64, removePrefixes []string, registers []partition.Register) error {
+	return store.database.Update(func(transaction *bolt.Tx) error {
+		bucket, err := transaction.CreateBucketIfNotExists([]byte(name.String()))
+		if err != nil {
+			return errors.Wrap(err, "sample store")
+		}
+		for _, prefix := range removePrefixes {
+			if err := removePrefix(bucket, []byte(prefix)); err != nil {
+				return err
+			}
+		}
+		if err := put(bucket, promiseKey, promised); err != nil {
+			return err
+		}
+		for _, register := range registers {
+			if err := put(bucket, []byte(register.Key), register); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func put(bucket *bolt.Bucket, key []byte, value any) error {
+	content, err := cbor.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "sample store")
+	}
+	return errors.Wrap(bucket.Put(key, seal(content)), "sample store")
+}
+
+func removePrefix(bucket *bolt.Bucket, prefix []byte) error {
+	cursor := bucket.Cursor()
+	for key, _ := cursor.Seek(prefix); key != nil && bytes.HasPrefix(key, prefix); key, _ = cursor.Next() {
+		if err := cursor.Delete(); err != nil {
+			return errors.Wrap(err, "sample store")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/step/step.go
@@ -0,0 +1,267 @@
+package step
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/experiment"
+	"github.com/thistlewalk/thistlewalk/internal/result"
+	"github.com/thistlewalk/thistlewalk/internal/rollout"
+)
+
+// Step is the aggregate. Methods that decide do not change it; Apply does.
+// Invariants: a slot is in at most one batch; a slot in a batch is filled; only the last batch may be unacknowledged.
+type Step struct {
+	Definition Definition
+	Progress   Progress
+	slots      []SlotState
+	batches    []Batch
+	batched    []bool // by slot: whether some batch holds it
+	filled     int
+}
+
+// New returns a step without samples.
+func New(definition Definition) *Step {
+	count := definition.Slots()
+	step := &Step{
+		Definition: definition,
+		Progress:   Progress{State: StateOpen},
+		slots:      make([]SlotState, count),
+		batched:    make([]bool, count),
+	}
+	for index := range step.slots {
+		step.slots[index].Slot = uint32(index)
+	}
+	return step
+}
+
+// Apply makes a stored change part of the step.
+func (step *Step) Apply(change Change) {
+	for _, state := range change.Slots {
+		if (step.slots[state.Slot].Sample != nil) != (state.Sample != nil) {
+			step.filled += filledDelta(state)
+		}
+		step.slots[state.Slot] = state
+	}
+	for _, batch := range change.Batches {
+		step.setBatch(batch)
+	}
+	if change.Progress != nil {
+		step.Progress = *change.Progress
+	}
+}
+
+func filledDelta(state SlotState) int {
+	if state.Sample != nil {
+		return 1
+	}
+	return -1
+}
+
+func (step *Step) setBatch(batch Batch) {
+	for uint64(len(step.batches)) <= batch.Cursor {
+		step.batches = append(step.batches, Batch{Cursor: uint64(len(step.batches))})
+	}
+	for _, slot := range step.batches[batch.Cursor].Slots {
+		step.batched[slot] = false
+	}
+	step.batches[batch.Cursor] = batch
+	for _, slot := range batch.Slots {
+		step.batched[slot] = true
+	}
+}
+
+// Filled returns the number of slots that hold a sample.
+func (step *Step) Filled() int { return step.filled }
+
+// Delivered returns the number of slots that some batch holds.
+func (step *Step) Delivered() int {
+	count := 0
+	for _, batched := range step.batched {
+		if batched {
+			count++
+		}
+	}
+	return count
+}
+
+// Slot returns the state of a slot.
+func (step *Step) Slot(slot uint32) SlotState { return step.slots[slot] }
+
+// Offer decides on a sample: it fills an empty slot of an open step; any other sample is a duplicate and changes nothing.
+func (step *Step) Offer(slot uint32, sample rollout.Sample) (Change, result.Code, error) {
+	if int(slot) >= len(step.slots) {
+		return Change{}, result.InvalidField, result.New(result.InvalidField, "slot %d of %d", slot, len(step.slots))
+	}
+	if err := sample.Check(); err != nil {
+		return Change{}, result.CodeOf(err), err
+	}
+	state := step.slots[slot]
+	if state.Sample != nil || step.Progress.State != StateOpen {
+		return Change{}, result.DoneDuplicate, nil
+	}
+	state.Sample = &sample
+	return Change{Slots: []SlotState{state}}, result.Done, nil
+}
+
+// Newest tells the newest version known of a policy.
+type Newest func(policy string) uint64
+
+// Staleness of a sample at a moment.
+type Staleness struct {
+	Versions uint64
+	Age      time.Duration
+}
+
+// StalenessOf measures a sample by its oldest span: how many versions it is behind the newest, and the time since the
+// rollout was started. A version that is greater than the newest known is not stale.
+func StalenessOf(sample rollout.Sample, newest uint64, now time.Time) Staleness {
+	staleness := Staleness{Age: max(0, now.Sub(sample.Started))}
+	if oldest := sample.OldestVersion(); newest > oldest {
+		staleness.Versions = newest - oldest
+	}
+	return staleness
+}
+
+// Exceeds reports whether the staleness is over the bound.
+func (staleness Staleness) Exceeds(bound experiment.Bound) bool {
+	if bound.HasVersions && staleness.Versions > bound.Versions {
+		return true
+	}
+	return bound.Age > 0 && staleness.Age > bound.Age
+}
+
+// Fetch is a trainer's question for the samples at a cursor.
+type Fetch struct {
+	Cursor uint64
+	// Number must grow with each fetch of the step; a trainer uses only the answer to its greatest number.
+	Number uint64
+	// Maximum is the most samples wanted.
+	Maximum int
+}
+
+// Delivery is one sample of an answer.
+type Delivery struct {
+	Slot       uint32
+	Generation uint32
+	Sample     rollout.Sample
+	Staleness  Staleness
+}
+
+// Answer is what a fetch delivers, with the change that must be stored before it is sent.
+type Answer struct {
+	Deliveries []Delivery
+	Change     Change
+	Dropped    int
+}
+
+// Fetch decides what the trainer gets. A cursor whose batch was fixed before gives the same samples, but for those that
+// have become too old since: fetching again tells that the earlier answer was not used, so they are dropped and their
+// slots generated again. docs/design/0003-delivery.md has the reasoning.
+func (step *Step) Fetch(fetch Fetch, bound experiment.Bound, newest Newest, now time.Time) (Answer, error) {
+	if step.Progress.State == StateEnded {
+		return Answer{}, result.New(result.InvalidState, "step %q was ended", step.Definition.ID)
+	}
+	if fetch.Cursor != step.Progress.NextCursor {
+		return Answer{}, result.New(result.ConflictFetch, "cursor %d: the next one is %d", fetch.Cursor, step.Progress.NextCursor)
+	}
+	if fetch.Number <= step.Progress.LastFetch {
+		return Answer{}, result.New(result.ConflictFetch, "fetch number %d: %d was answered", fetch.Number, step.Progress.LastFetch)
+	}
+	candidates := step.candidates(fetch)
+	answer := Answer{}
+	batch := Batch{Cursor: fetch.Cursor}
+	for _, slot := range candidates {
+		state := step.slots[slot]
+		staleness := StalenessOf(*state.Sample, newest(state.Sample.Policy), now)
+		if staleness.Exceeds(bound) {
+			answer.Change.Slots = append(answer.Change.Slots, emptied(state))
+			answer.Dropped++
+			continue
+		}
+		batch.Slots = append(batch.Slots, slot)
+		answer.Deliveries = append(answer.Deliveries, Delivery{Slot: slot, Generation: state.Generation, Sample: *state.Sample, Staleness: staleness})
+	}
+	if len(batch.Slots) > 0 || step.hasBatch(fetch.Cursor) {
+		answer.Change.Batches = []Batch{batch}
+	}
+	progress := step.Progress
+	progress.LastFetch = fetch.Number
+	progress.Dropped += uint64(answer.Dropped)
+	answer.Change.Progress = &progress
+	return answer, nil
+}
+
+func (step *Step) hasBatch(cursor uint64) bool { return cursor < uint64(len(step.batches)) }
+
+// candidates returns the slots of the cursor's batch if it is fixed and not empty, else filled slots in no batch.
+func (step *Step) candidates(fetch Fetch) []uint32 {
+	if step.hasBatch(fetch.Cursor) && len(step.batches[fetch.Cursor].Slots) > 0 {
+		return slices.Clone(step.batches[fetch.Cursor].Slots)
+	}
+	var slots []uint32
+	for _, state := range step.slots {
+		if len(slots) >= fetch.Maximum {
+			break
+		}
+		if state.Sample != nil && !step.batched[state.Slot] {
+			slots = append(slots, state.Slot)
+		}
+	}
+	return slots
+}
+
+func emptied(state SlotState) SlotState {
+	return SlotState{Slot: state.Slot, Generation: state.Generation + 1}
+}
+
+// Expire decides to drop the samples that are over the bound and in no batch, so that their slots are generated again
+// before the trainer asks.
+func (step *Step) Expire(bound experiment.Bound, newest Newest, now time.Time) Change {
+	var change Change
+	if step.Progress.State != StateOpen {
+		return change
+	}
+	for _, state := range step.slots {
+		if state.Sample == nil || step.batched[state.Slot] {
+			continue
+		}
+		if StalenessOf(*state.Sample, newest(state.Sample.Policy), now).Exceeds(bound) {
+			change.Slots = append(change.Slots, emptied(state))
+		}
+	}
+	if len(change.Slots) > 0 {
+		progress := step.Progress
+		progress.Dropped += uint64(len(change.Slots))
+		change.Progress = &progress
+	}
+	return change
+}
+
+// Acknowledge decides to move the cursor past a delivered batch. A cursor that was acknowledged before changes nothing.
+func (step *Step) Acknowledge(cursor uint64, now time.Time) (Change, error) {
+	if cursor < step.Progress.NextCursor {
+		return Change{}, nil
+	}
+	if cursor != step.Progress.NextCursor || !step.hasBatch(cursor) || len(step.batches[cursor].Slots) == 0 {
+		return Change{}, result.New(result.ConflictFetch, "cursor %d was not delivered; the next one is %d", cursor, step.Progress.NextCursor)
+	}
+	progress := step.Progress
+	progress.NextCursor++
+	if step.Delivered() == len(step.slots) {
+		progress.State = StateComplete
+		progress.Closed = now
+	}
+	return Change{Progress: &progress}, nil
+}
+
+// End decides to close an open step early; its remaining slots are given up.
+func (step *Step) End(now time.Time) Change {
+	if step.Progress.State != StateOpen {
+		return Change{}
+	}
+	progress := step.Progress
+	progress.State = StateEnded
+	progress.Closed = now
+	return Change{Progress: &progress}
+}
