Add a hollow fleet in one process, and carry load digests in columns

Cause: a digest with its address and held versions was about 95 bytes, and an exchange named every replica with 14 more: at 107 replicas a zone two exchanges a second would have cost 16 KB/s of a budget of 17. Nodes that joined in pairs also stayed islands: 24 nodes never settled within 40 s, each seeing 2.

Change: digests travel in columns, keyed by a hash of the identifier, with addresses from the machine list and held versions by fingerprint. A node tries a seed that is no live member every two probe intervals. Probing stays in the zone three times of four, idle control connections are bounded.

--- a/cmd/thistlewalk-lab/main.go
+++ b/cmd/thistlewalk-lab/main.go
@@ -19,10 +19,10 @@
 		Name:                  "thistlewalk-lab",
 		Usage:                 "stand-ins of the platform, and experiments with thistlewalk",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand()},
+		Commands:              []*cli.Command{demoCommand(), hollowCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
-		if !errors.Is(err, errBreach) {
+		if !errors.Is(err, errBreach) && !errors.Is(err, errNotMet) {
 			fmt.Fprintln(os.Stderr, "thistlewalk-lab:", err)
 		}
 		os.Exit(1)
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,6 +47,8 @@
 
 	mu       sync.Mutex
 	replicas map[string]*replica
+	view     *membership.View // that replicas were assigned by
+	listed   *machines.List   // likewise
 }
 
 // replica is the state of one replica that this node is the home of. It is used by one tick at a time.
@@ -78,17 +82,15 @@
 	pending.Wait()
 }
 
-// assigned returns the replicas whose home is this node, by the members and the machine list known now.
-func (home *Home) assigned() []*replica {
+// Assignments returns the home node of each replica on the machine list, by the members known now.
+func (home *Home) Assignments() map[string]string {
 	nodes := make(map[string][]string) // identifiers of live nodes by zone
 	var everywhere []string
 	for _, member := range home.members.View().Live {
 		nodes[member.Zone] = append(nodes[member.Zone], member.NodeID)
 		everywhere = append(everywhere, member.NodeID)
 	}
-	home.mu.Lock()
-	defer home.mu.Unlock()
-	kept := make(map[string]*replica)
+	assignments := make(map[string]string)
 	for _, machine := range home.list().Machines {
 		if machine.Role != machines.RoleEngine {
 			continue
@@ -97,7 +99,34 @@
 		if len(candidates) == 0 {
 			candidates = everywhere
 		}
-		if placement.Best(machine.ID, candidates) != home.nodeID {
+		assignments[machine.ID] = placement.Best(machine.ID, candidates)
+	}
+	return assignments
+}
+
+// assigned returns the replicas whose home is this node. The assignments are worked out anew only when the members or
+// the machine list have changed.
+func (home *Home) assigned() []*replica {
+	view, list := home.members.View(), home.list()
+	home.mu.Lock()
+	defer home.mu.Unlock()
+	if home.view != view || home.listed != list {
+		home.reassign()
+		home.view, home.listed = view, list
+	}
+	assigned := make([]*replica, 0, len(home.replicas))
+	for _, found := range home.replicas {
+		assigned = append(assigned, found)
+	}
+	return assigned
+}
+
+// reassign must hold mu.
+func (home *Home) reassign() {
+	assignments := home.Assignments()
+	kept := make(map[string]*replica)
+	for _, machine := range home.list().Machines {
+		if assignments[machine.ID] != home.nodeID {
 			continue
 		}
 		found, ok := home.replicas[machine.ID]
@@ -108,11 +137,6 @@
 		kept[machine.ID] = found
 	}
 	home.replicas = kept
-	assigned := make([]*replica, 0, len(kept))
-	for _, found := range kept {
-		assigned = append(assigned, found)
-	}
-	return assigned
 }
 
 // visit polls one replica, publishes its load and sends the orders that are due.
@@ -143,7 +167,7 @@
 		return
 	}
 	digest := loads.Digest{ID: found.machine.ID, Address: found.machine.Address, Zone: found.machine.Zone,
-		Sequence: sequence(), Leaving: found.machine.Leaving, Failed: true, Home: home.nodeID}
+		Sequence: sequence(), Leaving: found.machine.Leaving, Failed: true}
 	home.loads.Offer(digest, time.Now())
 }
 
@@ -152,13 +176,14 @@
 	for _, version := range report.Held {
 		held = append(held, &controlv1.HeldVersion{Policy: version.Policy, Active: version.Active, Staged: version.Staged})
 	}
+	slices.SortFunc(held, func(a, b *controlv1.HeldVersion) int { return strings.Compare(a.GetPolicy(), b.GetPolicy()) })
 	digest := loads.Digest{ID: found.machine.ID, Address: found.machine.Address, Zone: found.machine.Zone,
 		Sequence: sequence(), Running: report.Running, Queued: report.Queued, Capacity: report.Capacity,
-		Leaving: found.machine.Leaving || report.Leaving, Home: home.nodeID, Held: held}
+		Leaving: found.machine.Leaving || report.Leaving, Held: held}
 	home.loads.Offer(digest, time.Now())
 }
 
-func sequence() uint64 { return uint64(time.Now().UnixMicro()) }
+func sequence() uint64 { return uint64(time.Now().UnixMilli()) }
 
 // order sends what is due and reports whether any order was taken.
 func (home *Home) order(ctx context.Context, found *replica, report engine.Report) bool {
--- a/internal/lab/bench/site.go
+++ b/internal/lab/bench/site.go
@@ -139,7 +139,7 @@
 	model.ID = fmt.Sprintf("engine-%s-%d", zone.Name, len(site.engines)+1)
 	site.mu.Unlock()
 	started := &RunningEngine{ID: model.ID, Zone: zone}
-	client := network.NewClient(site.network, time.Minute, 2)
+	client := network.NewClient(site.network, time.Minute, network.Connections{PerHost: 2})
 	started.Model = platform.NewEngine(model, site.Truth, func(ctx context.Context, policy string, version uint64) error {
 		return site.fetchWeights(ctx, client, policy, version)
 	})
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -121,7 +121,7 @@
 		}
 		demo.nodes = append(demo.nodes, started)
 	}
-	demo.client = bench.NewClient(network.NewClient(tcp, time.Minute, 64))
+	demo.client = bench.NewClient(network.NewClient(tcp, time.Minute, network.Connections{PerHost: 64}))
 	demo.trainer = bench.NewTrainer(demo.client, demo.api, demo.progress)
 	demo.callers = bench.NewCallers(demo.client, experimentName)
 	return nil
--- /dev/null
+++ b/internal/lab/hollow/fleet.go
@@ -0,0 +1,259 @@
+// Package hollow runs many nodes in one process against engines that do no work, and measures what control costs a node
+// and how fast news reaches all. Nodes run their real code; only callers and tokens are missing.
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/thistlewalk/thistlewalk/internal/lab/bench"
+	"github.com/thistlewalk/thistlewalk/internal/lab/platform"
+	"github.com/thistlewalk/thistlewalk/internal/network"
+	"github.com/thistlewalk/thistlewalk/internal/node"
+	"github.com/thistlewalk/thistlewalk/internal/settings"
+)
+
+// Options of a fleet.
+type Options struct {
+	Nodes    int
+	Replicas int
+	Zones    int
+	Regions  int
+	// Stores is how many nodes of each zone have a data folder.
+	Stores int
+	// Loopback uses TCP on the loopback address instead of the network in memory.
+	Loopback bool
+	Logger   *log.Logger
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	options Options
+	zones   []bench.Zone
+	memory  *network.Memory
+	tcp     *network.TCP
+	control *network.Traffic
+	data    *network.Traffic
+	site    *bench.Site
+	client  *bench.Client
+	folder  string
+
+	mu      sync.Mutex
+	nodes   map[string]*bench.RunningNode
+	ports   map[string]int // next host number by zone
+	lives   uint64
+	folders map[string]string
+}
+
+// Host numbers of the memory network: 10.<zone>.<high>.<low>; zone 255 is the platform and the experimenter.
+const (
+	platformZone = 255
+	hostPort     = 7000
+	hostsPerByte = 256
+)
+
+// NewFleet starts the platform and all nodes.
+func NewFleet(options Options) (*Fleet, error) {
+	folder, err := os.MkdirTemp("", "thistlewalk-hollow-")
+	if err != nil {
+		return nil, errors.Wrap(err, "folder for samples")
+	}
+	fleet := &Fleet{options: options, memory: network.NewMemory(), tcp: network.NewTCP(time.Second), control: &network.Traffic{}, data: &network.Traffic{},
+		folder: folder, nodes: make(map[string]*bench.RunningNode), ports: make(map[string]int), folders: make(map[string]string)}
+	for index := range options.Zones {
+		engines := options.Replicas / options.Zones
+		if index < options.Replicas%options.Zones {
+			engines++
+		}
+		fleet.zones = append(fleet.zones, bench.Zone{Name: fmt.Sprintf("zone-%d", index), Region: fmt.Sprintf("region-%d", index*options.Regions/options.Zones), Engines: engines})
+	}
+	platformNetwork := fleet.networkAt(netip.AddrFrom4([4]byte{10, platformZone, 0, 0}))
+	fleet.client = bench.NewClient(network.NewClient(platformNetwork, time.Minute, network.Connections{PerHost: 2}))
+	fleet.site, err = bench.NewSite(bench.SiteSettings{
+		Zones: fleet.zones, KeyValuePerSecond: keyValueLimit, WeightsPerSecond: weightsLimit, MachineLag: time.Second, ScoreDelay: time.Millisecond,
+		Engine: platform.EngineSettings{Capacity: 64, TokensPerSecond: 50, ReportLag: time.Second, StageTime: time.Second, CachedPrefixes: 1, ChunkTokens: 16},
+	}, platformNetwork, fleet.address, options.Logger)
+	if err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	if err := fleet.startNodes(); err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+// Rate limits of the stand-ins, in calls and transfers a second.
+const (
+	keyValueLimit = 200
+	weightsLimit  = 100
+)
+
+func (fleet *Fleet) networkAt(host netip.Addr) network.Network {
+	if fleet.options.Loopback {
+		return fleet.tcp
+	}
+	return fleet.memory.At(host)
+}
+
+// address gives a new address in a zone.
+func (fleet *Fleet) address(zone string) (string, error) {
+	if fleet.options.Loopback {
+		return bench.LoopbackAddresses(zone)
+	}
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	number := platformZone
+	if suffix, ok := strings.CutPrefix(zone, "zone-"); ok {
+		parsed, err := strconv.Atoi(suffix)
+		if err != nil {
+			return "", errors.Wrap(err, zone)
+		}
+		number = parsed
+	}
+	fleet.ports[zone]++
+	host := fleet.ports[zone]
+	address := netip.AddrFrom4([4]byte{10, byte(number), byte(host / hostsPerByte), byte(host % hostsPerByte)})
+	return netip.AddrPortFrom(address, hostPort).String(), nil
+}
+
+func (fleet *Fleet) startNodes() error {
+	for index := range fleet.options.Nodes {
+		zone := fleet.zones[index%len(fleet.zones)]
+		id := fmt.Sprintf("node-%03d", index)
+		if index/len(fleet.zones) < fleet.options.Stores {
+			fleet.folders[id] = filepath.Join(fleet.folder, id)
+		}
+		if err := fleet.StartNode(id, zone); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartNode starts a node, or a stopped one again under a new life.
+func (fleet *Fleet) StartNode(id string, zone bench.Zone) error {
+	fleet.mu.Lock()
+	fleet.lives++
+	life := uint64(time.Now().UnixMilli()) + fleet.lives
+	fleet.mu.Unlock()
+	controlAddress, err := fleet.address(zone.Name)
+	if err != nil {
+		return err
+	}
+	host := netip.MustParseAddrPort(controlAddress).Addr()
+	networks := node.Networks{
+		Control: network.Counted{Network: fleet.networkAt(host), Traffic: fleet.control},
+		Data:    network.Counted{Network: fleet.networkAt(host), Traffic: fleet.data},
+	}
+	started, err := fleet.site.StartNode(id, zone, fleet.folders[id], networks, fleet.options.Logger, life, func(config *settings.Settings) {
+		config.Node.Control = controlAddress
+		if !fleet.options.Loopback {
+			config.Node.API = netip.AddrPortFrom(host, hostPort+1).String()
+		}
+	})
+	if err != nil {
+		return err
+	}
+	fleet.mu.Lock()
+	fleet.nodes[id] = started
+	fleet.mu.Unlock()
+	return nil
+}
+
+// Nodes returns the running nodes by identifier.
+func (fleet *Fleet) Nodes() map[string]*bench.RunningNode {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	nodes := make(map[string]*bench.RunningNode, len(fleet.nodes))
+	for id, running := range fleet.nodes {
+		nodes[id] = running
+	}
+	return nodes
+}
+
+// KillNode ends a node as a crash does.
+func (fleet *Fleet) KillNode(id string) {
+	fleet.mu.Lock()
+	running := fleet.nodes[id]
+	delete(fleet.nodes, id)
+	fleet.mu.Unlock()
+	if running != nil {
+		running.Kill()
+	}
+}
+
+// ForgetNode takes a node off the machine list.
+func (fleet *Fleet) ForgetNode(id string) { fleet.site.Machines.Remove(id) }
+
+// ZoneOf returns the zone of a node by its settings.
+func (fleet *Fleet) ZoneOf(id string) bench.Zone {
+	running := fleet.Nodes()[id]
+	for _, zone := range fleet.zones {
+		if running != nil && zone.Name == running.Settings.Node.Zone {
+			return zone
+		}
+	}
+	return bench.Zone{}
+}
+
+// Await polls a condition until it holds or the time is over.
+func Await(ctx context.Context, limit time.Duration, holds func() bool) bool {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if holds() {
+			return true
+		}
+		time.Sleep(awaitPause)
+	}
+	return holds()
+}
+
+const awaitPause = 20 * time.Millisecond
+
+// Settled reports whether every node sees all nodes and its zone's replicas, and all partitions are owned.
+func (fleet *Fleet) Settled() bool {
+	nodes := fleet.Nodes()
+	for _, running := range nodes {
+		if running.LiveMembers() != len(nodes) {
+			return false
+		}
+		if running.KnownReplicas() < fleet.zoneReplicas(running.Settings.Node.Zone) {
+			return false
+		}
+	}
+	return true
+}
+
+func (fleet *Fleet) zoneReplicas(name string) int {
+	for _, zone := range fleet.zones {
+		if zone.Name == name {
+			return zone.Engines
+		}
+	}
+	return 0
+}
+
+// Close stops everything and removes the samples.
+func (fleet *Fleet) Close() {
+	var pending sync.WaitGroup
+	for _, running := range fleet.Nodes() {
+		pending.Go(running.Kill)
+	}
+	pending.Wait()
+	if fleet.site != nil {
+		fleet.site.Close()
+	}
+	_ = os.RemoveAll(fleet.folder)
+}
--- a/internal/lab/platform/engine.go
+++ b/internal/lab/platform/engine.go
@@ -174,3 +174,13 @@
 		next(writer, request)
 	}
 }
+
+// Staged returns the version that the engine holds ready beside the active one.
+func (model *Engine) Staged(policy string) uint64 {
+	model.mu.Lock()
+	defer model.mu.Unlock()
+	if weights, ok := model.policies[policy]; ok {
+		return weights.staged
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/loads/exchange.go
@@ -0,0 +1,161 @@
+package loads
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	controlv1 "github.com/thistlewalk/thistlewalk/api/control/v1"
+	"github.com/thistlewalk/thistlewalk/internal/machines"
+)
+
+// Flags of a digest between nodes.
+const (
+	flagLeaving = 1 << iota
+	flagFailed
+)
+
+// Hash shortens a replica's identifier between nodes.
+func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// Fingerprint shortens what a replica holds.
+func Fingerprint(held []*controlv1.HeldVersion) uint32 {
+	digest := xxhash.New()
+	var number [8]byte
+	for _, version := range held {
+		_, _ = digest.WriteString(version.GetPolicy())
+		binary.LittleEndian.PutUint64(number[:], version.GetActive())
+		_, _ = digest.Write(number[:])
+		binary.LittleEndian.PutUint64(number[:], version.GetStaged())
+		_, _ = digest.Write(number[:])
+	}
+	return uint32(digest.Sum64())
+}
+
+// offset returns how far a sequence is behind the base, as far as the form between nodes can tell.
+func offset(base, sequence uint64) uint32 {
+	if sequence >= base {
+		return 0
+	}
+	return uint32(min(base-sequence, math.MaxUint32))
+}
+
+// Known tells a peer which digests this node has. now is the base of the offsets.
+func (table *Table) Known(now time.Time) *controlv1.ExchangeRequest {
+	replicas := table.List()
+	request := &controlv1.ExchangeRequest{Base: uint64(now.UnixMilli())}
+	for _, replica := range replicas {
+		digest := replica.Digest()
+		request.Replicas = append(request.Replicas, Hash(digest.ID))
+		request.Offsets = append(request.Offsets, offset(request.Base, digest.Sequence))
+		if !slices.Contains(request.Holdings, digest.holding) {
+			request.Holdings = append(request.Holdings, digest.holding)
+		}
+	}
+	return request
+}
+
+// Newer returns the digests that are newer than those the peer has. Two clocks may differ: sequences are compared as the
+// publishers gave them, and a digest a little newer than the millisecond of the base counts as equal.
+func (table *Table) Newer(known *controlv1.ExchangeRequest) *controlv1.ExchangeResponse {
+	sequences := make(map[uint32]uint64, len(known.GetReplicas()))
+	for index, hash := range known.GetReplicas() {
+		if index < len(known.GetOffsets()) {
+			sequences[hash] = known.GetBase() - uint64(known.GetOffsets()[index])
+		}
+	}
+	response := &controlv1.ExchangeResponse{}
+	var newer []*Digest
+	for _, replica := range table.List() {
+		digest := replica.Digest()
+		if digest.Sequence > sequences[Hash(digest.ID)] {
+			newer = append(newer, digest)
+			response.Base = max(response.Base, digest.Sequence)
+		}
+	}
+	defined := slices.Clone(known.GetHoldings())
+	for _, digest := range newer {
+		response.Replicas = append(response.Replicas, Hash(digest.ID))
+		response.Offsets = append(response.Offsets, offset(response.Base, digest.Sequence))
+		response.Running = append(response.Running, uint32(digest.Running))
+		response.Queued = append(response.Queued, uint32(digest.Queued))
+		response.Capacity = append(response.Capacity, uint32(digest.Capacity))
+		response.Flags = append(response.Flags, digest.flags())
+		response.Holdings = append(response.Holdings, digest.holding)
+		if !slices.Contains(defined, digest.holding) {
+			defined = append(defined, digest.holding)
+			response.Definitions = append(response.Definitions, &controlv1.Holding{Fingerprint: digest.holding, Held: digest.Held})
+		}
+	}
+	return response
+}
+
+func (digest *Digest) flags() uint32 {
+	flags := uint32(0)
+	if digest.Leaving {
+		flags |= flagLeaving
+	}
+	if digest.Failed {
+		flags |= flagFailed
+	}
+	return flags
+}
+
+// Merge offers a peer's answer and returns how many digests were news. Digests of replicas that are not on the machine
+// list known here, and of holdings that nobody has defined, are passed over: they come again.
+func (table *Table) Merge(response *controlv1.ExchangeResponse, list *machines.List, now time.Time) int {
+	if !columnsAgree(response) {
+		return 0
+	}
+	holdings := table.holdings()
+	for _, definition := range response.GetDefinitions() {
+		holdings[definition.GetFingerprint()] = definition.GetHeld()
+	}
+	listed := make(map[uint32]machines.Machine, len(list.Machines))
+	for _, machine := range list.Machines {
+		listed[Hash(machine.ID)] = machine
+	}
+	taken := 0
+	for index, hash := range response.GetReplicas() {
+		machine, onList := listed[hash]
+		held, defined := holdings[response.GetHoldings()[index]]
+		if !onList || !defined {
+			continue
+		}
+		flags := response.GetFlags()[index]
+		digest := Digest{
+			ID: machine.ID, Address: machine.Address, Zone: machine.Zone,
+			Sequence: response.GetBase() - uint64(response.GetOffsets()[index]),
+			Running:  int(response.GetRunning()[index]), Queued: int(response.GetQueued()[index]), Capacity: int(response.GetCapacity()[index]),
+			Leaving: flags&flagLeaving != 0, Failed: flags&flagFailed != 0, Held: held,
+		}
+		if table.Offer(digest, now) {
+			taken++
+		}
+	}
+	return taken
+}
+
+// columnsAgree reports whether all columns have one entry for each replica.
+func columnsAgree(response *controlv1.ExchangeResponse) bool {
+	rows := len(response.GetReplicas())
+	for _, column := range [][]uint32{response.GetOffsets(), response.GetRunning(), response.GetQueued(), response.GetCapacity(), response.GetFlags(), response.GetHoldings()} {
+		if len(column) != rows {
+			return false
+		}
+	}
+	return true
+}
+
+// holdings returns what replicas known here hold, by fingerprint.
+func (table *Table) holdings() map[uint32][]*controlv1.HeldVersion {
+	holdings := make(map[uint32][]*controlv1.HeldVersion)
+	for _, replica := range table.List() {
+		digest := replica.Digest()
+		holdings[digest.holding] = digest.Held
+	}
+	return holdings
+}
--- a/internal/loads/table.go
+++ b/internal/loads/table.go
@@ -30,14 +30,15 @@
 	ID       string
 	Address  string
 	Zone     string
-	Sequence uint64 // microseconds of Unix time at the publisher
+	Sequence uint64 // milliseconds of Unix time at the publisher
 	Running  int
 	Queued   int
 	Capacity int
 	Leaving  bool
 	Failed   bool
-	Home     string
 	Held     []*controlv1.HeldVersion
+	// holding is the fingerprint of Held.
+	holding  uint32
 	received time.Time
 	// ownAtReceipt is the node's own requests in flight when the digest came.
 	ownAtReceipt int64
@@ -128,6 +129,7 @@
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	digest.received = now
+	digest.holding = Fingerprint(digest.Held)
 	replica, ok := shard.replicas[digest.ID]
 	if !ok {
 		replica = &Replica{}
@@ -187,57 +189,3 @@
 	table.listedAt.Store(version)
 	return replicas
 }
-
-// Hash shortens an identifier for the list of known digests that peers exchange.
-func Hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
-
-// Known lists what this node has, for a peer to answer with what is newer.
-func (table *Table) Known() []*controlv1.KnownLoad {
-	replicas := table.List()
-	known := make([]*controlv1.KnownLoad, 0, len(replicas))
-	for _, replica := range replicas {
-		digest := replica.Digest()
-		known = append(known, &controlv1.KnownLoad{ReplicaHash: Hash(digest.ID), Sequence: digest.Sequence})
-	}
-	return known
-}
-
-// Newer returns the digests that are newer than those the peer knows.
-func (table *Table) Newer(known []*controlv1.KnownLoad) []*controlv1.ReplicaLoad {
-	sequences := make(map[uint32]uint64, len(known))
-	for _, entry := range known {
-		sequences[entry.GetReplicaHash()] = entry.GetSequence()
-	}
-	var newer []*controlv1.ReplicaLoad
-	for _, replica := range table.List() {
-		digest := replica.Digest()
-		if digest.Sequence > sequences[Hash(digest.ID)] {
-			newer = append(newer, digest.message())
-		}
-	}
-	return newer
-}
-
-func (digest *Digest) message() *controlv1.ReplicaLoad {
-	return &controlv1.ReplicaLoad{
-		ReplicaId: digest.ID, Address: digest.Address, Zone: digest.Zone, Sequence: digest.Sequence,
-		Running: uint32(digest.Running), Queued: uint32(digest.Queued), Capacity: uint32(digest.Capacity),
-		Leaving: digest.Leaving, Failed: digest.Failed, Held: digest.Held, Home: digest.Home,
-	}
-}
-
-// Merge offers a peer's answer and returns how many digests were news.
-func (table *Table) Merge(newer []*controlv1.ReplicaLoad, now time.Time) int {
-	taken := 0
-	for _, load := range newer {
-		digest := Digest{
-			ID: load.GetReplicaId(), Address: load.GetAddress(), Zone: load.GetZone(), Sequence: load.GetSequence(),
-			Running: int(load.GetRunning()), Queued: int(load.GetQueued()), Capacity: int(load.GetCapacity()),
-			Leaving: load.GetLeaving(), Failed: load.GetFailed(), Held: load.GetHeld(), Home: load.GetHome(),
-		}
-		if table.Offer(digest, now) {
-			taken++
-		}
-	}
-	return taken
-}
--- a/internal/membership/prober.go
+++ b/internal/membership/prober.go
@@ -35,6 +35,8 @@
 	IndirectProbes int
 	// SyncInterval is the least time between two exchanges of whole lists that differing digests cause.
 	SyncInterval time.Duration
+	// RejoinInterval is the least time between two tries to reach a seed that is not a live member.
+	RejoinInterval time.Duration
 }
 
 // Prober probes one member a tick, answers the probes of others, and joins. It implements the Twirp service Membership.
@@ -46,9 +48,10 @@
 	seeds     func() []string
 	logger    *log.Logger
 
-	mu     sync.Mutex // guards what follows
-	random *rand.Rand
-	synced time.Time
+	mu       sync.Mutex // guards what follows
+	random   *rand.Rand
+	synced   time.Time
+	rejoined time.Time
 }
 
 // NewProber returns a prober. seeds gives control addresses to join through.
@@ -57,17 +60,17 @@
 		random: rand.New(rand.NewPCG(seed, seed))}
 }
 
-// Tick probes the next member, and joins through a seed while the node knows nobody.
+// Tick probes the next member, and now and then a seed that is not a live member.
 func (prober *Prober) Tick(ctx context.Context) {
 	now := time.Now()
 	for _, dead := range prober.table.Expire(now) {
 		prober.logger.Warn("member dead", "node", dead.NodeID, "zone", dead.Zone, "incarnation", dead.Incarnation)
 	}
+	prober.rejoin(ctx)
 	prober.mu.Lock()
 	target, ok := prober.table.NextTarget(prober.random)
 	prober.mu.Unlock()
 	if !ok {
-		prober.join(ctx)
 		return
 	}
 	if prober.probe(ctx, target) || prober.probeIndirect(ctx, target) || ctx.Err() != nil {
@@ -77,18 +80,33 @@
 	prober.table.Suspect(target.NodeID, target.Incarnation, time.Now())
 }
 
-// join exchanges lists with one of the seeds, tried in random order.
-func (prober *Prober) join(ctx context.Context) {
-	seeds := prober.seeds()
+// rejoin exchanges lists with a random seed that is not a live member, at most once an interval: so a node joins, islands
+// that formed at the start merge, and the sides of a healed cut find each other.
+func (prober *Prober) rejoin(ctx context.Context) {
 	prober.mu.Lock()
-	prober.random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	due := time.Since(prober.rejoined) >= prober.settings.RejoinInterval
 	prober.mu.Unlock()
-	own := prober.table.Self().Address
-	for _, address := range seeds {
-		if address != own && prober.sync(ctx, address) {
-			return
+	if !due {
+		return
+	}
+	live := make(map[string]bool)
+	for _, member := range prober.table.View().Live {
+		live[member.Address] = true
+	}
+	var missing []string
+	for _, address := range prober.seeds() {
+		if !live[address] {
+			missing = append(missing, address)
 		}
 	}
+	if len(missing) == 0 {
+		return
+	}
+	prober.mu.Lock()
+	prober.rejoined = time.Now()
+	address := missing[prober.random.IntN(len(missing))]
+	prober.mu.Unlock()
+	prober.sync(ctx, address)
 }
 
 // sync exchanges whole lists with the node at an address.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -76,8 +76,9 @@
 	self     Member
 	leaving  bool
 	entries  map[string]*entry
-	order    []string // probe order, a shuffled list of the others
-	position int
+	zone     round // the others of the own zone
+	far      round // the others of other zones
+	probes   int
 	view     *View // cached; nil after a change
 	suspects int
 	deaths   int
@@ -217,34 +218,61 @@
 	return changes
 }
 
-// NextTarget returns the member to probe next: each live other once a round, in an order shuffled anew each round.
+// round is one pass over members in an order that is shuffled anew for each pass.
+type round struct {
+	order    []string
+	position int
+}
+
+// farEvery is how many probes there are to one of a member in another zone. Probing stays inside the zone for the rest:
+// its few connections are kept, and each zone's members watch each other.
+const farEvery = 4
+
+// NextTarget returns the member to probe next: each live other of the zone once a round, and now and then one of another
+// zone.
 func (table *Table) NextTarget(random *rand.Rand) (Member, bool) {
 	table.mu.Lock()
 	defer table.mu.Unlock()
+	table.probes++
+	rounds := []*round{&table.zone, &table.far}
+	if table.probes%farEvery == 0 {
+		rounds = []*round{&table.far, &table.zone}
+	}
+	for _, current := range rounds {
+		if member, ok := table.next(current, current == &table.zone, random); ok {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// next returns the next live member of a round, starting it anew at its end; must hold mu.
+func (table *Table) next(current *round, ownZone bool, random *rand.Rand) (Member, bool) {
 	for range 2 {
-		for table.position < len(table.order) {
-			nodeID := table.order[table.position]
-			table.position++
+		for current.position < len(current.order) {
+			nodeID := current.order[current.position]
+			current.position++
 			if known, ok := table.entries[nodeID]; ok && known.member.Live() {
 				return known.member, true
 			}
 		}
-		table.shuffle(random)
+		table.shuffle(current, ownZone, random)
 	}
 	return Member{}, false
 }
 
 // shuffle starts a round; must hold mu.
-func (table *Table) shuffle(random *rand.Rand) {
-	table.order = table.order[:0]
-	table.position = 0
+func (table *Table) shuffle(current *round, ownZone bool, random *rand.Rand) {
+	current.order = current.order[:0]
+	current.position = 0
 	for nodeID, known := range table.entries {
-		if nodeID != table.self.NodeID && known.member.Live() {
-			table.order = append(table.order, nodeID)
+		inside := known.member.Zone == table.self.Zone
+		if nodeID != table.self.NodeID && known.member.Live() && inside == ownZone {
+			current.order = append(current.order, nodeID)
 		}
 	}
-	slices.Sort(table.order)
-	random.Shuffle(len(table.order), func(i, j int) { table.order[i], table.order[j] = table.order[j], table.order[i] })
+	slices.Sort(current.order)
+	random.Shuffle(len(current.order), func(i, j int) { current.order[i], current.order[j] = current.order[j], current.order[i] })
 }
 
 // View is the list of members at one moment; it must not be changed.
--- /dev/null
+++ b/internal/network/memory.go
@@ -0,0 +1,164 @@
+package network
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Memory is a network inside one process, for experiments and tests. Hosts can be cut from each other: what is sent is
+// then lost without an error, new connections hang, and connections that lost bytes break once the cut is over.
+type Memory struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+	severed   func(from, to netip.Addr) bool
+}
+
+// NewMemory returns a network without cuts.
+func NewMemory() *Memory { return &Memory{listeners: make(map[string]*memoryListener)} }
+
+// Sever replaces the cuts: the function tells whether bytes from one host to another are lost. nil ends all cuts.
+func (memory *Memory) Sever(severed func(from, to netip.Addr) bool) {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	memory.severed = severed
+}
+
+func (memory *Memory) isSevered(from, to netip.Addr) bool {
+	memory.mu.Lock()
+	severed := memory.severed
+	memory.mu.Unlock()
+	return severed != nil && severed(from, to)
+}
+
+// At returns the network as one host sees it.
+func (memory *Memory) At(host netip.Addr) Network { return memoryHost{memory, host} }
+
+type memoryHost struct {
+	memory *Memory
+	host   netip.Addr
+}
+
+type memoryListener struct {
+	memory  *Memory
+	address string
+	accepts chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// acceptBacklog is how many connections wait for a listener.
+const acceptBacklog = 64
+
+// Listen implements Network. The address is host:port of any host.
+func (host memoryHost) Listen(address string) (net.Listener, error) {
+	memory := host.memory
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	if _, taken := memory.listeners[address]; taken {
+		return nil, errors.Wrapf(syscall.EADDRINUSE, "listen %s", address)
+	}
+	listener := &memoryListener{memory: memory, address: address, accepts: make(chan net.Conn, acceptBacklog), closed: make(chan struct{})}
+	memory.listeners[address] = listener
+	return listener, nil
+}
+
+// Accept implements net.Listener.
+func (listener *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-listener.accepts:
+		return connection, nil
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (listener *memoryListener) Close() error {
+	listener.once.Do(func() {
+		listener.memory.mu.Lock()
+		delete(listener.memory.listeners, listener.address)
+		listener.memory.mu.Unlock()
+		close(listener.closed)
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (listener *memoryListener) Addr() net.Addr { return memoryAddress(listener.address) }
+
+type memoryAddress string
+
+// Network implements net.Addr.
+func (memoryAddress) Network() string { return "memory" }
+
+// String implements net.Addr.
+func (address memoryAddress) String() string { return string(address) }
+
+// DialContext implements Network.
+func (host memoryHost) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	target, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", address)
+	}
+	if host.memory.isSevered(host.host, target.Addr()) || host.memory.isSevered(target.Addr(), host.host) {
+		<-ctx.Done()
+		return nil, errors.Wrapf(ctx.Err(), "dial %s", address)
+	}
+	host.memory.mu.Lock()
+	listener := host.memory.listeners[address]
+	host.memory.mu.Unlock()
+	if listener == nil {
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "dial %s", address)
+	}
+	near, far := net.Pipe()
+	link := &memoryLink{}
+	select {
+	case listener.accepts <- &memoryConnection{Conn: far, memory: host.memory, link: link, from: target.Addr(), to: host.host}:
+		return &memoryConnection{Conn: near, memory: host.memory, link: link, from: host.host, to: target.Addr()}, nil
+	case <-listener.closed:
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "dial %s", address)
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "dial %s", address)
+	}
+}
+
+// memoryLink is the state that both ends of a connection share.
+type memoryLink struct {
+	mu   sync.Mutex
+	lost bool // bytes were lost
+}
+
+type memoryConnection struct {
+	net.Conn
+	memory   *Memory
+	link     *memoryLink
+	from, to netip.Addr
+}
+
+// RemoteAddr implements net.Conn.
+func (connection *memoryConnection) RemoteAddr() net.Addr {
+	return memoryAddress(netip.AddrPortFrom(connection.to, 0).String())
+}
+
+// Write implements net.Conn.
+func (connection *memoryConnection) Write(buffer []byte) (int, error) {
+	severed := connection.memory.isSevered(connection.from, connection.to)
+	connection.link.mu.Lock()
+	lost := connection.link.lost
+	connection.link.lost = lost || severed
+	connection.link.mu.Unlock()
+	switch {
+	case severed:
+		return len(buffer), nil
+	case lost:
+		_ = connection.Conn.Close()
+		return 0, errors.Wrap(syscall.ECONNRESET, "write")
+	default:
+		return connection.Conn.Write(buffer)
+	}
+}
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -31,11 +31,18 @@
 	return tcp.Dialer.DialContext(ctx, network, address)
 }
 
+// Connections bounds the idle connections that a client keeps; a zero Total is no bound.
+type Connections struct {
+	PerHost int
+	Total   int
+}
+
 // NewClient returns an HTTP client over the network that keeps connections for idle time. Redirects are not followed.
-func NewClient(through Network, idle time.Duration, connectionsPerHost int) *http.Client {
+func NewClient(through Network, idle time.Duration, connections Connections) *http.Client {
 	transport := &http.Transport{
 		DialContext:         through.DialContext,
-		MaxIdleConnsPerHost: connectionsPerHost,
+		MaxIdleConnsPerHost: connections.PerHost,
+		MaxIdleConns:        connections.Total,
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
 		WriteBufferSize:     controlBuffer,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -89,16 +90,21 @@
 	apiHTTP     *http.Server
 	listeners   []net.Listener
 	serving     sync.WaitGroup
-	closeOnce   sync.Once
+	// controlCalls counts the control calls answered.
+	controlCalls atomic.Int64
+	closeOnce    sync.Once
 }
 
-// Connections kept to each address: control messages are few, streams to a replica many.
+// Connections kept: control messages are few and mostly to a zone's some fifty nodes, streams to a replica many.
+var (
+	controlConnections = network.Connections{PerHost: 2, Total: 72}
+	dataConnections    = network.Connections{PerHost: 256, Total: 8192}
+)
+
 const (
-	controlConnections = 2
-	dataConnections    = 256
-	idleTime           = 90 * time.Second
-	ownerWait          = 20 * time.Second
-	headerTimeout      = 10 * time.Second
+	idleTime      = 90 * time.Second
+	ownerWait     = 20 * time.Second
+	headerTimeout = 10 * time.Second
 )
 
 // New puts a node together and opens its listeners and data folder. Start runs it.
@@ -137,7 +143,7 @@
 }
 
 // client returns an HTTP client that Kill closes.
-func (node *Node) client(through network.Network, connections int) *http.Client {
+func (node *Node) client(through network.Network, connections network.Connections) *http.Client {
 	client := network.NewClient(through, idleTime, connections)
 	node.clients = append(node.clients, client)
 	return client
@@ -166,7 +172,7 @@
 	node.spread = newSpread(node)
 	node.prober = membership.NewProber(membership.ProberSettings{
 		ProbeTimeout: config.Membership.ProbeTimeout, IndirectTimeout: config.Membership.ProbeTimeout,
-		IndirectProbes: config.Membership.IndirectProbes, SyncInterval: syncInterval,
+		IndirectProbes: config.Membership.IndirectProbes, SyncInterval: syncInterval, RejoinInterval: rejoinProbes * config.Membership.ProbeInterval,
 	}, node.members, node.directory, node.spread, node.seeds, seed, node.logger)
 }
 
@@ -174,6 +180,8 @@
 	retransmitFactor  = 3
 	changesPerMessage = 12
 	syncInterval      = 10 * time.Second
+	// rejoinProbes is how many probe intervals pass between two tries to reach a seed that is no member.
+	rejoinProbes = 2
 )
 
 // seeds are the configured addresses and the nodes of the machine list.
@@ -283,7 +291,11 @@
 	} {
 		control.Handle(service.PathPrefix(), service)
 	}
-	node.controlHTTP = &http.Server{Handler: control, ReadHeaderTimeout: headerTimeout, ErrorLog: node.logger.StandardLog()}
+	counted := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		node.controlCalls.Add(1)
+		control.ServeHTTP(writer, request)
+	})
+	node.controlHTTP = &http.Server{Handler: counted, ReadHeaderTimeout: headerTimeout, ErrorLog: node.logger.StandardLog()}
 	node.apiHTTP = &http.Server{Handler: node.gateway.Handler(), ReadHeaderTimeout: headerTimeout, ErrorLog: node.logger.StandardLog()}
 	controlListener, err := node.networks.Control.Listen(node.settings.Node.Control)
 	if err != nil {
--- a/internal/node/query.go
+++ b/internal/node/query.go
@@ -121,6 +121,7 @@
 
 func (node *Node) replicasTable() query.Table {
 	table := query.Table{Subject: "replicas", Columns: []string{"replica", "zone", "state", "running", "queued", "capacity", "age_seconds", "home"}}
+	homes := node.homes.Assignments()
 	document := node.follower.Document()
 	for _, replica := range node.loads.List() {
 		digest := replica.Digest()
@@ -138,7 +139,7 @@
 			state = "broken"
 		}
 		table.Add(digest.ID, digest.Zone, state, number(digest.Running), number(digest.Queued), number(digest.Capacity),
-			seconds(time.Since(digest.Received()).Seconds()), digest.Home)
+			seconds(time.Since(digest.Received()).Seconds()), homes[digest.ID])
 	}
 	return table
 }
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -157,7 +157,7 @@
 
 // Exchange implements the Twirp service: it gives digests that are newer than the caller's.
 func (spread *spread) Exchange(_ context.Context, request *controlv1.ExchangeRequest) (*controlv1.ExchangeResponse, error) {
-	return &controlv1.ExchangeResponse{Newer: spread.node.loads.Newer(request.GetKnown())}, nil
+	return spread.node.loads.Newer(request), nil
 }
 
 // smallSystem is the number of replicas up to which digests travel between all nodes, not only inside a zone.
@@ -172,10 +172,10 @@
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(len(peers), node.settings.Membership.ExchangePeers)] {
 		callCtx, cancel := context.WithTimeout(ctx, node.settings.Membership.ProbeTimeout)
-		answer, err := node.directory.At(peer.Address).Load.Exchange(callCtx, &controlv1.ExchangeRequest{Known: node.loads.Known()})
+		answer, err := node.directory.At(peer.Address).Load.Exchange(callCtx, node.loads.Known(time.Now()))
 		cancel()
 		if err == nil {
-			node.loads.Merge(answer.GetNewer(), time.Now())
+			node.loads.Merge(answer, node.follower.Machines(), time.Now())
 		}
 	}
 }
