Leave homes and partitions to nodes that have joined

Cause: at its start a node knows only itself, so it took itself for the home of all 750 replicas and the successor of all 32 partitions. Digests of every zone then went round for a minute, and 90 starting nodes sent 918 calls that the key-value service refused.

Change: a home waits for the settle time; a node that sees fewer than half of the listed nodes takes no partition over, which also keeps the smaller side of a cut from trying; digests that no longer count are not passed on.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -23,6 +23,9 @@
 
 // Settings of a home.
 type Settings struct {
+	// SettleTime is how long after its start a node waits before it takes replicas: until it knows the other members, it
+	// would take them all.
+	SettleTime time.Duration
 	// CallTimeout bounds a poll or an order.
 	CallTimeout time.Duration
 	// FailedAfter is how many polls in a row must fail before a replica is published as failed.
@@ -44,6 +47,7 @@
 	list     func() *machines.List
 	document func() *experiment.Document
 	logger   *log.Logger
+	started  time.Time
 
 	mu       sync.Mutex
 	replicas map[string]*replica
@@ -70,11 +74,14 @@
 func New(settings Settings, nodeID, zone string, client engine.Client, table *loads.Table, members *membership.Table,
 	list func() *machines.List, document func() *experiment.Document, logger *log.Logger) *Home {
 	return &Home{settings: settings, nodeID: nodeID, zone: zone, client: client, loads: table, members: members,
-		list: list, document: document, logger: logger, replicas: make(map[string]*replica)}
+		list: list, document: document, logger: logger, started: time.Now(), replicas: make(map[string]*replica)}
 }
 
 // Tick polls every replica once, all at the same time, and waits for the answers.
 func (home *Home) Tick(ctx context.Context) {
+	if time.Since(home.started) < home.settings.SettleTime {
+		return
+	}
 	var pending sync.WaitGroup
 	for _, found := range home.assigned() {
 		pending.Go(func() { home.visit(ctx, found) })
--- a/internal/lab/hollow/fleet.go
+++ b/internal/lab/hollow/fleet.go
@@ -226,7 +226,7 @@
 func (fleet *Fleet) Settled() bool {
 	nodes := fleet.Nodes()
 	for _, running := range nodes {
-		if running.LiveMembers() != len(nodes) {
+		if running.LiveMembers() != len(nodes) || !running.PartitionsSettled(len(fleet.folders)) {
 			return false
 		}
 		if running.KnownReplicas() < fleet.zoneReplicas(running.Settings.Node.Zone) {
--- a/internal/lab/hollow/measure.go
+++ b/internal/lab/hollow/measure.go
@@ -88,8 +88,10 @@
 }
 
 const (
-	settleLimit  = 40 * time.Second
-	newsLimit    = 15 * time.Second
+	settleLimit = 40 * time.Second
+	newsLimit   = 15 * time.Second
+	// warmUp lets the news of the start pass before costs are watched.
+	warmUp       = 8 * time.Second
 	changesMade  = 5
 	changesPause = 300 * time.Millisecond
 )
@@ -145,6 +147,7 @@
 
 // measureCosts watches the fleet for a while without any change.
 func (fleet *Fleet) measureCosts(figures *Figures, window time.Duration) {
+	time.Sleep(warmUp)
 	calls := fleet.controlCalls()
 	sent, received := fleet.control.Sent.Load(), fleet.control.Received.Load()
 	dataSent, dataReceived := fleet.data.Sent.Load(), fleet.data.Received.Load()
--- a/internal/loads/exchange.go
+++ b/internal/loads/exchange.go
@@ -43,12 +43,20 @@
 	return uint32(min(base-sequence, math.MaxUint32))
 }
 
-// Known tells a peer which digests this node has. now is the base of the offsets.
-func (table *Table) Known(now time.Time) *controlv1.ExchangeRequest {
+// fresh reports whether a digest is worth passing on.
+func (digest *Digest) fresh(now time.Time, maximumAge time.Duration) bool {
+	return now.Sub(digest.received) <= maximumAge
+}
+
+// Known tells a peer which digests this node has, those older than maximumAge left out. now is the base of the offsets.
+func (table *Table) Known(now time.Time, maximumAge time.Duration) *controlv1.ExchangeRequest {
 	replicas := table.List()
 	request := &controlv1.ExchangeRequest{Base: uint64(now.UnixMilli())}
 	for _, replica := range replicas {
 		digest := replica.Digest()
+		if !digest.fresh(now, maximumAge) {
+			continue
+		}
 		request.Replicas = append(request.Replicas, Hash(digest.ID))
 		request.Offsets = append(request.Offsets, offset(request.Base, digest.Sequence))
 		if !slices.Contains(request.Holdings, digest.holding) {
@@ -58,9 +66,9 @@
 	return request
 }
 
-// Newer returns the digests that are newer than those the peer has. Two clocks may differ: sequences are compared as the
-// publishers gave them, and a digest a little newer than the millisecond of the base counts as equal.
-func (table *Table) Newer(known *controlv1.ExchangeRequest) *controlv1.ExchangeResponse {
+// Newer returns the digests that are newer than those the peer has, those older than maximumAge left out. A digest whose
+// sequence is ahead of the peer's clock is told by the peer as the base, and sent once more than needed.
+func (table *Table) Newer(known *controlv1.ExchangeRequest, now time.Time, maximumAge time.Duration) *controlv1.ExchangeResponse {
 	sequences := make(map[uint32]uint64, len(known.GetReplicas()))
 	for index, hash := range known.GetReplicas() {
 		if index < len(known.GetOffsets()) {
@@ -71,7 +79,7 @@
 	var newer []*Digest
 	for _, replica := range table.List() {
 		digest := replica.Digest()
-		if digest.Sequence > sequences[Hash(digest.ID)] {
+		if digest.fresh(now, maximumAge) && digest.Sequence > sequences[Hash(digest.ID)] {
 			newer = append(newer, digest)
 			response.Base = max(response.Base, digest.Sequence)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,6 +201,7 @@
 	streams := engine.NewHTTP(node.client(node.networks.Data, dataConnections))
 	orders := engine.NewHTTP(node.client(node.networks.Data, controlConnections))
 	node.homes = home.New(home.Settings{
+		SettleTime:  config.Ownership.SettleTime,
 		CallTimeout: config.Replicas.CallTimeout, FailedAfter: config.Replicas.FailedAfter,
 		OrderRetry: config.Replicas.OrderRetry, OrderAttempts: config.Replicas.OrderAttempts,
 	}, config.Node.ID, config.Node.Zone, orders, node.loads, node.members, node.follower.Machines, node.follower.Document, node.logger)
@@ -241,7 +242,7 @@
 	node.manager = ownership.NewManager(ownership.Settings{
 		SettleTime: config.Ownership.SettleTime, WriteTimeout: config.Ownership.WriteTimeout, ReplaceAfter: config.Ownership.ReplaceAfter,
 		LeaseTime: config.Ownership.LeaseTime, HistoryPatience: config.Ownership.HistoryPatience,
-	}, self, node.copies, node.members, node.follower, node.service, node.directory, handlers, node.listedGone, node.logger)
+	}, self, node.copies, node.members, node.follower, node.service, node.directory, handlers, node.listedGone, node.isolated, node.logger)
 }
 
 // listedGone reports whether the machine list has nodes, and not this one.
@@ -259,6 +260,18 @@
 	return listsNodes
 }
 
+// isolated reports whether this node sees fewer than half of the nodes on the machine list: it has not joined yet, or it is
+// on the smaller side of a cut. Taking partitions over is then left to the others.
+func (node *Node) isolated() bool {
+	listed := 0
+	for _, machine := range node.follower.Machines().Machines {
+		if machine.Role == machines.RoleNode {
+			listed++
+		}
+	}
+	return 2*len(node.members.View().Live) < listed
+}
+
 func (node *Node) buildGateway(processMetrics bool) {
 	config := node.settings
 	metrics := gateway.NewMetrics()
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/partition"
 )
 
 // Observations for experiments that run many nodes in one process.
@@ -54,3 +56,20 @@
 	}
 	return owned
 }
+
+// PartitionsSettled reports whether every partition has an owner and as many copies as it can have by the table known
+// here; stores tells how many nodes have a data folder.
+func (node *Node) PartitionsSettled(stores int) bool {
+	table := node.follower.Table()
+	for _, name := range partition.Names() {
+		assignment, owned := table.Assignment(name)
+		wanted := partition.ReplicasWanted
+		if name.Kind == partition.KindSteps {
+			wanted = min(wanted, stores)
+		}
+		if !owned || len(assignment.Replicas) < wanted {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -157,7 +157,7 @@
 
 // Exchange implements the Twirp service: it gives digests that are newer than the caller's.
 func (spread *spread) Exchange(_ context.Context, request *controlv1.ExchangeRequest) (*controlv1.ExchangeResponse, error) {
-	return spread.node.loads.Newer(request), nil
+	return spread.node.loads.Newer(request, time.Now(), spread.node.settings.Replicas.MaximumAge), nil
 }
 
 // smallSystem is the number of replicas up to which digests travel between all nodes, not only inside a zone.
@@ -172,7 +172,7 @@
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(len(peers), node.settings.Membership.ExchangePeers)] {
 		callCtx, cancel := context.WithTimeout(ctx, node.settings.Membership.ProbeTimeout)
-		answer, err := node.directory.At(peer.Address).Load.Exchange(callCtx, node.loads.Known(time.Now()))
+		answer, err := node.directory.At(peer.Address).Load.Exchange(callCtx, node.loads.Known(time.Now(), node.settings.Replicas.MaximumAge))
 		cancel()
 		if err == nil {
 			node.loads.Merge(answer, node.follower.Machines(), time.Now())
@@ -181,7 +181,7 @@
 }
 
 // forgetAges is after how many maximum ages a digest's replica is forgotten.
-const forgetAges = 6
+const forgetAges = 2
 
 // exchangePeers are the live others of the zone; of all zones in a small system.
 func (spread *spread) exchangePeers() []membership.Member {
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -52,6 +52,8 @@
 	started  time.Time
 	// listedGone tells that the machine list has nodes, and not this one.
 	listedGone func(nodeID string) bool
+	// isolated tells that this node sees so few of the listed nodes that it should leave partitions to others.
+	isolated func() bool
 
 	lease   keyvalue.LeaseID
 	renewed time.Time
@@ -65,10 +67,10 @@
 
 // NewManager returns a manager; handlers are by kind.
 func NewManager(settings Settings, self partition.Holder, copies *Copies, members *membership.Table, follower *configuration.Follower,
-	service keyvalue.Client, directory *peers.Directory, handlers map[partition.Kind]Handler, listedGone func(string) bool, logger *log.Logger) *Manager {
+	service keyvalue.Client, directory *peers.Directory, handlers map[partition.Kind]Handler, listedGone func(string) bool, isolated func() bool, logger *log.Logger) *Manager {
 	return &Manager{
 		settings: settings, self: self, copies: copies, members: members, follower: follower, service: service,
-		handlers: handlers, listedGone: listedGone, network: remote{own: copies, ownID: self.NodeID, directory: directory}, logger: logger,
+		handlers: handlers, listedGone: listedGone, isolated: isolated, network: remote{own: copies, ownID: self.NodeID, directory: directory}, logger: logger,
 		started: time.Now(), missing: make(map[partition.Name]time.Time), stuck: make(map[partition.Name]time.Time),
 		serving: make(map[partition.Name]*partition.Log),
 	}
@@ -145,6 +147,7 @@
 	case mine:
 		manager.takeOver(ctx, assignment, self, candidates)
 		return true
+	case manager.isolated():
 	case partition.Vacant(*table, assignment, candidates):
 		successor, ok := partition.Successor(assignment, candidates)
 		if ok && successor.NodeID == self.NodeID {
