--- a/internal/lab/bench/site.go
+++ b/internal/lab/bench/site.go
@@ -94,7 +94,7 @@
 		handler http.Handler
 	}{
 		{&running.keyValueAddress, running.KeyValue.Handler()}, {&running.machinesAddress, running.Machines.Handler()},
-		{&running.weightsAddress, running.Weights.Handler()}, {&running.scorerAddress, running.Scorer.Handler()},
+		{&running.scorerAddress, running.Scorer.Handler()}, {&running.weightsAddress, running.Weights.Handler()},
 	} {
 		address, _, err := running.serve("platform", service.handler)
 		if err != nil {
