--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	controlv1 "github.com/thistlewalk/thistlewalk/api/control/v1"
+	"github.com/thistlewalk/thistlewalk/internal/lock"
 	"github.com/thistlewalk/thistlewalk/internal/partition"
 	"github.com/thistlewalk/thistlewalk/internal/result"
 )
@@ -25,9 +26,9 @@
 }
 
 type served struct {
-	mu   sync.Mutex
-	book *Book
-	log  *partition.Log
+	changing lock.Lock // guards book; held while a change is stored
+	book     *Book
+	log      *partition.Log
 }
 
 // NewService returns a service that owns nothing yet. alive tells whether the process that made a claim still lives.
@@ -47,7 +48,7 @@
 	}
 	service.mu.Lock()
 	defer service.mu.Unlock()
-	service.served[name] = &served{book: book, log: log}
+	service.served[name] = &served{changing: lock.New(), book: book, log: log}
 	return nil
 }
 
@@ -90,8 +91,10 @@
 
 // claim decides, and confirms the epoch at a write quorum before anything but a refusal leaves.
 func (served *served) claim(ctx context.Context, wish Claim, alive HolderAlive) (Decision, error) {
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if err := served.changing.Acquire(ctx); err != nil {
+		return Decision{}, busy(err)
+	}
+	defer served.changing.Release()
 	decision := served.book.Claim(wish, alive, time.Now())
 	if decision.Refusal != nil {
 		return decision, nil
@@ -105,7 +108,7 @@
 	return decision, nil
 }
 
-// store appends a claim and makes it part of the book; nil only confirms the epoch. Must hold mu.
+// store appends a claim and makes it part of the book; nil only confirms the epoch. Must hold changing.
 func (served *served) store(ctx context.Context, claim *Claim) error {
 	var values []partition.Value
 	if claim != nil {
@@ -124,6 +127,11 @@
 	return nil
 }
 
+// busy says that the call can be made again.
+func busy(cause error) error {
+	return result.New(result.NotRunNoOwner, "claims are being stored: %v", cause).WithRetryAfter(time.Second)
+}
+
 // Settle implements the Twirp service.
 func (service *Service) Settle(ctx context.Context, request *controlv1.SettleRequest) (*controlv1.SettleResponse, error) {
 	found, err := service.find(request.GetPartition())
@@ -134,8 +142,10 @@
 }
 
 func (served *served) settle(ctx context.Context, request *controlv1.SettleRequest) error {
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if err := served.changing.Acquire(ctx); err != nil {
+		return busy(err)
+	}
+	defer served.changing.Release()
 	outcome := request.GetOutcome()
 	claim, err := served.book.Settle(request.GetRequestId(), request.GetToken(), result.Code(outcome.GetCode()), outcome.GetMessage(), request.GetAnswer())
 	if err != nil || claim == nil {
@@ -158,8 +168,10 @@
 }
 
 func (served *served) expire(ctx context.Context) {
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if served.changing.Acquire(ctx) != nil {
+		return
+	}
+	defer served.changing.Release()
 	expired := served.book.Expired(time.Now())
 	if len(expired) == 0 {
 		return
--- a/internal/delivery/dispatch.go
+++ b/internal/delivery/dispatch.go
@@ -29,18 +29,24 @@
 
 // Tick drops samples that became too old, gives silent slots to others, dispatches empty slots and removes old steps.
 func (service *Service) Tick(ctx context.Context) {
+	var pending sync.WaitGroup
 	for _, served := range service.all() {
-		served.housekeep(ctx)
-		if time.Since(served.since) >= service.settings.AdoptTime {
-			served.dispatch(ctx)
-		}
+		pending.Go(func() {
+			served.housekeep(ctx)
+			if time.Since(served.since) >= service.settings.AdoptTime {
+				served.dispatch(ctx)
+			}
+		})
 	}
+	pending.Wait()
 }
 
 // housekeep expires samples, attempts and closed steps.
 func (served *served) housekeep(ctx context.Context) {
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if served.changing.Acquire(ctx) != nil {
+		return
+	}
+	defer served.changing.Release()
 	document := served.service.document()
 	now := time.Now()
 	for id, owned := range served.steps {
@@ -65,7 +71,7 @@
 
 // dispatch hands empty slots to executors, the oldest step first.
 func (served *served) dispatch(ctx context.Context) {
-	batches := served.assign()
+	batches := served.assign(ctx)
 	var pending sync.WaitGroup
 	for _, batch := range batches {
 		pending.Go(func() { served.send(ctx, batch) })
@@ -73,9 +79,11 @@
 	pending.Wait()
 }
 
-func (served *served) assign() []assigned {
-	served.mu.Lock()
-	defer served.mu.Unlock()
+func (served *served) assign(ctx context.Context) []assigned {
+	if served.changing.Acquire(ctx) != nil {
+		return nil
+	}
+	defer served.changing.Release()
 	executors := served.service.dispatcher.Executors()
 	if len(executors) == 0 {
 		return nil
@@ -109,7 +117,7 @@
 	return max(1, min(even, served.service.settings.SlotsPerDispatch))
 }
 
-// openSteps returns the open steps, oldest first; must hold mu.
+// openSteps returns the open steps, oldest first; must hold changing.
 func (served *served) openSteps() []*owned {
 	var open []*owned
 	for _, owned := range served.steps {
@@ -132,7 +140,7 @@
 	return owned.step.Stragglers(owned.attempts, time.Now().Add(-settings.StragglerTime), max(remaining, 1))
 }
 
-// work describes slots to executors; slots whose experiment has no active policy wait. Must hold mu.
+// work describes slots to executors; slots whose experiment has no active policy wait. Must hold changing.
 func (served *served) work(owned *owned, slots []step.SlotState, priority int32) []*controlv1.SlotWork {
 	definition := owned.step.Definition
 	document := served.service.document()
@@ -156,7 +164,7 @@
 	return fmt.Sprintf("%s/%d", definition.ID, definition.Group(slot))
 }
 
-// begin notes attempts before they are sent; must hold mu.
+// begin notes attempts before they are sent; must hold changing.
 func (served *served) begin(owned *owned, nodeID string, work []*controlv1.SlotWork) {
 	now := time.Now()
 	for _, slot := range work {
@@ -166,16 +174,18 @@
 
 // send dispatches one batch and forgets the attempts that the node did not accept.
 func (served *served) send(ctx context.Context, batch assigned) {
-	ctx, cancel := context.WithTimeout(ctx, served.service.settings.DispatchTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, served.service.settings.DispatchTimeout)
 	defer cancel()
-	accepted, err := served.service.dispatcher.Dispatch(ctx, batch.nodeID, &controlv1.DispatchRequest{
+	accepted, err := served.service.dispatcher.Dispatch(callCtx, batch.nodeID, &controlv1.DispatchRequest{
 		StepId: batch.stepID, Partition: served.name.Index, Epoch: served.log.Epoch(), Slots: batch.work,
 	})
 	if err != nil {
 		served.service.logger.Warn("dispatch failed", "step", batch.stepID, "node", batch.nodeID, "slots", len(batch.work), "error", err)
 	}
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if served.changing.Acquire(ctx) != nil {
+		return
+	}
+	defer served.changing.Release()
 	owned, known := served.steps[batch.stepID]
 	if !known {
 		return
--- a/internal/delivery/executor.go
+++ b/internal/delivery/executor.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	controlv1 "github.com/thistlewalk/thistlewalk/api/control/v1"
@@ -126,27 +127,69 @@
 	}
 }
 
-// produce runs the rollout and has it scored.
+// errTooOld ends a rollout whose oldest tokens have fallen behind the staleness bound.
+var errTooOld = errors.New("the rollout is over the staleness bound")
+
+// produce runs the rollout, again until it is whole, and has it scored. A rollout that has fallen behind the bound is
+// begun anew.
 func (executor *Executor) produce(ctx context.Context, key slotKey, work *controlv1.SlotWork) (*rollout.Sample, error) {
-	arm, ok := armFor(executor.document(), work.GetExperiment(), work.GetPolicy())
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval = 50 * time.Millisecond
+	policy.MaxInterval = 2 * time.Second
+	sample, err := backoff.Retry(ctx, func() (*rollout.Sample, error) {
+		sample, err := executor.attempt(ctx, key, work)
+		if err != nil && result.CodeOf(err).Class() == result.ClassInvalid {
+			return nil, backoff.Permanent(err)
+		}
+		return sample, err
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+	if err != nil {
+		return nil, err
+	}
+	sample.Score, err = backoff.Retry(ctx, func() (float64, error) {
+		return executor.scorer.Score(ctx, sample.Policy, work.GetPrompt(), sample.Text)
+	}, backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxElapsedTime(0))
+	return sample, err
+}
+
+// attempt runs the rollout once.
+func (executor *Executor) attempt(ctx context.Context, key slotKey, work *controlv1.SlotWork) (*rollout.Sample, error) {
+	document := executor.document()
+	arm, ok := armFor(document, work.GetExperiment(), work.GetPolicy())
 	if !ok {
 		return nil, result.New(result.InvalidNotFound, "experiment %q has no policy %q", work.GetExperiment(), work.GetPolicy())
 	}
+	arm.FirstVersion = max(arm.FirstVersion, oldestUseful(document, work))
 	outcome, err := executor.runner.Run(ctx, execution.Request{
 		RequestID: SlotRequestID(key.stepID, key.slot, work.GetGeneration()), Arm: arm, Prompt: work.GetPrompt(), MaxTokens: int(work.GetMaxTokens()),
 		Priority: int(work.GetPriority()), Repeatable: true, PrefixKey: work.GetPrompt(),
-	}, nil)
+	}, func(chunk rollout.Chunk) error {
+		if chunk.Version < oldestUseful(executor.document(), work) {
+			return errTooOld
+		}
+		return nil
+	})
 	if err != nil {
 		return nil, err
 	}
+	if outcome.Sample.OldestVersion() < oldestUseful(executor.document(), work) {
+		return nil, errTooOld
+	}
 	if err := outcome.Sample.Check(); err != nil {
-		return nil, err
+		// An unlabelled sample is of no use for training: it is run again.
+		return nil, errors.Newf("the rollout cannot be used: %v", err)
 	}
-	score, err := backoff.Retry(ctx, func() (float64, error) {
-		return executor.scorer.Score(ctx, arm.Policy, work.GetPrompt(), outcome.Sample.Text)
-	}, backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxElapsedTime(0))
-	outcome.Sample.Score = score
-	return &outcome.Sample, err
+	return &outcome.Sample, nil
+}
+
+// oldestUseful returns the oldest version whose tokens the staleness bound still allows.
+func oldestUseful(document *experiment.Document, work *controlv1.SlotWork) uint64 {
+	found, ok := document.Experiment(work.GetExperiment())
+	policy, known := document.Policy(work.GetPolicy())
+	if !ok || !known || !found.Bound.HasVersions || policy.Newest() <= found.Bound.Versions {
+		return 0
+	}
+	return policy.Newest() - found.Bound.Versions
 }
 
 // submit brings samples until the owner has taken them, the slot is given up, or the answer is final.
--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -7,9 +7,11 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/twitchtv/twirp"
 
 	controlv1 "github.com/thistlewalk/thistlewalk/api/control/v1"
 	"github.com/thistlewalk/thistlewalk/internal/experiment"
+	"github.com/thistlewalk/thistlewalk/internal/lock"
 	"github.com/thistlewalk/thistlewalk/internal/partition"
 	"github.com/thistlewalk/thistlewalk/internal/result"
 	"github.com/thistlewalk/thistlewalk/internal/rollout"
@@ -57,7 +59,7 @@
 	served map[partition.Name]*served
 }
 
-// served is one owned partition. All changes go through commit, under mu.
+// served is one owned partition. All changes go through commit.
 type served struct {
 	service *Service
 	name    partition.Name
@@ -65,10 +67,10 @@
 	since   time.Time
 	copies  int
 
-	mu      sync.Mutex
-	steps   map[string]*owned
-	attempt uint64
-	changed chan struct{} // closed and replaced when a sample is accepted; guarded by mu
+	changing lock.Lock // guards what follows; held while a change is stored
+	steps    map[string]*owned
+	attempt  uint64
+	changed  chan struct{} // closed and replaced when a sample is accepted
 }
 
 // owned is one step with what is tracked about it in memory.
@@ -94,7 +96,7 @@
 		return err
 	}
 	found := &served{service: service, name: name, log: current, since: time.Now(), copies: len(assignment.Replicas),
-		steps: make(map[string]*owned), changed: make(chan struct{}), attempt: current.Epoch() << attemptEpochShift}
+		changing: lock.New(), steps: make(map[string]*owned), changed: make(chan struct{}), attempt: current.Epoch() << attemptEpochShift}
 	for id, recovered := range steps {
 		found.steps[id] = &owned{step: recovered, attempts: step.NewAttempts()}
 	}
@@ -139,7 +141,7 @@
 	return all
 }
 
-// commit stores a change on a quorum and then applies it; must hold mu.
+// commit stores a change on a quorum and then applies it; must hold changing.
 func (served *served) commit(ctx context.Context, owned *owned, change step.Change) error {
 	if change.Empty() {
 		return nil
@@ -168,7 +170,7 @@
 	return result.New(result.NotRunNoOwner, "the step's stores: %v", cause).WithRetryAfter(time.Second)
 }
 
-// step returns an owned step; must hold mu.
+// step returns an owned step; must hold changing.
 func (served *served) step(stepID string) (*owned, error) {
 	found, ok := served.steps[stepID]
 	if !ok {
@@ -210,8 +212,10 @@
 	if _, ok := served.service.document().Experiment(definition.Experiment); !ok {
 		return CreateAnswer{}, result.New(result.InvalidNotFound, "experiment %q does not exist", definition.Experiment)
 	}
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if err := served.changing.Acquire(ctx); err != nil {
+		return CreateAnswer{}, unavailable(err)
+	}
+	defer served.changing.Release()
 	if present, ok := served.steps[definition.ID]; ok {
 		if present.step.Definition.ContentHash() != definition.ContentHash() {
 			return CreateAnswer{}, result.New(result.ConflictContent, "step %q exists with other content", definition.ID)
@@ -256,8 +260,10 @@
 }
 
 func (served *served) fetchNow(ctx context.Context, request FetchCall) (FetchAnswer, <-chan struct{}, error) {
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if err := served.changing.Acquire(ctx); err != nil {
+		return FetchAnswer{}, nil, unavailable(err)
+	}
+	defer served.changing.Release()
 	owned, err := served.step(request.StepID)
 	if err != nil {
 		return FetchAnswer{}, nil, err
@@ -331,8 +337,10 @@
 
 // close commits a change that may close the step.
 func (served *served) close(ctx context.Context, stepID string, decide func(*owned) (step.Change, error)) (Summary, error) {
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if err := served.changing.Acquire(ctx); err != nil {
+		return Summary{}, unavailable(err)
+	}
+	defer served.changing.Release()
 	owned, err := served.step(stepID)
 	if err != nil {
 		return Summary{}, err
@@ -362,8 +370,10 @@
 
 // submit stores all samples that fill empty slots in one write.
 func (served *served) submit(ctx context.Context, request *controlv1.SubmitRequest) error {
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if err := served.changing.Acquire(ctx); err != nil {
+		return unavailable(err)
+	}
+	defer served.changing.Release()
 	owned, err := served.step(request.GetStepId())
 	if err != nil {
 		return err
@@ -395,7 +405,7 @@
 	return nil
 }
 
-// announce wakes waiting fetches; must hold mu.
+// announce wakes waiting fetches; must hold changing.
 func (served *served) announce() {
 	close(served.changed)
 	served.changed = make(chan struct{})
@@ -403,13 +413,15 @@
 
 // Renew implements the Twirp service: executors tell which slots they work on. An attempt that this owner does not know,
 // of a slot that nobody fills, is adopted.
-func (service *Service) Renew(_ context.Context, request *controlv1.RenewRequest) (*controlv1.RenewResponse, error) {
+func (service *Service) Renew(ctx context.Context, request *controlv1.RenewRequest) (*controlv1.RenewResponse, error) {
 	served, err := service.find(request.GetPartition())
 	if err != nil {
 		return &controlv1.RenewResponse{}, nil
 	}
-	served.mu.Lock()
-	defer served.mu.Unlock()
+	if err := served.changing.Acquire(ctx); err != nil {
+		return nil, twirp.DeadlineExceeded.Error(err.Error())
+	}
+	defer served.changing.Release()
 	owned, err := served.step(request.GetStepId())
 	if err != nil {
 		return &controlv1.RenewResponse{Abandoned: request.GetSlots()}, nil
@@ -433,20 +445,22 @@
 }
 
 // List implements the Twirp service.
-func (service *Service) List(context.Context, *controlv1.StepCall) (*controlv1.StepAnswer, error) {
+func (service *Service) List(ctx context.Context, _ *controlv1.StepCall) (*controlv1.StepAnswer, error) {
 	list := ListAnswer{Staleness: service.staleness.summaries()}
 	for _, served := range service.all() {
-		served.mu.Lock()
+		if err := served.changing.Acquire(ctx); err != nil {
+			return nil, twirp.DeadlineExceeded.Error(err.Error())
+		}
 		for _, owned := range served.steps {
 			list.Steps = append(list.Steps, served.summary(owned))
 		}
-		served.mu.Unlock()
+		served.changing.Release()
 	}
 	body, err := cbor.Marshal(list)
 	return &controlv1.StepAnswer{Outcome: result.ToMessage(err), Body: body}, nil
 }
 
-// summary describes a step; must hold mu.
+// summary describes a step; must hold changing.
 func (served *served) summary(owned *owned) Summary {
 	definition := owned.step.Definition
 	return Summary{
--- a/internal/lab/bench/caller.go
+++ b/internal/lab/bench/caller.go
@@ -25,6 +25,7 @@
 	Cut     bool
 	Text    string
 	Spans   []rollout.Span
+	Sent    time.Time
 	Took    time.Duration
 }
 
@@ -55,7 +56,7 @@
 	}
 	began := time.Now()
 	err := callers.client.Call(ctx, node+"/v1/completions", request, &answer)
-	told := Told{RequestID: requestID, Repeatable: repeatable, Node: node, Took: time.Since(began)}
+	told := Told{RequestID: requestID, Repeatable: repeatable, Node: node, Sent: began, Took: time.Since(began)}
 	var failure *result.Error
 	switch {
 	case err == nil && len(answer.Choices) == 1:
--- a/internal/lab/bench/client.go
+++ b/internal/lab/bench/client.go
@@ -28,6 +28,9 @@
 // NewClient returns a client.
 func NewClient(client *http.Client) *Client { return &Client{http: client} }
 
+// Close closes idle connections.
+func (client *Client) Close() { client.http.CloseIdleConnections() }
+
 // Call posts a body and decodes the answer. A failure that the node reports is a result.Error.
 func (client *Client) Call(ctx context.Context, url string, body, answer any) error {
 	encoded, err := json.Marshal(body)
--- a/internal/lab/bench/oracle.go
+++ b/internal/lab/bench/oracle.go
@@ -51,8 +51,21 @@
 	Requested int
 	Told      []Told
 	Bound     experiment.Bound
-	// Killed are the base URLs of nodes that were killed, whose answers may be cut.
-	Killed []string
+	// Excuses are when nodes were killed or out of callers' reach, so that their answers may be cut.
+	Excuses []Excuse
+}
+
+// Excuse is a time in which the answers of the node at a base URL may be cut.
+type Excuse struct {
+	Node     string
+	From, To time.Time
+}
+
+// excused reports whether the node was killed or out of reach while a caller waited.
+func (evidence Evidence) excused(told Told) bool {
+	return slices.ContainsFunc(evidence.Excuses, func(excuse Excuse) bool {
+		return excuse.Node == told.Node && !told.Sent.After(excuse.To) && !told.Sent.Add(told.Took).Before(excuse.From)
+	})
 }
 
 type place struct {
@@ -153,7 +166,7 @@
 	for _, told := range evidence.Told {
 		switch {
 		case told.NotSent:
-		case told.Cut && slices.Contains(evidence.Killed, told.Node):
+		case told.Cut && evidence.excused(told):
 			runs[told.RequestID] = true
 		case told.Cut:
 			runs[told.RequestID] = true
--- a/internal/lab/bench/report.go
+++ b/internal/lab/bench/report.go
@@ -71,12 +71,13 @@
 		report.Tokens += len(chunk.TokenIDs)
 	}
 	for _, told := range evidence.Told {
-		report.Outcomes.count(told)
+		report.Outcomes.Count(told)
 	}
 	return report
 }
 
-func (outcomes *Outcomes) count(told Told) {
+// Count adds what a caller was told.
+func (outcomes *Outcomes) Count(told Told) {
 	if !told.Repeatable {
 		outcomes.OnceSends++
 	}
--- a/internal/lab/bench/site.go
+++ b/internal/lab/bench/site.go
@@ -52,6 +52,7 @@
 	addresses Addresses
 	settings  SiteSettings
 	logger    *log.Logger
+	clients   []*http.Client
 
 	mu      sync.Mutex
 	servers []*http.Server
@@ -150,6 +151,7 @@
 	started.Address, started.server = address, server
 	site.mu.Lock()
 	site.engines = append(site.engines, started)
+	site.clients = append(site.clients, client)
 	site.mu.Unlock()
 	site.Machines.Put(machines.Machine{ID: started.ID, Address: address, Zone: zone.Name, Region: zone.Region, Role: machines.RoleEngine})
 	return started, nil
@@ -187,7 +189,7 @@
 // Close stops everything.
 func (site *Site) Close() {
 	site.mu.Lock()
-	servers, engines := site.servers, site.engines
+	servers, engines, clients := site.servers, site.engines, site.clients
 	site.mu.Unlock()
 	for _, engine := range engines {
 		engine.Model.Close()
@@ -195,6 +197,9 @@
 	for _, server := range servers {
 		_ = server.Close()
 	}
+	for _, client := range clients {
+		client.CloseIdleConnections()
+	}
 }
 
 // Platform returns the settings that point a node at this site.
--- a/internal/lab/bench/trainer.go
+++ b/internal/lab/bench/trainer.go
@@ -45,7 +45,7 @@
 	for {
 		var last error
 		for _, node := range trainer.nodes() {
-			last = trainer.client.Call(ctx, node+path, body, answer)
+			last = trainer.try(ctx, node+path, body, answer)
 			if last == nil || final(last) {
 				return last
 			}
@@ -58,6 +58,15 @@
 	}
 }
 
+// tryLimit bounds one call, so that an answer that was lost on the way is asked for again.
+const tryLimit = 15 * time.Second
+
+func (trainer *Trainer) try(ctx context.Context, url string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, tryLimit)
+	defer cancel()
+	return trainer.client.Call(ctx, url, body, answer)
+}
+
 // final reports whether asking again cannot help. All of a trainer's calls can be repeated.
 func final(err error) bool {
 	switch result.CodeOf(err).Class() {
--- a/internal/lab/platform/engine.go
+++ b/internal/lab/platform/engine.go
@@ -28,6 +28,8 @@
 	ReportLag time.Duration
 	// StageTime is how long weights take to load once the weight store gives them.
 	StageTime time.Duration
+	// RoundTime is the time of one round of the batch; zero is 5 ms.
+	RoundTime time.Duration
 	// Lengths is the distribution of completion lengths.
 	Lengths Lengths
 }
@@ -85,6 +87,9 @@
 // NewEngine returns an engine without weights. weights fetches from the weight store.
 func NewEngine(settings EngineSettings, truth *Truth, weights func(ctx context.Context, policy string, version uint64) error) *Engine {
 	ctx, stop := context.WithCancel(context.Background())
+	if settings.RoundTime == 0 {
+		settings.RoundTime = defaultRoundTime
+	}
 	return &Engine{settings: settings, truth: truth, weights: weights, policies: make(map[string]*policyWeights),
 		cache: newPrefixCache(settings.CachedPrefixes), ctx: ctx, stop: stop}
 }
--- a/internal/lab/platform/streams.go
+++ b/internal/lab/platform/streams.go
@@ -151,8 +151,7 @@
 // queuePerSlot bounds the queue as a multiple of the capacity.
 const queuePerSlot = 8
 
-// stepTime is the time of one round of the batch.
-const stepTime = 5 * time.Millisecond
+const defaultRoundTime = 5 * time.Millisecond
 
 // loop runs the batch until nothing is left.
 func (model *Engine) loop() {
@@ -161,7 +160,7 @@
 		select {
 		case <-model.ctx.Done():
 			return
-		case <-time.After(stepTime):
+		case <-time.After(model.settings.RoundTime):
 		}
 		now := time.Now()
 		if !model.round(now, now.Sub(last)) {
--- a/internal/network/memory.go
+++ b/internal/network/memory.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -84,10 +85,23 @@
 		delete(listener.memory.listeners, listener.address)
 		listener.memory.mu.Unlock()
 		close(listener.closed)
+		listener.reset()
 	})
 	return nil
 }
 
+// reset breaks the connections that nobody will accept any more.
+func (listener *memoryListener) reset() {
+	for {
+		select {
+		case connection := <-listener.accepts:
+			_ = connection.Close()
+		default:
+			return
+		}
+	}
+}
+
 // Addr implements net.Listener.
 func (listener *memoryListener) Addr() net.Addr { return memoryAddress(listener.address) }
 
@@ -99,8 +113,14 @@
 // String implements net.Addr.
 func (address memoryAddress) String() string { return string(address) }
 
+// memoryDialTimeout is how long a connection to a host behind a cut is tried.
+const memoryDialTimeout = 2 * time.Second
+
 // DialContext implements Network.
 func (host memoryHost) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	// An HTTP transport dials without the deadline of the request that it dials for.
+	ctx, cancel := context.WithTimeout(ctx, memoryDialTimeout)
+	defer cancel()
 	target, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
@@ -119,6 +139,11 @@
 	link := &memoryLink{}
 	select {
 	case listener.accepts <- &memoryConnection{Conn: far, memory: host.memory, link: link, from: target.Addr(), to: host.host}:
+		select {
+		case <-listener.closed:
+			listener.reset()
+		default:
+		}
 		return &memoryConnection{Conn: near, memory: host.memory, link: link, from: host.host, to: target.Addr()}, nil
 	case <-listener.closed:
 		return nil, errors.Wrapf(syscall.ECONNREFUSED, "dial %s", address)
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -4,13 +4,16 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/thistlewalk/thistlewalk/internal/configuration"
 	"github.com/thistlewalk/thistlewalk/internal/keyvalue"
+	"github.com/thistlewalk/thistlewalk/internal/lock"
 	"github.com/thistlewalk/thistlewalk/internal/membership"
 	"github.com/thistlewalk/thistlewalk/internal/partition"
 	"github.com/thistlewalk/thistlewalk/internal/peers"
@@ -55,10 +58,10 @@
 	// isolated tells that this node sees so few of the listed nodes that it should leave partitions to others.
 	isolated func() bool
 
+	leasing lock.Lock // guards lease and renewed; held over calls to the service
 	lease   keyvalue.LeaseID
 	renewed time.Time
-	missing map[partition.Name]time.Time // since when a copy has been away
-	stuck   map[partition.Name]time.Time // since when recovery fails
+	states  map[partition.Name]*state
 
 	mu       sync.Mutex
 	serving  map[partition.Name]*partition.Log
@@ -71,11 +74,24 @@
 	return &Manager{
 		settings: settings, self: self, copies: copies, members: members, follower: follower, service: service,
 		handlers: handlers, listedGone: listedGone, isolated: isolated, network: remote{own: copies, ownID: self.NodeID, directory: directory}, logger: logger,
-		started: time.Now(), missing: make(map[partition.Name]time.Time), stuck: make(map[partition.Name]time.Time),
-		serving: make(map[partition.Name]*partition.Log),
+		started: time.Now(), states: newStates(), leasing: lock.New(), serving: make(map[partition.Name]*partition.Log),
 	}
 }
 
+// state is what is remembered of one partition between ticks; one goroutine at a time uses it.
+type state struct {
+	missing time.Time // since when a copy has been away; zero when all are there
+	stuck   time.Time // since when recovery has failed; zero when it has not
+}
+
+func newStates() map[partition.Name]*state {
+	states := make(map[partition.Name]*state)
+	for _, name := range partition.Names() {
+		states[name] = &state{}
+	}
+	return states
+}
+
 // Tick looks at every partition once.
 func (manager *Manager) Tick(ctx context.Context) {
 	if time.Since(manager.started) < manager.settings.SettleTime {
@@ -86,20 +102,27 @@
 		partition.KindSteps:  manager.candidates(partition.KindSteps),
 		partition.KindClaims: manager.candidates(partition.KindClaims),
 	}
-	owned := 0
+	var owned atomic.Int64
+	var pending errgroup.Group
+	pending.SetLimit(partitionsAtOnce)
 	for _, name := range partition.Names() {
-		if ctx.Err() != nil {
-			return
-		}
-		if manager.one(ctx, table, name, candidates[name.Kind]) {
-			owned++
-		}
+		pending.Go(func() error {
+			if ctx.Err() == nil && manager.one(ctx, table, name, candidates[name.Kind]) {
+				owned.Add(1)
+			}
+			return nil
+		})
 	}
-	if owned > 0 {
+	_ = pending.Wait() // the functions return no errors
+	if owned.Load() > 0 {
 		manager.keepLease(ctx)
 	}
 }
 
+// partitionsAtOnce bounds the partitions that are recovered at a time, so that one whose copies do not answer holds up
+// few others.
+const partitionsAtOnce = 8
+
 // candidates returns the live nodes that can hold a copy of a kind. A node that is leaving is not among them.
 func (manager *Manager) candidates(kind partition.Kind) []partition.Candidate {
 	var candidates []partition.Candidate
@@ -212,16 +235,15 @@
 // replacementDue reports whether a copy has been away for long enough. Copies in memory are gone at once.
 func (manager *Manager) replacementDue(assignment partition.Assignment, candidates []partition.Candidate) bool {
 	if !partition.NeedsReplacement(assignment, candidates) {
-		delete(manager.missing, assignment.Name)
+		manager.states[assignment.Name].missing = time.Time{}
 		return false
 	}
-	since, noted := manager.missing[assignment.Name]
-	if !noted {
-		since = time.Now()
-		manager.missing[assignment.Name] = since
+	remembered := manager.states[assignment.Name]
+	if remembered.missing.IsZero() {
+		remembered.missing = time.Now()
 	}
 	grown := len(assignment.Replicas) < partition.ReplicasWanted
-	return grown || assignment.Name.Kind == partition.KindClaims || time.Since(since) >= manager.settings.ReplaceAfter
+	return grown || assignment.Name.Kind == partition.KindClaims || time.Since(remembered.missing) >= manager.settings.ReplaceAfter
 }
 
 // takeOver raises the epoch in the service, recovers from the old copies onto the new ones, records the new copies, and
@@ -252,8 +274,8 @@
 // copies are surely gone that neither a read quorum nor a write quorum of an earlier owner is left. Copies on disk are
 // never given up: their machines come back, or an operator ends the steps.
 func (manager *Manager) historyGivenUp(assignment partition.Assignment, candidates []partition.Candidate) bool {
-	since, failing := manager.stuck[assignment.Name]
-	if !failing || assignment.Name.Kind != partition.KindClaims || time.Since(since) < manager.settings.HistoryPatience {
+	since := manager.states[assignment.Name].stuck
+	if since.IsZero() || assignment.Name.Kind != partition.KindClaims || time.Since(since) < manager.settings.HistoryPatience {
 		return false
 	}
 	left := 0
@@ -308,8 +330,8 @@
 	began := time.Now()
 	current, registers, err := partition.Recover(ctx, name, assignment.Epoch, from, to, manager.network, manager.settings.WriteTimeout)
 	if err != nil {
-		if _, noted := manager.stuck[name]; !noted {
-			manager.stuck[name] = began
+		if remembered := manager.states[name]; remembered.stuck.IsZero() {
+			remembered.stuck = began
 		}
 		manager.logger.Warn("partition not recovered", "partition", name, "epoch", assignment.Epoch, "error", err)
 		return
@@ -324,7 +346,7 @@
 		manager.logger.Error("partition not served", "partition", name, "epoch", assignment.Epoch, "error", err)
 		return
 	}
-	delete(manager.stuck, name)
+	manager.states[name].stuck = time.Time{}
 	manager.mu.Lock()
 	manager.serving[name] = current
 	manager.mu.Unlock()
@@ -351,6 +373,10 @@
 // lease was alive when last asked.
 func (manager *Manager) keepLease(ctx context.Context) bool {
 	const renewalsPerLife = 3
+	if manager.leasing.Acquire(ctx) != nil {
+		return false
+	}
+	defer manager.leasing.Release()
 	if manager.isStopping() {
 		return false
 	}
@@ -370,6 +396,7 @@
 	return manager.grantLease(ctx)
 }
 
+// grantLease must hold leasing.
 func (manager *Manager) grantLease(ctx context.Context) bool {
 	lease, err := manager.service.GrantLease(ctx, manager.settings.LeaseTime)
 	if err != nil {
@@ -391,6 +418,10 @@
 	manager.mu.Lock()
 	manager.stopping = true
 	manager.mu.Unlock()
+	if manager.leasing.Acquire(ctx) != nil {
+		return
+	}
+	defer manager.leasing.Release()
 	if manager.lease != "" {
 		_ = manager.service.RevokeLease(ctx, manager.lease)
 	}
--- a/internal/partition/log.go
+++ b/internal/partition/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/thistlewalk/thistlewalk/internal/lock"
 	"github.com/thistlewalk/thistlewalk/internal/result"
 )
 
@@ -33,10 +34,12 @@
 	transport Transport
 	timeout   time.Duration
 
-	mu       sync.Mutex
-	sequence uint64
-	failed   error
-	behind   map[string]Holder // by ReplicaID: copies that missed a write
+	writing  lock.Lock // one append at a time; held over calls to replicas
+	sequence uint64    // guarded by writing
+
+	mu     sync.Mutex // guards what follows
+	failed error
+	behind map[string]Holder // by ReplicaID: copies that missed a write
 }
 
 // Recover collects promises at epoch from a read quorum of the old replicas, merges their registers, writes them to a
@@ -47,7 +50,7 @@
 		return nil, nil, err
 	}
 	registers := Merge(copies...)
-	log := &Log{name: name, epoch: epoch, replicas: to, transport: transport, timeout: timeout, behind: make(map[string]Holder)}
+	log := &Log{name: name, epoch: epoch, replicas: to, transport: transport, timeout: timeout, writing: lock.New(), behind: make(map[string]Holder)}
 	for _, register := range registers {
 		if register.Epoch == epoch {
 			log.sequence = max(log.sequence, register.Sequence)
@@ -129,21 +132,25 @@
 // Append stores values, and removes keys by prefix before, on a write quorum. With no values it only confirms that the
 // epoch is still in force at a write quorum. Appends of one log are stored one after the other.
 func (log *Log) Append(ctx context.Context, values []Value, removePrefixes []string) error {
-	log.mu.Lock()
-	defer log.mu.Unlock()
-	if log.failed != nil {
-		return result.New(result.NotRunNoOwner, "partition %s recovers after: %v", log.name, log.failed)
+	if err := log.writing.Acquire(ctx); err != nil {
+		return result.New(result.NotRunNoOwner, "partition %s is busy: %v", log.name, err)
+	}
+	defer log.writing.Release()
+	if failure := log.Failed(); failure != nil {
+		return result.New(result.NotRunNoOwner, "partition %s recovers after: %v", log.name, failure)
 	}
 	write := Write{Epoch: log.epoch, RemovePrefixes: removePrefixes, Registers: make([]Register, 0, len(values))}
 	for _, value := range values {
 		log.sequence++
 		write.Registers = append(write.Registers, Register{Key: value.Key, Epoch: log.epoch, Sequence: log.sequence, Value: value.Value})
 	}
-	if err := log.store(ctx, write); err != nil {
+	err := log.store(ctx, write)
+	if err != nil {
+		log.mu.Lock()
 		log.failed = err
-		return err
+		log.mu.Unlock()
 	}
-	return nil
+	return err
 }
 
 type appendAnswer struct {
@@ -154,7 +161,7 @@
 }
 
 // store sends a write to all replicas and returns once a write quorum has it. The caller's own deadline does not cut a
-// write short: half a write forces a recovery. Must hold mu.
+// write short: half a write forces a recovery. Must hold writing.
 func (log *Log) store(ctx context.Context, write Write) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), log.timeout)
 	answers := make(chan appendAnswer, len(log.replicas))
@@ -173,7 +180,7 @@
 }
 
 // count waits for a write quorum. Answers that come later are looked at by nobody; a copy that fails among those is
-// found by the next write. Must hold mu.
+// found by the next write. Must hold writing.
 func (log *Log) count(answers <-chan appendAnswer) error {
 	stored := 0
 	var failures error
@@ -182,13 +189,13 @@
 		switch {
 		case answer.err != nil:
 			failures = errors.CombineErrors(failures, answer.err)
-			log.behind[answer.holder.ReplicaID] = answer.holder
+			log.noteBehind(answer.holder)
 		case !answer.accepted:
 			return errors.Wrapf(ErrDeposed, "replica on %s promised epoch %d", answer.holder.NodeID, answer.epoch)
 		default:
 			stored++
 		}
-		if stored >= WriteQuorum(len(log.replicas)) && seen+1 >= len(log.replicas)-len(log.behind) {
+		if stored >= WriteQuorum(len(log.replicas)) && seen+1 >= len(log.replicas)-len(log.Behind()) {
 			return nil
 		}
 	}
@@ -198,6 +205,12 @@
 	return errors.Wrapf(errors.CombineErrors(ErrNoQuorum, failures), "%d stored of %d", stored, WriteQuorum(len(log.replicas)))
 }
 
+func (log *Log) noteBehind(holder Holder) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.behind[holder.ReplicaID] = holder
+}
+
 // Failed returns the error that stopped the log, nil while it works.
 func (log *Log) Failed() error {
 	log.mu.Lock()
