Push a replica's failure to peers at once, and make the fuzz command run what it claims

Cause: 'thistlewalk-lab fuzz' reported no breach after running no history at all: the testing package's RunTests runs nothing outside a test binary. And a dead replica was known to all nodes of its zone only after up to 7.6 s at 180 nodes, since digests are pulled once a second.

Change: the command runs its histories inside testing.Main and fails when none ran; a digest whose flags changed is pushed to three peers by everyone to whom it is news.

The detection time is measured with the next fleet.

Conclusion: the fuzz command's earlier silence was no proof; this one counts what ran.

--- a/cmd/thistlewalk-lab/fuzz.go
+++ b/cmd/thistlewalk-lab/fuzz.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"testing"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -25,40 +24,54 @@
 }
 
 func runFuzz(ctx context.Context, command *cli.Command) error {
-	testing.Init()
-	seed := command.Int("seed")
-	if seed == 0 {
-		seed = int(time.Now().Unix())
+	session := fuzzSession{seed: command.Int("seed"), limit: command.Int("histories"),
+		deadline: time.Now().Add(time.Duration(command.Int("seconds")) * time.Second)}
+	if session.seed == 0 {
+		session.seed = int(time.Now().Unix())
 	}
-	deadline := time.Now().Add(time.Duration(command.Int("seconds")) * time.Second)
-	histories, events := 0, 0
+	simulation.Main(func(run simulation.Runner) bool { return session.work(ctx, run) })
+	return nil
+}
+
+// fuzzSession is one run of the command.
+type fuzzSession struct {
+	seed, limit int
+	deadline    time.Time
+}
+
+// work runs histories until the time is over or one fails; it returns whether all were without a breach.
+func (session fuzzSession) work(ctx context.Context, run simulation.Runner) bool {
+	histories, events, slots, calls := 0, 0, 0, 0
 	modelled := time.Duration(0)
-	for ctx.Err() == nil && time.Now().Before(deadline) && (command.Int("histories") == 0 || histories < command.Int("histories")) {
-		plan := simulation.Example(seed + histories)
-		outcome, err := simulation.RunPlan(plan)
-		if err != nil {
-			return fmt.Errorf("seed %d: %w\n%s", seed+histories, err, plan)
-		}
-		if outcome.Failed() {
-			return reportHistory(seed+histories, plan)
+	for ctx.Err() == nil && time.Now().Before(session.deadline) && (session.limit == 0 || histories < session.limit) {
+		plan := simulation.Example(session.seed + histories)
+		outcome, err := run(plan)
+		if err != nil || outcome.Failed() {
+			reportHistory(session.seed+histories, plan, err, run)
+			return false
 		}
 		histories++
 		events += len(plan.Events)
+		slots += outcome.Verdict.SamplesDelivered
+		calls += outcome.Outcomes.Done + outcome.Outcomes.Unknown + outcome.Outcomes.NotRun + outcome.Outcomes.Conflict
 		modelled += outcome.Modelled
 	}
-	fmt.Printf("%d histories with %d events over %s of modelled time from seed %d: no breach\n", histories, events, modelled.Round(time.Second), seed)
-	return nil
+	fmt.Printf("%d histories with %d events, %d samples and %d answered calls over %s of modelled time from seed %d: no breach\n",
+		histories, events, slots, calls, modelled.Round(time.Second), session.seed)
+	return histories > 0
 }
 
 // reportHistory prints the shortest failing history that removing events finds.
-func reportHistory(seed int, plan simulation.Plan) error {
+func reportHistory(seed int, plan simulation.Plan, failure error, run simulation.Runner) {
 	fmt.Printf("seed %d shows a breach\n", seed)
-	fails := func(candidate simulation.Plan) bool {
-		outcome, err := simulation.RunPlan(candidate)
-		return err == nil && outcome.Failed()
+	if failure != nil {
+		fmt.Printf("%s\n%v\n", plan, failure)
+		return
 	}
-	shortest := simulation.Shorten(plan, fails)
-	outcome, err := simulation.RunPlan(shortest)
+	shortest := simulation.Shorten(plan, func(candidate simulation.Plan) bool {
+		outcome, err := run(candidate)
+		return err == nil && outcome.Failed()
+	})
+	outcome, err := run(shortest)
 	fmt.Printf("%s\n%+v\n%v\n", shortest, outcome, err)
-	return errBreach
 }
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -46,6 +46,7 @@
 	members  *membership.Table
 	list     func() *machines.List
 	document func() *experiment.Document
+	announce func([]*loads.Digest)
 	logger   *log.Logger
 	started  time.Time
 
@@ -70,11 +71,11 @@
 	reported bool
 }
 
-// New returns a home without replicas.
+// New returns a home without replicas. announce passes on digests whose flags changed.
 func New(settings Settings, nodeID, zone string, client engine.Client, table *loads.Table, members *membership.Table,
-	list func() *machines.List, document func() *experiment.Document, logger *log.Logger) *Home {
+	list func() *machines.List, document func() *experiment.Document, announce func([]*loads.Digest), logger *log.Logger) *Home {
 	return &Home{settings: settings, nodeID: nodeID, zone: zone, client: client, loads: table, members: members,
-		list: list, document: document, logger: logger, started: time.Now(), replicas: make(map[string]*replica)}
+		list: list, document: document, announce: announce, logger: logger, started: time.Now(), replicas: make(map[string]*replica)}
 }
 
 // Tick polls every replica once, all at the same time, and waits for the answers.
@@ -175,7 +176,14 @@
 	}
 	digest := loads.Digest{ID: found.machine.ID, Address: found.machine.Address, Zone: found.machine.Zone,
 		Sequence: sequence(), Leaving: found.machine.Leaving, Failed: true}
-	home.loads.Offer(digest, time.Now())
+	home.offer(digest)
+}
+
+// offer publishes a digest; a change of its flags is announced at once.
+func (home *Home) offer(digest loads.Digest) {
+	if home.loads.Offer(digest, time.Now()) == loads.NewsFlags {
+		home.announce([]*loads.Digest{&digest})
+	}
 }
 
 func (home *Home) publish(found *replica, report engine.Report) {
@@ -187,7 +195,7 @@
 	digest := loads.Digest{ID: found.machine.ID, Address: found.machine.Address, Zone: found.machine.Zone,
 		Sequence: sequence(), Running: report.Running, Queued: report.Queued, Capacity: report.Capacity,
 		Leaving: found.machine.Leaving || report.Leaving, Held: held}
-	home.loads.Offer(digest, time.Now())
+	home.offer(digest)
 }
 
 func sequence() uint64 { return uint64(time.Now().UnixMilli()) }
--- a/internal/lab/simulation/bubble.go
+++ b/internal/lab/simulation/bubble.go
@@ -38,27 +38,31 @@
 // Example returns the plan of a seed: always the same one.
 func Example(seed int) Plan { return rapid.Custom(Draw).Example(seed) }
 
-// RunPlan runs a plan outside a test binary.
-func RunPlan(plan Plan) (Outcome, error) {
-	folder, err := os.MkdirTemp("", "thistlewalk-fuzz-")
-	if err != nil {
-		return Outcome{}, errors.Wrap(err, "folder for samples")
-	}
-	defer os.RemoveAll(folder)
-	logger, err := logging.New(io.Discard, "fatal")
-	if err != nil {
-		return Outcome{}, err
-	}
-	var outcome Outcome
-	var failure error
-	history := testing.InternalTest{Name: "history", F: func(t *testing.T) {
-		outcome, failure = InBubble(t, plan, folder, logger)
+// Runner runs a plan and tells what it showed.
+type Runner func(plan Plan) (Outcome, error)
+
+// Main runs work outside a test binary and ends the process: with code 0 if work returns true, else 1. A bubble needs a
+// testing.T, and only the testing package makes one.
+func Main(work func(run Runner) bool) {
+	session := testing.InternalTest{Name: "histories", F: func(t *testing.T) {
+		run := func(plan Plan) (Outcome, error) {
+			folder, err := os.MkdirTemp("", "thistlewalk-fuzz-")
+			if err != nil {
+				return Outcome{}, errors.Wrap(err, "folder for samples")
+			}
+			defer os.RemoveAll(folder)
+			logger, err := logging.New(io.Discard, "fatal")
+			if err != nil {
+				return Outcome{}, err
+			}
+			return InBubble(t, plan, folder, logger)
+		}
+		if !work(run) {
+			t.Fail()
+		}
 	}}
 	matchAll := func(string, string) (bool, error) { return true, nil }
-	if !testing.RunTests(matchAll, []testing.InternalTest{history}) {
-		return outcome, errors.New("the history did not end as it should")
-	}
-	return outcome, failure
+	testing.Main(matchAll, []testing.InternalTest{session}, nil, nil)
 }
 
 // Shorten removes events from a failing plan as long as it goes on failing, and returns the shortest found.
--- a/internal/loads/exchange.go
+++ b/internal/loads/exchange.go
@@ -75,17 +75,24 @@
 			sequences[hash] = known.GetBase() - uint64(known.GetOffsets()[index])
 		}
 	}
-	response := &controlv1.ExchangeResponse{}
 	var newer []*Digest
 	for _, replica := range table.List() {
 		digest := replica.Digest()
 		if digest.fresh(now, maximumAge) && digest.Sequence > sequences[Hash(digest.ID)] {
 			newer = append(newer, digest)
-			response.Base = max(response.Base, digest.Sequence)
 		}
 	}
-	defined := slices.Clone(known.GetHoldings())
-	for _, digest := range newer {
+	return columns(newer, known.GetHoldings())
+}
+
+// columns writes digests side by side, with the holdings that the peer does not know.
+func columns(digests []*Digest, knownHoldings []uint32) *controlv1.ExchangeResponse {
+	response := &controlv1.ExchangeResponse{}
+	for _, digest := range digests {
+		response.Base = max(response.Base, digest.Sequence)
+	}
+	defined := slices.Clone(knownHoldings)
+	for _, digest := range digests {
 		response.Replicas = append(response.Replicas, Hash(digest.ID))
 		response.Offsets = append(response.Offsets, offset(response.Base, digest.Sequence))
 		response.Running = append(response.Running, uint32(digest.Running))
@@ -112,11 +119,11 @@
 	return flags
 }
 
-// Merge offers a peer's answer and returns how many digests were news. Digests of replicas that are not on the machine
+// Merge offers a peer's answer and returns the digests whose flags changed by it. Digests of replicas that are not on the machine
 // list known here, and of holdings that nobody has defined, are passed over: they come again.
-func (table *Table) Merge(response *controlv1.ExchangeResponse, list *machines.List, now time.Time) int {
+func (table *Table) Merge(response *controlv1.ExchangeResponse, list *machines.List, now time.Time) []*Digest {
 	if !columnsAgree(response) {
-		return 0
+		return nil
 	}
 	holdings := table.holdings()
 	for _, definition := range response.GetDefinitions() {
@@ -126,7 +133,7 @@
 	for _, machine := range list.Machines {
 		listed[Hash(machine.ID)] = machine
 	}
-	taken := 0
+	var changed []*Digest
 	for index, hash := range response.GetReplicas() {
 		machine, onList := listed[hash]
 		held, defined := holdings[response.GetHoldings()[index]]
@@ -135,16 +142,22 @@
 		}
 		flags := response.GetFlags()[index]
 		digest := Digest{
-			ID: machine.ID, Address: machine.Address, Zone: machine.Zone,
+			holding: response.GetHoldings()[index],
+			ID:      machine.ID, Address: machine.Address, Zone: machine.Zone,
 			Sequence: response.GetBase() - uint64(response.GetOffsets()[index]),
 			Running:  int(response.GetRunning()[index]), Queued: int(response.GetQueued()[index]), Capacity: int(response.GetCapacity()[index]),
 			Leaving: flags&flagLeaving != 0, Failed: flags&flagFailed != 0, Held: held,
 		}
-		if table.Offer(digest, now) {
-			taken++
+		if table.Offer(digest, now) == NewsFlags {
+			changed = append(changed, &digest)
 		}
 	}
-	return taken
+	return changed
+}
+
+// Pushed returns the message that brings digests to peers that may know none of what they hold.
+func Pushed(digests []*Digest) *controlv1.ExchangeResponse {
+	return columns(digests, nil)
 }
 
 // columnsAgree reports whether all columns have one entry for each replica.
--- a/internal/loads/table.go
+++ b/internal/loads/table.go
@@ -123,8 +123,18 @@
 	return &table.shards[xxhash.Sum64String(id)%shardCount]
 }
 
-// Offer takes a digest that is newer than the one held; it returns false for any other.
-func (table *Table) Offer(digest Digest, now time.Time) bool {
+// News is what an offered digest changed.
+type News int
+
+// The kinds of news.
+const (
+	NewsNone  News = iota // an older digest: nothing changed
+	NewsLoad              // a newer load
+	NewsFlags             // the replica began or ceased to be failed or leaving
+)
+
+// Offer takes a digest that is newer than the one held, and tells what it changed.
+func (table *Table) Offer(digest Digest, now time.Time) News {
 	shard := table.shardOf(digest.ID)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
@@ -136,14 +146,21 @@
 		replica.digest.Store(&digest)
 		shard.replicas[digest.ID] = replica
 		table.version.Add(1)
-		return true
+		if digest.Failed || digest.Leaving {
+			return NewsFlags
+		}
+		return NewsLoad
 	}
-	if digest.Sequence <= replica.digest.Load().Sequence {
-		return false
+	present := replica.digest.Load()
+	if digest.Sequence <= present.Sequence {
+		return NewsNone
 	}
 	digest.ownAtReceipt = replica.inFlight.Load()
 	replica.digest.Store(&digest)
-	return true
+	if digest.flags() != present.flags() {
+		return NewsFlags
+	}
+	return NewsLoad
 }
 
 // Get returns a replica by identifier; nil when it is not known.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,7 +204,7 @@
 		SettleTime:  config.Ownership.SettleTime,
 		CallTimeout: config.Replicas.CallTimeout, FailedAfter: config.Replicas.FailedAfter,
 		OrderRetry: config.Replicas.OrderRetry, OrderAttempts: config.Replicas.OrderAttempts,
-	}, config.Node.ID, config.Node.Zone, orders, node.loads, node.members, node.follower.Machines, node.follower.Document, node.logger)
+	}, config.Node.ID, config.Node.Zone, orders, node.loads, node.members, node.follower.Machines, node.follower.Document, node.spread.pushLoads, node.logger)
 	node.runner = execution.NewRunner(execution.Settings{
 		RouteWait: config.Rollout.RouteWait, StallTime: config.Rollout.StallTime,
 		CancelTimeout: config.Replicas.CallTimeout, MaximumAttempts: config.Rollout.MaximumAttempts,
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -13,6 +13,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/configuration"
 	"github.com/thistlewalk/thistlewalk/internal/experiment"
 	"github.com/thistlewalk/thistlewalk/internal/keyvalue"
+	"github.com/thistlewalk/thistlewalk/internal/loads"
 	"github.com/thistlewalk/thistlewalk/internal/machines"
 	"github.com/thistlewalk/thistlewalk/internal/membership"
 	"github.com/thistlewalk/thistlewalk/internal/partition"
@@ -160,6 +161,29 @@
 	return spread.node.loads.Newer(request, time.Now(), spread.node.settings.Replicas.MaximumAge), nil
 }
 
+// Push implements the Twirp service: it takes digests, and pushes on those whose flags were news here.
+func (spread *spread) Push(_ context.Context, pushed *controlv1.ExchangeResponse) (*controlv1.PushResponse, error) {
+	spread.pushLoads(spread.node.loads.Merge(pushed, spread.node.follower.Machines(), time.Now()))
+	return &controlv1.PushResponse{}, nil
+}
+
+// pushLoads tells some random peers at once of digests whose flags changed.
+func (spread *spread) pushLoads(changed []*loads.Digest) {
+	if len(changed) == 0 {
+		return
+	}
+	message := loads.Pushed(changed)
+	peers := spread.exchangePeers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(len(peers), pushPeers)] {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), spread.node.settings.Membership.ProbeTimeout)
+			defer cancel()
+			_, _ = spread.node.directory.At(peer.Address).Load.Push(ctx, message)
+		}()
+	}
+}
+
 // smallSystem is the number of replicas up to which digests travel between all nodes, not only inside a zone.
 const smallSystem = 64
 
@@ -175,7 +199,7 @@
 		answer, err := node.directory.At(peer.Address).Load.Exchange(callCtx, node.loads.Known(time.Now(), node.settings.Replicas.MaximumAge))
 		cancel()
 		if err == nil {
-			node.loads.Merge(answer, node.follower.Machines(), time.Now())
+			spread.pushLoads(node.loads.Merge(answer, node.follower.Machines(), time.Now()))
 		}
 	}
 }
