--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -11,6 +11,8 @@
 	// handOverWait bounds the wait for others to take the node's partitions and claims copies.
 	handOverWait = 15 * time.Second
 	handOverPoll = 50 * time.Millisecond
+	// refuseTime is how long new requests are refused before idle connections are closed.
+	refuseTime = 2 * time.Second
 )
 
 // Stop is a planned stop: it refuses new work, tells the members, lets others take over its partitions, finishes every
@@ -21,6 +23,9 @@
 	node.executor.Refuse()
 	node.prober.Leave(ctx, tellOnLeave)
 	node.manager.Release(ctx)
+	// Callers on kept connections hear the refusal, which closes their connection; only then are idle ones closed, since
+	// closing one as a request arrives on it would cut that request off.
+	sleep(ctx, refuseTime)
 	failure := node.finish(ctx)
 	node.handOver(ctx)
 	node.Kill()
