--- a/cmd/thistlewalk-lab/hollow.go
+++ b/cmd/thistlewalk-lab/hollow.go
@@ -29,6 +29,10 @@
 			&cli.IntFlag{Name: "regions", Value: 2, Usage: "number of regions"},
 			&cli.IntFlag{Name: "stores", Value: 2, Usage: "nodes of each zone that have a data folder"},
 			&cli.DurationFlag{Name: "window", Value: 10 * time.Second, Usage: "how long costs are watched"},
+			&cli.BoolFlag{Name: "day", Usage: "after the measurement, run the failures of an ordinary day, compressed"},
+			&cli.IntFlag{Name: "failures", Value: 20, Usage: "nodes that die in a day"},
+			&cli.IntFlag{Name: "restarts", Value: 77, Usage: "nodes that are restarted in a day"},
+			&cli.DurationFlag{Name: "cut", Value: 15 * time.Second, Usage: "how long a zone, and then a region, is cut off"},
 			&cli.StringFlag{Name: "network", Value: "memory", Usage: "memory, or loopback for TCP"},
 			&cli.StringFlag{Name: "log-level", Value: "fatal", Usage: "least level of the nodes' log lines"},
 		},
@@ -62,6 +66,13 @@
 		if err == nil {
 			met = figures.Write(os.Stdout) && met
 		}
+		if err == nil && command.Bool("day") {
+			var outcome hollow.DayOutcome
+			day := hollow.Day{Failures: command.Int("failures"), Restarts: command.Int("restarts"), Cut: command.Duration("cut")}
+			if outcome, err = fleet.RunDay(ctx, day, 1, os.Stdout); err == nil {
+				met = outcome.Write(os.Stdout) && met
+			}
+		}
 		fleet.Close()
 		if err != nil {
 			return err
--- a/internal/lab/hollow/fleet.go
+++ b/internal/lab/hollow/fleet.go
@@ -81,7 +81,8 @@
 	fleet.client = bench.NewClient(network.NewClient(platformNetwork, time.Minute, network.Connections{PerHost: 2}))
 	fleet.site, err = bench.NewSite(bench.SiteSettings{
 		Zones: fleet.zones, KeyValuePerSecond: keyValueLimit, WeightsPerSecond: weightsLimit, MachineLag: time.Second, ScoreDelay: time.Millisecond,
-		Engine: platform.EngineSettings{Capacity: 64, TokensPerSecond: 50, ReportLag: time.Second, StageTime: time.Second, CachedPrefixes: 1, ChunkTokens: 16},
+		Engine: platform.EngineSettings{Capacity: 64, TokensPerSecond: 50, ReportLag: time.Second, StageTime: time.Second, CachedPrefixes: 1, ChunkTokens: 16,
+			RoundTime: 100 * time.Millisecond, Lengths: platform.Lengths{Median: 20, Sigma: 0.5}, PrefillPerSecond: 10000},
 	}, platformNetwork, fleet.address, options.Logger)
 	if err != nil {
 		fleet.Close()
@@ -225,8 +226,11 @@
 // Settled reports whether every node sees all nodes and its zone's replicas, and all partitions are owned.
 func (fleet *Fleet) Settled() bool {
 	nodes := fleet.Nodes()
+	fleet.mu.Lock()
+	stores := len(fleet.folders)
+	fleet.mu.Unlock()
 	for _, running := range nodes {
-		if running.LiveMembers() != len(nodes) || !running.PartitionsSettled(len(fleet.folders)) {
+		if running.LiveMembers() != len(nodes) || !running.PartitionsSettled(stores) {
 			return false
 		}
 		if running.KnownReplicas() < fleet.zoneReplicas(running.Settings.Node.Zone) {
