--- a/cmd/thistlewalk-lab/fuzz.go
+++ b/cmd/thistlewalk-lab/fuzz.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"testing"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/thistlewalk/thistlewalk/internal/lab/bubble"
 	"github.com/thistlewalk/thistlewalk/internal/lab/simulation"
+	"github.com/thistlewalk/thistlewalk/internal/logging"
 )
 
 func fuzzCommand() *cli.Command {
@@ -29,10 +33,19 @@
 	if session.seed == 0 {
 		session.seed = int(time.Now().Unix())
 	}
-	simulation.Main(func(run simulation.Runner) bool { return session.work(ctx, run) })
+	logger, err := logging.New(io.Discard, "fatal")
+	if err != nil {
+		return err
+	}
+	bubble.Main(func(t *testing.T) bool {
+		return session.work(ctx, func(plan simulation.Plan) (simulation.Outcome, error) { return simulation.InBubble(t, plan, logger) })
+	})
 	return nil
 }
 
+// runner runs a plan and tells what it showed.
+type runner func(plan simulation.Plan) (simulation.Outcome, error)
+
 // fuzzSession is one run of the command.
 type fuzzSession struct {
 	seed, limit int
@@ -40,7 +53,7 @@
 }
 
 // work runs histories until the time is over or one fails; it returns whether all were without a breach.
-func (session fuzzSession) work(ctx context.Context, run simulation.Runner) bool {
+func (session fuzzSession) work(ctx context.Context, run runner) bool {
 	histories, events, slots, calls := 0, 0, 0, 0
 	modelled := time.Duration(0)
 	for ctx.Err() == nil && time.Now().Before(session.deadline) && (session.limit == 0 || histories < session.limit) {
@@ -62,7 +75,7 @@
 }
 
 // reportHistory prints the shortest failing history that removing events finds.
-func reportHistory(seed int, plan simulation.Plan, shown simulation.Outcome, failure error, run simulation.Runner) {
+func reportHistory(seed int, plan simulation.Plan, shown simulation.Outcome, failure error, run runner) {
 	fmt.Printf("seed %d shows a breach\n%s\n%+v\n", seed, plan, shown)
 	if failure != nil {
 		fmt.Println(failure)
--- a/internal/delivery/dispatch.go
+++ b/internal/delivery/dispatch.go
@@ -153,12 +153,36 @@
 		served.attempt++
 		work = append(work, &controlv1.SlotWork{
 			Slot: state.Slot, Generation: state.Generation, Attempt: served.attempt, Experiment: definition.Experiment,
-			Policy: arm.Policy, Prompt: definition.Prompt(state.Slot), MaxTokens: uint32(definition.MaxTokens), Priority: priority,
+			Policy: arm.Policy, Prompt: definition.Prompt(state.Slot), MaxTokens: uint32(definition.MaxTokens),
+			Priority: priority + urgency(owned), Margin: margin(owned),
 		})
 	}
 	return work
 }
 
+// wantedTime is how long a trainer's question counts: it asks again within a long poll.
+const wantedTime = 5 * time.Second
+
+// isWanted reports whether the trainer waits for the step.
+func isWanted(owned *owned) bool { return time.Since(owned.wanted) < wantedTime }
+
+// urgency puts a step that its trainer waits for before those that are generated ahead.
+func urgency(owned *owned) int32 {
+	if isWanted(owned) {
+		return 1
+	}
+	return 0
+}
+
+// margin keeps rollouts of a step that is generated ahead off replicas that are about to be swapped: the trainer will
+// publish once more before it uses their samples.
+func margin(owned *owned) uint32 {
+	if isWanted(owned) {
+		return 0
+	}
+	return 1
+}
+
 // groupKey is the key that a slot's policy is assigned by: the slots of a group share it.
 func groupKey(definition step.Definition, slot uint32) string {
 	return fmt.Sprintf("%s/%d", definition.ID, definition.Group(slot))
--- a/internal/delivery/executor.go
+++ b/internal/delivery/executor.go
@@ -35,6 +35,8 @@
 	RenewInterval time.Duration
 	// CallTimeout bounds a call to the owner.
 	CallTimeout time.Duration
+	// SwapPatience is how long a rollout that is generated ahead waits for a replica that runs newer weights.
+	SwapPatience time.Duration
 }
 
 type slotKey struct {
@@ -136,8 +138,13 @@
 	policy := backoff.NewExponentialBackOff()
 	policy.InitialInterval = 50 * time.Millisecond
 	policy.MaxInterval = 2 * time.Second
+	began := time.Now()
 	sample, err := backoff.Retry(ctx, func() (*rollout.Sample, error) {
-		sample, err := executor.attempt(ctx, key, work)
+		margin := uint64(work.GetMargin())
+		if time.Since(began) > executor.settings.SwapPatience {
+			margin = 0
+		}
+		sample, err := executor.attempt(ctx, key, work, margin)
 		if err != nil && result.CodeOf(err).Class() == result.ClassInvalid {
 			return nil, backoff.Permanent(err)
 		}
@@ -152,19 +159,19 @@
 	return sample, err
 }
 
-// attempt runs the rollout once.
-func (executor *Executor) attempt(ctx context.Context, key slotKey, work *controlv1.SlotWork) (*rollout.Sample, error) {
+// attempt runs the rollout once, beginning at least margin versions below the staleness bound where it can.
+func (executor *Executor) attempt(ctx context.Context, key slotKey, work *controlv1.SlotWork, margin uint64) (*rollout.Sample, error) {
 	document := executor.document()
 	arm, ok := armFor(document, work.GetExperiment(), work.GetPolicy())
 	if !ok {
 		return nil, result.New(result.InvalidNotFound, "experiment %q has no policy %q", work.GetExperiment(), work.GetPolicy())
 	}
-	arm.FirstVersion = max(arm.FirstVersion, oldestUseful(document, work))
+	arm.FirstVersion = max(arm.FirstVersion, oldestUseful(document, work, margin))
 	outcome, err := executor.runner.Run(ctx, execution.Request{
 		RequestID: SlotRequestID(key.stepID, key.slot, work.GetGeneration()), Arm: arm, Prompt: work.GetPrompt(), MaxTokens: int(work.GetMaxTokens()),
 		Priority: int(work.GetPriority()), Repeatable: true, PrefixKey: work.GetPrompt(),
 	}, func(chunk rollout.Chunk) error {
-		if chunk.Version < oldestUseful(executor.document(), work) {
+		if chunk.Version < oldestUseful(executor.document(), work, 0) {
 			return errTooOld
 		}
 		return nil
@@ -172,7 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if outcome.Sample.OldestVersion() < oldestUseful(executor.document(), work) {
+	if outcome.Sample.OldestVersion() < oldestUseful(executor.document(), work, 0) {
 		return nil, errTooOld
 	}
 	if err := outcome.Sample.Check(); err != nil {
@@ -182,14 +189,16 @@
 	return &outcome.Sample, nil
 }
 
-// oldestUseful returns the oldest version whose tokens the staleness bound still allows.
-func oldestUseful(document *experiment.Document, work *controlv1.SlotWork) uint64 {
+// oldestUseful returns the oldest version whose tokens the staleness bound still allows, with a margin: at most that of
+// the bound itself, so that the newest version is always of use.
+func oldestUseful(document *experiment.Document, work *controlv1.SlotWork, margin uint64) uint64 {
 	found, ok := document.Experiment(work.GetExperiment())
 	policy, known := document.Policy(work.GetPolicy())
-	if !ok || !known || !found.Bound.HasVersions || policy.Newest() <= found.Bound.Versions {
+	if !ok || !known || !found.Bound.HasVersions {
 		return 0
 	}
-	return policy.Newest() - found.Bound.Versions
+	allowed := found.Bound.Versions - min(margin, found.Bound.Versions)
+	return policy.Newest() - min(policy.Newest(), allowed)
 }
 
 // submit brings samples until the owner has taken them, the slot is given up, or the answer is final.
--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -77,6 +77,8 @@
 type owned struct {
 	step     *step.Step
 	attempts *step.Attempts
+	// wanted is when the trainer last asked for samples.
+	wanted time.Time
 }
 
 // NewService returns a service that owns nothing yet.
@@ -268,6 +270,7 @@
 	if err != nil {
 		return FetchAnswer{}, nil, err
 	}
+	owned.wanted = time.Now()
 	document := served.service.document()
 	bound, err := boundOf(document, owned)
 	if err != nil {
--- a/internal/lab/platform/engine.go
+++ b/internal/lab/platform/engine.go
@@ -22,7 +22,7 @@
 	PrefillPerSecond float64
 	// CachedPrefixes is how many prompt prefixes fit in the cache.
 	CachedPrefixes int
-	// ChunkTokens is how many tokens a chunk carries at most.
+	// ChunkTokens is how many tokens a chunk carries; the last one may carry fewer.
 	ChunkTokens int
 	// ReportLag is the age of the load that the engine reports.
 	ReportLag time.Duration
@@ -189,3 +189,17 @@
 	}
 	return 0
 }
+
+// Occupancy returns how many requests run or wait.
+func (model *Engine) Occupancy() int {
+	model.mu.Lock()
+	defer model.mu.Unlock()
+	return len(model.running) + len(model.waiting)
+}
+
+// Waiting returns how many requests wait.
+func (model *Engine) Waiting() int {
+	model.mu.Lock()
+	defer model.mu.Unlock()
+	return len(model.waiting)
+}
--- a/internal/lab/platform/streams.go
+++ b/internal/lab/platform/streams.go
@@ -218,9 +218,9 @@
 
 // produce emits the tokens that a stream has earned under the version active now; must hold mu.
 func (model *Engine) produce(stream *stream) {
-	count := min(int(stream.credit), model.settings.ChunkTokens, stream.length-stream.produced)
-	if count <= 0 && stream.produced < stream.length {
-		return
+	count := max(0, min(model.settings.ChunkTokens, stream.length-stream.produced))
+	if stream.credit < float64(count) {
+		return // a chunk is sent when it is full, or the last
 	}
 	if len(stream.chunks) == cap(stream.chunks) {
 		return // the reader is behind
@@ -229,7 +229,7 @@
 	version := model.policies[stream.request.Policy].active
 	chunk := wireChunk{RequestID: stream.request.RequestID, Attempt: stream.request.Attempt, Position: stream.produced, Version: version}
 	var text strings.Builder
-	for range max(count, 0) {
+	for range count {
 		token := tokenAt(stream.request, version, stream.produced)
 		chunk.TokenIDs = append(chunk.TokenIDs, token)
 		chunk.LogProbs = append(chunk.LogProbs, -float32(token%1000)/1000)
--- /dev/null
+++ b/internal/lab/scenario/timeline.go
@@ -0,0 +1,137 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/lab/bench"
+	"github.com/thistlewalk/thistlewalk/internal/lab/platform"
+)
+
+// Event is something that happened, for the plots.
+type Event struct {
+	At   time.Duration
+	What string
+}
+
+// Point is the state at one moment.
+type Point struct {
+	At              time.Duration
+	TokensPerSecond float64
+	Queued          int
+	// OnNewest is how many engines run the newest version.
+	OnNewest int
+}
+
+// Timeline is what happened when.
+type Timeline struct {
+	Points []Point
+	Events []Event
+}
+
+func (scenario *run) mark(format string, arguments ...any) {
+	scenario.mu.Lock()
+	defer scenario.mu.Unlock()
+	scenario.timeline.Events = append(scenario.timeline.Events, Event{At: time.Since(scenario.began), What: fmt.Sprintf(format, arguments...)})
+}
+
+const watchPause = time.Second
+
+// watch notes the state once a modelled second.
+func (scenario *run) watch(ctx context.Context) {
+	before := int64(0)
+	for ctx.Err() == nil {
+		tokens, queued, newest := int64(0), 0, 0
+		scenario.mu.Lock()
+		version := scenario.version
+		scenario.mu.Unlock()
+		for _, engine := range scenario.site.Engines() {
+			produced, _ := engine.Model.Totals()
+			tokens += produced
+			queued += engine.Model.Waiting()
+			if engine.Model.Active(policyName) == version {
+				newest++
+			}
+		}
+		scenario.mu.Lock()
+		scenario.timeline.Points = append(scenario.timeline.Points, Point{At: time.Since(scenario.began),
+			TokensPerSecond: float64(tokens-before) / watchPause.Seconds(), Queued: queued, OnNewest: newest})
+		scenario.mu.Unlock()
+		before = tokens
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchPause):
+		}
+	}
+}
+
+// fail does one failure at its time.
+func (scenario *run) fail(ctx context.Context, failure Failure) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(failure.At):
+	}
+	scenario.mark("%s %d", failure.Kind, failure.Target)
+	engines := scenario.site.Engines()
+	engine := engines[failure.Target%len(engines)]
+	switch failure.Kind {
+	case "crash-engine":
+		engine.Crash()
+		scenario.site.Machines.Remove(engine.ID)
+		if _, err := scenario.site.AddEngine(engine.Zone); err != nil {
+			scenario.logger.Error("no new engine", "error", err)
+		}
+	case "crash-node", "stop-node":
+		scenario.endNode(ctx, failure)
+	case "service-down":
+		scenario.serviceFault(failure, platform.KeyValueFaults{Down: true})
+	case "lose-answers":
+		scenario.serviceFault(failure, platform.KeyValueFaults{LoseAnswers: 3})
+	case "keep-version":
+		engine.Model.SetFaults(platform.EngineFaults{KeepVersion: true})
+		time.Sleep(failure.Length)
+		engine.Model.SetFaults(platform.EngineFaults{})
+	case "cut-zone":
+		zone := byte(failure.Target % len(scenario.spec.Zones))
+		inside := func(host netip.Addr) bool { return host.As4()[1] == zone }
+		since := time.Now()
+		scenario.memory.Sever(func(from, to netip.Addr) bool { return inside(from) != inside(to) })
+		time.Sleep(failure.Length)
+		scenario.memory.Sever(nil)
+		for _, running := range scenario.nodes {
+			scenario.excuse(running, since)
+		}
+	}
+}
+
+func (scenario *run) serviceFault(failure Failure, faults platform.KeyValueFaults) {
+	scenario.site.KeyValue.SetFaults(faults)
+	time.Sleep(failure.Length)
+	scenario.site.KeyValue.SetFaults(platform.KeyValueFaults{})
+}
+
+func (scenario *run) excuse(running *bench.RunningNode, since time.Time) {
+	scenario.mu.Lock()
+	defer scenario.mu.Unlock()
+	scenario.excuses = append(scenario.excuses, bench.Excuse{Node: running.API(), From: since, To: time.Now()})
+}
+
+// endNode takes a node away for good.
+func (scenario *run) endNode(ctx context.Context, failure Failure) {
+	index := failure.Target % len(scenario.nodes)
+	running := scenario.nodes[index]
+	scenario.mu.Lock()
+	scenario.down[index] = true
+	scenario.mu.Unlock()
+	if failure.Kind == "stop-node" {
+		_ = running.Stop(ctx)
+		return
+	}
+	since := time.Now()
+	running.Kill()
+	scenario.excuse(running, since)
+	scenario.site.Machines.Remove(running.Settings.Node.ID)
+}
--- a/internal/lab/simulation/simulation_test.go
+++ b/internal/lab/simulation/simulation_test.go
@@ -16,7 +16,7 @@
 func simulate(t *testing.T, plan Plan) Outcome {
 	logger, err := logging.New(logOutput(), "info")
 	must.NoError(t, err)
-	outcome, err := InBubble(t, plan, t.TempDir(), logger)
+	outcome, err := InBubble(t, plan, logger)
 	must.NoError(t, err)
 	return outcome
 }
--- a/internal/network/memory.go
+++ b/internal/network/memory.go
@@ -17,6 +17,7 @@
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
 	severed   func(from, to netip.Addr) bool
+	latency   func(from, to netip.Addr) time.Duration
 }
 
 // NewMemory returns a network without cuts.
@@ -29,6 +30,23 @@
 	memory.severed = severed
 }
 
+// Delay replaces the latency of what is written from one host to another; nil is none.
+func (memory *Memory) Delay(latency func(from, to netip.Addr) time.Duration) {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	memory.latency = latency
+}
+
+func (memory *Memory) delayOf(from, to netip.Addr) time.Duration {
+	memory.mu.Lock()
+	latency := memory.latency
+	memory.mu.Unlock()
+	if latency == nil {
+		return 0
+	}
+	return latency(from, to)
+}
+
 func (memory *Memory) isSevered(from, to netip.Addr) bool {
 	memory.mu.Lock()
 	severed := memory.severed
@@ -184,6 +202,9 @@
 		_ = connection.Conn.Close()
 		return 0, errors.Wrap(syscall.ECONNRESET, "write")
 	default:
+		if delay := connection.memory.delayOf(connection.from, connection.to); delay > 0 {
+			time.Sleep(delay)
+		}
 		return connection.Conn.Write(buffer)
 	}
 }
