Keep a cold start of many nodes from declaring its own members dead

Cause: 360 nodes that start at once on one machine took 170 s of processor time in their first 25 s. A profile showed a quarter of it in pushed digests: homes that did not know their zone yet polled too much, called engines failed and back, and each push built an index of the machine list. Slow nodes then suspected healthy ones.

Change: a home waits until it sees half of its zone's listed nodes; the index and the holdings are kept between messages; a node whose probes fail, or that hears of its own suspicion, probes less often and waits longer (Lifeguard). Deaths are counted where they are false: at the node that refutes its own.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -47,6 +47,7 @@
 	list     func() *machines.List
 	document func() *experiment.Document
 	announce func([]*loads.Digest)
+	isolated func() bool
 	logger   *log.Logger
 	started  time.Time
 
@@ -71,16 +72,17 @@
 	reported bool
 }
 
-// New returns a home without replicas. announce passes on digests whose flags changed.
+// New returns a home without replicas. announce passes on digests whose flags changed; isolated tells that the node sees
+// too few others to know what it is the home of.
 func New(settings Settings, nodeID, zone string, client engine.Client, table *loads.Table, members *membership.Table,
-	list func() *machines.List, document func() *experiment.Document, announce func([]*loads.Digest), logger *log.Logger) *Home {
+	list func() *machines.List, document func() *experiment.Document, announce func([]*loads.Digest), isolated func() bool, logger *log.Logger) *Home {
 	return &Home{settings: settings, nodeID: nodeID, zone: zone, client: client, loads: table, members: members,
-		list: list, document: document, announce: announce, logger: logger, started: time.Now(), replicas: make(map[string]*replica)}
+		list: list, document: document, announce: announce, isolated: isolated, logger: logger, started: time.Now(), replicas: make(map[string]*replica)}
 }
 
 // Tick polls every replica once, all at the same time, and waits for the answers.
 func (home *Home) Tick(ctx context.Context) {
-	if time.Since(home.started) < home.settings.SettleTime {
+	if time.Since(home.started) < home.settings.SettleTime || home.isolated() {
 		return
 	}
 	var pending sync.WaitGroup
--- a/internal/loads/exchange.go
+++ b/internal/loads/exchange.go
@@ -125,21 +125,18 @@
 	if !columnsAgree(response) {
 		return nil
 	}
-	holdings := table.holdings()
 	for _, definition := range response.GetDefinitions() {
-		holdings[definition.GetFingerprint()] = definition.GetHeld()
-	}
-	listed := make(map[uint32]machines.Machine, len(list.Machines))
-	for _, machine := range list.Machines {
-		listed[Hash(machine.ID)] = machine
+		table.held.Store(definition.GetFingerprint(), definition.GetHeld())
 	}
+	listed := table.index(list)
 	var changed []*Digest
 	for index, hash := range response.GetReplicas() {
 		machine, onList := listed[hash]
-		held, defined := holdings[response.GetHoldings()[index]]
+		stored, defined := table.held.Load(response.GetHoldings()[index])
 		if !onList || !defined {
 			continue
 		}
+		held := stored.([]*controlv1.HeldVersion)
 		flags := response.GetFlags()[index]
 		digest := Digest{
 			holding: response.GetHoldings()[index],
@@ -171,12 +168,21 @@
 	return true
 }
 
-// holdings returns what replicas known here hold, by fingerprint.
-func (table *Table) holdings() map[uint32][]*controlv1.HeldVersion {
-	holdings := make(map[uint32][]*controlv1.HeldVersion)
-	for _, replica := range table.List() {
-		digest := replica.Digest()
-		holdings[digest.holding] = digest.Held
+// machineIndex finds the machines of a list by the hash of their identifiers.
+type machineIndex struct {
+	list   *machines.List
+	byHash map[uint32]machines.Machine
+}
+
+// index returns the machines of a list by hash; the index of the last list is kept.
+func (table *Table) index(list *machines.List) map[uint32]machines.Machine {
+	if present := table.machines.Load(); present != nil && present.list == list {
+		return present.byHash
+	}
+	made := &machineIndex{list: list, byHash: make(map[uint32]machines.Machine, len(list.Machines))}
+	for _, machine := range list.Machines {
+		made.byHash[Hash(machine.ID)] = machine
 	}
-	return holdings
+	table.machines.Store(made)
+	return made.byHash
 }
--- a/internal/loads/table.go
+++ b/internal/loads/table.go
@@ -108,6 +108,8 @@
 	version  atomic.Uint64 // grows with each change of the set
 	listed   atomic.Pointer[[]*Replica]
 	listedAt atomic.Uint64
+	machines atomic.Pointer[machineIndex]
+	held     sync.Map // what replicas hold, by fingerprint: []*controlv1.HeldVersion
 }
 
 // NewTable returns an empty table.
@@ -140,6 +142,9 @@
 	defer shard.mu.Unlock()
 	digest.received = now
 	digest.holding = Fingerprint(digest.Held)
+	if _, known := table.held.Load(digest.holding); !known {
+		table.held.Store(digest.holding, digest.Held)
+	}
 	replica, ok := shard.replicas[digest.ID]
 	if !ok {
 		replica = &Replica{}
@@ -171,8 +176,26 @@
 	return shard.replicas[id]
 }
 
+// maximumHoldings bounds the remembered holdings; those that replicas still have come again with their digests.
+const maximumHoldings = 1024
+
+// forgetHoldings empties the memory of holdings when it has grown, but for those that are held now.
+func (table *Table) forgetHoldings() {
+	count := 0
+	table.held.Range(func(any, any) bool { count++; return count <= maximumHoldings })
+	if count <= maximumHoldings {
+		return
+	}
+	table.held.Clear()
+	for _, replica := range table.List() {
+		digest := replica.Digest()
+		table.held.Store(digest.holding, digest.Held)
+	}
+}
+
 // Forget removes replicas whose digest came longer ago than the age given.
 func (table *Table) Forget(now time.Time, age time.Duration) {
+	table.forgetHoldings()
 	for index := range table.shards {
 		shard := &table.shards[index]
 		shard.mu.Lock()
--- a/internal/membership/prober.go
+++ b/internal/membership/prober.go
@@ -47,6 +47,7 @@
 	spread    Spread
 	seeds     func() []string
 	logger    *log.Logger
+	health    health
 
 	mu       sync.Mutex // guards what follows
 	random   *rand.Rand
@@ -62,8 +63,11 @@
 
 // Tick probes the next member, and now and then a seed that is not a live member.
 func (prober *Prober) Tick(ctx context.Context) {
+	if !prober.health.due() {
+		return
+	}
 	now := time.Now()
-	for _, dead := range prober.table.Expire(now) {
+	for _, dead := range prober.table.Expire(now, prober.health.stretch(1)) {
 		prober.logger.Warn("member dead", "node", dead.NodeID, "zone", dead.Zone, "incarnation", dead.Incarnation)
 	}
 	prober.rejoin(ctx)
@@ -73,7 +77,13 @@
 	if !ok {
 		return
 	}
-	if prober.probe(ctx, target) || prober.probeIndirect(ctx, target) || ctx.Err() != nil {
+	if prober.probe(ctx, target) {
+		prober.health.note(true)
+		return
+	}
+	// A silent member or an own fault: both make this node more patient until probes succeed again.
+	prober.health.note(false)
+	if prober.probeIndirect(ctx, target) || ctx.Err() != nil {
 		return
 	}
 	prober.logger.Info("member suspected", "node", target.NodeID, "incarnation", target.Incarnation)
@@ -122,14 +132,20 @@
 }
 
 func (prober *Prober) merge(messages []*controlv1.Member) {
-	if len(messages) > 0 {
-		prober.table.Merge(fromMessages(messages), time.Now())
+	if len(messages) == 0 {
+		return
+	}
+	before := prober.table.Self().Incarnation
+	prober.table.Merge(fromMessages(messages), time.Now())
+	if prober.table.Self().Incarnation != before {
+		// Others found this node silent: it may be slow itself.
+		prober.health.note(false)
 	}
 }
 
 // probe asks a member directly and exchanges changes.
 func (prober *Prober) probe(ctx context.Context, target Member) bool {
-	ctx, cancel := context.WithTimeout(ctx, prober.settings.ProbeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, prober.health.stretch(prober.settings.ProbeTimeout))
 	defer cancel()
 	answer, err := prober.directory.At(target.Address).Membership.Probe(ctx, &controlv1.ProbeRequest{
 		Sender: toMessage(prober.table.Self()), TargetNodeId: target.NodeID, Changes: prober.changes(target),
@@ -182,7 +198,7 @@
 
 // probeIndirect asks some other members to probe the target.
 func (prober *Prober) probeIndirect(ctx context.Context, target Member) bool {
-	ctx, cancel := context.WithTimeout(ctx, prober.settings.IndirectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, prober.health.stretch(prober.settings.IndirectTimeout))
 	defer cancel()
 	helpers := prober.helpers(target)
 	answers := make(chan bool, len(helpers))
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -80,8 +80,7 @@
 	far      round // the others of other zones
 	probes   int
 	view     *View // cached; nil after a change
-	suspects int
-	deaths   int
+	counters Counters
 }
 
 // NewTable returns a table that knows only self, whose incarnation must be greater than in any earlier life.
@@ -131,9 +130,9 @@
 func (table *Table) put(member Member, now time.Time) {
 	switch member.State {
 	case StateSuspect:
-		table.suspects++
+		table.counters.Suspects++
 	case StateDead:
-		table.deaths++
+		table.counters.Deaths++
 	}
 	table.entries[member.NodeID] = &entry{member: member, since: now, pending: true}
 	table.view = nil
@@ -145,6 +144,9 @@
 	if table.leaving || !news.wins(own.member) {
 		return
 	}
+	if news.State == StateDead {
+		table.counters.RefutedDeaths++
+	}
 	own.member.Incarnation = news.Incarnation + 1
 	own.since, own.sent, own.pending = now, 0, true
 	table.view = nil
@@ -174,15 +176,16 @@
 	table.view = nil
 }
 
-// Expire declares suspects dead whose time is over, and forgets old deaths. It returns the newly dead.
-func (table *Table) Expire(now time.Time) []Member {
+// Expire declares suspects dead whose time is over, and forgets old deaths. It returns the newly dead. patience multiplies
+// the time that suspects have; one is none.
+func (table *Table) Expire(now time.Time, patience time.Duration) []Member {
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	var dead []Member
 	for nodeID, known := range table.entries {
 		age := now.Sub(known.since)
 		switch {
-		case known.member.State == StateSuspect && age >= table.settings.SuspicionTime:
+		case known.member.State == StateSuspect && age >= patience*table.settings.SuspicionTime:
 			member := known.member
 			member.State = StateDead
 			table.put(member, now)
@@ -317,11 +320,16 @@
 }
 
 // Counters are totals since the start.
-type Counters struct{ Suspects, Deaths int }
+type Counters struct {
+	// Suspects and Deaths count the news of others that the table has taken.
+	Suspects, Deaths int
+	// RefutedDeaths counts how often this node, alive, heard of its own death.
+	RefutedDeaths int
+}
 
-// Counters returns how many suspicions and deaths the table has taken.
+// Counters returns the totals.
 func (table *Table) Counters() Counters {
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	return Counters{Suspects: table.suspects, Deaths: table.deaths}
+	return table.counters
 }
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -131,4 +131,5 @@
 	metrics.Total("thistlewalk_resumes_total", "Attempts that went on after tokens of an earlier one.", func() float64 { return float64(node.runner.Counters().Resumes) })
 	metrics.Total("thistlewalk_member_suspicions_total", "Suspicions taken.", func() float64 { return float64(node.members.Counters().Suspects) })
 	metrics.Total("thistlewalk_member_deaths_total", "Deaths taken.", func() float64 { return float64(node.members.Counters().Deaths) })
+	metrics.Total("thistlewalk_member_refuted_deaths_total", "Times that this node heard of its own death.", func() float64 { return float64(node.members.Counters().RefutedDeaths) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,7 +204,7 @@
 		SettleTime:  config.Ownership.SettleTime,
 		CallTimeout: config.Replicas.CallTimeout, FailedAfter: config.Replicas.FailedAfter,
 		OrderRetry: config.Replicas.OrderRetry, OrderAttempts: config.Replicas.OrderAttempts,
-	}, config.Node.ID, config.Node.Zone, orders, node.loads, node.members, node.follower.Machines, node.follower.Document, node.spread.pushLoads, node.logger)
+	}, config.Node.ID, config.Node.Zone, orders, node.loads, node.members, node.follower.Machines, node.follower.Document, node.spread.pushLoads, node.joining, node.logger)
 	node.runner = execution.NewRunner(execution.Settings{
 		RouteWait: config.Rollout.RouteWait, StallTime: config.Rollout.StallTime,
 		CancelTimeout: config.Replicas.CallTimeout, MaximumAttempts: config.Rollout.MaximumAttempts,
@@ -273,6 +273,22 @@
 	return 2*len(node.members.View().Live) < listed
 }
 
+// joining reports whether this node has yet to see half of the listed nodes of its own zone.
+func (node *Node) joining() bool {
+	listed, seen := 0, 0
+	for _, machine := range node.follower.Machines().Machines {
+		if machine.Role == machines.RoleNode && machine.Zone == node.settings.Node.Zone {
+			listed++
+		}
+	}
+	for _, member := range node.members.View().Live {
+		if member.Zone == node.settings.Node.Zone {
+			seen++
+		}
+	}
+	return 2*seen < listed
+}
+
 func (node *Node) buildGateway(processMetrics bool) {
 	config := node.settings
 	metrics := gateway.NewMetrics()
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -37,10 +37,10 @@
 // KnownReplicas returns how many replicas' loads are known.
 func (node *Node) KnownReplicas() int { return len(node.loads.List()) }
 
-// FalseDeaths returns how many suspicions and deaths the node's member list has taken.
+// FalseDeaths returns how many suspicions the node's member list has taken, and how often the node heard of its own death.
 func (node *Node) FalseDeaths() (suspicions, deaths int) {
 	counters := node.members.Counters()
-	return counters.Suspects, counters.Deaths
+	return counters.Suspects, counters.RefutedDeaths
 }
 
 // ControlCalls returns how many control calls this node has answered.
