--- a/cmd/thistlewalkd/main.go
+++ b/cmd/thistlewalkd/main.go
@@ -39,6 +39,13 @@
 			Usage:  "check settings and exit: 0 when they are right, 2 when not",
 			Flags:  flags(),
 			Action: check,
+		}, {
+			Name:  "settings",
+			Usage: "print the table of all settings",
+			Action: func(context.Context, *cli.Command) error {
+				fmt.Print(settings.WriteTable())
+				return nil
+			},
 		}},
 	}
 	err := command.Run(context.Background(), os.Args)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"os"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -50,3 +51,12 @@
 	f.Add([]byte("node: []"))
 	f.Fuzz(func(t *testing.T, content []byte) { _, _ = Parse("f", content, nil) })
 }
+
+func TestPageOfSettingsAgreesWithCode(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	must.NoError(t, err)
+	must.StrContains(t, string(page), WriteTable(), must.Sprint("run 'thistlewalkd settings' and put its table into the page"))
+	for _, row := range Rows() {
+		must.NotEq(t, "", row.Help, must.Sprint(row.Key))
+	}
+}
