Add TLS, tokens with separate rights and signed rollout handles; route without looking at every replica

Cause: a node on any address served everybody; a caller could name another's rollout and read the stored answer of another's request.

Change: certificates from files that are read again when they change, mutual between nodes; a node that others can reach refuses to start without keys and tokens unless security.allow_plain is set; handles are signed with the caller's token, identifiers scoped by it. Filters and scorers run for the replicas that a picker looks at, the identifier's hash is kept.

--- a/cmd/thistlewalk/commands.go
+++ b/cmd/thistlewalk/commands.go
@@ -113,7 +113,10 @@
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			const clearScreen = "\x1b[H\x1b[2J"
-			client := newClient(command)
+			client, err := newClient(command)
+			if err != nil {
+				return err
+			}
 			for shown := 0; command.Int("count") == 0 || shown < command.Int("count"); shown++ {
 				if shown > 0 {
 					time.Sleep(command.Duration("interval"))
--- a/cmd/thistlewalk/main.go
+++ b/cmd/thistlewalk/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"os"
@@ -32,6 +34,7 @@
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "node", Value: []string{defaultNode}, Sources: cli.EnvVars("THISTLEWALK_NODE"), Usage: "base URL of a node; further ones are tried when it does not answer"},
 			&cli.StringFlag{Name: "token", Sources: cli.EnvVars("THISTLEWALK_TOKEN"), Usage: "operator's token; better given in the environment"},
+			&cli.StringFlag{Name: "authority", Usage: "PEM file of the authority that https nodes' certificates come from"},
 			&cli.StringFlag{Name: "output", Value: string(operator.FormatTable), Usage: "table or json"},
 			&cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "wait for a node"},
 		},
@@ -55,8 +58,25 @@
 // Error implements error.
 func (reported *reportedError) Error() string { return reported.cause.Error() }
 
-func newClient(command *cli.Command) *operator.Client {
-	return operator.NewClient(command.StringSlice("node"), command.String("token"), command.Duration("timeout"))
+func newClient(command *cli.Command) (*operator.Client, error) {
+	secure, err := trust(command.String("authority"))
+	return operator.NewClient(command.StringSlice("node"), command.String("token"), command.Duration("timeout"), secure), err
+}
+
+// trust returns the TLS configuration that trusts an authority; an empty file trusts those of the system.
+func trust(file string) (*tls.Config, error) {
+	if file == "" {
+		return nil, nil
+	}
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content) {
+		return nil, fmt.Errorf("%s holds no certificate", file)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}, nil
 }
 
 func format(command *cli.Command) (operator.Format, error) {
@@ -74,7 +94,11 @@
 	if err != nil {
 		return err
 	}
-	response, err := newClient(command).Execute(ctx, script)
+	client, err := newClient(command)
+	if err != nil {
+		return err
+	}
+	response, err := client.Execute(ctx, script)
 	if err == nil {
 		err = operator.Write(os.Stdout, chosen, response)
 	}
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -139,9 +139,9 @@
 	return !ok || made.Before(book.historyLost.Add(clockSkew))
 }
 
-// timeOf returns when a UUID of version 7 was made.
+// timeOf returns when a UUID of version 7 was made. A scope may stand before it, ended by a slash.
 func timeOf(requestID string) (time.Time, bool) {
-	identifier, err := uuid.Parse(requestID)
+	identifier, err := uuid.Parse(requestID[strings.LastIndexByte(requestID, '/')+1:])
 	if err != nil || identifier.Version() != 7 {
 		return time.Time{}, false
 	}
--- a/internal/execution/runner.go
+++ b/internal/execution/runner.go
@@ -62,7 +62,6 @@
 	router   *routing.Router
 	budget   *admission.RetryBudget
 	document func() *experiment.Document
-	scratch  sync.Pool
 	mu       sync.Mutex
 	counters Counters
 }
@@ -70,8 +69,7 @@
 // NewRunner returns a runner. document gives the newest configuration.
 func NewRunner(settings Settings, zone string, client engine.Client, table *loads.Table, router *routing.Router,
 	budget *admission.RetryBudget, document func() *experiment.Document) *Runner {
-	return &Runner{settings: settings, zone: zone, client: client, loads: table, router: router, budget: budget, document: document,
-		scratch: sync.Pool{New: func() any { return new([]*loads.Replica) }}}
+	return &Runner{settings: settings, zone: zone, client: client, loads: table, router: router, budget: budget, document: document}
 }
 
 // Outcome is a completed rollout.
@@ -163,9 +161,7 @@
 		Arm: run.request.Arm, Newest: policy.Target, Zone: runner.zone,
 		PrefixKey: run.request.PrefixKey, Preferred: run.request.Preferred, Excluded: run.excluded,
 	}
-	scratch := runner.scratch.Get().(*[]*loads.Replica)
-	defer runner.scratch.Put(scratch)
-	return runner.router.Route(&wanted, runner.loads.List(), scratch)
+	return runner.router.Route(&wanted, runner.loads.List())
 }
 
 // waitForReplica pauses, or gives up when the wait is over.
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -79,11 +79,11 @@
 	defaultTokens     = 1024
 	maximumIdentifier = 128
 	maximumPriority   = 100
-	handleSeparator   = "~"
 )
 
 // turn is one checked request, whichever call it came by.
 type turn struct {
+	token      string // the caller's
 	chat       bool
 	stream     bool
 	model      string
@@ -99,7 +99,7 @@
 	if err := gateway.readJSON(writer, request, &body); err != nil {
 		return err
 	}
-	prepared, err := gateway.prepare(body.Model, body.Prompt, body.MaxTokens, body.N, body.Extension)
+	prepared, err := gateway.prepare(callerToken(request), body.Model, body.Prompt, body.MaxTokens, body.N, body.Extension)
 	if err != nil {
 		return err
 	}
@@ -112,7 +112,7 @@
 	if err := gateway.readJSON(writer, request, &body); err != nil {
 		return err
 	}
-	prepared, err := gateway.prepare(body.Model, flatten(body.Messages), max(body.MaxTokens, body.MaxCompletionTokens), body.N, body.Extension)
+	prepared, err := gateway.prepare(callerToken(request), body.Model, flatten(body.Messages), max(body.MaxTokens, body.MaxCompletionTokens), body.N, body.Extension)
 	if err != nil {
 		return err
 	}
@@ -134,14 +134,14 @@
 }
 
 // prepare checks a request and picks its policy.
-func (gateway *Gateway) prepare(model, prompt string, tokens int, choices *int, extension Extension) (turn, error) {
+func (gateway *Gateway) prepare(token, model, prompt string, tokens int, choices *int, extension Extension) (turn, error) {
 	if tokens == 0 {
 		tokens = defaultTokens
 	}
 	if err := checkRequest(prompt, tokens, choices, extension); err != nil {
 		return turn{}, err
 	}
-	prepared := turn{model: model, requestID: extension.RequestID, repeatable: extension.Repeatable == nil || *extension.Repeatable,
+	prepared := turn{token: token, model: model, requestID: extension.RequestID, repeatable: extension.Repeatable == nil || *extension.Repeatable,
 		deadline: gateway.settings.DefaultDeadline}
 	if extension.DeadlineMilliseconds > 0 {
 		prepared.deadline = time.Duration(extension.DeadlineMilliseconds) * time.Millisecond
@@ -153,13 +153,13 @@
 		}
 		prepared.requestID = identifier.String()
 	}
-	arm, key, preferred, err := gateway.assign(model, extension.Rollout)
+	arm, key, preferred, err := gateway.assign(token, model, extension.Rollout)
 	if err != nil {
 		return turn{}, err
 	}
 	prepared.rolloutKey = key
 	prepared.execution = execution.Request{
-		RequestID: prepared.requestID, Arm: arm, Prompt: prompt, MaxTokens: tokens, Priority: extension.Priority,
+		RequestID: scoped(token, prepared.requestID), Arm: arm, Prompt: prompt, MaxTokens: tokens, Priority: extension.Priority,
 		Repeatable: prepared.repeatable, Preferred: preferred, PrefixKey: prefixKey(prompt),
 	}
 	return prepared, nil
@@ -192,11 +192,14 @@
 func prefixKey(prompt string) string { return prompt[:min(len(prompt), prefixBytes)] }
 
 // assign picks the arm of a rollout: that of its handle, else by its key.
-func (gateway *Gateway) assign(model, handle string) (arm experiment.Arm, key, preferred string, err error) {
+func (gateway *Gateway) assign(token, model, text string) (arm experiment.Arm, key, preferred string, err error) {
 	document := gateway.follower.Document()
-	parts := strings.Split(handle, handleSeparator)
-	if len(parts) != 3 {
-		key = handle
+	given, isHandle, err := parseHandle(token, text)
+	if err != nil {
+		return arm, "", "", err
+	}
+	if !isHandle {
+		key = text
 		if key == "" {
 			key = uuid.NewString()
 		}
@@ -207,15 +210,15 @@
 	if !ok {
 		return arm, "", "", result.New(result.InvalidNotFound, "experiment %q does not exist", model)
 	}
-	arm, ok = found.Arm(parts[1])
-	policy, _ := document.Policy(parts[1])
+	arm, ok = found.Arm(given.policy)
+	policy, _ := document.Policy(given.policy)
 	if !ok {
-		return arm, "", "", result.New(result.InvalidField, "rollout: experiment %q has no policy %q", model, parts[1])
+		return arm, "", "", result.New(result.InvalidField, "rollout: experiment %q has no policy %q", model, given.policy)
 	}
 	if policy.State != experiment.PolicyActive {
 		return arm, "", "", result.New(result.NotRunPaused, "policy %q is %s", policy.Name, policy.State).WithRetryAfter(time.Second)
 	}
-	return arm, parts[0], parts[2], nil
+	return arm, given.key, given.replica, nil
 }
 
 // serveTurn admits, runs and answers a request.
@@ -247,7 +250,7 @@
 }
 
 func callerOf(request *http.Request) string {
-	if token := request.Header.Get("Authorization"); token != "" {
+	if token := callerToken(request); token != "" {
 		return token
 	}
 	host, _, _ := strings.Cut(request.RemoteAddr, ":")
--- /dev/null
+++ b/internal/gateway/handle.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/thistlewalk/thistlewalk/internal/result"
+)
+
+// handle names a rollout between its turns. It is signed with its caller's token, so that no other caller can name it.
+type handle struct {
+	key     string
+	policy  string
+	replica string
+}
+
+const (
+	handleSeparator = "~"
+	handleParts     = 4
+	signatureLength = 16 // bytes kept of the signature
+	scopeLength     = 6  // bytes that tell callers apart
+)
+
+func callerToken(request *http.Request) string {
+	return strings.TrimPrefix(request.Header.Get("Authorization"), "Bearer ")
+}
+
+func sign(token, content string) string {
+	signer := hmac.New(sha256.New, []byte(token))
+	_, _ = signer.Write([]byte(content))
+	return hex.EncodeToString(signer.Sum(nil)[:signatureLength])
+}
+
+// text returns the handle's form for its caller.
+func (rollout handle) text(token string) string {
+	content := strings.Join([]string{rollout.key, rollout.policy, rollout.replica}, handleSeparator)
+	return content + handleSeparator + sign(token, content)
+}
+
+// parseHandle reads a handle; false for a key of the caller's own, and an error when the handle is not this caller's.
+func parseHandle(token, text string) (handle, bool, error) {
+	parts := strings.Split(text, handleSeparator)
+	if len(parts) == 1 {
+		return handle{}, false, nil
+	}
+	if len(parts) != handleParts {
+		return handle{}, false, result.New(result.InvalidField, "rollout: a key holds no %q", handleSeparator)
+	}
+	content := strings.Join(parts[:handleParts-1], handleSeparator)
+	if !hmac.Equal([]byte(parts[handleParts-1]), []byte(sign(token, content))) {
+		return handle{}, false, result.New(result.InvalidNotAllowed, "rollout: the handle was not given to this caller")
+	}
+	return handle{key: parts[0], policy: parts[1], replica: parts[2]}, true, nil
+}
+
+// scoped makes a caller's request identifier its own: two callers with one identifier do not meet.
+func scoped(token, requestID string) string {
+	if token == "" {
+		return requestID
+	}
+	digest := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(digest[:scopeLength]) + "/" + requestID
+}
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -35,7 +35,7 @@
 		return gateway.repeatAnswer(answer.GetAnswer(), responder)
 	}
 	outcome, err := gateway.runner.Run(ctx, prepared.execution, responder.chunk)
-	gateway.settle(prepared.requestID, token, outcome, err)
+	gateway.settle(prepared.execution.RequestID, token, outcome, err)
 	return responder.finish(outcome, err)
 }
 
@@ -46,7 +46,7 @@
 	defer cancel()
 	nodeID, life := gateway.cluster.Holder()
 	request := &controlv1.ClaimRequest{
-		Partition: claim.PartitionOf(prepared.requestID), RequestId: prepared.requestID, Token: token,
+		Partition: claim.PartitionOf(prepared.execution.RequestID), RequestId: prepared.execution.RequestID, Token: token,
 		ContentHash: contentHash(prepared), HolderNode: nodeID, HolderLife: life,
 	}
 	asked := false
@@ -76,7 +76,7 @@
 	}
 	failure := result.New(result.NotRunNoOwner, "the claim was not granted: %v", err).WithRetryAfter(time.Second)
 	if asked {
-		go gateway.settle(prepared.requestID, token, execution.Outcome{}, failure)
+		go gateway.settle(prepared.execution.RequestID, token, execution.Outcome{}, failure)
 	}
 	return nil, failure
 }
--- a/internal/gateway/responder.go
+++ b/internal/gateway/responder.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/thistlewalk/thistlewalk/internal/execution"
@@ -84,7 +83,8 @@
 
 // handle names the rollout for its next turn.
 func (responder *responder) handle(replica string) string {
-	return strings.Join([]string{responder.turn.rolloutKey, responder.turn.execution.Arm.Policy, replica}, handleSeparator)
+	named := handle{key: responder.turn.rolloutKey, policy: responder.turn.execution.Arm.Policy, replica: replica}
+	return named.text(responder.turn.token)
 }
 
 func (responder *responder) choices(text, finishReason string, delta bool) any {
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -118,7 +118,7 @@
 
 func (gateway *Gateway) guard(next handler, allowed func(token string) bool) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
-		token := strings.TrimPrefix(request.Header.Get("Authorization"), "Bearer ")
+		token := callerToken(request)
 		var err error
 		if allowed(token) {
 			err = next(writer, request)
--- a/internal/lab/bench/site.go
+++ b/internal/lab/bench/site.go
@@ -221,6 +221,7 @@
 	if config.Node.Control, err = site.addresses(zone.Name); err != nil {
 		return nil, err
 	}
+	config.Security.AllowPlain = true // the addresses of a network in memory are not loopback
 	if adjust != nil {
 		adjust(&config)
 	}
--- a/internal/loads/table.go
+++ b/internal/loads/table.go
@@ -12,12 +12,14 @@
 	"github.com/cespare/xxhash/v2"
 
 	controlv1 "github.com/thistlewalk/thistlewalk/api/control/v1"
+	"github.com/thistlewalk/thistlewalk/internal/placement"
 )
 
 const shardCount = 16
 
 // Replica is what the node knows of one replica. Digest is replaced whole; the counters are the node's own.
 type Replica struct {
+	hash     uint64 // of the identifier, for placement
 	digest   atomic.Pointer[Digest]
 	inFlight atomic.Int64
 	// Consecutive failures of the node's own requests, and when the replica may be tried again.
@@ -57,6 +59,9 @@
 // Received returns when the digest came to this node.
 func (digest *Digest) Received() time.Time { return digest.received }
 
+// Hash returns the hash of the replica's identifier, for placement.
+func (replica *Replica) Hash() uint64 { return replica.hash }
+
 // Digest returns the newest digest.
 func (replica *Replica) Digest() *Digest { return replica.digest.Load() }
 
@@ -147,7 +152,7 @@
 	}
 	replica, ok := shard.replicas[digest.ID]
 	if !ok {
-		replica = &Replica{}
+		replica = &Replica{hash: placement.Hash(digest.ID)}
 		replica.digest.Store(&digest)
 		shard.replicas[digest.ID] = replica
 		table.version.Add(1)
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 type Connections struct {
 	PerHost int
 	Total   int
+	// TLS is used for https; nil is the standard configuration.
+	TLS *tls.Config
 }
 
 // NewClient returns an HTTP client over the network that keeps connections for idle time. Redirects are not followed.
@@ -43,6 +46,7 @@
 		DialContext:         through.DialContext,
 		MaxIdleConnsPerHost: connections.PerHost,
 		MaxIdleConns:        connections.Total,
+		TLSClientConfig:     connections.TLS,
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
 		WriteBufferSize:     controlBuffer,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/peers"
 	"github.com/thistlewalk/thistlewalk/internal/samplestore"
 	"github.com/thistlewalk/thistlewalk/internal/scoring"
+	"github.com/thistlewalk/thistlewalk/internal/security"
 	"github.com/thistlewalk/thistlewalk/internal/settings"
 )
 
@@ -82,6 +83,7 @@
 	runner    *execution.Runner
 	gateway   *gateway.Gateway
 	limiter   *admission.Limiter
+	security  *security.Reloader // nil for plain HTTP
 
 	system      *actors.System
 	spread      *spread
@@ -114,6 +116,9 @@
 		logger:   options.Logger.With("node", options.Settings.Node.ID),
 		follower: configuration.NewFollower(), loads: loads.NewTable(),
 	}
+	if err := node.secure(); err != nil {
+		return nil, err
+	}
 	if err := node.openStore(); err != nil {
 		return nil, err
 	}
@@ -126,6 +131,29 @@
 	return node, nil
 }
 
+// secure reads the key files, and refuses to serve others than this machine without tokens and TLS unless told to.
+func (node *Node) secure() error {
+	config := node.settings
+	files := security.Files{Certificate: config.Security.Certificate, Key: config.Security.Key, Authority: config.Security.Authority}
+	if files.Enabled() {
+		reloader, err := security.NewReloader(files)
+		if err != nil {
+			return err
+		}
+		node.security = reloader
+	}
+	guarded := files.Enabled() && len(config.Security.OperatorTokens) > 0 && len(config.Security.CallerTokens) > 0
+	if guarded || security.OnLoopback(config.Node.API) && security.OnLoopback(config.Node.Control) {
+		return nil
+	}
+	if !config.Security.AllowPlain {
+		return errors.Newf("addresses %s and %s are open to other machines: set security.certificate, security.key, security.operator_tokens and security.caller_tokens, or security.allow_plain",
+			config.Node.API, config.Node.Control)
+	}
+	node.logger.Warn("other machines are served without TLS or tokens, as security.allow_plain says")
+	return nil
+}
+
 func (node *Node) openStore() error {
 	folder := node.settings.Node.DataFolder
 	if folder == "" {
@@ -153,7 +181,11 @@
 func (node *Node) buildControl(seed uint64) {
 	config := node.settings
 	node.system = actors.NewSystem(logging.Structured(node.logger))
-	node.directory = peers.NewDirectory(node.client(node.networks.Control, controlConnections), "http")
+	scheme, connections := "http", controlConnections
+	if node.security != nil {
+		scheme, connections.TLS = "https", node.security.Client()
+	}
+	node.directory = peers.NewDirectory(node.client(node.networks.Control, connections), scheme)
 	platform := node.client(node.networks.Data, controlConnections)
 	node.service = keyvalue.NewHTTP(config.Platform.KeyValue, platform, config.Platform.Timeout)
 	node.source = machines.NewHTTP(config.Platform.Machines, platform, config.Platform.Timeout)
@@ -331,11 +363,17 @@
 	if err != nil {
 		return errors.Wrapf(err, "control address %s", node.settings.Node.Control)
 	}
+	if node.security != nil {
+		controlListener = security.Listen(controlListener, node.security.Server(true))
+	}
 	node.listeners = append(node.listeners, controlListener)
 	apiListener, err := node.networks.Data.Listen(node.settings.Node.API)
 	if err != nil {
 		return errors.Wrapf(err, "API address %s", node.settings.Node.API)
 	}
+	if node.security != nil {
+		apiListener = security.Listen(apiListener, node.security.Server(false))
+	}
 	node.listeners = append(node.listeners, apiListener)
 	return nil
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -26,12 +27,14 @@
 }
 
 // NewClient returns a client of the nodes at base URLs. token may be empty.
-func NewClient(nodes []string, token string, timeout time.Duration) *Client {
+//
+// secure is the TLS configuration for https nodes; nil is the standard one.
+func NewClient(nodes []string, token string, timeout time.Duration, secure *tls.Config) *Client {
 	trimmed := make([]string, 0, len(nodes))
 	for _, node := range nodes {
 		trimmed = append(trimmed, strings.TrimSuffix(node, "/"))
 	}
-	return &Client{nodes: trimmed, token: token, http: &http.Client{Timeout: timeout}}
+	return &Client{nodes: trimmed, token: token, http: &http.Client{Timeout: timeout, Transport: &http.Transport{TLSClientConfig: secure}}}
 }
 
 // Script is what to carry out.
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -11,10 +11,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// weight is the rendezvous weight of a node for a key.
-func weight(key, node string) uint64 {
-	return mix(xxhash.Sum64String(key) ^ mix(xxhash.Sum64String(node)))
-}
+// Hash returns the hash of a key or an identifier, for Weight.
+func Hash(text string) uint64 { return xxhash.Sum64String(text) }
+
+// Weight returns the rendezvous weight of a node for a key, by their hashes.
+func Weight(key, node uint64) uint64 { return mix(key ^ mix(node)) }
 
 // mix finishes a hash so that near inputs spread (the finalizer of MurmurHash3, Appleby 2011).
 func mix(value uint64) uint64 {
@@ -33,9 +34,10 @@
 		id     string
 	}
 	entries := make([]weighted, 0, len(items))
+	hash := Hash(key)
 	for _, item := range items {
 		id := identify(item)
-		entries = append(entries, weighted{item, weight(key, id), id})
+		entries = append(entries, weighted{item, Weight(hash, Hash(id)), id})
 	}
 	slices.SortFunc(entries, func(a, b weighted) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
@@ -49,18 +51,12 @@
 
 // Best returns the identifier ranked first, empty without identifiers. It allocates nothing.
 func Best(key string, identifiers []string) string {
-	return BestItem(key, identifiers, func(identifier string) string { return identifier })
-}
-
-// BestItem returns the item ranked first, the zero value without items. It allocates nothing.
-func BestItem[T any](key string, items []T, identify func(T) string) T {
-	var best T
-	bestID, bestWeight := "", uint64(0)
-	for _, item := range items {
-		id := identify(item)
-		candidate := weight(key, id)
-		if bestID == "" || candidate > bestWeight || candidate == bestWeight && id < bestID {
-			best, bestID, bestWeight = item, id, candidate
+	best, bestWeight := "", uint64(0)
+	hash := Hash(key)
+	for _, identifier := range identifiers {
+		weight := Weight(hash, Hash(identifier))
+		if best == "" || weight > bestWeight || weight == bestWeight && identifier < best {
+			best, bestWeight = identifier, weight
 		}
 	}
 	return best
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -48,10 +48,49 @@
 	Score(wanted *Wanted, candidate *Candidate) float64
 }
 
-// Picker takes one of the replicas that passed the filters.
+// Choices are the replicas of a decision. Filters and scorers run only for those that a picker looks at.
+type Choices struct {
+	router   *Router
+	wanted   *Wanted
+	replicas []*loads.Replica
+	home     *loads.Replica // of the prompt's prefix; nil without one
+}
+
+// Len returns the number of replicas, those that the filters would not keep included.
+func (choices *Choices) Len() int { return len(choices.replicas) }
+
+// Keep reports whether the filters keep a replica.
+func (choices *Choices) Keep(index int) bool {
+	replica := choices.replicas[index]
+	digest := replica.Digest()
+	for _, filter := range choices.router.Filters {
+		if !filter.Keep(choices.wanted, replica, digest) {
+			return false
+		}
+	}
+	return true
+}
+
+// Grade returns the weighted sum of the scores of a replica.
+func (choices *Choices) Grade(index int) float64 {
+	replica := choices.replicas[index]
+	digest := replica.Digest()
+	candidate := Candidate{Replica: replica, Digest: digest, Affinity: replica == choices.home}
+	if held := digest.HeldVersion(choices.wanted.Arm.Policy); held != nil {
+		candidate.Version = held.GetActive()
+	}
+	candidate.Load = float64(replica.Estimate()) / float64(max(digest.Capacity, 1))
+	total := 0.0
+	for _, weighted := range choices.router.Scorers {
+		total += weighted.Weight * weighted.Scorer.Score(choices.wanted, &candidate)
+	}
+	return total
+}
+
+// Picker takes one of the replicas that the filters keep.
 type Picker interface {
-	// Pick returns the index of the replica; replicas is never empty.
-	Pick(wanted *Wanted, replicas []*loads.Replica, grade func(*loads.Replica) float64) int
+	// Pick returns the index of the replica, negative when none is kept.
+	Pick(choices *Choices) int
 }
 
 // Weighted is a scorer with its weight.
@@ -67,55 +106,30 @@
 	Picker  Picker
 }
 
-// Route returns the replica to ask; nil when no replica passes the filters. scratch is reused between calls.
-func (router *Router) Route(wanted *Wanted, replicas []*loads.Replica, scratch *[]*loads.Replica) *loads.Replica {
-	kept := (*scratch)[:0]
-	for _, replica := range replicas {
-		if router.keep(wanted, replica) {
-			kept = append(kept, replica)
-		}
+// Route returns the replica to ask; nil when no replica passes the filters.
+func (router *Router) Route(wanted *Wanted, replicas []*loads.Replica) *loads.Replica {
+	choices := Choices{router: router, wanted: wanted, replicas: replicas}
+	if wanted.PrefixKey != "" {
+		choices.home = prefixHome(wanted.PrefixKey, replicas)
 	}
-	*scratch = kept
-	if len(kept) == 0 {
+	index := router.Picker.Pick(&choices)
+	if index < 0 {
 		return nil
 	}
-	affinity := prefixHome(wanted.PrefixKey, kept)
-	index := router.Picker.Pick(wanted, kept, func(replica *loads.Replica) float64 {
-		return router.grade(wanted, replica, affinity)
-	})
-	return kept[index]
-}
-
-func (router *Router) keep(wanted *Wanted, replica *loads.Replica) bool {
-	digest := replica.Digest()
-	for _, filter := range router.Filters {
-		if !filter.Keep(wanted, replica, digest) {
-			return false
-		}
-	}
-	return true
-}
-
-func (router *Router) grade(wanted *Wanted, replica, affinity *loads.Replica) float64 {
-	digest := replica.Digest()
-	candidate := Candidate{Replica: replica, Digest: digest, Affinity: replica == affinity}
-	if held := digest.HeldVersion(wanted.Arm.Policy); held != nil {
-		candidate.Version = held.GetActive()
-	}
-	candidate.Load = float64(replica.Estimate()) / float64(max(digest.Capacity, 1))
-	total := 0.0
-	for _, weighted := range router.Scorers {
-		total += weighted.Weight * weighted.Scorer.Score(wanted, &candidate)
-	}
-	return total
+	return replicas[index]
 }
 
-// prefixHome returns the replica that is ranked first for the prefix; nil without a prefix.
+// prefixHome returns the replica that is ranked first for a prefix, by rendezvous hashing.
 func prefixHome(prefixKey string, replicas []*loads.Replica) *loads.Replica {
-	if prefixKey == "" {
-		return nil
+	key := placement.Hash(prefixKey)
+	var best *loads.Replica
+	bestWeight := uint64(0)
+	for _, replica := range replicas {
+		if weight := placement.Weight(key, replica.Hash()); best == nil || weight > bestWeight {
+			best, bestWeight = replica, weight
+		}
 	}
-	return placement.BestItem(prefixKey, replicas, func(replica *loads.Replica) string { return replica.Digest().ID })
+	return best
 }
 
 // Serviceable keeps replicas that are not leaving or failed, whose digest is fresh and whose breaker is closed.
@@ -201,35 +215,60 @@
 // Source: Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 12(10), 2001.
 type TwoChoices struct{ Random *rand.Rand }
 
+// maximumDraws bounds the draws for one choice; where few replicas are kept, a scan finds them.
+const maximumDraws = 8
+
 // Pick implements Picker.
-func (picker TwoChoices) Pick(wanted *Wanted, replicas []*loads.Replica, grade func(*loads.Replica) float64) int {
-	best := rand.IntN(len(replicas))
-	if picker.Random != nil {
-		best = picker.Random.IntN(len(replicas))
-	}
-	bestGrade := grade(replicas[best])
+func (picker TwoChoices) Pick(choices *Choices) int {
+	best, bestGrade := -1, 0.0
 	consider := func(index int) {
-		if value := grade(replicas[index]); value > bestGrade {
-			best, bestGrade = index, value
+		if grade := choices.Grade(index); best < 0 || grade > bestGrade {
+			best, bestGrade = index, grade
 		}
 	}
-	if picker.Random != nil {
-		consider(picker.Random.IntN(len(replicas)))
-	} else {
-		consider(rand.IntN(len(replicas)))
+	for range 2 {
+		if index := picker.draw(choices); index >= 0 {
+			consider(index)
+		}
 	}
-	if wanted.Preferred == "" && wanted.PrefixKey == "" {
+	if choices.home == nil && choices.wanted.Preferred == "" {
 		return best
 	}
-	home := prefixHome(wanted.PrefixKey, replicas)
-	for index, replica := range replicas {
-		if replica == home || replica.Digest().ID == wanted.Preferred {
+	for index, replica := range choices.replicas {
+		isPreferred := replica == choices.home || choices.wanted.Preferred != "" && replica.Digest().ID == choices.wanted.Preferred
+		if isPreferred && choices.Keep(index) {
 			consider(index)
 		}
 	}
 	return best
 }
 
+// draw returns a random replica that is kept, negative when there is none.
+func (picker TwoChoices) draw(choices *Choices) int {
+	if choices.Len() == 0 {
+		return -1
+	}
+	for range maximumDraws {
+		if index := picker.intN(choices.Len()); choices.Keep(index) {
+			return index
+		}
+	}
+	start := picker.intN(choices.Len())
+	for offset := range choices.Len() {
+		if index := (start + offset) % choices.Len(); choices.Keep(index) {
+			return index
+		}
+	}
+	return -1
+}
+
+func (picker TwoChoices) intN(limit int) int {
+	if picker.Random != nil {
+		return picker.Random.IntN(limit)
+	}
+	return rand.IntN(limit)
+}
+
 // RoundRobin takes the replicas in turn: a baseline.
 type RoundRobin struct{ next *atomic.Uint64 }
 
@@ -237,20 +276,25 @@
 func NewRoundRobin() RoundRobin { return RoundRobin{next: new(atomic.Uint64)} }
 
 // Pick implements Picker.
-func (picker RoundRobin) Pick(_ *Wanted, replicas []*loads.Replica, _ func(*loads.Replica) float64) int {
-	return int(picker.next.Add(1) % uint64(len(replicas)))
+func (picker RoundRobin) Pick(choices *Choices) int {
+	for range choices.Len() {
+		if index := int(picker.next.Add(1) % uint64(choices.Len())); choices.Keep(index) {
+			return index
+		}
+	}
+	return -1
 }
 
 // LeastReported takes the replica with the least reported load, without correction: a baseline.
 type LeastReported struct{}
 
 // Pick implements Picker.
-func (LeastReported) Pick(_ *Wanted, replicas []*loads.Replica, _ func(*loads.Replica) float64) int {
-	best := 0
-	for index, replica := range replicas {
-		digest, least := replica.Digest(), replicas[best].Digest()
-		if digest.Running+digest.Queued < least.Running+least.Queued {
-			best = index
+func (LeastReported) Pick(choices *Choices) int {
+	best, least := -1, 0
+	for index, replica := range choices.replicas {
+		digest := replica.Digest()
+		if load := digest.Running + digest.Queued; (best < 0 || load < least) && choices.Keep(index) {
+			best, least = index, load
 		}
 	}
 	return best
