Wait for room instead of queueing at engines, and leave room beside rollouts that a trainer waits for

Cause: a step's 256 rollouts all went to the first replica that had taken new weights, and queued there while the others took theirs; and the burst of the step generated ahead slowed the last rollouts of the step that the trainer waited for.

Baselines now queue at engines and begin on whatever version runs, as their names say.

--- a/internal/delivery/executor.go
+++ b/internal/delivery/executor.go
@@ -37,6 +37,9 @@
 	CallTimeout time.Duration
 	// SwapPatience is how long a rollout that is generated ahead waits for a replica that runs newer weights.
 	SwapPatience time.Duration
+	// RoomShare and AheadShare are how far rollouts of steps fill a replica's batch: of a step that its trainer waits for,
+	// and of one that is generated ahead. Zero queues at replicas.
+	RoomShare, AheadShare float64
 }
 
 type slotKey struct {
@@ -169,7 +172,7 @@
 	arm.FirstVersion = max(arm.FirstVersion, oldestUseful(document, work, margin))
 	outcome, err := executor.runner.Run(ctx, execution.Request{
 		RequestID: SlotRequestID(key.stepID, key.slot, work.GetGeneration()), Arm: arm, Prompt: work.GetPrompt(), MaxTokens: int(work.GetMaxTokens()),
-		Priority: int(work.GetPriority()), Repeatable: true, PrefixKey: work.GetPrompt(),
+		Priority: int(work.GetPriority()), Repeatable: true, PrefixKey: work.GetPrompt(), RoomShare: executor.roomShare(work),
 	}, func(chunk rollout.Chunk) error {
 		if chunk.Version < oldestUseful(executor.document(), work, 0) {
 			return errTooOld
@@ -189,6 +192,15 @@
 	return &outcome.Sample, nil
 }
 
+// roomShare leaves room beside rollouts that a trainer waits for: those of a step that is generated ahead fill batches
+// less, so that the others run faster.
+func (executor *Executor) roomShare(work *controlv1.SlotWork) float64 {
+	if work.GetMargin() > 0 {
+		return executor.settings.AheadShare
+	}
+	return executor.settings.RoomShare
+}
+
 // oldestUseful returns the oldest version whose tokens the staleness bound still allows, with a margin: at most that of
 // the bound itself, so that the newest version is always of use.
 func oldestUseful(document *experiment.Document, work *controlv1.SlotWork, margin uint64) uint64 {
--- a/internal/execution/runner.go
+++ b/internal/execution/runner.go
@@ -31,6 +31,8 @@
 	// Preferred is the replica that ran the rollout's last turn; empty for none.
 	Preferred string
 	PrefixKey string
+	// RoomShare waits for a replica whose batch is filled to less than this share, instead of queueing; zero does not.
+	RoomShare float64
 }
 
 // Settings of the runner.
@@ -159,7 +161,7 @@
 	policy, _ := runner.document().Policy(run.request.Arm.Policy)
 	wanted := routing.Wanted{
 		Arm: run.request.Arm, Newest: policy.Target, Zone: runner.zone,
-		PrefixKey: run.request.PrefixKey, Preferred: run.request.Preferred, Excluded: run.excluded,
+		PrefixKey: run.request.PrefixKey, Preferred: run.request.Preferred, Excluded: run.excluded, RoomShare: run.request.RoomShare,
 	}
 	return runner.router.Route(&wanted, runner.loads.List())
 }
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -144,6 +144,9 @@
 			if !scenario.side.Stragglers {
 				config.Steps.StragglerTime = 0
 			}
+			if scenario.side.Plain {
+				config.Steps.RoomShare, config.Steps.AheadShare, config.Steps.SwapPatience = 0, 0, 0
+			}
 		})
 	if err != nil {
 		return err
--- a/internal/lab/scenario/spec.go
+++ b/internal/lab/scenario/spec.go
@@ -116,15 +116,17 @@
 	Stragglers bool
 	// DrainBeforeSwap pauses the policy and waits until no rollout runs before each swap.
 	DrainBeforeSwap bool
+	// Plain queues at engines, and begins rollouts on whatever version runs.
+	Plain bool
 }
 
 // Sides are the system and its baselines.
 func Sides() []Side {
 	return []Side{
 		{Name: "thistlewalk", Routing: "scored", Stragglers: true},
-		{Name: "round robin", Routing: "round-robin", Stragglers: true},
-		{Name: "least reported load", Routing: "least-reported", Stragglers: true},
-		{Name: "drain before swap", Routing: "scored", Stragglers: true, DrainBeforeSwap: true},
+		{Name: "round robin", Routing: "round-robin", Stragglers: true, Plain: true},
+		{Name: "least reported load", Routing: "least-reported", Stragglers: true, Plain: true},
+		{Name: "drain before swap", Routing: "scored", Stragglers: true, DrainBeforeSwap: true, Plain: true},
 		{Name: "no straggler handling", Routing: "scored"},
 	}
 }
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -99,6 +99,7 @@
 				return follower.Document().DrainedReplica(replicaID)
 			}},
 			routing.HoldsVersion{},
+			routing.HasRoom{},
 		},
 		Scorers: []routing.Weighted{
 			{Scorer: routing.LoadScorer{}, Weight: loadWeight},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -252,7 +252,7 @@
 	scorer := scoring.NewHTTP(config.Platform.Scorer, node.client(node.networks.Data, controlConnections), config.Platform.Timeout)
 	node.executor = delivery.NewExecutor(delivery.ExecutorSettings{
 		MaximumSlots: config.Steps.MaximumSlots, RenewInterval: config.Steps.RenewInterval, CallTimeout: config.Platform.Timeout,
-		SwapPatience: config.Steps.SwapPatience,
+		SwapPatience: config.Steps.SwapPatience, RoomShare: config.Steps.RoomShare, AheadShare: config.Steps.AheadShare,
 	}, config.Node.ID, node.runner, scorer, node, node.follower.Document, node.logger)
 	node.buildOwnership()
 	node.buildGateway(processMetrics)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -24,6 +24,9 @@
 	Preferred string
 	// Excluded are replicas that were tried already.
 	Excluded []string
+	// RoomShare keeps the rollout off replicas whose batch is filled to this share: it would rather wait here, where it can
+	// still go to whichever replica has room first. Zero asks for no room.
+	RoomShare float64
 }
 
 // Candidate is a replica at the moment of the decision.
@@ -165,6 +168,14 @@
 	return held != nil && held.GetActive() != 0 && wanted.Arm.Allows(held.GetActive())
 }
 
+// HasRoom keeps replicas whose batch has room, for rollouts that ask for it.
+type HasRoom struct{}
+
+// Keep implements Filter.
+func (HasRoom) Keep(wanted *Wanted, replica *loads.Replica, digest *loads.Digest) bool {
+	return wanted.RoomShare == 0 || float64(replica.Estimate()) < wanted.RoomShare*float64(digest.Capacity)
+}
+
 // LoadScorer prefers replicas with few requests for their capacity.
 type LoadScorer struct{}
 
