Bound how long the lab's callers wait, and let a signal end commands in modelled time

Cause: 'run scenarios/failures.yaml' never ended: a caller whose answer was lost in a cut waited without end, and the command took a SIGTERM and went on.

Change: callers give up after two minutes; commands in modelled time end by a signal.

Conclusion: a fault of the lab, mended.

--- a/internal/lab/bench/caller.go
+++ b/internal/lab/bench/caller.go
@@ -97,6 +97,9 @@
 	callers.pending.Wait()
 }
 
+// callerPatience bounds the wait for an answer, since one may be lost on the way.
+const callerPatience = 2 * time.Minute
+
 func (callers *Callers) dispatch(load Load, nodes []string, random *rand.Rand) {
 	if len(nodes) == 0 {
 		return
@@ -114,7 +117,9 @@
 	}
 	for _, target := range targets {
 		callers.pending.Go(func() {
-			callers.Send(context.Background(), target, requestID, "request "+requestID, load.Tokens, !once)
+			ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+			defer cancel()
+			callers.Send(ctx, target, requestID, "request "+requestID, load.Tokens, !once)
 		})
 	}
 }
--- a/internal/lab/bubble/bubble.go
+++ b/internal/lab/bubble/bubble.go
@@ -3,6 +3,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +34,7 @@
 // Main runs work outside a test binary and ends the process: with code 0 if work returns true, else 1. A bubble needs a
 // testing.T, and only the testing package makes one.
 func Main(work func(t *testing.T) bool) {
+	signal.Reset(os.Interrupt, syscall.SIGTERM) // nothing in a bubble waits for a signal: it ends the process
 	testing.Init()
 	session := testing.InternalTest{Name: "modelled", F: func(t *testing.T) {
 		if !work(t) {
