--- a/internal/partition/replica.go
+++ b/internal/partition/replica.go
@@ -40,11 +40,12 @@
 // Replica is one copy of a partition. It is safe for concurrent use.
 // Invariants: promised never shrinks; nothing is answered before it is stored.
 type Replica struct {
-	name      Name
-	storage   Storage // nil keeps nothing
-	mu        sync.Mutex
-	loaded    bool
-	promised  uint64
+	name     Name
+	storage  Storage // nil keeps everything in memory
+	mu       sync.Mutex
+	loaded   bool
+	promised uint64
+	// registers are by key. With a storage they are without values, which are read when an owner asks for them.
 	registers map[string]Register
 }
 
@@ -64,12 +65,20 @@
 	}
 	replica.promised = promised
 	for _, register := range registers {
-		replica.registers[register.Key] = register
+		replica.registers[register.Key] = replica.remembered(register)
 	}
 	replica.loaded = true
 	return nil
 }
 
+// remembered returns what is kept in memory of a stored register.
+func (replica *Replica) remembered(register Register) Register {
+	if replica.storage != nil {
+		register.Value = nil
+	}
+	return register
+}
+
 // save stores a change; must hold mu.
 func (replica *Replica) save(promised uint64, removePrefixes []string, registers []Register) error {
 	if replica.storage == nil {
@@ -101,17 +110,22 @@
 		}
 		replica.promised = epoch
 	}
-	return Promise{Granted: true, Epoch: epoch, Registers: replica.sorted()}, nil
+	registers, err := replica.sorted()
+	return Promise{Granted: err == nil, Epoch: epoch, Registers: registers}, err
 }
 
-// sorted returns the registers by key; must hold mu.
-func (replica *Replica) sorted() []Register {
+// sorted returns the registers by key, with their values; must hold mu.
+func (replica *Replica) sorted() ([]Register, error) {
+	if replica.storage != nil {
+		_, stored, err := replica.storage.Load(replica.name)
+		return stored, err
+	}
 	registers := make([]Register, 0, len(replica.registers))
 	for _, register := range replica.registers {
 		registers = append(registers, register)
 	}
 	sort.Slice(registers, func(i, j int) bool { return registers[i].Key < registers[j].Key })
-	return registers
+	return registers, nil
 }
 
 // Append stores a write unless a greater epoch was promised; it returns whether it was accepted and the promised epoch.
@@ -136,7 +150,7 @@
 	replica.promised = write.Epoch
 	replica.remove(write.RemovePrefixes)
 	for _, register := range fresh {
-		replica.registers[register.Key] = register
+		replica.registers[register.Key] = replica.remembered(register)
 	}
 	return true, replica.promised, nil
 }
--- a/internal/step/registers.go
+++ b/internal/step/registers.go
@@ -116,6 +116,7 @@
 		}
 		step.Apply(change)
 	}
+	step.release(0)
 	return step, nil
 }
 
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -47,7 +47,21 @@
 		step.setBatch(batch)
 	}
 	if change.Progress != nil {
+		released := step.Progress.NextCursor
 		step.Progress = *change.Progress
+		step.release(released)
+	}
+}
+
+// release frees the contents of acknowledged samples, which nobody asks for any more, from a cursor on. The slots stay
+// filled; the stored registers keep the contents until the step is removed.
+func (step *Step) release(from uint64) {
+	for cursor := from; cursor < step.Progress.NextCursor && step.hasBatch(cursor); cursor++ {
+		for _, slot := range step.batches[cursor].Slots {
+			if step.slots[slot].Sample != nil {
+				step.slots[slot].Sample = &rollout.Sample{Policy: step.slots[slot].Sample.Policy}
+			}
+		}
 	}
 }
 
