Swap automatic policies, as the language promises

Cause: 'add policy P version N automatic' was taken and nothing swapped.

Change: the node ranked first among the live ones swaps an automatic policy to its published version once nine tenths of the replicas that it knows hold it ready; the command's identifier names the version, so that two nodes do it once.

--- a/internal/lab/bench/api_test.go
+++ b/internal/lab/bench/api_test.go
@@ -227,3 +227,17 @@
 	_, err = node.New(node.Options{Settings: config, Logger: logger})
 	must.ErrorContains(t, err, "security.allow_plain")
 }
+
+func TestAnAutomaticPolicyIsSwappedOnceItsVersionIsStaged(t *testing.T) {
+	site, running, client := service(t)
+	_, err := client.Execute(t.Context(), running.API(), "add policy auto version 1 automatic; add policy manual version 1; publish policy auto version 2; publish policy manual version 2")
+	must.NoError(t, err)
+	model := site.Engines()[0].Model
+	deadline := time.Now().Add(20 * time.Second)
+	for model.Active("auto") != 2 && time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	must.Eq(t, 2, model.Active("auto"))
+	must.Eq(t, 1, model.Active("manual"))
+	must.Eq(t, 2, model.Staged("manual"))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -401,6 +401,7 @@
 	node.system.Every("steps", actors.Fixed(config.Steps.TickInterval), node.steps.Tick)
 	node.system.Every("renewals", actors.Fixed(config.Steps.RenewInterval), node.executor.Tick)
 	node.system.Every("claims", actors.Fixed(time.Minute), node.claims.Tick)
+	node.system.Every("automatic", actors.Fixed(automaticInterval), node.swapAutomatic)
 	node.spread.run(func() {
 		homes.Wake()
 		manager.Wake()
