Keep accepted samples: count sequences on after a recovery, and do not shrink the set of stores

A write of several registers had failed and lay on one store, with sequences up to s. The owner recovered at the same epoch from the two others and counted on from their greatest sequence, below s. A later accepted write of the same key then lost against the failed one wherever both met. Ruled out: quorums (they meet), the epoch (no other owner wrote), values left out of memory (the test needs no storage). Reading this, a second fault: a take-over chose copies among live stores only, so a set shrank with each absence until samples counted on one disk.

Change: a recovery is told the last sequence of the log before it; absent stores stay in the set until others take their place. The drawn partition test now recovers at the same epoch too.

--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -213,7 +213,11 @@
 	case errors.Is(failure, partition.ErrDeposed):
 		manager.stop(name, "a replica promised a greater epoch")
 	case failure != nil, len(current.Behind()) > 0 && manager.allAlive(current.Behind(), candidates):
-		manager.recover(ctx, assignment, current.Replicas(), current.Replicas())
+		sequence, err := current.Sequence(ctx)
+		if err != nil {
+			return
+		}
+		manager.recover(ctx, assignment, partition.Recovery{From: current.Replicas(), To: current.Replicas(), AfterSequence: sequence})
 	case manager.replacementDue(assignment, candidates):
 		manager.takeOver(ctx, assignment, manager.selfFor(name.Kind), candidates)
 	}
@@ -253,6 +257,7 @@
 		return // without a lease the others would take the partition over at once
 	}
 	chosen := partition.ChooseReplicas(assignment.Name, self, assignment.Replicas, candidates)
+	chosen = partition.KeepAbsent(assignment.Name, chosen, assignment.Replicas)
 	next := assignment
 	next.Epoch++
 	next.Owner = self
@@ -267,7 +272,7 @@
 	if !manager.record(ctx, &next) {
 		return
 	}
-	manager.recover(ctx, next, next.Replicas, chosen)
+	manager.recover(ctx, next, partition.Recovery{From: next.Replicas, To: chosen})
 }
 
 // historyGivenUp reports whether a claims partition can never recover: it has failed for long enough, and so many of its
@@ -321,14 +326,15 @@
 	return true
 }
 
-// recover collects the registers from the copies in from, writes them to those in to, and serves.
-func (manager *Manager) recover(ctx context.Context, assignment partition.Assignment, from, to []partition.Holder) {
-	name := assignment.Name
+// recover collects the registers, writes them to the copies that are to hold them, and serves.
+func (manager *Manager) recover(ctx context.Context, assignment partition.Assignment, recovery partition.Recovery) {
+	name, to := assignment.Name, recovery.To
+	recovery.Name, recovery.Epoch, recovery.Timeout = name, assignment.Epoch, manager.settings.WriteTimeout
 	if manager.current(name) != nil {
 		manager.stop(name, "recovers")
 	}
 	began := time.Now()
-	current, registers, err := partition.Recover(ctx, name, assignment.Epoch, from, to, manager.network, manager.settings.WriteTimeout)
+	current, registers, err := partition.Recover(ctx, recovery, manager.network)
 	if err != nil {
 		if remembered := manager.states[name]; remembered.stuck.IsZero() {
 			remembered.stuck = began
--- a/internal/partition/log.go
+++ b/internal/partition/log.go
@@ -42,15 +42,30 @@
 	behind map[string]Holder // by ReplicaID: copies that missed a write
 }
 
-// Recover collects promises at epoch from a read quorum of the old replicas, merges their registers, writes them to a
+// Recovery names what to recover.
+type Recovery struct {
+	Name  Name
+	Epoch uint64
+	// From are the replicas that hold the registers, To those that will.
+	From, To []Holder
+	// AfterSequence is the last sequence of an earlier log at the same epoch, zero at a new one: a write of that log that
+	// failed may lie on a replica that does not answer now, and must lose against every write from here on.
+	AfterSequence uint64
+	Timeout       time.Duration
+}
+
+// Recover collects promises at the epoch from a read quorum of the old replicas, merges their registers, writes them to a
 // write quorum of the new replicas, and returns the log and the registers by key.
-func Recover(ctx context.Context, name Name, epoch uint64, from, to []Holder, transport Transport, timeout time.Duration) (*Log, map[string]Register, error) {
+func Recover(ctx context.Context, recovery Recovery, transport Transport) (*Log, map[string]Register, error) {
+	name, epoch, timeout := recovery.Name, recovery.Epoch, recovery.Timeout
+	from, to := recovery.From, recovery.To
 	copies, err := collect(ctx, name, epoch, from, ReadQuorum(len(from)), transport, timeout)
 	if err != nil {
 		return nil, nil, err
 	}
 	registers := Merge(copies...)
 	log := &Log{name: name, epoch: epoch, replicas: to, transport: transport, timeout: timeout, writing: lock.New(), behind: make(map[string]Holder)}
+	log.sequence = recovery.AfterSequence
 	for _, register := range registers {
 		if register.Epoch == epoch {
 			log.sequence = max(log.sequence, register.Sequence)
@@ -126,6 +141,15 @@
 // Epoch returns the epoch that every write carries.
 func (log *Log) Epoch() uint64 { return log.epoch }
 
+// Sequence returns the last sequence used, once no append is under way.
+func (log *Log) Sequence(ctx context.Context) (uint64, error) {
+	if err := log.writing.Acquire(ctx); err != nil {
+		return 0, err
+	}
+	defer log.writing.Release()
+	return log.sequence, nil
+}
+
 // Replicas returns the copies that writes go to.
 func (log *Log) Replicas() []Holder { return log.replicas }
 
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -117,7 +118,17 @@
 			}
 			mu.Unlock()
 			if len(owners) == 0 || rapid.Bool().Draw(draw, "recover") {
-				owner, registers, err := Recover(context.Background(), name, uint64(len(history)+1), holders, holders, transport, time.Second)
+				recovery := Recovery{Name: name, Epoch: uint64(len(history) + 1), From: holders, To: holders, Timeout: time.Second}
+				if len(owners) > 0 && rapid.Bool().Draw(draw, "same epoch") {
+					// The newest owner itself, after a failed write.
+					earlier := owners[len(owners)-1]
+					recovery.Epoch = earlier.Epoch()
+					var err error
+					recovery.AfterSequence, err = earlier.Sequence(context.Background())
+					must.NoError(draw, err)
+					owners = owners[:len(owners)-1]
+				}
+				owner, registers, err := Recover(context.Background(), recovery, transport)
 				if err != nil {
 					continue
 				}
@@ -128,7 +139,11 @@
 			owner := owners[rapid.IntRange(0, len(owners)-1).Draw(draw, "owner")]
 			written++
 			value := fmt.Sprint(written)
-			err := owner.Append(context.Background(), []Value{{Key: "key", Value: []byte(value)}}, nil)
+			values := []Value{{Key: "key", Value: []byte(value)}}
+			for range rapid.IntRange(0, 4).Draw(draw, "others before") {
+				values = append([]Value{{Key: fmt.Sprint("other-", len(values))}}, values...)
+			}
+			err := owner.Append(context.Background(), values, nil)
 			record(operation{write: true, value: value}, "", err == nil)
 		}
 		if !porcupine.CheckOperations(registerModel, history) {
@@ -137,6 +152,54 @@
 	})
 }
 
+// Found by the assembled system's histories (seed 70088): a failed write of several registers lay on one replica; the owner
+// recovered at the same epoch without that replica and counted on from a smaller sequence; the failed value then won over
+// a later one that had been accepted, and a delivered batch was forgotten.
+func TestAFailedWriteLosesAgainstThoseAfterARecoveryAtTheSameEpoch(t *testing.T) {
+	ctx := context.Background()
+	down := make(map[string]bool)
+	transport := &unreliable{replicas: make(map[string]*Replica)}
+	var holders []Holder
+	for _, id := range []string{"a", "b", "c"} {
+		transport.replicas[id] = NewReplica(Name{Kind: KindSteps}, nil)
+		holders = append(holders, Holder{NodeID: id, ReplicaID: id})
+	}
+	var mu sync.Mutex
+	transport.next = func(label string) fate {
+		mu.Lock()
+		defer mu.Unlock()
+		if down[label[len(label)-1:]] {
+			return fateRequestLost
+		}
+		return fateDelivered
+	}
+	only := func(up ...string) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, holder := range holders {
+			down[holder.ReplicaID] = !slices.Contains(up, holder.ReplicaID)
+		}
+	}
+	recovery := Recovery{Name: Name{Kind: KindSteps}, Epoch: 1, From: holders, To: holders, Timeout: time.Second}
+	first, _, err := Recover(ctx, recovery, transport)
+	must.NoError(t, err)
+	only("c")
+	failed := []Value{{Key: "1"}, {Key: "2"}, {Key: "3"}, {Key: "batch", Value: []byte("failed")}}
+	must.ErrorIs(t, first.Append(ctx, failed, nil), ErrNoQuorum)
+	only("a", "b")
+	recovery.AfterSequence, err = first.Sequence(ctx)
+	must.NoError(t, err)
+	second, _, err := Recover(ctx, recovery, transport)
+	must.NoError(t, err)
+	only("a", "c")
+	must.NoError(t, second.Append(ctx, []Value{{Key: "batch", Value: []byte("accepted")}}, nil))
+	only("b", "c")
+	recovery.Epoch, recovery.AfterSequence = 2, 0
+	_, registers, err := Recover(ctx, recovery, transport)
+	must.NoError(t, err)
+	must.Eq(t, "accepted", string(registers["batch"].Value))
+}
+
 func TestQuorumsMeet(t *testing.T) {
 	for count := 1; count <= 9; count++ {
 		must.Greater(t, count, ReadQuorum(count)+WriteQuorum(count), must.Sprintf("%d replicas", count))
@@ -186,3 +249,16 @@
 	must.True(t, Vacant(Table{}, assignment, []Candidate{other}))
 	must.True(t, Vacant(Table{Leases: []string{"n1"}}, assignment, []Candidate{{NodeID: "n1", ReplicaID: "fresh"}, other}))
 }
+
+func TestASetOfStoresDoesNotShrinkWithAbsences(t *testing.T) {
+	holder := func(id, zone string) Holder { return Holder{NodeID: id, ReplicaID: id, Zone: zone} }
+	a, b, c := holder("a", "1"), holder("b", "2"), holder("c", "3")
+	present := []Holder{a, b, c}
+	steps, claims := Name{Kind: KindSteps}, Name{Kind: KindClaims}
+	must.Eq(t, []Holder{a, c, b}, KeepAbsent(steps, ChooseReplicas(steps, a, present, []Candidate{a, c}), present))
+	must.Eq(t, []Holder{a, b, c}, KeepAbsent(steps, ChooseReplicas(steps, a, present, []Candidate{a}), present))
+	replaced := KeepAbsent(steps, ChooseReplicas(steps, a, present, []Candidate{a, c, holder("d", "2")}), present)
+	must.Len(t, 3, replaced)
+	must.False(t, holdsCopy(replaced, b), must.Sprint("a store that took its place ends the absent copy"))
+	must.Eq(t, []Holder{a}, KeepAbsent(claims, ChooseReplicas(claims, a, present, []Candidate{a}), present), must.Sprint("memory does not come back"))
+}
--- a/internal/partition/takeover.go
+++ b/internal/partition/takeover.go
@@ -79,6 +79,21 @@
 	return chosen
 }
 
+// KeepAbsent adds copies on disk whose nodes are away to those chosen, while there are fewer than wanted: else a set would
+// shrink with each absence, until samples counted as accepted on one disk. An absent copy stays until another store takes
+// its place.
+func KeepAbsent(name Name, chosen, present []Holder) []Holder {
+	if name.Kind != KindSteps {
+		return chosen
+	}
+	for _, holder := range present {
+		if len(chosen) < ReplicasWanted && !holdsCopy(chosen, holder) {
+			chosen = append(chosen, holder)
+		}
+	}
+	return chosen
+}
+
 func boolRank(first bool) int {
 	if first {
 		return 0
