Split the owner of steps by job, and fuzz the bodies of requests

Change: submissions and listings in files of their own, nothing else moved; FuzzRequests holds that every body is read or refused with a number of class invalid.

Measured: the tests and the target's seeds pass; a longer fuzz run of it was not done.

--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -7,14 +7,12 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/fxamacker/cbor/v2"
-	"github.com/twitchtv/twirp"
 
 	controlv1 "github.com/thistlewalk/thistlewalk/api/control/v1"
 	"github.com/thistlewalk/thistlewalk/internal/experiment"
 	"github.com/thistlewalk/thistlewalk/internal/lock"
 	"github.com/thistlewalk/thistlewalk/internal/partition"
 	"github.com/thistlewalk/thistlewalk/internal/result"
-	"github.com/thistlewalk/thistlewalk/internal/rollout"
 	"github.com/thistlewalk/thistlewalk/internal/step"
 )
 
@@ -361,114 +359,3 @@
 	}
 	return served.summary(owned), nil
 }
-
-// Submit implements the Twirp service: executors bring samples.
-func (service *Service) Submit(ctx context.Context, request *controlv1.SubmitRequest) (*controlv1.SubmitResponse, error) {
-	served, err := service.find(request.GetPartition())
-	if err == nil {
-		err = served.submit(ctx, request)
-	}
-	return &controlv1.SubmitResponse{Outcome: result.ToMessage(err)}, nil
-}
-
-// submit stores all samples that fill empty slots in one write.
-func (served *served) submit(ctx context.Context, request *controlv1.SubmitRequest) error {
-	if err := served.changing.Acquire(ctx); err != nil {
-		return unavailable(err)
-	}
-	defer served.changing.Release()
-	owned, err := served.step(request.GetStepId())
-	if err != nil {
-		return err
-	}
-	var change step.Change
-	taken := make(map[uint32]bool)
-	for _, submitted := range request.GetSamples() {
-		var sample rollout.Sample
-		if err := cbor.Unmarshal(submitted.GetSample(), &sample); err != nil {
-			return result.New(result.InvalidBody, "sample of slot %d: %v", submitted.GetSlot(), err)
-		}
-		decided, _, err := owned.step.Offer(submitted.GetSlot(), sample)
-		if err != nil {
-			return err
-		}
-		if taken[submitted.GetSlot()] {
-			continue
-		}
-		taken[submitted.GetSlot()] = true
-		change.Slots = append(change.Slots, decided.Slots...)
-	}
-	if err := served.commit(ctx, owned, change); err != nil {
-		return err
-	}
-	for slot := range taken {
-		owned.attempts.Finish(slot)
-	}
-	served.announce()
-	return nil
-}
-
-// announce wakes waiting fetches; must hold changing.
-func (served *served) announce() {
-	close(served.changed)
-	served.changed = make(chan struct{})
-}
-
-// Renew implements the Twirp service: executors tell which slots they work on. An attempt that this owner does not know,
-// of a slot that nobody fills, is adopted.
-func (service *Service) Renew(ctx context.Context, request *controlv1.RenewRequest) (*controlv1.RenewResponse, error) {
-	served, err := service.find(request.GetPartition())
-	if err != nil {
-		return &controlv1.RenewResponse{}, nil
-	}
-	if err := served.changing.Acquire(ctx); err != nil {
-		return nil, twirp.DeadlineExceeded.Error(err.Error())
-	}
-	defer served.changing.Release()
-	owned, err := served.step(request.GetStepId())
-	if err != nil {
-		return &controlv1.RenewResponse{Abandoned: request.GetSlots()}, nil
-	}
-	response := &controlv1.RenewResponse{}
-	now := time.Now()
-	for index, slot := range request.GetSlots() {
-		if index >= len(request.GetAttempts()) || int(slot) >= owned.step.Definition.Slots() {
-			break
-		}
-		if owned.step.Progress.State != step.StateOpen || owned.step.Slot(slot).Sample != nil {
-			response.Abandoned = append(response.Abandoned, slot)
-			continue
-		}
-		number := request.GetAttempts()[index]
-		if !owned.attempts.Renew(slot, number, now) {
-			owned.attempts.Begin(step.Attempt{Number: number, Slot: slot, NodeID: request.GetNodeId(), Began: now, Renewed: now})
-		}
-	}
-	return response, nil
-}
-
-// List implements the Twirp service.
-func (service *Service) List(ctx context.Context, _ *controlv1.StepCall) (*controlv1.StepAnswer, error) {
-	list := ListAnswer{Staleness: service.staleness.summaries()}
-	for _, served := range service.all() {
-		if err := served.changing.Acquire(ctx); err != nil {
-			return nil, twirp.DeadlineExceeded.Error(err.Error())
-		}
-		for _, owned := range served.steps {
-			list.Steps = append(list.Steps, served.summary(owned))
-		}
-		served.changing.Release()
-	}
-	body, err := cbor.Marshal(list)
-	return &controlv1.StepAnswer{Outcome: result.ToMessage(err), Body: body}, nil
-}
-
-// summary describes a step; must hold changing.
-func (served *served) summary(owned *owned) Summary {
-	definition := owned.step.Definition
-	return Summary{
-		StepID: definition.ID, Experiment: definition.Experiment, State: owned.step.Progress.State, Slots: definition.Slots(),
-		Filled: owned.step.Filled(), Delivered: owned.step.Delivered(), Running: owned.attempts.Running(),
-		Dropped: owned.step.Progress.Dropped, Owner: served.service.nodeID, Copies: served.copies, Created: definition.Created,
-	}
-}
--- a/internal/gateway/handle_test.go
+++ b/internal/gateway/handle_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -27,3 +30,18 @@
 	must.Eq(t, scoped("token-a", "r"), scoped("token-a", "r"))
 	must.Eq(t, "r", scoped("", "r"))
 }
+
+// Whatever comes as a body is read or refused with a numbered error of class invalid.
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte(`{"model":"e","prompt":"x","max_tokens":5,"thistlewalk":{"request_id":"r","repeatable":false}}`))
+	f.Add([]byte(`{"step":"s","experiment":"e","prompts":["a"],"group_size":2,"max_tokens":5}`))
+	gateway := &Gateway{settings: Settings{MaximumBody: 1 << 16}}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		for _, into := range []any{&CompletionRequest{}, &ChatRequest{}, &StepRequest{}, &FetchRequest{}, &CommandRequest{}, &PublishRequest{}} {
+			request := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(content))
+			if err := gateway.readJSON(httptest.NewRecorder(), request, into); err != nil {
+				must.Eq(t, result.ClassInvalid, result.CodeOf(err).Class())
+			}
+		}
+	})
+}
