Let engines take fenced orders to change their role

Cause: the platform's engines do, and the interface and the stand-in did not.

Change: an order with a role under the same fence, and the role in the report.

Measured: an order by another holder of the same term is refused and the role stays.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -57,6 +57,7 @@
 	ActionActivate Action = "activate" // run under staged weights from the next token on
 	ActionDiscard  Action = "discard"  // drop a policy
 	ActionHold     Action = "hold"     // only take the fence
+	ActionRole     Action = "role"     // change what the engine does, such as prefill or decode only
 )
 
 // Order changes what an engine runs.
@@ -65,6 +66,7 @@
 	Action  Action `json:"action"`
 	Policy  string `json:"policy"`
 	Version uint64 `json:"version"`
+	Role    string `json:"role,omitempty"`
 }
 
 // Held is what an engine holds of one policy.
@@ -82,6 +84,8 @@
 	Leaving  bool   `json:"leaving"`
 	Held     []Held `json:"held"`
 	Fence    Fence  `json:"fence"`
+	// Role is the last one ordered; empty for an engine that does everything.
+	Role string `json:"role,omitempty"`
 }
 
 // Client reaches engines by address.
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -61,4 +61,11 @@
 	must.NoError(t, order("b", 2, 5))
 	must.True(t, errors.Is(order("a", 1, 9), engine.ErrFenced), must.Sprint("an older term"))
 	must.True(t, errors.Is(order("b", 2, 4), engine.ErrFenced), must.Sprint("an older revision"))
+	change := engine.Order{Action: engine.ActionRole, Role: "prefill", Fence: engine.Fence{Term: 2, Holder: "b", Revision: 6}}
+	must.NoError(t, client.Order(t.Context(), address, change, time.Second))
+	change.Role, change.Fence.Holder = "decode", "a"
+	must.True(t, errors.Is(client.Order(t.Context(), address, change, time.Second), engine.ErrFenced))
+	report, err := client.Report(t.Context(), address, time.Second)
+	must.NoError(t, err)
+	must.Eq(t, "prefill", report.Role)
 }
--- a/internal/lab/platform/engine.go
+++ b/internal/lab/platform/engine.go
@@ -63,6 +63,7 @@
 	mu       sync.Mutex
 	policies map[string]*policyWeights
 	fence    engine.Fence
+	role     string
 	leaving  bool
 	faults   EngineFaults
 	running  []*stream
--- a/internal/lab/platform/orders.go
+++ b/internal/lab/platform/orders.go
@@ -60,6 +60,8 @@
 		if !model.faults.KeepVersion {
 			weights.active = order.Version
 		}
+	case engine.ActionRole:
+		model.role = order.Role
 	case engine.ActionDiscard:
 		if held {
 			weights.active, weights.staged = 0, 0
@@ -104,6 +106,7 @@
 	report := model.reports[0].report
 	report.Leaving = model.leaving
 	report.Fence = model.fence
+	report.Role = model.role
 	for policy, weights := range model.policies {
 		report.Held = append(report.Held, engine.Held{Policy: policy, Active: weights.active, Staged: weights.staged})
 	}
