Serve a trainer among the platform's stand-ins, and publish cache events late

Cause: the stand-ins had no trainer on an address of its own, and cache events had gaps but came at once.

Change: 'platform' runs a trainer that takes steps from the nodes and tells its progress; cache events are seen after the report lag.

--- a/cmd/thistlewalk-lab/platform.go
+++ b/cmd/thistlewalk-lab/platform.go
@@ -21,7 +21,7 @@
 )
 
 // platformFile is the YAML of `thistlewalk-lab platform`. The key-value service gets first_port, then come the machine
-// list, the scorer, the weight store and the engines; see the lines that the command prints.
+// list, the scorer, the weight store, the engines and the trainer; see the lines that the command prints.
 type platformFile struct {
 	Host              string         `yaml:"host"`
 	FirstPort         int            `yaml:"first_port"`
@@ -32,6 +32,8 @@
 	Nodes             []platformNode `yaml:"nodes"`
 	Zones             []platformZone `yaml:"zones"`
 	Engine            platformEngine `yaml:"engine"`
+	// Trainer may be missing.
+	Trainer *platformTrainer `yaml:"trainer"`
 }
 
 type platformNode struct {
@@ -115,6 +117,11 @@
 	for _, engine := range site.Engines() {
 		fmt.Printf("engine: %s at %s in %s\n", engine.ID, engine.Address, engine.Zone.Name)
 	}
+	if file.Trainer != nil {
+		if err := startTrainer(ctx, site, *file.Trainer); err != nil {
+			return err
+		}
+	}
 	<-ctx.Done()
 	return nil
 }
--- a/internal/lab/bench/site.go
+++ b/internal/lab/bench/site.go
@@ -133,6 +133,12 @@
 	return address, server, nil
 }
 
+// Serve serves a further stand-in on an address of its own, which it returns.
+func (site *Site) Serve(handler http.Handler) (string, error) {
+	address, _, err := site.serve("platform", handler)
+	return address, err
+}
+
 // AddEngine starts one more engine and puts it on the machine list.
 func (site *Site) AddEngine(zone Zone) (*RunningEngine, error) {
 	site.mu.Lock()
--- a/internal/lab/platform/cache.go
+++ b/internal/lab/platform/cache.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -20,6 +21,7 @@
 	Number uint64 `json:"number"`
 	Prefix uint64 `json:"prefix"`
 	Stored bool   `json:"stored"`
+	at     time.Time
 }
 
 // Events are published late and with gaps: only the newest ones are kept, and every eighth is lost.
@@ -55,7 +57,7 @@
 	if cache.number%lostEvent == 0 {
 		return
 	}
-	cache.events = append(cache.events, cacheEvent{Number: cache.number, Prefix: key, Stored: stored})
+	cache.events = append(cache.events, cacheEvent{Number: cache.number, Prefix: key, Stored: stored, at: time.Now()})
 	if len(cache.events) > keptEvents {
 		cache.events = cache.events[1:]
 	}
@@ -63,7 +65,13 @@
 
 func (model *Engine) cacheEvents(writer http.ResponseWriter, _ *http.Request) {
 	model.mu.Lock()
-	events := slices.Clone(model.cache.events)
+	late := time.Now().Add(-model.settings.ReportLag)
+	events := []cacheEvent{}
+	for _, event := range model.cache.events {
+		if event.at.Before(late) {
+			events = append(events, event)
+		}
+	}
 	model.mu.Unlock()
 	writeJSON(writer, http.StatusOK, events)
 }
