Stop a log before its owner recovers at the same epoch

An owner whose copy had missed a write recovered at its own epoch to fill it, while its log still worked: a fetch on its way through the old log was stored after the registers had been collected, at the same epoch, and the new log knew nothing of it.

Change: the log is retired under its writing lock, with its last sequence, before the recovery; what comes later is refused as not run and asked again.

Figures: the named test fails without the retirement by what it states.

--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -213,7 +213,7 @@
 	case errors.Is(failure, partition.ErrDeposed):
 		manager.stop(name, "a replica promised a greater epoch")
 	case failure != nil, len(current.Behind()) > 0 && manager.allAlive(current.Behind(), candidates):
-		sequence, err := current.Sequence(ctx)
+		sequence, err := current.Retire(ctx)
 		if err != nil {
 			return
 		}
--- a/internal/partition/log.go
+++ b/internal/partition/log.go
@@ -141,12 +141,22 @@
 // Epoch returns the epoch that every write carries.
 func (log *Log) Epoch() uint64 { return log.epoch }
 
-// Sequence returns the last sequence used, once no append is under way.
-func (log *Log) Sequence(ctx context.Context) (uint64, error) {
+// errRetired stops a log whose owner recovers at the same epoch.
+var errRetired = errors.New("the owner recovers")
+
+// Retire stops the log for good, once no append is under way, and returns the last sequence that it used. It must come
+// before a recovery at the same epoch: replicas cannot tell the writes of two logs of one epoch apart, and a write of this
+// one that is accepted after the registers were collected would be forgotten.
+func (log *Log) Retire(ctx context.Context) (uint64, error) {
 	if err := log.writing.Acquire(ctx); err != nil {
 		return 0, err
 	}
 	defer log.writing.Release()
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if log.failed == nil {
+		log.failed = errRetired
+	}
 	return log.sequence, nil
 }
 
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -124,7 +124,7 @@
 					earlier := owners[len(owners)-1]
 					recovery.Epoch = earlier.Epoch()
 					var err error
-					recovery.AfterSequence, err = earlier.Sequence(context.Background())
+					recovery.AfterSequence, err = earlier.Retire(context.Background())
 					must.NoError(draw, err)
 					owners = owners[:len(owners)-1]
 				}
@@ -187,7 +187,7 @@
 	failed := []Value{{Key: "1"}, {Key: "2"}, {Key: "3"}, {Key: "batch", Value: []byte("failed")}}
 	must.ErrorIs(t, first.Append(ctx, failed, nil), ErrNoQuorum)
 	only("a", "b")
-	recovery.AfterSequence, err = first.Sequence(ctx)
+	recovery.AfterSequence, err = first.Retire(ctx)
 	must.NoError(t, err)
 	second, _, err := Recover(ctx, recovery, transport)
 	must.NoError(t, err)
@@ -262,3 +262,18 @@
 	must.False(t, holdsCopy(replaced, b), must.Sprint("a store that took its place ends the absent copy"))
 	must.Eq(t, []Holder{a}, KeepAbsent(claims, ChooseReplicas(claims, a, present, []Candidate{a}), present), must.Sprint("memory does not come back"))
 }
+
+// Found by a fleet of 360 nodes: an owner recovered because a copy had missed a write, while a fetch was on its way through
+// the log before. That log's write was accepted after the registers had been collected, and the delivered batch forgotten.
+func TestALogThatIsRecoveredFromAcceptsNothingMore(t *testing.T) {
+	transport := &unreliable{replicas: map[string]*Replica{"a": NewReplica(Name{Kind: KindSteps}, nil)}, next: func(string) fate { return fateDelivered }}
+	holders := []Holder{{NodeID: "a", ReplicaID: "a"}}
+	recovery := Recovery{Name: Name{Kind: KindSteps}, Epoch: 1, From: holders, To: holders, Timeout: time.Second}
+	first, _, err := Recover(t.Context(), recovery, transport)
+	must.NoError(t, err)
+	must.NoError(t, first.Append(t.Context(), []Value{{Key: "k"}}, nil))
+	sequence, err := first.Retire(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, 1, sequence)
+	must.Error(t, first.Append(t.Context(), []Value{{Key: "k"}}, nil))
+}
