--- /dev/null
+++ b/cmd/thistlewalk-rollout/orderer.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/role"
+	"github.com/thistlewalk/thistlewalk/internal/weights"
+	"github.com/thistlewalk/thistlewalk/platform"
+)
+
+// Times of the election of the orderer.
+const (
+	ordererLease  = 1800 * time.Millisecond
+	ordererRenew  = 450 * time.Millisecond
+	handoverSlack = 300 * time.Millisecond
+)
+
+func runOrderer(process *process) error {
+	settings := process.settings
+	table := catalog.NewTable()
+	store := platform.NewStore(settings.API.Address, dialer())
+	orderer := role.NewOrderer(role.OrdererOptions{
+		Node: settings.Node, Store: store, Replicas: platform.NewReplicas(dialer()), Retire: store, Logger: process.logger, Catalog: table,
+		OperatorPrefix: platform.PrefixOperator, ReplicaPrefix: platform.PrefixReplicas,
+		ReplicaHandler: &platform.ReplicaHandler{Logger: process.logger, Catalog: table},
+		Election: weights.ElectionSettings{
+			Lease: max(ordererLease, settings.LeastLease()), Renew: ordererRenew, HandoverWait: settings.HolderPause() + handoverSlack,
+		},
+	})
+	operator := process.operator(table)
+	operator.OnVersion = orderer.Weights.SetTarget
+	operator.OnRetire = orderer.Retired
+	orderer.Start(operator)
+	process.awaitStop()
+	orderer.Stop()
+	return nil
+}
--- /dev/null
+++ b/internal/backend/load.go
@@ -0,0 +1,173 @@
+package backend
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+)
+
+const (
+	// failuresToEject is how many failures in a row take a replica out of the choice for a while.
+	failuresToEject = 2
+	ejectFirst      = 700 * time.Millisecond
+	ejectMost       = 3 * time.Second
+	loadShards      = 16
+)
+
+// Loads counts this node's requests in flight at each replica and remembers which replicas fail. It is safe for concurrent
+// use.
+type Loads struct{ shards [loadShards]loadShard }
+
+type loadShard struct {
+	mu       sync.Mutex
+	replicas map[string]*load
+}
+
+type load struct {
+	inFlight int
+	failures int
+	ejected  time.Time // until when
+}
+
+// NewLoads returns loads without requests.
+func NewLoads() *Loads {
+	loads := &Loads{}
+	for index := range loads.shards {
+		loads.shards[index].replicas = make(map[string]*load)
+	}
+	return loads
+}
+
+func (loads *Loads) shard(id string) *loadShard {
+	hash := uint32(2166136261)
+	for _, char := range []byte(id) {
+		hash = (hash ^ uint32(char)) * 16777619
+	}
+	return &loads.shards[hash%loadShards]
+}
+
+// entry must be called with the shard's mu held.
+func (shard *loadShard) entry(id string) *load {
+	entry := shard.replicas[id]
+	if entry == nil {
+		entry = &load{}
+		shard.replicas[id] = entry
+	}
+	return entry
+}
+
+// Begin counts a request that goes to a replica.
+func (loads *Loads) Begin(id string) {
+	shard := loads.shard(id)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.entry(id).inFlight++
+}
+
+// Outcome is what a finished request tells of its replica.
+type Outcome int
+
+// Outcomes.
+const (
+	// Served is an answer of any status that the replica gave in full.
+	Served Outcome = iota
+	// Failed is an answer that did not come or broke off.
+	Failed
+	// Unknown tells nothing: the caller left.
+	Unknown
+)
+
+// End counts a request that came back.
+func (loads *Loads) End(id string, outcome Outcome, now time.Time) {
+	shard := loads.shard(id)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	entry := shard.entry(id)
+	entry.inFlight--
+	switch outcome {
+	case Served:
+		entry.failures, entry.ejected = 0, time.Time{}
+	case Failed:
+		entry.failures++
+		if entry.failures >= failuresToEject {
+			pause := min(ejectMost, ejectFirst<<min(entry.failures-failuresToEject, 4))
+			entry.ejected = now.Add(pause)
+		}
+	case Unknown:
+	}
+	if entry.inFlight == 0 && entry.failures == 0 {
+		delete(shard.replicas, id)
+	}
+}
+
+// Reading is the state of one replica as this node sees it.
+type Reading struct {
+	InFlight int
+	Ejected  bool
+}
+
+// Read returns the reading of a replica.
+func (loads *Loads) Read(id string, now time.Time) Reading {
+	shard := loads.shard(id)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	entry := shard.replicas[id]
+	if entry == nil {
+		return Reading{}
+	}
+	return Reading{InFlight: entry.inFlight, Ejected: now.Before(entry.ejected)}
+}
+
+// Choice picks the replica of one request.
+type Choice struct {
+	Loads *Loads
+	// Zone is the node's own zone: its replicas win ties.
+	Zone string
+}
+
+// Pick returns the least loaded of the replicas that are not excluded, draining or ejected; with all ejected, the least
+// loaded of these; nil when none is left.
+func (choice *Choice) Pick(replicas []*catalog.Replica, excluded []string, now time.Time) *catalog.Replica {
+	var best *catalog.Replica
+	bestCost := 0.0
+	for _, replica := range replicas {
+		if replica.Draining || contains(excluded, replica.ID) {
+			continue
+		}
+		cost := choice.cost(replica, now)
+		if best == nil || cost < bestCost {
+			best, bestCost = replica, cost
+		}
+	}
+	return best
+}
+
+const (
+	ejectedCost = 1000.0
+	zoneCost    = 0.05
+	tieBreak    = 0.04
+)
+
+// cost grows with the share of the replica's slots that this node uses.
+func (choice *Choice) cost(replica *catalog.Replica, now time.Time) float64 {
+	reading := choice.Loads.Read(replica.ID, now)
+	cost := float64(reading.InFlight)/float64(max(replica.Slots, 1)) + tieBreak*rand.Float64()
+	if reading.Ejected {
+		cost += ejectedCost
+	}
+	if replica.Zone != choice.Zone {
+		cost += zoneCost
+	}
+	return cost
+}
+
+func contains(list []string, id string) bool {
+	for _, other := range list {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/batch/progress.go
@@ -0,0 +1,130 @@
+// Package batch holds the rules of batch jobs: what a valid job is, which groups are whole, when results are worth making
+// durable. It is pure: no I/O, no goroutine, no clock of its own.
+package batch
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+)
+
+// ErrInvalid marks the errors of Validate.
+var ErrInvalid = errors.New("the batch job is not valid")
+
+const (
+	maximumItems = 20000
+	maximumName  = 200
+)
+
+// Validate reports why a job can't be taken. The error is marked with ErrInvalid.
+func Validate(job *batchv1.Job) error {
+	if len(job.GetItems()) == 0 || len(job.GetItems()) > maximumItems {
+		return invalid("a job has 1 to %d items, not %d", maximumItems, len(job.GetItems()))
+	}
+	if !validName(job.GetId()) {
+		return invalid("the job's identifier is empty, too long or has a slash")
+	}
+	seen := make(map[string]bool, len(job.GetItems()))
+	for _, item := range job.GetItems() {
+		switch {
+		case !validName(item.GetId()):
+			return invalid("an item's identifier is empty, too long or has a slash")
+		case seen[item.GetId()]:
+			return invalid("item %q stands twice", item.GetId())
+		case len(item.GetPath()) == 0 || item.GetPath()[0] != '/':
+			return invalid("item %q has no path", item.GetId())
+		case item.GetScorer() != nil && (item.GetScorer().GetId() == "" || item.GetScorer().GetPath() == ""):
+			return invalid("item %q has a scorer without identifier or path", item.GetId())
+		}
+		seen[item.GetId()] = true
+	}
+	return nil
+}
+
+func invalid(format string, arguments ...any) error {
+	return errors.Mark(errors.Newf(format, arguments...), ErrInvalid)
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > maximumName {
+		return false
+	}
+	for _, char := range []byte(name) {
+		if char <= ' ' || char == '/' || char > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// Progress counts which items of a job are done and which groups are whole. The caller serializes its calls.
+type Progress struct {
+	groupOf   map[string]string
+	remaining map[string]int // unfinished items by group
+	finished  map[string]bool
+	whole     int
+	wanted    int
+}
+
+// NewProgress returns the progress of a job of which nothing is done. Items without a group are groups of their own.
+func NewProgress(job *batchv1.Job) *Progress {
+	progress := &Progress{groupOf: make(map[string]string), remaining: make(map[string]int), finished: make(map[string]bool)}
+	for _, item := range job.GetItems() {
+		group := item.GetGroup()
+		if group == "" {
+			group = "item/" + item.GetId()
+		}
+		progress.groupOf[item.GetId()] = group
+		progress.remaining[group]++
+	}
+	progress.wanted = int(job.GetWantedGroups())
+	if progress.wanted <= 0 || progress.wanted > len(progress.remaining) {
+		progress.wanted = len(progress.remaining)
+	}
+	return progress
+}
+
+// Finish counts an item, and reports whether it was not counted before.
+func (progress *Progress) Finish(itemID string) bool {
+	group, known := progress.groupOf[itemID]
+	if !known || progress.finished[itemID] {
+		return false
+	}
+	progress.finished[itemID] = true
+	progress.remaining[group]--
+	if progress.remaining[group] == 0 {
+		progress.whole++
+	}
+	return true
+}
+
+// Finished reports whether an item is counted.
+func (progress *Progress) Finished(itemID string) bool { return progress.finished[itemID] }
+
+// Enough reports whether as many groups are whole as the trainer waits for.
+func (progress *Progress) Enough() bool { return progress.whole >= progress.wanted }
+
+// Done reports whether every item is counted.
+func (progress *Progress) Done() bool { return len(progress.finished) == len(progress.groupOf) }
+
+// FlushPolicy says when results are made durable. A write costs a call, a late listing costs the trainer time.
+type FlushPolicy struct {
+	// Spacing is the least time between two writes; Longest is how long a finished result may wait.
+	Spacing time.Duration
+	Longest time.Duration
+}
+
+// Delay returns how long the pending results wait from now: none once the trainer's groups are whole, at most Longest after
+// the oldest was finished, and never less than Spacing after the last write.
+func (policy FlushPolicy) Delay(progress *Progress, now, oldestPending, lastWrite time.Time) time.Duration {
+	due := oldestPending.Add(policy.Longest)
+	if progress.Enough() || progress.Done() {
+		due = now
+	}
+	if earliest := lastWrite.Add(policy.Spacing); due.Before(earliest) {
+		due = earliest
+	}
+	return max(0, due.Sub(now))
+}
--- /dev/null
+++ b/internal/batchrun/end.go
@@ -0,0 +1,97 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+)
+
+const endLimit = 3 * time.Second
+
+// End ends a job. It returns once the end is durable.
+func (runner *Runner) End(ctx context.Context, id string) error {
+	if runner.ended.has(id) {
+		return nil
+	}
+	if owned := runner.find(id); owned != nil {
+		return runner.endHere(ctx, owned)
+	}
+	served, err := runner.askOwner(ctx, id, endLimit, func(ctx context.Context, owner batchv1.Batches) (bool, error) {
+		response, err := owner.End(ctx, &batchv1.EndRequest{JobId: id})
+		return err == nil && response.GetOwned(), err
+	})
+	if served || err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, endLimit)
+	defer cancel()
+	err = runner.Log.End(ctx, id)
+	if err == nil || errors.Is(err, batchlog.ErrNotFound) {
+		return err
+	}
+	return errors.Mark(err, ErrUnsure)
+}
+
+// endHere cuts the items at once, and makes the end durable.
+func (runner *Runner) endHere(ctx context.Context, owned *job) error {
+	if !runner.stopItems(owned) {
+		return runner.awaitEnd(ctx, owned)
+	}
+	logCtx, cancel := context.WithTimeout(runner.ctx, acceptLimit)
+	defer cancel()
+	err := runner.Log.EndHeld(logCtx, owned.held)
+	if err == nil || errors.Is(err, batchlog.ErrNotFound) {
+		runner.remember(owned)
+	}
+	runner.Logger.Info("job ended", "job", owned.id(), "listed", len(owned.listed), "items", len(owned.items), "error", err)
+	runner.remove(owned)
+	if err != nil && ctx.Err() == nil {
+		return errors.Mark(err, ErrUnsure)
+	}
+	return err
+}
+
+// remember keeps an ended job at hand, unless the log may hold more of it than this node knows.
+func (runner *Runner) remember(owned *job) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	if !owned.unsure {
+		runner.ended.put(&endedJob{id: owned.id(), total: len(owned.items), results: owned.listed})
+	}
+}
+
+// stopItems cuts a job's items and keeps their texts. It reports false if the job is ending or not accepted.
+func (runner *Runner) stopItems(owned *job) bool {
+	select {
+	case <-owned.accepted:
+	default:
+		return false
+	}
+	owned.mu.Lock()
+	if owned.ending || owned.held == nil {
+		owned.mu.Unlock()
+		return false
+	}
+	owned.ending = true
+	owned.announce()
+	owned.mu.Unlock()
+	owned.cancel()
+	<-owned.flushed
+	runner.scheduler.drop(owned)
+	return true
+}
+
+// awaitEnd waits for an end that another caller began.
+func (runner *Runner) awaitEnd(ctx context.Context, owned *job) error {
+	for runner.find(owned.id()) == owned && ctx.Err() == nil {
+		pause(ctx, acceptPause)
+	}
+	if runner.ended.has(owned.id()) {
+		return nil
+	}
+	return ErrUnsure
+}
--- /dev/null
+++ b/internal/batchrun/generate.go
@@ -0,0 +1,256 @@
+package batchrun
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+)
+
+// outcome says how one attempt at an item ended.
+type outcome int
+
+const (
+	outcomeWhole outcome = iota
+	outcomeBroken
+	outcomeRefused
+	outcomeFailed   // an answer of 500
+	outcomeRejected // an answer of 422
+	outcomeStale    // the replica's weights are too old for the job
+	outcomeMixed    // the versions do not fit a route that allows one
+	outcomeSlow     // taken away from a slow replica
+	outcomeCut      // the job ended or left this node
+)
+
+var outcomeNames = [...]string{"whole", "broken", "refused", "failed", "rejected", "stale", "mixed", "slow", "cut"}
+
+// String returns the name that logs use.
+func (outcome outcome) String() string { return outcomeNames[outcome] }
+
+const (
+	pauseAfterFailure = 60 * time.Millisecond
+	pauseAfterRefusal = 15 * time.Millisecond
+	avoidFor          = 900 * time.Millisecond
+	// mostMoves bounds how often an item is taken away from slow replicas.
+	mostMoves = 3
+)
+
+// errStalled is the cause of an attempt's end when the replica was silent for too long.
+var errStalled = errors.New("the stream stalled")
+
+// runItem makes one attempt at an item and decides what follows.
+func (runner *Runner) runItem(running *task, replica *catalog.Replica, route *catalog.Route) {
+	defer running.job.runs.Done()
+	started := time.Now()
+	from := running.lastEvent
+	ended, status := runner.attempt(running, replica, route)
+	runner.Loads.End(replica.ID, loadOutcome(ended), time.Now())
+	runner.scheduler.nudge()
+	runner.Logger.Info("item", "request", running.item.GetId(), "job", running.job.id(), "replica", replica.ID, "outcome", ended,
+		"status", status, "from", from, "events", running.lastEvent, "versions", running.versions, "minimum", running.job.definition.GetMinimumVersion(),
+		"took_ms", time.Since(started).Milliseconds())
+	runner.follow(running, replica, route, ended)
+}
+
+func loadOutcome(ended outcome) backend.Outcome {
+	switch ended {
+	case outcomeBroken:
+		return backend.Failed
+	case outcomeCut:
+		return backend.Unknown
+	default:
+		return backend.Served
+	}
+}
+
+// follow decides what an attempt's end means for the item.
+func (runner *Runner) follow(running *task, replica *catalog.Replica, route *catalog.Route, ended outcome) {
+	now := time.Now()
+	switch ended {
+	case outcomeCut:
+		runner.keep(running, false)
+		return
+	case outcomeWhole:
+		runner.score(running)
+		return
+	case outcomeRejected:
+		runner.terminate(running)
+		return
+	case outcomeFailed:
+		if running.failures >= max(route.MaxAttempts, 1) {
+			runner.terminate(running)
+			return
+		}
+		running.notBefore = now.Add(pauseAfterFailure)
+	case outcomeRefused:
+		runner.scheduler.cool(replica.ID, now)
+		running.notBefore = now.Add(pauseAfterRefusal)
+	case outcomeStale, outcomeMixed:
+		running.restart()
+	case outcomeSlow, outcomeBroken:
+		running.avoid, running.avoidUntil = replica.ID, now.Add(avoidFor)
+	}
+	runner.scheduler.add(running)
+}
+
+// terminate lists an item as given up.
+func (runner *Runner) terminate(running *task) {
+	runner.Logger.Warn("item given up", "request", running.item.GetId(), "job", running.job.id(), "failures", running.failures, "rejected", running.rejected)
+	running.job.finish(&batchv1.Result{ItemId: running.item.GetId(), Terminated: true})
+}
+
+// attempt sends an item to a replica and follows the stream.
+func (runner *Runner) attempt(running *task, replica *catalog.Replica, route *catalog.Route) (ended outcome, status int) {
+	ctx, cancel := context.WithCancelCause(running.job.ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(stallLimit, func() { cancel(errStalled) })
+	defer watchdog.Stop()
+	answer, err := runner.Sender.Send(ctx, replica, itemRequest(running, route))
+	if err != nil {
+		return brokenOrCut(running), 0
+	}
+	defer answer.Body.Close()
+	switch {
+	case answer.NotExecuted:
+		return outcomeRefused, answer.Status
+	case answer.Status == http.StatusUnprocessableEntity:
+		running.rejected++
+		return outcomeRejected, answer.Status
+	case answer.Status == http.StatusInternalServerError:
+		running.failures++
+		return outcomeFailed, answer.Status
+	case answer.Status >= http.StatusMultipleChoices:
+		return outcomeBroken, answer.Status
+	}
+	stream := &itemStream{runner: runner, task: running, replica: replica, route: route, version: answer.WeightVersion, last: time.Now()}
+	return stream.follow(runner.Decoder.Events(answer.Body), watchdog), answer.Status
+}
+
+func brokenOrCut(running *task) outcome {
+	if running.job.ctx.Err() != nil {
+		return outcomeCut
+	}
+	return outcomeBroken
+}
+
+// itemRequest is the request of an item, from where its text ends.
+func itemRequest(running *task, route *catalog.Route) *backend.Request {
+	header := make(http.Header, len(running.item.GetHeaders()))
+	for _, entry := range running.item.GetHeaders() {
+		header.Add(entry.GetName(), entry.GetValue())
+	}
+	return &backend.Request{
+		ID: running.item.GetId(), Method: http.MethodPost, Host: running.job.definition.GetHost(), Target: running.item.GetPath(),
+		Header: header, Body: running.item.GetBody(), Deadline: route.MaxQueue, ResumeAfter: running.lastEvent, Priority: -1,
+	}
+}
+
+// itemStream is the stream of one attempt.
+type itemStream struct {
+	runner  *Runner
+	task    *task
+	replica *catalog.Replica
+	route   *catalog.Route
+	version int64
+	last    time.Time
+	events  int
+}
+
+// follow takes events until the stream ends.
+func (stream *itemStream) follow(events EventReader, watchdog *time.Timer) outcome {
+	stream.runner.scheduler.observe(stream.replica.ID, stream.task.item.GetModel(), stream.version)
+	if ended, wrong := stream.checkVersion(); wrong {
+		return ended
+	}
+	for {
+		event, err := events.Next()
+		switch {
+		case errors.Is(err, io.EOF) && stream.task.lastEvent > 0:
+			return outcomeWhole
+		case err != nil:
+			return brokenOrCut(stream.task)
+		}
+		watchdog.Reset(stallLimit)
+		if ended, over := stream.take(event); over {
+			return ended
+		}
+	}
+}
+
+// take adds an event to the text; over says that the attempt is to end here.
+func (stream *itemStream) take(event Event) (ended outcome, over bool) {
+	task := stream.task
+	if event.Version > 0 && event.Version != stream.version {
+		stream.version = event.Version
+		stream.runner.scheduler.observe(stream.replica.ID, task.item.GetModel(), stream.version)
+		if ended, wrong := stream.checkVersion(); wrong {
+			return ended, true
+		}
+	}
+	if event.ID != task.lastEvent+1 {
+		return outcomeBroken, true
+	}
+	if task.lastEvent > 0 {
+		task.text = append(task.text, '\n')
+	}
+	task.text = append(task.text, event.Data...)
+	task.lastEvent = event.ID
+	if stream.version > 0 && !slices.Contains(task.versions, stream.version) {
+		task.versions = append(task.versions, stream.version)
+	}
+	return stream.watchPace()
+}
+
+// checkVersion reports an attempt whose weights do not fit the job.
+func (stream *itemStream) checkVersion() (ended outcome, wrong bool) {
+	if stream.version > 0 && stream.version < stream.task.job.definition.GetMinimumVersion() {
+		return outcomeStale, true
+	}
+	versions := stream.task.versions
+	if stream.route.SingleVersion && len(versions) > 0 && versions[len(versions)-1] != stream.version {
+		return outcomeMixed, true
+	}
+	return 0, false
+}
+
+// watchPace notes the time of the event, and ends the attempt at a replica that is slow while others have room.
+func (stream *itemStream) watchPace() (ended outcome, over bool) {
+	now := time.Now()
+	gap := now.Sub(stream.last)
+	stream.last = now
+	stream.events++
+	if stream.events == 1 {
+		return 0, false
+	}
+	pace := stream.runner.scheduler.pace
+	pace.observe(stream.replica.ID, gap, now)
+	if stream.events%4 != 0 || stream.task.moves >= mostMoves || pace.slowdown(stream.replica.ID, now) <= 1 {
+		return 0, false
+	}
+	if !stream.runner.scheduler.hasRoomElsewhere(stream.task, stream.replica) {
+		return 0, false
+	}
+	stream.task.moves++
+	return outcomeSlow, true
+}
+
+// hasRoomElsewhere reports whether a replica that is not slow could take the item.
+func (scheduler *scheduler) hasRoomElsewhere(running *task, current *catalog.Replica) bool {
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	replicas := scheduler.runner.Catalog.Replicas()
+	room := newRoom(scheduler, replicas, time.Now())
+	for _, replica := range replicas.Service(running.service) {
+		if replica.ID != current.ID && room.eligible(running, replica) && scheduler.pace.slowdown(replica.ID, room.now) <= 1 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/batchrun/job.go
@@ -0,0 +1,136 @@
+package batchrun
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+)
+
+// job is a job that this node runs.
+type job struct {
+	definition *batchv1.Job
+	items      map[string]*batchv1.Item
+	due        time.Time
+	ctx        context.Context
+	cancel     context.CancelFunc
+	// accepted is closed once the job is durable, or known to be owned elsewhere.
+	accepted chan struct{}
+
+	mu        sync.Mutex
+	held      *batchlog.Hold // nil until accepted; used by the flush loop only afterwards
+	elsewhere bool           // accepted, but another node owns it or it has ended
+	progress  *batch.Progress
+	tasks     map[string]*task
+	listed    []*batchv1.Result
+	pending   []*batchv1.Result
+	since     time.Time // when the oldest pending result was finished
+	written   time.Time // when results were last made durable
+	begun     bool
+	ending    bool
+	changed   chan struct{} // closed at each change that a reader may wait for
+	flush     chan struct{}
+	flushed   chan struct{} // closed when the flush loop is over
+	unsure    bool          // an append was cut: the log may hold more than listed
+	runs      sync.WaitGroup
+}
+
+// defaultObjective is used when the route does not say when a job is due.
+const defaultObjective = 10 * time.Second
+
+func newJob(parent context.Context, definition *batchv1.Job, objective time.Duration) *job {
+	ctx, cancel := context.WithCancel(parent)
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	created := &job{
+		definition: definition, items: make(map[string]*batchv1.Item, len(definition.GetItems())), due: time.Now().Add(objective),
+		ctx: ctx, cancel: cancel, accepted: make(chan struct{}), progress: batch.NewProgress(definition), tasks: make(map[string]*task),
+		changed: make(chan struct{}), flush: make(chan struct{}, 1), flushed: make(chan struct{}),
+	}
+	for _, item := range definition.GetItems() {
+		created.items[item.GetId()] = item
+	}
+	return created
+}
+
+func (owned *job) id() string { return owned.definition.GetId() }
+
+// isAccepted reports whether the job is durable with this node as its owner.
+func (owned *job) isAccepted() bool {
+	select {
+	case <-owned.accepted:
+		return !owned.elsewhere
+	default:
+		return false
+	}
+}
+
+// announce must be called with mu held.
+func (owned *job) announce() {
+	close(owned.changed)
+	owned.changed = make(chan struct{})
+}
+
+// finish takes a result, which becomes visible once it is durable.
+func (owned *job) finish(result *batchv1.Result) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	if owned.ending || !owned.progress.Finish(result.GetItemId()) {
+		return
+	}
+	if len(owned.pending) == 0 {
+		owned.since = time.Now()
+	}
+	owned.pending = append(owned.pending, result)
+	delete(owned.tasks, result.GetItemId())
+	select {
+	case owned.flush <- struct{}{}:
+	default:
+	}
+}
+
+// nextFlush returns how long the flush loop waits; ok is false when nothing is pending.
+func (owned *job) nextFlush(policy batch.FlushPolicy) (delay time.Duration, ok bool) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	if len(owned.pending) == 0 || owned.held == nil {
+		return 0, false
+	}
+	return policy.Delay(owned.progress, time.Now(), owned.since, owned.written), true
+}
+
+// takePending returns the results to write next.
+func (owned *job) takePending() []*batchv1.Result {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	size := 0
+	count := 0
+	for _, result := range owned.pending {
+		size += len(result.GetText()) + resultOverhead
+		if count > 0 && size > pageBytes {
+			break
+		}
+		count++
+	}
+	return owned.pending[:count:count]
+}
+
+const (
+	pageBytes      = 600 << 10
+	resultOverhead = 128
+)
+
+// list makes written results visible.
+func (owned *job) list(results []*batchv1.Result) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	owned.listed = append(owned.listed, results...)
+	owned.pending = owned.pending[len(results):]
+	owned.written = time.Now()
+	owned.since = owned.written
+	owned.announce()
+}
--- /dev/null
+++ b/internal/batchrun/read.go
@@ -0,0 +1,206 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+)
+
+const (
+	// pageLimit bounds the texts of one answer in bytes; one result is always answered.
+	pageLimit   = 900 << 10
+	peerMargin  = 600 * time.Millisecond
+	storeReads  = 2 * time.Second
+	mostWaiting = 5 * time.Second
+)
+
+// Page is a part of a job's results.
+type Page struct {
+	Total   int
+	Results []*batchv1.Result
+}
+
+// Read returns the results at position from and after. If there is none it waits for one, up to wait. ErrNotFound says that
+// no such job exists, ErrUnsure that this can't be told now.
+func (runner *Runner) Read(ctx context.Context, id string, from int, wait time.Duration) (Page, error) {
+	wait = min(wait, mostWaiting)
+	if page, ok := runner.readHere(ctx, id, from, wait); ok {
+		return page, nil
+	}
+	var page Page
+	served, err := runner.askOwner(ctx, id, wait+peerMargin, func(ctx context.Context, owner batchv1.Batches) (bool, error) {
+		response, err := owner.Read(ctx, &batchv1.ReadRequest{JobId: id, From: int64(from), WaitMs: wait.Milliseconds()})
+		if err != nil || !response.GetOwned() {
+			return false, err
+		}
+		page = Page{Total: int(response.GetTotal()), Results: response.GetResults()}
+		return true, nil
+	})
+	if served {
+		return page, nil
+	}
+	if err != nil {
+		return Page{}, err
+	}
+	record, err := runner.load(ctx, id)
+	if err != nil {
+		return Page{}, err
+	}
+	return cutPage(len(record.Job.GetItems()), record.Results, from), nil
+}
+
+// readHere answers from what this node owns or remembers.
+func (runner *Runner) readHere(ctx context.Context, id string, from int, wait time.Duration) (Page, bool) {
+	if owned := runner.find(id); owned != nil && owned.isAccepted() {
+		return owned.read(ctx, from, wait), true
+	}
+	if ended := runner.ended.get(id); ended != nil {
+		return cutPage(ended.total, ended.results, from), true
+	}
+	return Page{}, false
+}
+
+func (owned *job) read(ctx context.Context, from int, wait time.Duration) Page {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		owned.mu.Lock()
+		listed, changed, over := owned.listed, owned.changed, owned.ending
+		owned.mu.Unlock()
+		if len(listed) > from || len(listed) == len(owned.items) || wait <= 0 || over {
+			return cutPage(len(owned.items), listed, from)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			wait = 0
+		case <-owned.ctx.Done():
+			wait = 0
+		}
+	}
+}
+
+func cutPage(total int, results []*batchv1.Result, from int) Page {
+	page := Page{Total: total}
+	if from < 0 || from >= len(results) {
+		return page
+	}
+	size, end := 0, from
+	for end < len(results) {
+		size += len(results[end].GetText()) + resultOverhead
+		if end > from && size > pageLimit {
+			break
+		}
+		end++
+	}
+	page.Results = results[from:end]
+	return page
+}
+
+// askOwner calls the node that owns a job. served is false when no owner could be asked, and the job has to be read from the
+// log; err says that not even the owner could be found out.
+func (runner *Runner) askOwner(ctx context.Context, id string, limit time.Duration, call func(context.Context, batchv1.Batches) (bool, error)) (served bool, err error) {
+	runner.mu.Lock()
+	name := runner.owners[id]
+	runner.mu.Unlock()
+	if name != "" && runner.callPeer(ctx, name, limit, call) {
+		return true, nil
+	}
+	runner.forgetOwner(id)
+	lookup, cancel := context.WithTimeout(ctx, storeReads)
+	defer cancel()
+	owner, _, err := runner.Log.Owner(lookup, id)
+	switch {
+	case errors.Is(err, batchlog.ErrNotOwner):
+		return false, nil
+	case err != nil:
+		return false, errors.Mark(err, ErrUnsure)
+	case owner.GetNode() == name || owner.GetNode() == runner.Node:
+		return false, nil
+	}
+	if !runner.callPeer(ctx, owner.GetNode(), limit, call) {
+		return false, nil
+	}
+	runner.rememberOwner(id, owner.GetNode())
+	return true, nil
+}
+
+func (runner *Runner) callPeer(ctx context.Context, name string, limit time.Duration, call func(context.Context, batchv1.Batches) (bool, error)) bool {
+	client := runner.Peers.Client(name)
+	if client == nil || name == runner.Node {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	served, err := call(callCtx, client)
+	return served && err == nil
+}
+
+// load reads a job from the log, and remembers it if it has ended.
+func (runner *Runner) load(ctx context.Context, id string) (*batchlog.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeReads)
+	defer cancel()
+	record, err := runner.Log.Load(ctx, id)
+	switch {
+	case errors.Is(err, batchlog.ErrNotFound):
+		return nil, ErrNotFound
+	case err != nil:
+		return nil, errors.Mark(err, ErrUnsure)
+	}
+	if record.Ended {
+		runner.ended.put(&endedJob{id: id, total: len(record.Job.GetItems()), results: record.Results})
+	}
+	return record, nil
+}
+
+// Body returns the body of an item that is not listed yet.
+func (runner *Runner) Body(ctx context.Context, id, itemID string) ([]byte, error) {
+	if owned := runner.find(id); owned != nil && owned.isAccepted() {
+		return owned.body(itemID)
+	}
+	if runner.ended.has(id) {
+		return nil, ErrNotFound
+	}
+	var body []byte
+	var found bool
+	served, err := runner.askOwner(ctx, id, peerMargin, func(ctx context.Context, owner batchv1.Batches) (bool, error) {
+		response, err := owner.ReadBody(ctx, &batchv1.ReadBodyRequest{JobId: id, ItemId: itemID})
+		if err != nil || !response.GetOwned() {
+			return false, err
+		}
+		body, found = response.GetBody(), response.GetFound()
+		return true, nil
+	})
+	switch {
+	case err != nil:
+		return nil, err
+	case served && found:
+		return body, nil
+	case served:
+		return nil, ErrNotFound
+	}
+	record, err := runner.load(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	for _, item := range record.Job.GetItems() {
+		if item.GetId() == itemID && !record.Ended {
+			return item.GetBody(), nil
+		}
+	}
+	return nil, ErrNotFound
+}
+
+func (owned *job) body(itemID string) ([]byte, error) {
+	item := owned.items[itemID]
+	if item == nil {
+		return nil, ErrNotFound
+	}
+	return item.GetBody(), nil
+}
--- /dev/null
+++ b/internal/batchrun/runner.go
@@ -0,0 +1,154 @@
+// Package batchrun runs the batch jobs that this node owns: it sends their items to engines, follows the streams, has the
+// texts scored, makes the results durable and answers what callers ask of jobs, wherever these are owned.
+package batchrun
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+)
+
+// Errors of a Runner. ErrUnsure says that the answer can't be given now; a caller may ask again.
+var (
+	ErrUnsure   = errors.New("the job's state can't be told now")
+	ErrNotFound = batchlog.ErrNotFound
+	// ErrStopping says that the node takes no more jobs; nothing of the job has run here.
+	ErrStopping = errors.New("the node is stopping")
+)
+
+// Event is one event of an engine's stream.
+type Event struct {
+	ID   int64
+	Data []byte
+	// Version of the weights from this event on; zero when it has not changed.
+	Version int64
+}
+
+// EventReader reads the events of an answer's body. Next returns io.EOF after the last event of a whole body.
+type EventReader interface {
+	Next() (Event, error)
+}
+
+// Decoder makes event readers.
+type Decoder interface {
+	Events(body io.Reader) EventReader
+}
+
+// Peers reaches the other nodes that run batch jobs.
+type Peers interface {
+	// Client returns the client of a node; nil when the node is not known.
+	Client(node string) batchv1.Batches
+	// Nearest returns the names of live nodes that could run jobs for this one, best first.
+	Nearest() []string
+}
+
+// Options of a Runner.
+type Options struct {
+	Node    string
+	Life    int64
+	Catalog *catalog.Table
+	Loads   *backend.Loads
+	Sender  backend.Sender
+	Decoder Decoder
+	Log     *batchlog.Log
+	Peers   Peers
+	Logger  *log.Logger
+	Flush   batch.FlushPolicy
+	// Zone is the node's own zone.
+	Zone string
+}
+
+// Runner runs jobs. It is safe for concurrent use.
+type Runner struct {
+	Options
+	ctx       context.Context
+	cancel    context.CancelFunc
+	scheduler *scheduler
+	scoring   chan struct{} // bounds the scoring requests in flight
+
+	mu       sync.Mutex
+	jobs     map[string]*job
+	ended    *endedCache
+	owners   map[string]string // owner by job, as last seen; a hint only
+	kept     *keptItems
+	stopping bool
+	running  sync.WaitGroup
+}
+
+const (
+	scoringInFlight = 24
+	ownerHints      = 4096
+)
+
+// New returns a runner. Start must be called before its first use.
+func New(options Options) *Runner {
+	ctx, cancel := context.WithCancel(context.Background())
+	runner := &Runner{
+		Options: options, ctx: ctx, cancel: cancel, scoring: make(chan struct{}, scoringInFlight),
+		jobs: make(map[string]*job), ended: newEndedCache(), owners: make(map[string]string), kept: newKeptItems(),
+	}
+	runner.scheduler = newScheduler(runner)
+	return runner
+}
+
+// Start begins to dispatch items and takes up the jobs that an earlier process of this node owned.
+func (runner *Runner) Start() {
+	go runner.scheduler.run(runner.ctx)
+	go runner.sweep(runner.ctx)
+}
+
+// Close cuts all that is running.
+func (runner *Runner) Close() { runner.cancel() }
+
+// find returns the job if it runs here.
+func (runner *Runner) find(id string) *job {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	return runner.jobs[id]
+}
+
+// rememberOwner keeps a hint of where a job is owned.
+func (runner *Runner) rememberOwner(id, node string) {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	if len(runner.owners) >= ownerHints {
+		clear(runner.owners)
+	}
+	runner.owners[id] = node
+}
+
+func (runner *Runner) forgetOwner(id string) {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	delete(runner.owners, id)
+}
+
+// remove takes a job out of this node and cuts its items.
+func (runner *Runner) remove(owned *job) {
+	runner.mu.Lock()
+	if runner.jobs[owned.id()] == owned {
+		delete(runner.jobs, owned.id())
+	}
+	runner.mu.Unlock()
+	owned.cancel()
+	runner.scheduler.drop(owned)
+}
+
+// OpenJobs returns the number of jobs that run here.
+func (runner *Runner) OpenJobs() int {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	return len(runner.jobs)
+}
+
+func timeLeft(deadline time.Time) time.Duration { return max(0, time.Until(deadline)) }
--- /dev/null
+++ b/internal/batchrun/scheduler.go
@@ -0,0 +1,247 @@
+package batchrun
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/forwarding"
+)
+
+// task is an item that is not finished. Its fields belong to the scheduler while it waits and to its run while it runs.
+type task struct {
+	job  *job
+	item *batchv1.Item
+	// service is the part of the route that runs the item, drawn once for each configuration.
+	service              string
+	configurationVersion int64
+	// returned says that an earlier job had the item: the trainer waits for its group.
+	returned  bool
+	text      []byte
+	lastEvent int64
+	versions  []int64
+	failures  int // answers of 500
+	rejected  int // answers of 422
+	// avoid is the replica that the last attempt left, until avoidUntil.
+	avoid      string
+	avoidUntil time.Time
+	notBefore  time.Time
+	moves      int
+}
+
+// estimate is the number of tokens that are likely still to come.
+func (waiting *task) estimate() int64 {
+	if hint := waiting.item.GetLengthHint(); hint > 0 {
+		return hint
+	}
+	return waiting.item.GetOutputTokens()
+}
+
+// restart forgets the text, which does not fit the job.
+func (waiting *task) restart() {
+	waiting.text, waiting.lastEvent, waiting.versions = nil, 0, nil
+}
+
+// scheduler assigns waiting items to replicas with free slots.
+type scheduler struct {
+	runner *Runner
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	waiting []*task
+	// groupHome is the replica that ran the last item of a group, which keeps the group's prompt.
+	groupHome map[string]string
+	cooling   map[string]time.Time // replicas that refused work, until when
+	versions  map[string]map[string]int64
+	pace      *paceTable
+}
+
+const (
+	idleTick       = 250 * time.Millisecond
+	busyTick       = 40 * time.Millisecond
+	refusalCooling = 120 * time.Millisecond
+)
+
+func newScheduler(runner *Runner) *scheduler {
+	return &scheduler{
+		runner: runner, wake: make(chan struct{}, 1), groupHome: make(map[string]string), cooling: make(map[string]time.Time),
+		versions: make(map[string]map[string]int64), pace: newPaceTable(),
+	}
+}
+
+// run dispatches whenever something may have changed.
+func (scheduler *scheduler) run(ctx context.Context) {
+	for {
+		changed := scheduler.runner.Catalog.Changed()
+		tick := idleTick
+		if scheduler.dispatch() > 0 {
+			tick = busyTick
+		}
+		timer := time.NewTimer(tick)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-scheduler.wake:
+		case <-changed:
+		case <-timer.C:
+			if tick == idleTick {
+				scheduler.waitForWork(ctx)
+			}
+		}
+		timer.Stop()
+	}
+}
+
+// waitForWork sleeps until an item waits, so that an idle node uses no processor time.
+func (scheduler *scheduler) waitForWork(ctx context.Context) {
+	scheduler.mu.Lock()
+	empty := len(scheduler.waiting) == 0
+	scheduler.mu.Unlock()
+	if !empty {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-scheduler.wake:
+	}
+}
+
+func (scheduler *scheduler) nudge() {
+	select {
+	case scheduler.wake <- struct{}{}:
+	default:
+	}
+}
+
+// add puts items in line: returned groups first, then the job that is due first, then the longest.
+func (scheduler *scheduler) add(tasks ...*task) {
+	scheduler.mu.Lock()
+	for _, added := range tasks {
+		if added.job.ctx.Err() != nil {
+			scheduler.runner.keep(added, false)
+			continue
+		}
+		scheduler.waiting = append(scheduler.waiting, added)
+	}
+	slices.SortStableFunc(scheduler.waiting, compareTasks)
+	scheduler.mu.Unlock()
+	scheduler.nudge()
+}
+
+func compareTasks(a, b *task) int {
+	if a.job != b.job {
+		return cmp.Or(a.job.due.Compare(b.job.due), cmp.Compare(a.job.id(), b.job.id()))
+	}
+	if a.returned != b.returned {
+		if a.returned {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(b.estimate(), a.estimate())
+}
+
+// drop takes a job's items out of the line and keeps their texts.
+func (scheduler *scheduler) drop(owned *job) {
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	scheduler.waiting = slices.DeleteFunc(scheduler.waiting, func(waiting *task) bool {
+		if waiting.job == owned {
+			scheduler.runner.keep(waiting, false)
+		}
+		return waiting.job == owned
+	})
+	for _, item := range owned.definition.GetItems() {
+		delete(scheduler.groupHome, item.GetGroup())
+	}
+}
+
+// dispatch starts every item that a replica has room for, and returns how many still wait.
+func (scheduler *scheduler) dispatch() int {
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	now := time.Now()
+	configuration := scheduler.runner.Catalog.Configuration()
+	if configuration == nil {
+		return len(scheduler.waiting)
+	}
+	replicas := scheduler.runner.Catalog.Replicas()
+	room := newRoom(scheduler, replicas, now)
+	left := scheduler.waiting[:0]
+	for _, waiting := range scheduler.waiting {
+		if now.Before(waiting.notBefore) || !scheduler.place(waiting, configuration, replicas, room) {
+			left = append(left, waiting)
+		}
+	}
+	clear(scheduler.waiting[len(left):])
+	scheduler.waiting = left
+	return len(left)
+}
+
+// place starts an item if a replica has room for it. It must be called with mu held.
+func (scheduler *scheduler) place(waiting *task, configuration *catalog.Configuration, replicas *catalog.ReplicaSet, room *room) bool {
+	route := configuration.FindRoute(waiting.job.definition.GetHost(), waiting.item.GetPath())
+	if route == nil {
+		return false
+	}
+	if waiting.service == "" || waiting.configurationVersion != configuration.Version {
+		waiting.service, waiting.configurationVersion = keepPart(route, waiting.service), configuration.Version
+	}
+	replica := room.pick(waiting, replicas.Service(waiting.service))
+	if replica == nil {
+		return false
+	}
+	room.take(replica.ID)
+	scheduler.groupHome[waiting.item.GetGroup()] = replica.ID
+	scheduler.runner.Loads.Begin(replica.ID)
+	waiting.job.runs.Add(1)
+	go scheduler.runner.runItem(waiting, replica, route)
+	return true
+}
+
+// keepPart keeps the service that was drawn as long as the route has it.
+func keepPart(route *catalog.Route, drawn string) string {
+	for _, part := range route.Parts {
+		if part.Service == drawn && part.Weight > 0 {
+			return drawn
+		}
+	}
+	return forwarding.PickPart(route.Parts)
+}
+
+// cool keeps work from a replica that refused some.
+func (scheduler *scheduler) cool(replica string, now time.Time) {
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	scheduler.cooling[replica] = now.Add(refusalCooling)
+}
+
+// observe takes the version of a model that a replica itself named.
+func (scheduler *scheduler) observe(replica, model string, version int64) {
+	if version <= 0 {
+		return
+	}
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	held := scheduler.versions[replica]
+	if held == nil {
+		if len(scheduler.versions) > observedReplicas {
+			clear(scheduler.versions)
+		}
+		held = make(map[string]int64)
+		scheduler.versions[replica] = held
+	}
+	held[model] = version
+}
+
+const observedReplicas = 4096
+
+// version must be called with mu held.
+func (scheduler *scheduler) version(replica *catalog.Replica, model string) int64 {
+	return max(replica.Version(model), scheduler.versions[replica.ID][model])
+}
--- /dev/null
+++ b/internal/batchrun/score.go
@@ -0,0 +1,128 @@
+package batchrun
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/forwarding"
+)
+
+const (
+	scorePause = 40 * time.Millisecond
+	// scoreReadLimit bounds how much of a scorer's answer is read; only its signature is used.
+	scoreReadLimit = 1 << 20
+	scoreTimeout   = 1500 * time.Millisecond
+)
+
+// score has a whole text scored and finishes the item. It is called at the end of the item's last attempt.
+func (runner *Runner) score(done *task) {
+	stamp, given := "", true
+	if done.item.GetScorer() != nil {
+		stamp, given = runner.callScorer(done)
+	}
+	if done.job.ctx.Err() != nil {
+		runner.keep(done, true)
+		return
+	}
+	if !given {
+		runner.terminate(done)
+		return
+	}
+	done.job.finish(&batchv1.Result{ItemId: done.item.GetId(), Text: done.text, Versions: done.versions, Score: stamp})
+}
+
+// callScorer returns the scorer's signature, or that it failed as often as its route allows.
+func (runner *Runner) callScorer(done *task) (stamp string, given bool) {
+	select {
+	case runner.scoring <- struct{}{}:
+		defer func() { <-runner.scoring }()
+	case <-done.job.ctx.Done():
+		return "", false
+	}
+	scorer := done.item.GetScorer()
+	var tried []string
+	failures, attempts := 0, 0
+	for done.job.ctx.Err() == nil {
+		route, replica := runner.scorerReplica(scorer, tried)
+		if replica == nil {
+			tried = nil
+			pause(done.job.ctx, scorePause)
+			continue
+		}
+		attempts++
+		status, signature := runner.scoreOnce(done, scorer, route, replica)
+		if status != http.StatusOK || signature == "" {
+			runner.Logger.Info("scorer call", "request", scorer.GetId(), "item", done.item.GetId(), "replica", replica.ID, "status", status, "attempt", attempts)
+		}
+		switch {
+		case status >= http.StatusOK && status < http.StatusMultipleChoices && signature != "":
+			return signature, true
+		case status == http.StatusInternalServerError:
+			failures++
+			if failures >= max(route.MaxAttempts, 1) {
+				return "", false
+			}
+		}
+		tried = append(tried, replica.ID)
+		pause(done.job.ctx, scorePause)
+	}
+	return "", false
+}
+
+// scorerReplica picks the replica for a scoring request by the route of its host and path.
+func (runner *Runner) scorerReplica(scorer *batchv1.Scorer, tried []string) (*catalog.Route, *catalog.Replica) {
+	configuration := runner.Catalog.Configuration()
+	if configuration == nil {
+		return nil, nil
+	}
+	route := configuration.FindRoute(scorer.GetHost(), scorer.GetPath())
+	if route == nil {
+		return nil, nil
+	}
+	choice := backend.Choice{Loads: runner.Loads, Zone: runner.Zone}
+	service := forwarding.PickPart(route.Parts)
+	return route, choice.Pick(runner.Catalog.Replicas().Service(service), tried, time.Now())
+}
+
+// scoreOnce returns the status and signature of one scoring request; status 0 when no whole answer came.
+func (runner *Runner) scoreOnce(done *task, scorer *batchv1.Scorer, route *catalog.Route, replica *catalog.Replica) (status int, signature string) {
+	limit := scoreTimeout
+	if route.Timeout > 0 {
+		limit = min(limit, route.Timeout)
+	}
+	ctx, cancel := context.WithTimeout(done.job.ctx, limit)
+	defer cancel()
+	runner.Loads.Begin(replica.ID)
+	ended := backend.Failed
+	defer func() { runner.Loads.End(replica.ID, ended, time.Now()) }()
+	answer, err := runner.Sender.Send(ctx, replica, &backend.Request{
+		ID: scorer.GetId(), Method: http.MethodPost, Host: scorer.GetHost(), Target: scorer.GetPath(), Header: http.Header{},
+		Body: scorer.GetBody(), Deadline: limit, Priority: -1,
+	})
+	if err != nil {
+		return 0, ""
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, scoreReadLimit)); err != nil {
+		return 0, ""
+	}
+	ended = backend.Served
+	if answer.NotExecuted {
+		return http.StatusServiceUnavailable, ""
+	}
+	return answer.Status, answer.Stamp
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/batchrun/service.go
@@ -0,0 +1,94 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+)
+
+// Service answers the other nodes. It implements batchv1.Batches.
+type Service struct{ Runner *Runner }
+
+const relayedAccept = 800 * time.Millisecond
+
+// Submit accepts a job for a node that could not.
+func (service Service) Submit(ctx context.Context, request *batchv1.SubmitRequest) (*batchv1.SubmitResponse, error) {
+	runner := service.Runner
+	if runner.isStopping() {
+		return nil, twirp.NewError(twirp.Unavailable, ErrStopping.Error())
+	}
+	definition := request.GetJob()
+	owned := newJob(runner.ctx, definition, defaultObjective)
+	if configuration := runner.Catalog.Configuration(); configuration != nil {
+		if route := configuration.FindRoute(definition.GetHost(), definition.GetPath()); route != nil && route.JobObjective > 0 {
+			owned.due = time.Now().Add(route.JobObjective)
+		}
+	}
+	started := time.Now()
+	held, settled, err := runner.tryAccept(owned)
+	if !settled {
+		owned.cancel()
+		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "not accepted"), err)
+	}
+	runner.mu.Lock()
+	if runner.jobs[owned.id()] != nil {
+		runner.mu.Unlock()
+		owned.cancel()
+		return &batchv1.SubmitResponse{}, nil
+	}
+	runner.jobs[owned.id()] = owned
+	runner.mu.Unlock()
+	runner.settleAccept(owned, held, started, 1)
+	return &batchv1.SubmitResponse{}, nil
+}
+
+// Read answers from a job that this node owns.
+func (service Service) Read(ctx context.Context, request *batchv1.ReadRequest) (*batchv1.ReadResponse, error) {
+	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, mostWaiting)
+	page, ok := service.Runner.readHere(ctx, request.GetJobId(), int(request.GetFrom()), wait)
+	return &batchv1.ReadResponse{Owned: ok, Total: int64(page.Total), Results: page.Results}, nil
+}
+
+// ReadBody answers from a job that this node owns.
+func (service Service) ReadBody(_ context.Context, request *batchv1.ReadBodyRequest) (*batchv1.ReadBodyResponse, error) {
+	owned := service.Runner.find(request.GetJobId())
+	if owned == nil || !owned.isAccepted() {
+		return &batchv1.ReadBodyResponse{}, nil
+	}
+	body, err := owned.body(request.GetItemId())
+	return &batchv1.ReadBodyResponse{Owned: true, Found: err == nil, Body: body}, nil
+}
+
+// End ends a job that this node owns.
+func (service Service) End(ctx context.Context, request *batchv1.EndRequest) (*batchv1.EndResponse, error) {
+	owned := service.Runner.find(request.GetJobId())
+	if owned == nil || !owned.isAccepted() {
+		return &batchv1.EndResponse{}, nil
+	}
+	if err := service.Runner.endHere(ctx, owned); err != nil {
+		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "the end is not durable yet"), err)
+	}
+	return &batchv1.EndResponse{Owned: true}, nil
+}
+
+// TakeOver takes a job from a node that stops.
+func (service Service) TakeOver(_ context.Context, request *batchv1.TakeOverRequest) (*batchv1.TakeOverResponse, error) {
+	if service.Runner.isStopping() {
+		return nil, twirp.NewError(twirp.Unavailable, ErrStopping.Error())
+	}
+	err := service.Runner.takeOver(request.GetJobId(), request.GetPartials())
+	service.Runner.Logger.Info("job taken over", "job", request.GetJobId(), "partials", len(request.GetPartials()), "error", err)
+	if err != nil {
+		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "not taken over"), errors.Cause(err))
+	}
+	return &batchv1.TakeOverResponse{}, nil
+}
+
+// Ping tells who answers.
+func (service Service) Ping(context.Context, *batchv1.PingRequest) (*batchv1.PingResponse, error) {
+	return &batchv1.PingResponse{Name: service.Runner.Node, Life: service.Runner.Life}, nil
+}
--- /dev/null
+++ b/internal/batchrun/submit.go
@@ -0,0 +1,198 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+)
+
+const (
+	acceptCallLimit = 700 * time.Millisecond
+	acceptPause     = 60 * time.Millisecond
+	// beginAfter is how long an acceptance may take before the items are begun without it.
+	beginAfter = 150 * time.Millisecond
+	// acceptLimit is how long a job is kept that could not be made durable.
+	acceptLimit = 11 * time.Second
+	// relayAfter is how many failed tries this node makes before it asks another to accept the job.
+	relayAfter   = 2
+	relayTimeout = 900 * time.Millisecond
+)
+
+// Submit makes a job durable and runs it, here or at the node that owns it already. It returns once the job is accepted;
+// an error other than ErrStopping leaves open whether the job will run.
+func (runner *Runner) Submit(ctx context.Context, definition *batchv1.Job, route *catalog.Route) error {
+	runner.mu.Lock()
+	if runner.stopping {
+		runner.mu.Unlock()
+		return runner.relay(ctx, definition)
+	}
+	if runner.ended.has(definition.GetId()) {
+		runner.mu.Unlock()
+		return nil
+	}
+	owned := runner.jobs[definition.GetId()]
+	if owned == nil {
+		owned = newJob(runner.ctx, definition, route.JobObjective)
+		runner.jobs[definition.GetId()] = owned
+		go runner.accept(owned)
+	}
+	runner.mu.Unlock()
+	select {
+	case <-owned.accepted:
+		return nil
+	case <-owned.ctx.Done():
+		return ErrUnsure
+	case <-ctx.Done():
+		return ErrUnsure
+	}
+}
+
+// relay has another node accept the job. Only when no node was reached has the job surely not been accepted.
+func (runner *Runner) relay(ctx context.Context, definition *batchv1.Job) error {
+	for _, name := range runner.Peers.Nearest() {
+		client := runner.Peers.Client(name)
+		if client == nil {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+		_, err := client.Submit(callCtx, &batchv1.SubmitRequest{Job: definition})
+		cancel()
+		if err == nil {
+			runner.rememberOwner(definition.GetId(), name)
+			return nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return ErrUnsure
+}
+
+// accept tries to make a job durable until it is, and begins its items meanwhile when the metadata store takes long: an
+// outage of the store then costs the job no more than the store's answer.
+func (runner *Runner) accept(owned *job) {
+	started := time.Now()
+	early := time.AfterFunc(beginAfter, func() { runner.begin(owned) })
+	defer early.Stop()
+	for tries := 1; owned.ctx.Err() == nil && time.Since(started) < acceptLimit; tries++ {
+		held, settled, err := runner.tryAccept(owned)
+		if settled {
+			runner.settleAccept(owned, held, started, tries)
+			return
+		}
+		if tries == 1 {
+			runner.Logger.Warn("acceptance delayed", "job", owned.id(), "error", err)
+		}
+		if tries >= relayAfter && tries%relayAfter == 0 && errors.Is(err, metadata.ErrUnavailable) && runner.relay(owned.ctx, owned.definition) == nil {
+			runner.settleAccept(owned, nil, started, tries)
+			return
+		}
+		pause(owned.ctx, acceptPause)
+	}
+	runner.Logger.Warn("acceptance given up", "job", owned.id(), "took_ms", time.Since(started).Milliseconds())
+	runner.remove(owned)
+}
+
+// tryAccept makes one try. settled says that the job is durable; held is nil when another node owns it or it has ended.
+func (runner *Runner) tryAccept(owned *job) (held *batchlog.Hold, settled bool, err error) {
+	ctx, cancel := context.WithTimeout(owned.ctx, acceptCallLimit)
+	defer cancel()
+	held, err = runner.Log.Accept(ctx, owned.definition)
+	if err != nil {
+		return nil, false, err
+	}
+	if held != nil {
+		return held, true, nil
+	}
+	owner, _, err := runner.Log.Owner(ctx, owned.id())
+	switch {
+	case errors.Is(err, batchlog.ErrNotOwner):
+		return nil, true, nil
+	case err != nil:
+		return nil, false, err
+	case owner.GetNode() != runner.Node:
+		runner.rememberOwner(owned.id(), owner.GetNode())
+		return nil, true, nil
+	}
+	held, err = runner.Log.Claim(ctx, owned.id()) // an earlier try was done although its answer was lost
+	return held, err == nil, err
+}
+
+// settleAccept lets the job run here if this node owns it.
+func (runner *Runner) settleAccept(owned *job, held *batchlog.Hold, started time.Time, tries int) {
+	owned.mu.Lock()
+	owned.held = held
+	owned.elsewhere = held == nil
+	owned.mu.Unlock()
+	close(owned.accepted)
+	runner.Logger.Info("job accepted", "job", owned.id(), "step", owned.definition.GetStep(), "model", owned.definition.GetModel(),
+		"minimum", owned.definition.GetMinimumVersion(), "items", len(owned.definition.GetItems()), "here", held != nil, "tries", tries,
+		"took_ms", time.Since(started).Milliseconds())
+	if held == nil {
+		runner.remove(owned)
+		return
+	}
+	go runner.flushLoop(owned)
+	runner.begin(owned)
+	owned.wakeFlush()
+}
+
+func (owned *job) wakeFlush() {
+	select {
+	case owned.flush <- struct{}{}:
+	default:
+	}
+}
+
+// begin puts the items of a job in line, once.
+func (runner *Runner) begin(owned *job) {
+	owned.mu.Lock()
+	if owned.begun || owned.ending || owned.ctx.Err() != nil {
+		owned.mu.Unlock()
+		return
+	}
+	owned.begun = true
+	var tasks []*task
+	var whole []*task
+	for _, item := range owned.definition.GetItems() {
+		if owned.progress.Finished(item.GetId()) {
+			continue
+		}
+		created := &task{job: owned, item: item}
+		owned.tasks[item.GetId()] = created
+		if kept := runner.kept.take(item.GetId()); kept != nil && created.useKept(kept) {
+			whole = append(whole, created)
+			continue
+		}
+		tasks = append(tasks, created)
+	}
+	owned.markReturned()
+	owned.mu.Unlock()
+	runner.scheduler.add(tasks...)
+	for _, done := range whole {
+		owned.runs.Add(1)
+		go func() {
+			defer owned.runs.Done()
+			runner.score(done)
+		}()
+	}
+}
+
+// markReturned ranks all items of a group first when one of them was brought back. It must be called with mu held.
+func (owned *job) markReturned() {
+	returned := make(map[string]bool)
+	for _, created := range owned.tasks {
+		if created.returned {
+			returned[created.item.GetGroup()] = true
+		}
+	}
+	for _, created := range owned.tasks {
+		created.returned = returned[created.item.GetGroup()]
+	}
+}
--- /dev/null
+++ b/internal/batchrun/takeover.go
@@ -0,0 +1,192 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+)
+
+const (
+	takeOverLimit = 8 * time.Second
+	sweepInterval = 4 * time.Second
+	handOverLimit = 1200 * time.Millisecond
+)
+
+// TakeOverNode takes up every job that a silent node owns.
+func (runner *Runner) TakeOverNode(ctx context.Context, node string) error {
+	ids, err := runner.Log.Owned(ctx, node, false)
+	if err != nil {
+		return err
+	}
+	for _, id := range ids {
+		go func() {
+			err := runner.takeOver(id, nil)
+			runner.Logger.Warn("job taken over", "job", id, "from", node, "error", err)
+		}()
+	}
+	return nil
+}
+
+// takeOver makes this node the owner of a job and runs what is left of it.
+func (runner *Runner) takeOver(id string, partials []*batchv1.Partial) error {
+	if runner.find(id) != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(runner.ctx, takeOverLimit)
+	defer cancel()
+	held, err := runner.Log.Claim(ctx, id)
+	if errors.Is(err, batchlog.ErrNotOwner) {
+		return nil // it ended meanwhile
+	}
+	if err != nil {
+		return err
+	}
+	record, err := runner.Log.Resume(ctx, held)
+	if err != nil {
+		return err
+	}
+	for _, partial := range partials {
+		runner.kept.put(partial.GetItemId(), &keptText{
+			text: partial.GetText(), lastEvent: partial.GetLastEvent(), versions: partial.GetVersions(), at: time.Now(),
+		})
+	}
+	runner.resume(held, record)
+	return nil
+}
+
+// resume runs a job that this node has claimed.
+func (runner *Runner) resume(held *batchlog.Hold, record *batchlog.Record) {
+	objective := time.Duration(0)
+	if configuration := runner.Catalog.Configuration(); configuration != nil {
+		if route := configuration.FindRoute(record.Job.GetHost(), record.Job.GetPath()); route != nil {
+			objective = route.JobObjective
+		}
+	}
+	owned := newJob(runner.ctx, record.Job, objective)
+	owned.due = owned.due.Add(-min(objective, max(0, time.Since(time.UnixMilli(record.Job.GetSubmittedUnixMs())))))
+	owned.held = held
+	owned.listed = record.Results
+	for _, result := range record.Results {
+		owned.progress.Finish(result.GetItemId())
+	}
+	close(owned.accepted)
+	runner.mu.Lock()
+	if runner.jobs[owned.id()] != nil {
+		runner.mu.Unlock()
+		owned.cancel()
+		return
+	}
+	runner.jobs[owned.id()] = owned
+	delete(runner.owners, owned.id())
+	runner.mu.Unlock()
+	go runner.flushLoop(owned)
+	runner.begin(owned)
+}
+
+// sweep takes up jobs that are this node's by the log but do not run here: those of an earlier process, and those whose
+// acceptance was done although its answer was lost.
+func (runner *Runner) sweep(ctx context.Context) {
+	stale := false
+	for ctx.Err() == nil {
+		ids, err := runner.Log.Owned(ctx, runner.Node, stale)
+		if err != nil {
+			pause(ctx, acceptPause*4)
+			continue
+		}
+		for _, id := range ids {
+			if !runner.isStopping() && runner.find(id) == nil && !runner.ended.has(id) {
+				err := runner.takeOver(id, nil)
+				runner.Logger.Info("job taken up", "job", id, "error", err)
+			}
+		}
+		stale = true
+		pause(ctx, sweepInterval)
+	}
+}
+
+func (runner *Runner) isStopping() bool {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	return runner.stopping
+}
+
+// Recheck drops the jobs that this node does not own any more. It is called when others may have held the node for dead.
+func (runner *Runner) Recheck(ctx context.Context) {
+	for _, owned := range runner.open() {
+		if !owned.isAccepted() {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, storeReads)
+		still, err := runner.Log.StillOwner(callCtx, owned.held)
+		cancel()
+		if err == nil && !still {
+			runner.Logger.Warn("ownership lost", "job", owned.id(), "reason", "another owner")
+			runner.remove(owned)
+		}
+	}
+}
+
+func (runner *Runner) open() []*job {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	list := make([]*job, 0, len(runner.jobs))
+	for _, owned := range runner.jobs {
+		list = append(list, owned)
+	}
+	return list
+}
+
+// HandOver gives all jobs to other nodes, for a planned stop. Jobs that no node takes stay this node's in the log; others
+// take them over once this node is silent.
+func (runner *Runner) HandOver(ctx context.Context) {
+	runner.mu.Lock()
+	runner.stopping = true
+	runner.mu.Unlock()
+	for _, owned := range runner.open() {
+		if owned.isAccepted() {
+			runner.handOver(ctx, owned)
+		}
+	}
+}
+
+func (runner *Runner) handOver(ctx context.Context, owned *job) {
+	owned.cancel()
+	<-owned.flushed
+	runner.scheduler.drop(owned)
+	owned.runs.Wait()
+	request := &batchv1.TakeOverRequest{JobId: owned.id(), Partials: runner.partials(owned)}
+	for _, name := range runner.Peers.Nearest() {
+		client := runner.Peers.Client(name)
+		if client == nil {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, handOverLimit)
+		_, err := client.TakeOver(callCtx, request)
+		cancel()
+		runner.Logger.Info("job handed over", "job", owned.id(), "to", name, "partials", len(request.GetPartials()), "error", err)
+		if err == nil {
+			runner.rememberOwner(owned.id(), name)
+			break
+		}
+	}
+	runner.remove(owned)
+}
+
+// partials are the texts of a job's unfinished items, once nothing of the job runs here any more.
+func (runner *Runner) partials(owned *job) []*batchv1.Partial {
+	var list []*batchv1.Partial
+	for _, item := range owned.definition.GetItems() {
+		kept := runner.kept.take(item.GetId())
+		if kept == nil {
+			continue
+		}
+		list = append(list, &batchv1.Partial{
+			ItemId: item.GetId(), Text: kept.text, LastEvent: kept.lastEvent, Versions: kept.versions,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/cluster/monitor.go
@@ -0,0 +1,194 @@
+package cluster
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/proto"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+)
+
+// Intervals of failure detection.
+const (
+	HeartbeatInterval = 350 * time.Millisecond
+	// silenceLimit is how long a node is silent before it is asked directly.
+	silenceLimit = 1250 * time.Millisecond
+	// rankDelay is how much longer each further successor waits.
+	rankDelay = 900 * time.Millisecond
+	pingLimit = 300 * time.Millisecond
+	// isolationDelay is how much longer a node waits that hears of none of those it watches: it is likely cut off itself.
+	isolationDelay = 2 * time.Second
+	checkPeriod    = 200 * time.Millisecond
+	datagramSize   = 2048
+)
+
+// Monitor sends this node's heartbeats and watches those of its predecessors on the ring.
+type Monitor struct {
+	Registry *Registry
+	Conn     net.PacketConn
+	Logger   *log.Logger
+	// OnDead takes over what a dead node owned; an error has it tried again.
+	OnDead func(ctx context.Context, name string) error
+}
+
+// Run works until the context ends.
+func (monitor *Monitor) Run(ctx context.Context) {
+	go monitor.receive(ctx)
+	go monitor.send(ctx)
+	ticker := time.NewTicker(checkPeriod)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if now.Sub(last) > silenceLimit/2 {
+				monitor.Registry.forgiveSilence(now) // this process itself stood still
+			} else {
+				monitor.check(ctx, now)
+			}
+			last = time.Now()
+		}
+	}
+}
+
+func (monitor *Monitor) send(ctx context.Context) {
+	payload, err := proto.Marshal(&batchv1.Heartbeat{Name: monitor.Registry.self.GetName(), Life: monitor.Registry.self.GetLife()})
+	if err != nil {
+		return
+	}
+	ticker := time.NewTicker(HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		for _, address := range monitor.Registry.monitors() {
+			_, _ = monitor.Conn.WriteTo(payload, address) // a lost heartbeat is made up for by the next
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (monitor *Monitor) receive(ctx context.Context) {
+	buffer := make([]byte, datagramSize)
+	heartbeat := &batchv1.Heartbeat{}
+	for ctx.Err() == nil {
+		size, _, err := monitor.Conn.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		if proto.Unmarshal(buffer[:size], heartbeat) == nil {
+			monitor.Registry.hear(heartbeat.GetName(), time.Now())
+		}
+	}
+}
+
+// check asks silent nodes directly, and has the dead ones taken over.
+func (monitor *Monitor) check(ctx context.Context, now time.Time) {
+	for _, silent := range monitor.Registry.silent(now) {
+		if monitor.ping(ctx, silent) {
+			monitor.Registry.hear(silent, time.Now())
+			continue
+		}
+		monitor.Logger.Warn("node dead", "node", silent, "silent_ms", monitor.Registry.silence(silent, now).Milliseconds())
+		if err := monitor.OnDead(ctx, silent); err != nil {
+			monitor.Logger.Warn("take-over failed", "node", silent, "error", err)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, registerLimit)
+		monitor.Registry.remove(callCtx, silent)
+		cancel()
+		monitor.Registry.hear(silent, time.Now())
+	}
+}
+
+func (monitor *Monitor) ping(ctx context.Context, name string) bool {
+	client := monitor.Registry.Client(name)
+	if client == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, pingLimit)
+	defer cancel()
+	response, err := client.Ping(ctx, &batchv1.PingRequest{})
+	return err == nil && response.GetName() == name
+}
+
+// monitors returns the addresses of the nodes that watch this one.
+func (registry *Registry) monitors() []net.Addr {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	var list []net.Addr
+	for _, record := range registry.ring.Successors(registry.self.GetName(), monitorsOfNode) {
+		if address, err := net.ResolveUDPAddr("udp4", record.GetAddress()); err == nil {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+func (registry *Registry) hear(name string, now time.Time) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if registry.nodes[name] != nil {
+		registry.heard[name] = now
+	}
+}
+
+func (registry *Registry) silence(name string, now time.Time) time.Duration {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	return now.Sub(registry.heard[name])
+}
+
+// forgiveSilence counts all nodes as heard of just now.
+func (registry *Registry) forgiveSilence(now time.Time) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	for name := range registry.heard {
+		registry.heard[name] = now
+	}
+}
+
+// silent returns the nodes that this one watches and has not heard of for too long, by its rank among their successors.
+func (registry *Registry) silent(now time.Time) []string {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	var names []string
+	watched, limit := registry.watched(), silenceLimit
+	if len(watched) > 1 && registry.allSilent(watched, now) {
+		limit += isolationDelay
+	}
+	for name, rank := range watched {
+		if now.Sub(registry.heard[name]) >= limit+time.Duration(rank)*rankDelay {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// watched returns the nodes that this one watches, with its rank among their successors. It must be called with mu held.
+func (registry *Registry) watched() map[string]int {
+	list := make(map[string]int)
+	for name := range registry.nodes {
+		if rank := registry.ring.Rank(registry.self.GetName(), name); rank >= 0 {
+			list[name] = rank
+		}
+	}
+	return list
+}
+
+// allSilent must be called with mu held.
+func (registry *Registry) allSilent(watched map[string]int, now time.Time) bool {
+	for name := range watched {
+		if now.Sub(registry.heard[name]) < silenceLimit {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/cluster/registry.go
@@ -0,0 +1,188 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/proto"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+)
+
+// Prefix is where the registry lies in the metadata store.
+const Prefix = "cluster/nodes/"
+
+const (
+	registerLimit = time.Second
+	registerPause = 200 * time.Millisecond
+)
+
+// Registry is the set of registered nodes. It is safe for concurrent use, and a metadata.Handler.
+type Registry struct {
+	self   *batchv1.NodeRecord
+	store  metadata.Store
+	client *http.Client
+	logger *log.Logger
+	// OnExpelled is called when others have removed this node, because they held it for dead.
+	OnExpelled func()
+
+	mu      sync.Mutex
+	nodes   map[string]*batchv1.NodeRecord
+	clients map[string]peerClient
+	heard   map[string]time.Time
+	ring    *Ring
+	joined  bool // this process has registered itself
+	leaving bool
+}
+
+type peerClient struct {
+	address string
+	batches batchv1.Batches
+}
+
+// NewRegistry returns an empty registry of this node. The HTTP client reaches other nodes.
+func NewRegistry(self *batchv1.NodeRecord, store metadata.Store, client *http.Client, logger *log.Logger) *Registry {
+	return &Registry{
+		self: self, store: store, client: client, logger: logger, nodes: make(map[string]*batchv1.NodeRecord),
+		clients: make(map[string]peerClient), heard: make(map[string]time.Time), ring: NewRing(nil), OnExpelled: func() {},
+	}
+}
+
+// Register writes this node's record until the store has taken it.
+func (registry *Registry) Register(ctx context.Context) {
+	value, err := proto.Marshal(registry.self)
+	if err != nil {
+		registry.logger.Error("encode node record", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, registerLimit)
+		_, err := registry.store.Commit(callCtx, metadata.Txn{Puts: []metadata.Put{{Key: Prefix + registry.self.GetName(), Value: value}}})
+		cancel()
+		if err == nil {
+			registry.mu.Lock()
+			registry.joined = true
+			registry.mu.Unlock()
+			registry.logger.Info("node registered", "node", registry.self.GetName(), "address", registry.self.GetAddress(), "life", registry.self.GetLife())
+			return
+		}
+		timer := time.NewTimer(registerPause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+}
+
+// Leave removes this node's record, so that nobody takes its silence for a failure.
+func (registry *Registry) Leave(ctx context.Context) {
+	registry.mu.Lock()
+	registry.leaving = true
+	registry.mu.Unlock()
+	registry.remove(ctx, registry.self.GetName())
+}
+
+func (registry *Registry) remove(ctx context.Context, name string) {
+	_, err := registry.store.Commit(ctx, metadata.Txn{Deletes: []string{Prefix + name}})
+	if err != nil {
+		registry.logger.Warn("node record not removed", "node", name, "error", err)
+	}
+}
+
+// Reset implements metadata.Handler.
+func (registry *Registry) Reset(items []metadata.Item) {
+	registry.mu.Lock()
+	clear(registry.nodes)
+	for _, item := range items {
+		registry.put(item)
+	}
+	expelled := registry.rebuild()
+	registry.mu.Unlock()
+	registry.rejoin(expelled)
+}
+
+// Apply implements metadata.Handler.
+func (registry *Registry) Apply(events []metadata.Event) {
+	registry.mu.Lock()
+	for _, event := range events {
+		if event.Deleted {
+			delete(registry.nodes, event.Key[len(Prefix):])
+			continue
+		}
+		registry.put(event.Item)
+	}
+	expelled := registry.rebuild()
+	registry.mu.Unlock()
+	registry.rejoin(expelled)
+}
+
+// put must be called with mu held.
+func (registry *Registry) put(item metadata.Item) {
+	record := &batchv1.NodeRecord{}
+	if err := proto.Unmarshal(item.Value, record); err != nil || record.GetName() == "" {
+		registry.logger.Error("node record not readable", "key", item.Key, "error", err)
+		return
+	}
+	known := registry.nodes[record.GetName()]
+	if known == nil || known.GetLife() != record.GetLife() {
+		registry.heard[record.GetName()] = time.Now()
+	}
+	registry.nodes[record.GetName()] = record
+}
+
+// rebuild must be called with mu held. It reports whether this node's own record is gone.
+func (registry *Registry) rebuild() (expelled bool) {
+	records := make([]*batchv1.NodeRecord, 0, len(registry.nodes))
+	for _, record := range registry.nodes {
+		records = append(records, record)
+	}
+	for name := range registry.heard {
+		if registry.nodes[name] == nil {
+			delete(registry.heard, name)
+		}
+	}
+	registry.ring = NewRing(records)
+	return registry.joined && !registry.leaving && registry.nodes[registry.self.GetName()] == nil
+}
+
+func (registry *Registry) rejoin(expelled bool) {
+	if !expelled {
+		return
+	}
+	registry.logger.Warn("node expelled", "node", registry.self.GetName())
+	registry.OnExpelled()
+	go registry.Register(context.Background())
+}
+
+// Client returns the client of a node; nil when it is not registered.
+func (registry *Registry) Client(name string) batchv1.Batches {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	record := registry.nodes[name]
+	if record == nil {
+		return nil
+	}
+	if known, ok := registry.clients[name]; ok && known.address == record.GetAddress() {
+		return known.batches
+	}
+	made := batchv1.NewBatchesProtobufClient("http://"+record.GetAddress(), registry.client)
+	registry.clients[name] = peerClient{address: record.GetAddress(), batches: made}
+	return made
+}
+
+// Nearest returns the names of the node's successors that were heard of lately or are not watched, the nearest first.
+func (registry *Registry) Nearest() []string {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	var names []string
+	for _, record := range registry.ring.Successors(registry.self.GetName(), monitorsOfNode) {
+		if record.GetRole() == registry.self.GetRole() {
+			names = append(names, record.GetName())
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/cluster/ring.go
@@ -0,0 +1,54 @@
+// Package cluster knows the nodes of the deployment: a registry in the metadata store, and heartbeats by which each node is
+// watched by its successors on a hash ring, so that the cost does not grow with the number of nodes.
+package cluster
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+)
+
+// monitorsOfNode is the number of successors that watch a node.
+const monitorsOfNode = 3
+
+// Ring orders nodes by the hash of their names.
+type Ring struct{ nodes []ringNode }
+
+type ringNode struct {
+	hash   uint64
+	record *batchv1.NodeRecord
+}
+
+// NewRing returns the ring of the nodes.
+func NewRing(records []*batchv1.NodeRecord) *Ring {
+	ring := &Ring{nodes: make([]ringNode, 0, len(records))}
+	for _, record := range records {
+		ring.nodes = append(ring.nodes, ringNode{xxhash.Sum64String(record.GetName()), record})
+	}
+	slices.SortFunc(ring.nodes, func(a, b ringNode) int { return cmp.Compare(a.hash, b.hash) })
+	return ring
+}
+
+// Successors returns up to count nodes that follow a name, the nearest first. The node of that name is left out.
+func (ring *Ring) Successors(name string, count int) []*batchv1.NodeRecord {
+	hash := xxhash.Sum64String(name)
+	start, _ := slices.BinarySearchFunc(ring.nodes, hash, func(node ringNode, hash uint64) int { return cmp.Compare(node.hash, hash) })
+	var list []*batchv1.NodeRecord
+	for offset := 0; offset < len(ring.nodes) && len(list) < count; offset++ {
+		record := ring.nodes[(start+offset)%len(ring.nodes)].record
+		if record.GetName() != name {
+			list = append(list, record)
+		}
+	}
+	return list
+}
+
+// Rank returns the place of a node among the successors of another, from 0; negative when it is not among them.
+func (ring *Ring) Rank(watcher, watched string) int {
+	return slices.IndexFunc(ring.Successors(watched, monitorsOfNode), func(record *batchv1.NodeRecord) bool {
+		return record.GetName() == watcher
+	})
+}
--- /dev/null
+++ b/internal/forwarding/forwarding.go
@@ -0,0 +1,304 @@
+// Package forwarding passes a caller's request on to a replica of its route's service: it keeps to the route's attempts and
+// time, repeats what may be repeated, and says of a failure whether the request can have run.
+package forwarding
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+)
+
+const (
+	// answerMargin is kept of the time that a request may be held, to answer it in time.
+	answerMargin = 40 * time.Millisecond
+	// leastAttempt is the time below which no attempt is begun.
+	leastAttempt = 10 * time.Millisecond
+	// hedgeShare is the share of the route's objective after which a second replica is asked, where a request may repeat.
+	hedgeShare = 0.55
+	hedgeLeast = 60 * time.Millisecond
+	// bufferLimit is the size up to which an answer is held whole before it goes to the caller.
+	bufferLimit = 1 << 20
+	// RetryAfter is when a caller that was refused may come back.
+	RetryAfter = 150 * time.Millisecond
+)
+
+// Call is one request of a caller.
+type Call struct {
+	Request backend.Request
+	// Deadline is the time that the caller waits; zero when it did not say.
+	Deadline time.Duration
+}
+
+// Result is the final answer of a call. Rest, if not nil, is the part of a long body that is still to come.
+type Result struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Length int64
+	Rest   io.ReadCloser
+	// Own says that the status is this node's, not a replica's.
+	Own    bool
+	Reason string
+	// RetryAfter is set on refusals of what has not run.
+	RetryAfter time.Duration
+	// Unfinished says that no answer can be given any more, only a broken connection.
+	Unfinished bool
+}
+
+// Forwarder passes requests on. It is safe for concurrent use.
+type Forwarder struct {
+	Catalog *catalog.Table
+	Loads   *backend.Loads
+	Sender  backend.Sender
+	Zone    string
+	Logger  *log.Logger
+}
+
+// PickPart draws a part of a route by weight.
+func PickPart(parts []catalog.Part) string {
+	total := 0
+	for _, part := range parts {
+		total += part.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	drawn := rand.IntN(total)
+	for _, part := range parts {
+		drawn -= part.Weight
+		if drawn < 0 {
+			return part.Service
+		}
+	}
+	return ""
+}
+
+// Forward runs a call and returns its final answer. The context ends when the caller leaves.
+func (forwarder *Forwarder) Forward(ctx context.Context, route *catalog.Route, call *Call) Result {
+	started := time.Now()
+	held := route.Timeout
+	if call.Deadline > 0 && (held <= 0 || call.Deadline < held) {
+		held = call.Deadline
+	}
+	run := &run{
+		forwarder: forwarder, route: route, call: call, started: started, end: started.Add(held - answerMargin),
+		service: PickPart(route.Parts), results: make(chan attemptResult, max(route.MaxAttempts, 1)),
+	}
+	attemptCtx, cancel := context.WithDeadline(ctx, run.end)
+	run.cancel = cancel
+	result := run.loop(attemptCtx)
+	if result.Rest == nil {
+		cancel()
+	}
+	forwarder.Logger.Info("forward", "request", call.Request.ID, "route", route.Name, "service", run.service,
+		"replica", run.last, "attempts", run.attempts, "held_ms", time.Since(started).Milliseconds(), "status", result.Status,
+		"own", result.Own, "reason", result.Reason)
+	return result
+}
+
+// run is one call in progress. All its fields belong to the goroutine of loop.
+type run struct {
+	forwarder *Forwarder
+	route     *catalog.Route
+	call      *Call
+	started   time.Time
+	end       time.Time
+	service   string
+	tried     []string
+	last      string
+	attempts  int
+	pending   int
+	// mayHaveRun says that an attempt ended without word of its outcome.
+	mayHaveRun bool
+	// failure is the answer of a replica that failed the request, kept in case no other does better.
+	failure *attemptResult
+	results chan attemptResult
+	cancel  context.CancelFunc
+}
+
+type attemptResult struct {
+	replica string
+	answer  *backend.Answer
+	body    []byte
+	rest    io.ReadCloser
+	err     error
+}
+
+func (run *run) loop(ctx context.Context) Result {
+	if !run.start(ctx) {
+		return run.refuse("no_replica")
+	}
+	for {
+		hedge, stop := run.hedgeTimer()
+		select {
+		case result := <-run.results:
+			stop()
+			run.pending--
+			if final, done := run.settle(ctx, result); done {
+				return final
+			}
+		case <-hedge:
+			run.start(ctx)
+		case <-ctx.Done():
+			stop()
+			return run.timedOut()
+		}
+	}
+}
+
+// hedgeTimer fires when another replica is to be asked beside the one that is slow.
+func (run *run) hedgeTimer() (<-chan time.Time, func()) {
+	if run.route.Kind != catalog.Safe || run.pending != 1 || run.attempts >= run.route.MaxAttempts {
+		return nil, func() {}
+	}
+	wait := max(hedgeLeast, time.Duration(hedgeShare*float64(run.route.Objective)))
+	timer := time.NewTimer(wait)
+	return timer.C, func() { timer.Stop() }
+}
+
+// start sends the request to a replica that has not had it, and reports whether there was one.
+func (run *run) start(ctx context.Context) bool {
+	left := time.Until(run.end)
+	if run.attempts >= max(run.route.MaxAttempts, 1) || left < leastAttempt {
+		return false
+	}
+	now := time.Now()
+	choice := backend.Choice{Loads: run.forwarder.Loads, Zone: run.forwarder.Zone}
+	replica := choice.Pick(run.forwarder.Catalog.Replicas().Service(run.service), run.tried, now)
+	if replica == nil {
+		return false
+	}
+	run.tried = append(run.tried, replica.ID)
+	run.last = replica.ID
+	run.attempts++
+	run.pending++
+	request := run.call.Request
+	request.Deadline = left
+	request.Priority = -1
+	go run.attempt(ctx, replica, &request)
+	return true
+}
+
+// attempt sends the request once and reads the answer, or its beginning when it is long.
+func (run *run) attempt(ctx context.Context, replica *catalog.Replica, request *backend.Request) {
+	loads := run.forwarder.Loads
+	loads.Begin(replica.ID)
+	result := attemptResult{replica: replica.ID}
+	result.answer, result.err = run.forwarder.Sender.Send(ctx, replica, request)
+	if result.err == nil {
+		result.body, result.rest, result.err = readBody(result.answer, run.route.Kind == catalog.Stream)
+	}
+	outcome := backend.Served
+	switch {
+	case result.err != nil && ctx.Err() != nil:
+		outcome = backend.Unknown
+	case result.err != nil:
+		outcome = backend.Failed
+	}
+	loads.End(replica.ID, outcome, time.Now())
+	run.results <- result
+}
+
+// readBody reads an answer up to the buffer limit; what is longer, or a stream, is left to be read on.
+func readBody(answer *backend.Answer, stream bool) ([]byte, io.ReadCloser, error) {
+	if stream && answer.Status < http.StatusMultipleChoices {
+		return nil, answer.Body, nil
+	}
+	var buffer bytes.Buffer
+	if answer.Length > 0 && answer.Length <= bufferLimit {
+		buffer.Grow(int(answer.Length) + bytes.MinRead)
+	}
+	_, err := io.Copy(&buffer, io.LimitReader(answer.Body, bufferLimit))
+	if err != nil {
+		answer.Body.Close()
+		return nil, nil, errors.Mark(err, backend.ErrBroken)
+	}
+	if buffer.Len() == bufferLimit {
+		return buffer.Bytes(), answer.Body, nil
+	}
+	answer.Body.Close()
+	return buffer.Bytes(), nil, nil
+}
+
+// settle decides what the end of an attempt means for the call.
+func (run *run) settle(ctx context.Context, result attemptResult) (Result, bool) {
+	switch {
+	case result.err == nil && result.answer.NotExecuted:
+		closeRest(result)
+	case result.err == nil && (result.answer.Status < http.StatusInternalServerError || !run.route.Idempotent()):
+		return run.deliver(result), true
+	case result.err == nil:
+		run.keepFailure(result)
+	case errors.Is(result.err, backend.ErrNotSent):
+	default:
+		run.mayHaveRun = true
+	}
+	if ctx.Err() != nil {
+		return run.timedOut(), true
+	}
+	if run.pending > 0 {
+		return Result{}, false
+	}
+	if (run.route.Idempotent() || !run.mayHaveRun) && run.start(ctx) {
+		return Result{}, false
+	}
+	return run.giveUp(), true
+}
+
+// keepFailure keeps the first failure that a replica answered, in case no other replica does better.
+func (run *run) keepFailure(result attemptResult) {
+	run.mayHaveRun = true
+	if run.failure != nil {
+		closeRest(result)
+		return
+	}
+	run.failure = &result
+}
+
+func closeRest(result attemptResult) {
+	if result.rest != nil {
+		result.rest.Close()
+	}
+}
+
+// giveUp returns the answer when no replica is left to ask.
+func (run *run) giveUp() Result {
+	if run.failure != nil {
+		return run.deliver(*run.failure)
+	}
+	if run.mayHaveRun {
+		return Result{Status: http.StatusBadGateway, Own: true, Reason: "outcome_unknown"}
+	}
+	return run.refuse("not_executed")
+}
+
+// deliver turns a replica's answer into the caller's.
+func (run *run) deliver(result attemptResult) Result {
+	length := int64(len(result.body))
+	if result.rest != nil {
+		length = result.answer.Length
+	}
+	return Result{Status: result.answer.Status, Header: result.answer.Header, Body: result.body, Length: length, Rest: result.rest, Reason: "replica"}
+}
+
+// refuse says that the request has not run and when to come back.
+func (run *run) refuse(reason string) Result {
+	return Result{Status: http.StatusServiceUnavailable, Own: true, Reason: reason, RetryAfter: RetryAfter}
+}
+
+// timedOut returns the answer when the time is over or the caller has left.
+func (run *run) timedOut() Result {
+	if run.failure != nil {
+		return run.deliver(*run.failure)
+	}
+	return Result{Status: http.StatusGatewayTimeout, Own: true, Reason: "deadline"}
+}
--- /dev/null
+++ b/internal/logging/queue.go
@@ -0,0 +1,69 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// Queue is a writer that never blocks: lines wait in a bounded queue, and those that find it full are dropped and counted.
+type Queue struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	closed  chan struct{}
+}
+
+// queueLines bounds the lines that wait to be written.
+const queueLines = 2048
+
+// NewQueue returns a queue in front of a writer that may stall.
+func NewQueue(output io.Writer) *Queue {
+	queue := &Queue{lines: make(chan []byte, queueLines), done: make(chan struct{}), closed: make(chan struct{})}
+	go queue.drain(output)
+	return queue
+}
+
+// Write implements io.Writer. It never fails.
+func (queue *Queue) Write(line []byte) (int, error) {
+	copied := append([]byte(nil), line...)
+	select {
+	case queue.lines <- copied:
+	default:
+		queue.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (queue *Queue) Dropped() int64 { return queue.dropped.Load() }
+
+// Close writes what waits, for at most the time given.
+func (queue *Queue) Close(limit time.Duration) {
+	close(queue.done)
+	select {
+	case <-queue.closed:
+	case <-time.After(limit):
+	}
+}
+
+func (queue *Queue) drain(output io.Writer) {
+	defer close(queue.closed)
+	reported := int64(0)
+	for {
+		select {
+		case line := <-queue.lines:
+			_, _ = output.Write(line) // there is nowhere to say that logging fails
+		case <-queue.done:
+			if len(queue.lines) == 0 {
+				return
+			}
+			continue
+		}
+		if dropped := queue.dropped.Load(); dropped > reported && len(queue.lines) == 0 {
+			reported = dropped
+			_, _ = fmt.Fprintf(output, "level=warn msg=\"log lines dropped\" total=%d\n", dropped)
+		}
+	}
+}
--- /dev/null
+++ b/internal/metadata/follow.go
@@ -0,0 +1,98 @@
+package metadata
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	watchWait      = 15 * time.Second
+	followRetryMin = 60 * time.Millisecond
+	followRetryMax = 400 * time.Millisecond
+)
+
+// Handler takes what a Follower reads. Both methods are called from one goroutine.
+type Handler interface {
+	// Reset replaces all that is known of the prefix.
+	Reset(items []Item)
+	// Apply takes changes in their order.
+	Apply(events []Event)
+}
+
+// Follower keeps a Handler up to date with the keys under a prefix: it reads them once and watches from there, and reads
+// them again when the history is gone.
+type Follower struct {
+	Store   Store
+	Prefix  string
+	Handler Handler
+	Logger  *log.Logger
+	// Pace is the least time between two watches, so that changes in quick succession share a call.
+	Pace time.Duration
+}
+
+// Run follows until the context ends.
+func (follower *Follower) Run(ctx context.Context) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = followRetryMin, followRetryMax
+	revision, known, lost := Revision(0), false, false
+	for ctx.Err() == nil {
+		next, err := follower.step(ctx, revision, known)
+		switch {
+		case err == nil:
+			if lost || !known {
+				follower.Logger.Info("metadata regained", "prefix", follower.Prefix, "revision", int64(next))
+			}
+			revision, known, lost = next, true, false
+			retry.Reset()
+			continue
+		case errors.Is(err, ErrCompacted):
+			follower.Logger.Warn("metadata history gone", "prefix", follower.Prefix, "revision", int64(revision))
+			known = false
+			continue
+		case ctx.Err() != nil:
+			return
+		}
+		if !lost {
+			follower.Logger.Warn("metadata lost", "prefix", follower.Prefix, "revision", int64(revision), "error", err)
+		}
+		lost = true
+		sleep(ctx, retry.NextBackOff())
+	}
+}
+
+// step reads or watches once and returns the revision to go on from.
+func (follower *Follower) step(ctx context.Context, revision Revision, known bool) (Revision, error) {
+	if !known {
+		listing, err := follower.Store.List(ctx, follower.Prefix)
+		if err != nil {
+			return 0, err
+		}
+		follower.Handler.Reset(listing.Items)
+		return listing.Revision, nil
+	}
+	changes, err := follower.Store.Watch(ctx, follower.Prefix, revision, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	if len(changes.Events) > 0 {
+		follower.Handler.Apply(changes.Events)
+		sleep(ctx, follower.Pace)
+	}
+	return max(changes.Revision, revision), nil
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/role/front.go
@@ -0,0 +1,149 @@
+// Package role puts the parts of a node together, a file for each role. It knows no wire format: adapters are handed in.
+package role
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+	"github.com/thistlewalk/thistlewalk/internal/batchrun"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/cluster"
+	"github.com/thistlewalk/thistlewalk/internal/forwarding"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+)
+
+// FrontOptions are what a front is made of.
+type FrontOptions struct {
+	Node, Zone, Role string
+	Life             int64
+	// PeerAddress is where other nodes reach this one, by TCP and UDP.
+	PeerAddress string
+	Store       metadata.Store
+	Sender      backend.Sender
+	Decoder     batchrun.Decoder
+	PeerClient  *http.Client
+	Logger      *log.Logger
+	// ConfigurationPrefix and ReplicaPrefix are the keys that the handlers follow; the handlers fill the catalog.
+	ConfigurationPrefix, ReplicaPrefix string
+	Catalog                            *catalog.Table
+	ConfigurationHandler               metadata.Handler
+	ReplicaHandler                     metadata.Handler
+}
+
+// Front serves callers and runs batch jobs.
+type Front struct {
+	FrontOptions
+	Forwarder *forwarding.Forwarder
+	Runner    *batchrun.Runner
+	Registry  *cluster.Registry
+	ctx       context.Context
+	cancel    context.CancelFunc
+	stopping  atomic.Bool
+	calls     atomic.Int64
+}
+
+// Times of a front.
+const (
+	replicaPace  = 400 * time.Millisecond
+	flushSpacing = 250 * time.Millisecond
+	flushLongest = 800 * time.Millisecond
+)
+
+// NewFront returns a front that does not work yet.
+func NewFront(options FrontOptions) *Front {
+	ctx, cancel := context.WithCancel(context.Background())
+	loads := backend.NewLoads()
+	self := &batchv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life}
+	front := &Front{FrontOptions: options, ctx: ctx, cancel: cancel}
+	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
+	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone: options.Zone, Logger: options.Logger}
+	front.Runner = batchrun.New(batchrun.Options{
+		Node: options.Node, Life: options.Life, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
+		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Node: options.Node}, Peers: front.Registry, Logger: options.Logger,
+		Flush: batch.FlushPolicy{Spacing: flushSpacing, Longest: flushLongest},
+	})
+	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
+	return front
+}
+
+// Start begins to follow the deployment, to watch other nodes and to run jobs.
+func (front *Front) Start() error {
+	packets, err := net.ListenPacket("udp4", front.PeerAddress)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", front.PeerAddress)
+	if err != nil {
+		return err
+	}
+	go func() { _ = http.Serve(listener, batchv1.NewBatchesServer(batchrun.Service{Runner: front.Runner})) }() // ends with the process
+	front.follow(front.ConfigurationPrefix, front.ConfigurationHandler, 0)
+	front.follow(front.ReplicaPrefix, front.ReplicaHandler, replicaPace)
+	front.follow(cluster.Prefix, front.Registry, 0)
+	go front.Registry.Register(front.ctx)
+	monitor := &cluster.Monitor{Registry: front.Registry, Conn: packets, Logger: front.Logger, OnDead: front.Runner.TakeOverNode}
+	go monitor.Run(front.ctx)
+	front.Runner.Start()
+	return nil
+}
+
+func (front *Front) follow(prefix string, handler metadata.Handler, pace time.Duration) {
+	follower := &metadata.Follower{Store: front.Store, Prefix: prefix, Handler: handler, Logger: front.Logger, Pace: pace}
+	go follower.Run(front.ctx)
+}
+
+// Ready reports whether callers may be sent here.
+func (front *Front) Ready() bool {
+	return !front.stopping.Load() && front.Catalog.Configuration() != nil && len(front.Catalog.Replicas().All) > 0
+}
+
+// Stopping reports whether a planned stop has begun.
+func (front *Front) Stopping() bool { return front.stopping.Load() }
+
+// Counted counts the calls in progress of a handler.
+func (front *Front) Counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		front.calls.Add(1)
+		defer front.calls.Add(-1)
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+const (
+	// quietTime is how long no call may have been in progress before a stopping front ends.
+	quietTime  = 600 * time.Millisecond
+	stopPoll   = 50 * time.Millisecond
+	stopMargin = 2 * time.Second
+	// stopLeast leaves callers time to notice that the front is not ready.
+	stopLeast = 2200 * time.Millisecond
+)
+
+// Stop ends the front as planned: it is not ready at once, hands its jobs over, serves until its callers are gone, and
+// returns well inside the grace.
+func (front *Front) Stop(grace time.Duration) {
+	started := time.Now()
+	front.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
+	defer cancel()
+	front.Runner.HandOver(ctx)
+	quiet := time.Now()
+	for ctx.Err() == nil && (time.Since(quiet) < quietTime || time.Since(started) < stopLeast) {
+		if front.calls.Load() > 0 {
+			quiet = time.Now()
+		}
+		time.Sleep(stopPoll)
+	}
+	front.Registry.Leave(ctx)
+	front.Logger.Info("stopped", "took_ms", time.Since(started).Milliseconds(), "calls_left", front.calls.Load())
+	front.Runner.Close()
+	front.cancel()
+}
--- /dev/null
+++ b/internal/weights/election.go
@@ -0,0 +1,252 @@
+package weights
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+)
+
+// Keys of the election: who holds the lease, and who held it last.
+const (
+	electionPrefix = "cluster/orderer"
+	holderKey      = "cluster/orderer/holder"
+	lastKey        = "cluster/orderer/last"
+)
+
+// ElectionSettings are the times of an election.
+type ElectionSettings struct {
+	// Lease is the life of the holder's lease, Renew how often it is renewed.
+	Lease time.Duration
+	Renew time.Duration
+	// HandoverWait is how long a new holder waits before its first order, after another held the lease.
+	HandoverWait time.Duration
+}
+
+// Election makes at most one node the holder of a lease in the metadata store.
+type Election struct {
+	Store    metadata.Store
+	Node     string
+	Settings ElectionSettings
+	Logger   *log.Logger
+
+	mu     sync.Mutex
+	holder string
+	last   string
+	known  bool
+	wake   chan struct{}
+}
+
+// NewElection returns an election that this node takes part in once Run is called.
+func NewElection(store metadata.Store, node string, settings ElectionSettings, logger *log.Logger) *Election {
+	return &Election{Store: store, Node: node, Settings: settings, Logger: logger, wake: make(chan struct{}, 1)}
+}
+
+// Term is a time during which this node holds the lease.
+type Term struct {
+	// Fence grows from term to term and is never shared.
+	Fence int64
+	lease metadata.LeaseID
+	life  time.Duration
+
+	mu    sync.Mutex
+	until time.Time // by the steady clock, counted from before the renewal was sent
+	from  time.Time // no order before
+}
+
+// Valid reports whether the lease is in force, and will be for the margin.
+func (term *Term) Valid(margin time.Duration) bool {
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	now := time.Now()
+	return now.After(term.from) && now.Add(margin).Before(term.until)
+}
+
+func (term *Term) extend(sent time.Time) {
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	term.until = sent.Add(term.life)
+}
+
+func (term *Term) over() bool {
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	return time.Now().After(term.until)
+}
+
+// Reset implements metadata.Handler.
+func (election *Election) Reset(items []metadata.Item) {
+	election.mu.Lock()
+	election.holder, election.last, election.known = "", "", true
+	for _, item := range items {
+		election.put(item.Key, string(item.Value))
+	}
+	election.mu.Unlock()
+	election.nudge()
+}
+
+// Apply implements metadata.Handler.
+func (election *Election) Apply(events []metadata.Event) {
+	election.mu.Lock()
+	for _, event := range events {
+		election.put(event.Key, string(event.Value))
+	}
+	election.mu.Unlock()
+	election.nudge()
+}
+
+// put must be called with mu held; a deleted key has no value.
+func (election *Election) put(key, value string) {
+	switch key {
+	case holderKey:
+		election.holder = value
+	case lastKey:
+		election.last = value
+	}
+}
+
+func (election *Election) nudge() {
+	select {
+	case election.wake <- struct{}{}:
+	default:
+	}
+}
+
+const (
+	candidateDelay  = 350 * time.Millisecond
+	electionPoll    = time.Second
+	electionCall    = 600 * time.Millisecond
+	electionBackoff = 250 * time.Millisecond
+)
+
+// Run takes part until the context ends, and calls lead for each term; the context of lead ends with the term.
+func (election *Election) Run(ctx context.Context, lead func(context.Context, *Term)) {
+	follower := metadata.Follower{Store: election.Store, Prefix: electionPrefix, Handler: election, Logger: election.Logger}
+	go follower.Run(ctx)
+	for ctx.Err() == nil {
+		if !election.awaitVacancy(ctx) {
+			continue
+		}
+		term, err := election.acquire(ctx)
+		if err != nil || term == nil {
+			pause(ctx, electionBackoff)
+			continue
+		}
+		election.hold(ctx, term, lead)
+	}
+}
+
+// awaitVacancy waits until nobody holds the lease, and then for this node's turn; it reports whether that came.
+func (election *Election) awaitVacancy(ctx context.Context) bool {
+	vacant, own := election.vacant()
+	if !vacant {
+		timer := time.NewTimer(electionPoll)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-election.wake:
+		case <-timer.C:
+		}
+		return false
+	}
+	if !own {
+		pause(ctx, time.Duration(rand.Int64N(int64(candidateDelay))))
+	}
+	vacant, _ = election.vacant()
+	return vacant && ctx.Err() == nil
+}
+
+func (election *Election) vacant() (vacant, own bool) {
+	election.mu.Lock()
+	defer election.mu.Unlock()
+	return election.known && election.holder == "", election.last == election.Node
+}
+
+// acquire tries to take the lease; term is nil when another node has it.
+func (election *Election) acquire(ctx context.Context) (*Term, error) {
+	ctx, cancel := context.WithTimeout(ctx, electionCall)
+	defer cancel()
+	election.mu.Lock()
+	last := election.last
+	election.mu.Unlock()
+	sent := time.Now()
+	lease, err := election.Store.GrantLease(ctx, election.Settings.Lease)
+	if err != nil {
+		return nil, err
+	}
+	holder := election.Node + " " + uuid.NewString()
+	revision, err := election.Store.Commit(ctx, metadata.Txn{
+		Conditions: []metadata.Condition{{Key: holderKey}},
+		Puts:       []metadata.Put{{Key: holderKey, Value: []byte(holder), Lease: lease}, {Key: lastKey, Value: []byte(election.Node)}},
+	})
+	var conflict *metadata.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		if current, found := conflict.Find(holderKey); found {
+			election.note(string(current.Value))
+		}
+		return nil, nil
+	case err != nil:
+		return nil, err // if it was done all the same, the lease runs out
+	}
+	term := &Term{Fence: int64(revision), lease: lease, life: election.Settings.Lease, from: sent}
+	if last != "" && last != election.Node {
+		term.from = time.Now().Add(election.Settings.HandoverWait)
+	}
+	term.extend(sent)
+	election.Logger.Info("orderer lease acquired", "fence", term.Fence, "last", last, "orders_from_ms", time.Until(term.from).Milliseconds())
+	return term, nil
+}
+
+func (election *Election) note(holder string) {
+	election.mu.Lock()
+	defer election.mu.Unlock()
+	election.holder = holder
+}
+
+// hold renews the lease for as long as it can.
+func (election *Election) hold(ctx context.Context, term *Term, lead func(context.Context, *Term)) {
+	termCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lead(termCtx, term)
+	}()
+	for ctx.Err() == nil && !term.over() {
+		pause(ctx, election.Settings.Renew)
+		sent := time.Now()
+		callCtx, stop := context.WithTimeout(ctx, electionCall)
+		err := election.Store.RenewLease(callCtx, term.lease)
+		stop()
+		if errors.Is(err, metadata.ErrLeaseGone) {
+			break
+		}
+		if err == nil {
+			term.extend(sent)
+		}
+	}
+	cancel()
+	<-done
+	election.Logger.Warn("orderer lease over", "fence", term.Fence, "stopping", ctx.Err() != nil)
+	if ctx.Err() != nil {
+		revokeCtx, stop := context.WithTimeout(context.Background(), electionCall)
+		defer stop()
+		_ = election.Store.RevokeLease(revokeCtx, term.lease) // it runs out by itself otherwise
+	}
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
