Spread replicas and versions by one publisher, with beacons that make others read the store themselves

Change: the holder of the orderer's lease reads with watches of 1.5 s, pushes the replicas and sends a beacon each 400 ms; a front that hears none for 1.1 s, or is behind one for 350 ms, reads the store itself. Owners of jobs are announced by datagram. Other candidates read only the election.

--- a/cmd/thistlewalk-rollout/orderer.go
+++ b/cmd/thistlewalk-rollout/orderer.go
@@ -21,7 +21,7 @@
 	table := catalog.NewTable()
 	store := platform.NewStore(settings.API.Address, dialer())
 	orderer := role.NewOrderer(role.OrdererOptions{
-		Node: settings.Node, Store: store, Replicas: platform.NewReplicas(dialer()), Retire: store, Logger: process.logger, Catalog: table,
+		Node: settings.Node, Role: settings.Role, Life: process.life, PeerAddress: settings.PeerAddress(0), PeerClient: peerClient(), Store: store, Replicas: platform.NewReplicas(dialer()), Retire: store, Logger: process.logger, Catalog: table,
 		OperatorPrefix: platform.PrefixOperator, ReplicaPrefix: platform.PrefixReplicas,
 		ReplicaHandler: &platform.ReplicaHandler{Logger: process.logger, Catalog: table},
 		Election: weights.ElectionSettings{
@@ -31,7 +31,9 @@
 	operator := process.operator(table)
 	operator.OnVersion = orderer.Weights.SetTarget
 	operator.OnRetire = orderer.Retired
-	orderer.Start(operator)
+	if err := orderer.Start(operator); err != nil {
+		return err
+	}
 	process.awaitStop()
 	orderer.Stop()
 	return nil
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -127,7 +127,7 @@
 	if !runner.callPeer(ctx, owner.GetNode(), limit, call) {
 		return false, nil
 	}
-	runner.rememberOwner(id, owner.GetNode())
+	runner.RememberOwner(id, owner.GetNode())
 	return true, nil
 }
 
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -50,6 +50,8 @@
 	Client(node string) batchv1.Batches
 	// Nearest returns the names of live nodes that could run jobs for this one, best first.
 	Nearest() []string
+	// AnnounceOwner tells all nodes where a job runs; they may miss it.
+	AnnounceOwner(jobID string)
 }
 
 // Options of a Runner.
@@ -117,8 +119,8 @@
 	return runner.jobs[id]
 }
 
-// rememberOwner keeps a hint of where a job is owned.
-func (runner *Runner) rememberOwner(id, node string) {
+// RememberOwner keeps a hint of where a job is owned.
+func (runner *Runner) RememberOwner(id, node string) {
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
 	if len(runner.owners) >= ownerHints {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -87,8 +87,3 @@
 	}
 	return &batchv1.TakeOverResponse{}, nil
 }
-
-// Ping tells who answers.
-func (service Service) Ping(context.Context, *batchv1.PingRequest) (*batchv1.PingResponse, error) {
-	return &batchv1.PingResponse{Name: service.Runner.Node, Life: service.Runner.Life}, nil
-}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -64,7 +64,7 @@
 		_, err := client.Submit(callCtx, &batchv1.SubmitRequest{Job: definition})
 		cancel()
 		if err == nil {
-			runner.rememberOwner(definition.GetId(), name)
+			runner.RememberOwner(definition.GetId(), name)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -117,7 +117,7 @@
 	case err != nil:
 		return nil, false, err
 	case owner.GetNode() != runner.Node:
-		runner.rememberOwner(owned.id(), owner.GetNode())
+		runner.RememberOwner(owned.id(), owner.GetNode())
 		return nil, true, nil
 	}
 	held, err = runner.Log.Claim(ctx, owned.id()) // an earlier try was done although its answer was lost
@@ -139,6 +139,7 @@
 		return
 	}
 	go runner.flushLoop(owned)
+	runner.Peers.AnnounceOwner(owned.id())
 	runner.begin(owned)
 	owned.wakeFlush()
 }
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -84,6 +84,7 @@
 	delete(runner.owners, owned.id())
 	runner.mu.Unlock()
 	go runner.flushLoop(owned)
+	runner.Peers.AnnounceOwner(owned.id())
 	runner.begin(owned)
 }
 
@@ -169,7 +170,7 @@
 		cancel()
 		runner.Logger.Info("job handed over", "job", owned.id(), "to", name, "partials", len(request.GetPartials()), "error", err)
 		if err == nil {
-			runner.rememberOwner(owned.id(), name)
+			runner.RememberOwner(owned.id(), name)
 			break
 		}
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -136,11 +136,14 @@
 	return true
 }
 
-// SetReplicas replaces the replicas. Readings of replicas that stay are kept.
-func (table *Table) SetReplicas(list []Replica) {
+// SetReplicas replaces the replicas by those of a revision of the metadata store, unless newer ones are known.
+func (table *Table) SetReplicas(list []Replica, revision int64) {
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	table.replicas.Store(newReplicaSet(list, table.replicas.Load().Generation+1))
+	if revision < table.replicas.Load().Revision {
+		return
+	}
+	table.replicas.Store(newReplicaSet(list, revision))
 	table.announce()
 }
 
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -35,16 +35,16 @@
 
 // ReplicaSet is a snapshot of the registered replicas.
 type ReplicaSet struct {
-	// Generation grows with each snapshot.
-	Generation int64
-	All        []Replica
-	byService  map[string][]*Replica
-	byID       map[string]*Replica
+	// Revision is that of the metadata store at which the replicas were registered so.
+	Revision  int64
+	All       []Replica
+	byService map[string][]*Replica
+	byID      map[string]*Replica
 }
 
-func newReplicaSet(list []Replica, generation int64) *ReplicaSet {
+func newReplicaSet(list []Replica, revision int64) *ReplicaSet {
 	slices.SortFunc(list, func(a, b Replica) int { return strings.Compare(a.ID, b.ID) })
-	set := &ReplicaSet{Generation: generation, All: list, byService: make(map[string][]*Replica), byID: make(map[string]*Replica)}
+	set := &ReplicaSet{Revision: revision, All: list, byService: make(map[string][]*Replica), byID: make(map[string]*Replica)}
 	for index := range list {
 		replica := &list[index]
 		set.byService[replica.Service] = append(set.byService[replica.Service], replica)
--- a/internal/cluster/monitor.go
+++ b/internal/cluster/monitor.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"google.golang.org/protobuf/proto"
 
-	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 )
 
 // Intervals of failure detection.
@@ -22,21 +20,19 @@
 	// isolationDelay is how much longer a node waits that hears of none of those it watches: it is likely cut off itself.
 	isolationDelay = 2 * time.Second
 	checkPeriod    = 200 * time.Millisecond
-	datagramSize   = 2048
 )
 
 // Monitor sends this node's heartbeats and watches those of its predecessors on the ring.
 type Monitor struct {
-	Registry *Registry
-	Conn     net.PacketConn
-	Logger   *log.Logger
+	Registry  *Registry
+	Datagrams *Datagrams
+	Logger    *log.Logger
 	// OnDead takes over what a dead node owned; an error has it tried again.
 	OnDead func(ctx context.Context, name string) error
 }
 
 // Run works until the context ends.
 func (monitor *Monitor) Run(ctx context.Context) {
-	go monitor.receive(ctx)
 	go monitor.send(ctx)
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
@@ -57,16 +53,12 @@
 }
 
 func (monitor *Monitor) send(ctx context.Context) {
-	payload, err := proto.Marshal(&batchv1.Heartbeat{Name: monitor.Registry.self.GetName(), Life: monitor.Registry.self.GetLife()})
-	if err != nil {
-		return
-	}
+	self := monitor.Registry.self
+	heartbeat := &clusterv1.Datagram{Kind: &clusterv1.Datagram_Heartbeat{Heartbeat: &clusterv1.Heartbeat{Name: self.GetName(), Life: self.GetLife()}}}
 	ticker := time.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
 	for {
-		for _, address := range monitor.Registry.monitors() {
-			_, _ = monitor.Conn.WriteTo(payload, address) // a lost heartbeat is made up for by the next
-		}
+		monitor.Datagrams.Send(heartbeat, monitor.Registry.monitors())
 		select {
 		case <-ctx.Done():
 			return
@@ -75,18 +67,9 @@
 	}
 }
 
-func (monitor *Monitor) receive(ctx context.Context) {
-	buffer := make([]byte, datagramSize)
-	heartbeat := &batchv1.Heartbeat{}
-	for ctx.Err() == nil {
-		size, _, err := monitor.Conn.ReadFrom(buffer)
-		if err != nil {
-			return
-		}
-		if proto.Unmarshal(buffer[:size], heartbeat) == nil {
-			monitor.Registry.hear(heartbeat.GetName(), time.Now())
-		}
-	}
+// Heard takes a heartbeat.
+func (monitor *Monitor) Heard(heartbeat *clusterv1.Heartbeat) {
+	monitor.Registry.hear(heartbeat.GetName(), time.Now())
 }
 
 // check asks silent nodes directly, and has the dead ones taken over.
@@ -109,27 +92,21 @@
 }
 
 func (monitor *Monitor) ping(ctx context.Context, name string) bool {
-	client := monitor.Registry.Client(name)
+	client := monitor.Registry.NodeClient(name)
 	if client == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, pingLimit)
 	defer cancel()
-	response, err := client.Ping(ctx, &batchv1.PingRequest{})
+	response, err := client.Ping(ctx, &clusterv1.PingRequest{})
 	return err == nil && response.GetName() == name
 }
 
-// monitors returns the addresses of the nodes that watch this one.
-func (registry *Registry) monitors() []net.Addr {
+// monitors returns the nodes that watch this one.
+func (registry *Registry) monitors() []*clusterv1.NodeRecord {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
-	var list []net.Addr
-	for _, record := range registry.ring.Successors(registry.self.GetName(), monitorsOfNode) {
-		if address, err := net.ResolveUDPAddr("udp4", record.GetAddress()); err == nil {
-			list = append(list, address)
-		}
-	}
-	return list
+	return registry.ring.Successors(registry.self.GetName(), monitorsOfNode)
 }
 
 func (registry *Registry) hear(name string, now time.Time) {
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
 
@@ -23,15 +24,15 @@
 
 // Registry is the set of registered nodes. It is safe for concurrent use, and a metadata.Handler.
 type Registry struct {
-	self   *batchv1.NodeRecord
+	self   *clusterv1.NodeRecord
 	store  metadata.Store
-	client *http.Client
+	http   *http.Client
 	logger *log.Logger
 	// OnExpelled is called when others have removed this node, because they held it for dead.
 	OnExpelled func()
 
 	mu      sync.Mutex
-	nodes   map[string]*batchv1.NodeRecord
+	nodes   map[string]*clusterv1.NodeRecord
 	clients map[string]peerClient
 	heard   map[string]time.Time
 	ring    *Ring
@@ -42,12 +43,13 @@
 type peerClient struct {
 	address string
 	batches batchv1.Batches
+	nodes   clusterv1.Nodes
 }
 
 // NewRegistry returns an empty registry of this node. The HTTP client reaches other nodes.
-func NewRegistry(self *batchv1.NodeRecord, store metadata.Store, client *http.Client, logger *log.Logger) *Registry {
+func NewRegistry(self *clusterv1.NodeRecord, store metadata.Store, client *http.Client, logger *log.Logger) *Registry {
 	return &Registry{
-		self: self, store: store, client: client, logger: logger, nodes: make(map[string]*batchv1.NodeRecord),
+		self: self, store: store, http: client, logger: logger, nodes: make(map[string]*clusterv1.NodeRecord),
 		clients: make(map[string]peerClient), heard: make(map[string]time.Time), ring: NewRing(nil), OnExpelled: func() {},
 	}
 }
@@ -94,7 +96,7 @@
 }
 
 // Reset implements metadata.Handler.
-func (registry *Registry) Reset(items []metadata.Item) {
+func (registry *Registry) Reset(items []metadata.Item, _ metadata.Revision) {
 	registry.mu.Lock()
 	clear(registry.nodes)
 	for _, item := range items {
@@ -106,7 +108,7 @@
 }
 
 // Apply implements metadata.Handler.
-func (registry *Registry) Apply(events []metadata.Event) {
+func (registry *Registry) Apply(events []metadata.Event, _ metadata.Revision) {
 	registry.mu.Lock()
 	for _, event := range events {
 		if event.Deleted {
@@ -122,7 +124,7 @@
 
 // put must be called with mu held.
 func (registry *Registry) put(item metadata.Item) {
-	record := &batchv1.NodeRecord{}
+	record := &clusterv1.NodeRecord{}
 	if err := proto.Unmarshal(item.Value, record); err != nil || record.GetName() == "" {
 		registry.logger.Error("node record not readable", "key", item.Key, "error", err)
 		return
@@ -136,7 +138,7 @@
 
 // rebuild must be called with mu held. It reports whether this node's own record is gone.
 func (registry *Registry) rebuild() (expelled bool) {
-	records := make([]*batchv1.NodeRecord, 0, len(registry.nodes))
+	records := make([]*clusterv1.NodeRecord, 0, len(registry.nodes))
 	for _, record := range registry.nodes {
 		records = append(records, record)
 	}
@@ -158,20 +160,52 @@
 	go registry.Register(context.Background())
 }
 
-// Client returns the client of a node; nil when it is not registered.
+// Client returns the batch client of a node; nil when it is not registered.
 func (registry *Registry) Client(name string) batchv1.Batches {
+	if client, ok := registry.client(name); ok {
+		return client.batches
+	}
+	return nil
+}
+
+// NodeClient returns the client of a node; nil when it is not registered.
+func (registry *Registry) NodeClient(name string) clusterv1.Nodes {
+	if client, ok := registry.client(name); ok {
+		return client.nodes
+	}
+	return nil
+}
+
+func (registry *Registry) client(name string) (peerClient, bool) {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
 	record := registry.nodes[name]
 	if record == nil {
-		return nil
+		return peerClient{}, false
 	}
 	if known, ok := registry.clients[name]; ok && known.address == record.GetAddress() {
-		return known.batches
+		return known, true
+	}
+	base := "http://" + record.GetAddress()
+	made := peerClient{
+		address: record.GetAddress(), batches: batchv1.NewBatchesProtobufClient(base, registry.http),
+		nodes: clusterv1.NewNodesProtobufClient(base, registry.http),
+	}
+	registry.clients[name] = made
+	return made, true
+}
+
+// Others returns the records of all other nodes.
+func (registry *Registry) Others() []*clusterv1.NodeRecord {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	list := make([]*clusterv1.NodeRecord, 0, len(registry.nodes))
+	for name, record := range registry.nodes {
+		if name != registry.self.GetName() {
+			list = append(list, record)
+		}
 	}
-	made := batchv1.NewBatchesProtobufClient("http://"+record.GetAddress(), registry.client)
-	registry.clients[name] = peerClient{address: record.GetAddress(), batches: made}
-	return made
+	return list
 }
 
 // Nearest returns the names of the node's successors that were heard of lately or are not watched, the nearest first.
--- a/internal/cluster/ring.go
+++ b/internal/cluster/ring.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 )
 
 // monitorsOfNode is the number of successors that watch a node.
@@ -19,11 +19,11 @@
 
 type ringNode struct {
 	hash   uint64
-	record *batchv1.NodeRecord
+	record *clusterv1.NodeRecord
 }
 
 // NewRing returns the ring of the nodes.
-func NewRing(records []*batchv1.NodeRecord) *Ring {
+func NewRing(records []*clusterv1.NodeRecord) *Ring {
 	ring := &Ring{nodes: make([]ringNode, 0, len(records))}
 	for _, record := range records {
 		ring.nodes = append(ring.nodes, ringNode{xxhash.Sum64String(record.GetName()), record})
@@ -33,10 +33,10 @@
 }
 
 // Successors returns up to count nodes that follow a name, the nearest first. The node of that name is left out.
-func (ring *Ring) Successors(name string, count int) []*batchv1.NodeRecord {
+func (ring *Ring) Successors(name string, count int) []*clusterv1.NodeRecord {
 	hash := xxhash.Sum64String(name)
 	start, _ := slices.BinarySearchFunc(ring.nodes, hash, func(node ringNode, hash uint64) int { return cmp.Compare(node.hash, hash) })
-	var list []*batchv1.NodeRecord
+	var list []*clusterv1.NodeRecord
 	for offset := 0; offset < len(ring.nodes) && len(list) < count; offset++ {
 		record := ring.nodes[(start+offset)%len(ring.nodes)].record
 		if record.GetName() != name {
@@ -48,7 +48,7 @@
 
 // Rank returns the place of a node among the successors of another, from 0; negative when it is not among them.
 func (ring *Ring) Rank(watcher, watched string) int {
-	return slices.IndexFunc(ring.Successors(watched, monitorsOfNode), func(record *batchv1.NodeRecord) bool {
+	return slices.IndexFunc(ring.Successors(watched, monitorsOfNode), func(record *clusterv1.NodeRecord) bool {
 		return record.GetName() == watcher
 	})
 }
--- /dev/null
+++ b/internal/dissemination/subscriber.go
@@ -0,0 +1,123 @@
+package dissemination
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+)
+
+const (
+	// silenceLimit is how long beacons may be missing before this node reads the store itself.
+	silenceLimit = 1100 * time.Millisecond
+	// behindLimit is how long this node may be behind a beacon before it does.
+	behindLimit = 350 * time.Millisecond
+	checkPeriod = 100 * time.Millisecond
+	// calmTime is how long beacons must have come again before this node relies on them.
+	calmTime = 1500 * time.Millisecond
+)
+
+// Subscriber takes what a publisher spreads. It implements clusterv1.Nodes.
+type Subscriber struct {
+	Node    string
+	Life    int64
+	Catalog *catalog.Table
+	Health  *metadata.Health
+	Logger  *log.Logger
+	// FollowReplicas reads the replicas from the store until its context ends.
+	FollowReplicas func(context.Context)
+
+	mu      sync.Mutex
+	heard   time.Time
+	behind  time.Time // since when the catalog lacks what a beacon told of; zero when it does not
+	relying bool
+	calm    time.Time // since when nothing was missing
+}
+
+// Publish takes all replicas.
+func (subscriber *Subscriber) Publish(_ context.Context, request *clusterv1.PublishRequest) (*clusterv1.PublishResponse, error) {
+	subscriber.Catalog.SetReplicas(decodeReplicas(request), request.GetRevision())
+	return &clusterv1.PublishResponse{}, nil
+}
+
+// Ping tells who answers.
+func (subscriber *Subscriber) Ping(context.Context, *clusterv1.PingRequest) (*clusterv1.PingResponse, error) {
+	return &clusterv1.PingResponse{Name: subscriber.Node, Life: subscriber.Life}, nil
+}
+
+// Heard takes a beacon.
+func (subscriber *Subscriber) Heard(beacon *clusterv1.Beacon) {
+	subscriber.mu.Lock()
+	defer subscriber.mu.Unlock()
+	now := time.Now()
+	subscriber.heard = now
+	configuration := subscriber.Catalog.Configuration()
+	lacking := subscriber.Catalog.Replicas().Revision < beacon.GetReplicaRevision() ||
+		(beacon.GetConfigurationVersion() > 0 && (configuration == nil || configuration.Version < beacon.GetConfigurationVersion()))
+	switch {
+	case !lacking:
+		subscriber.behind = time.Time{}
+	case subscriber.behind.IsZero():
+		subscriber.behind = now
+	}
+}
+
+// Wait is how long watches of the store may wait.
+func (subscriber *Subscriber) Wait() time.Duration {
+	subscriber.mu.Lock()
+	defer subscriber.mu.Unlock()
+	if subscriber.relying {
+		return metadata.LongWait
+	}
+	return metadata.ShortWait
+}
+
+// Run decides, until the context ends, whether this node relies on beacons or reads the store itself.
+func (subscriber *Subscriber) Run(ctx context.Context) {
+	var stop context.CancelFunc
+	ticker := time.NewTicker(checkPeriod)
+	defer ticker.Stop()
+	for first := true; ; first = false {
+		relying, changed := subscriber.check(time.Now())
+		switch {
+		case relying && changed:
+			stop()
+			subscriber.Logger.Info("beacons regained", "revision", subscriber.Catalog.Replicas().Revision)
+		case !relying && (changed || first):
+			if !first {
+				subscriber.Logger.Warn("beacons lost", "revision", subscriber.Catalog.Replicas().Revision)
+			}
+			subscriber.Health.CutWatches()
+			var followCtx context.Context
+			followCtx, stop = context.WithCancel(ctx)
+			go subscriber.FollowReplicas(followCtx)
+		}
+		select {
+		case <-ctx.Done():
+			stop()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// check decides whether this node relies on beacons.
+func (subscriber *Subscriber) check(now time.Time) (relying, changed bool) {
+	subscriber.mu.Lock()
+	defer subscriber.mu.Unlock()
+	missing := now.Sub(subscriber.heard) > silenceLimit || (!subscriber.behind.IsZero() && now.Sub(subscriber.behind) > behindLimit)
+	if missing {
+		subscriber.calm = now
+	}
+	before := subscriber.relying
+	subscriber.relying = !missing && now.Sub(subscriber.calm) > calmTime
+	if before && missing {
+		subscriber.behind = time.Time{} // watches are begun anew now
+	}
+	return subscriber.relying, subscriber.relying != before
+}
--- a/internal/metadata/follow.go
+++ b/internal/metadata/follow.go
@@ -10,7 +10,11 @@
 )
 
 const (
-	watchWait      = 28 * time.Second
+	// LongWait is how long a watch waits where something else tells of a change that it misses.
+	LongWait = 28 * time.Second
+	// ShortWait is how long it waits otherwise: in a compaction, a watch may hear nothing of a change, ever.
+	ShortWait = 1500 * time.Millisecond
+
 	followRetryMin = 60 * time.Millisecond
 	followRetryMax = 400 * time.Millisecond
 )
@@ -18,9 +22,9 @@
 // Handler takes what a Follower reads. Both methods are called from one goroutine.
 type Handler interface {
 	// Reset replaces all that is known of the prefix.
-	Reset(items []Item)
+	Reset(items []Item, revision Revision)
 	// Apply takes changes in their order.
-	Apply(events []Event)
+	Apply(events []Event, revision Revision)
 }
 
 // Follower keeps a Handler up to date with the keys under a prefix: it reads them once and watches from there, and reads
@@ -32,6 +36,8 @@
 	Logger  *log.Logger
 	// Health cuts watches that may be dead; nil for none.
 	Health *Health
+	// Wait returns how long the next watch waits; nil for LongWait.
+	Wait func() time.Duration
 	// Pace is the least time between two watches, so that changes in quick succession share a call.
 	Pace time.Duration
 }
@@ -73,11 +79,11 @@
 		if err != nil {
 			return 0, err
 		}
-		follower.Handler.Reset(listing.Items)
+		follower.Handler.Reset(listing.Items, listing.Revision)
 		return listing.Revision, nil
 	}
 	watchCtx, stop := follower.Health.context(ctx)
-	changes, err := follower.Store.Watch(watchCtx, follower.Prefix, revision, watchWait)
+	changes, err := follower.Store.Watch(watchCtx, follower.Prefix, revision, follower.wait())
 	interrupted := watchCtx.Err() != nil && ctx.Err() == nil
 	stop()
 	if interrupted {
@@ -87,12 +93,19 @@
 		return 0, err
 	}
 	if len(changes.Events) > 0 {
-		follower.Handler.Apply(changes.Events)
+		follower.Handler.Apply(changes.Events, changes.Revision)
 		sleep(ctx, follower.Pace)
 	}
 	return max(changes.Revision, revision), nil
 }
 
+func (follower *Follower) wait() time.Duration {
+	if follower.Wait == nil {
+		return LongWait
+	}
+	return follower.Wait()
+}
+
 func sleep(ctx context.Context, duration time.Duration) {
 	if duration <= 0 {
 		return
--- a/internal/metadata/follow_test.go
+++ b/internal/metadata/follow_test.go
@@ -68,9 +68,9 @@
 	events []metadata.Event
 }
 
-func (seen *seen) Reset([]metadata.Item) {}
+func (seen *seen) Reset([]metadata.Item, metadata.Revision) {}
 
-func (seen *seen) Apply(events []metadata.Event) {
+func (seen *seen) Apply(events []metadata.Event, _ metadata.Revision) {
 	seen.mu.Lock()
 	defer seen.mu.Unlock()
 	seen.events = append(seen.events, events...)
--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -61,11 +61,23 @@
 	if health.lost {
 		health.lost = false
 		health.logger.Info("metadata store answers again")
-		close(health.cut)
-		health.cut = make(chan struct{})
+		health.cutWatches()
 	}
 }
 
+// CutWatches has all watches begin anew.
+func (health *Health) CutWatches() {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	health.cutWatches()
+}
+
+// cutWatches must be called with mu held.
+func (health *Health) cutWatches() {
+	close(health.cut)
+	health.cut = make(chan struct{})
+}
+
 // Good reports whether the store answered when it was last asked.
 func (health *Health) Good() bool {
 	health.mu.Lock()
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -11,12 +11,14 @@
 	"github.com/charmbracelet/log"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/batchrun"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
+	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/forwarding"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
@@ -46,6 +48,7 @@
 	Runner    *batchrun.Runner
 	Registry  *cluster.Registry
 	health    *metadata.Health
+	datagrams *cluster.Datagrams
 	ctx       context.Context
 	cancel    context.CancelFunc
 	stopping  atomic.Bool
@@ -55,6 +58,7 @@
 // Times of a front.
 const (
 	replicaPace  = 400 * time.Millisecond
+	registryPace = 1500 * time.Millisecond
 	flushSpacing = 250 * time.Millisecond
 	flushLongest = 800 * time.Millisecond
 )
@@ -63,13 +67,13 @@
 func NewFront(options FrontOptions) *Front {
 	ctx, cancel := context.WithCancel(context.Background())
 	loads := backend.NewLoads()
-	self := &batchv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life}
+	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life}
 	front := &Front{FrontOptions: options, health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone: options.Zone, Logger: options.Logger}
 	front.Runner = batchrun.New(batchrun.Options{
 		Node: options.Node, Life: options.Life, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
-		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Node: options.Node}, Peers: front.Registry, Logger: options.Logger,
+		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Node: options.Node}, Peers: peers{front}, Logger: options.Logger,
 		Flush: batch.FlushPolicy{Spacing: flushSpacing, Longest: flushLongest},
 	})
 	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
@@ -86,21 +90,63 @@
 	if err != nil {
 		return err
 	}
-	go func() { _ = http.Serve(listener, batchv1.NewBatchesServer(batchrun.Service{Runner: front.Runner})) }() // ends with the process
+	front.datagrams = &cluster.Datagrams{Conn: packets}
+	subscriber := &dissemination.Subscriber{
+		Node: front.Node, Life: front.Life, Catalog: front.Catalog, Health: front.health, Logger: front.Logger, FollowReplicas: front.followReplicas,
+	}
+	front.servePeers(listener, subscriber)
 	go front.health.Run(front.ctx)
-	front.follow(front.ConfigurationPrefix, front.ConfigurationHandler, 0)
-	front.follow(front.ReplicaPrefix, front.ReplicaHandler, replicaPace)
-	front.follow(cluster.Prefix, front.Registry, 0)
+	go front.follower(front.ConfigurationPrefix, front.ConfigurationHandler, 0, subscriber.Wait).Run(front.ctx)
+	go front.follower(cluster.Prefix, front.Registry, registryPace, nil).Run(front.ctx)
 	go front.Registry.Register(front.ctx)
-	monitor := &cluster.Monitor{Registry: front.Registry, Conn: packets, Logger: front.Logger, OnDead: front.Runner.TakeOverNode}
+	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.Runner.TakeOverNode}
+	go front.datagrams.Receive(front.ctx, cluster.Handlers{
+		Heartbeat: monitor.Heard, Beacon: subscriber.Heard,
+		JobOwner: func(owner *clusterv1.JobOwner) { front.Runner.RememberOwner(owner.GetJobId(), owner.GetNode()) },
+	})
 	go monitor.Run(front.ctx)
+	go subscriber.Run(front.ctx)
 	front.Runner.Start()
 	return nil
 }
 
-func (front *Front) follow(prefix string, handler metadata.Handler, pace time.Duration) {
-	follower := &metadata.Follower{Store: front.Store, Prefix: prefix, Handler: handler, Logger: front.Logger, Pace: pace, Health: front.health}
-	go follower.Run(front.ctx)
+// servePeers answers other nodes until the process ends.
+func (front *Front) servePeers(listener net.Listener, subscriber *dissemination.Subscriber) {
+	batches := batchv1.NewBatchesServer(batchrun.Service{Runner: front.Runner})
+	nodes := clusterv1.NewNodesServer(subscriber)
+	mux := http.NewServeMux()
+	mux.Handle(batches.PathPrefix(), batches)
+	mux.Handle(nodes.PathPrefix(), nodes)
+	go func() {
+		err := http.Serve(listener, mux)
+		front.Logger.Warn("server ended", "server", "peers", "error", err)
+	}()
+}
+
+func (front *Front) follower(prefix string, handler metadata.Handler, pace time.Duration, wait func() time.Duration) *metadata.Follower {
+	return &metadata.Follower{
+		Store: front.Store, Prefix: prefix, Handler: handler, Logger: front.Logger, Pace: pace, Health: front.health, Wait: wait,
+	}
+}
+
+// followReplicas reads the replicas from the store, while no beacons come.
+func (front *Front) followReplicas(ctx context.Context) {
+	front.follower(front.ReplicaPrefix, front.ReplicaHandler, replicaPace, func() time.Duration { return metadata.ShortWait }).Run(ctx)
+}
+
+// peers is the registry as the runner of batch jobs sees it.
+type peers struct{ front *Front }
+
+// Client implements batchrun.Peers.
+func (peers peers) Client(node string) batchv1.Batches { return peers.front.Registry.Client(node) }
+
+// Nearest implements batchrun.Peers.
+func (peers peers) Nearest() []string { return peers.front.Registry.Nearest() }
+
+// AnnounceOwner implements batchrun.Peers.
+func (peers peers) AnnounceOwner(jobID string) {
+	owner := &clusterv1.JobOwner{JobId: jobID, Node: peers.front.Node}
+	peers.front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_JobOwner{JobOwner: owner}}, peers.front.Registry.Others())
 }
 
 // Ready reports whether callers may be sent here.
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/cluster"
+	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/weights"
 )
@@ -19,69 +24,94 @@
 
 // OrdererOptions are what a candidate for giving orders is made of.
 type OrdererOptions struct {
-	Node     string
-	Store    metadata.Store
-	Replicas weights.Replicas
-	Retire   RetireReporter
-	Logger   *log.Logger
-	Catalog  *catalog.Table
-	// OperatorPrefix and ReplicaPrefix are the keys that the handlers follow.
+	Node, Role  string
+	Life        int64
+	PeerAddress string
+	Store       metadata.Store
+	Replicas    weights.Replicas
+	Retire      RetireReporter
+	PeerClient  *http.Client
+	Logger      *log.Logger
+	Catalog     *catalog.Table
+	// OperatorPrefix and ReplicaPrefix are the keys that the handlers follow while this node holds the lease.
 	OperatorPrefix, ReplicaPrefix string
 	ReplicaHandler                metadata.Handler
 	Election                      weights.ElectionSettings
 }
 
-// Orderer is a candidate for bringing replicas to the versions that trainers name. It keeps nothing on its machine: a
-// request to empty the machine is answered at once.
+// Orderer is a candidate for bringing replicas to the versions that trainers name, and for spreading to the fronts what it
+// reads meanwhile. It keeps nothing on its machine: a request to empty the machine is answered at once.
 type Orderer struct {
 	OrdererOptions
-	Weights *weights.Orderer
-	health  *metadata.Health
-	ctx     context.Context
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	Weights   *weights.Orderer
+	operator  metadata.Handler
+	registry  *cluster.Registry
+	datagrams *cluster.Datagrams
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
 }
 
 // loadsAtOnce is how many replicas of a service load weights at the same time without slowing each other.
 const loadsAtOnce = 2
 
-// ordererReplicaPace is how often the orderer looks at changes of replicas at most.
-const ordererReplicaPace = 150 * time.Millisecond
+// Paces at which the holder of the lease looks at changes.
+const (
+	ordererReplicaPace  = 150 * time.Millisecond
+	ordererRegistryPace = 500 * time.Millisecond
+)
 
 // NewOrderer returns a candidate that does not work yet.
 func NewOrderer(options OrdererOptions) *Orderer {
 	ctx, cancel := context.WithCancel(context.Background())
+	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Role: options.Role, Life: options.Life}
 	return &Orderer{
-		OrdererOptions: options, ctx: ctx, cancel: cancel, health: metadata.NewHealth(options.Store, options.Logger),
-		Weights: weights.NewOrderer(options.Node, options.Catalog, options.Replicas, loadsAtOnce, options.Logger),
+		OrdererOptions: options, ctx: ctx, cancel: cancel,
+		Weights:  weights.NewOrderer(options.Node, options.Catalog, options.Replicas, loadsAtOnce, options.Logger),
+		registry: cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger),
 	}
 }
 
-// Start begins to follow the deployment and to stand for election. The operator's keys go to the handler.
-func (orderer *Orderer) Start(operator metadata.Handler) {
-	go orderer.health.Run(orderer.ctx)
-	orderer.follow(orderer.OperatorPrefix, operator, 0)
-	orderer.follow(orderer.ReplicaPrefix, orderer.ReplicaHandler, ordererReplicaPace)
-	election := weights.NewElection(orderer.Store, orderer.health, orderer.Node, orderer.Election, orderer.Logger)
+// Start begins to stand for election. The operator's keys go to the handler while this node holds the lease.
+func (orderer *Orderer) Start(operator metadata.Handler) error {
+	packets, err := net.ListenPacket("udp4", orderer.PeerAddress)
+	if err != nil {
+		return err
+	}
+	orderer.datagrams = &cluster.Datagrams{Conn: packets}
+	orderer.operator = operator
+	election := weights.NewElection(orderer.Store, orderer.Node, orderer.Election, orderer.Logger)
 	orderer.done.Add(1)
 	go func() {
 		defer orderer.done.Done()
-		election.Run(orderer.ctx, orderer.Weights.Lead)
+		election.Run(orderer.ctx, orderer.lead)
 	}()
+	return nil
 }
 
-func (orderer *Orderer) follow(prefix string, handler metadata.Handler, pace time.Duration) {
-	follower := &metadata.Follower{Store: orderer.Store, Prefix: prefix, Handler: handler, Logger: orderer.Logger, Pace: pace, Health: orderer.health}
-	go follower.Run(orderer.ctx)
+// lead works while this node holds the lease.
+func (orderer *Orderer) lead(ctx context.Context, term *weights.Term) {
+	health := metadata.NewHealth(orderer.Store, orderer.Logger)
+	follow := func(prefix string, handler metadata.Handler, pace time.Duration, wait func() time.Duration) {
+		follower := &metadata.Follower{Store: orderer.Store, Prefix: prefix, Handler: handler, Logger: orderer.Logger, Pace: pace, Health: health, Wait: wait}
+		go follower.Run(ctx)
+	}
+	short := func() time.Duration { return metadata.ShortWait }
+	go health.Run(ctx)
+	follow(orderer.OperatorPrefix, orderer.operator, 0, short)
+	follow(orderer.ReplicaPrefix, orderer.ReplicaHandler, ordererReplicaPace, short)
+	follow(cluster.Prefix, orderer.registry, ordererRegistryPace, nil)
+	publisher := &dissemination.Publisher{
+		Node: orderer.Node, Catalog: orderer.Catalog, Registry: orderer.registry, Datagrams: orderer.datagrams, Health: health, Logger: orderer.Logger,
+	}
+	go publisher.Run(ctx)
+	orderer.Weights.Lead(ctx, term)
 }
 
 const retireRetry = 300 * time.Millisecond
 
-// Retired answers a request to empty this machine.
+// Retired answers a request to empty a machine.
 func (orderer *Orderer) Retired(node string) {
-	if node != orderer.Node {
-		return
-	}
 	go func() {
 		for orderer.ctx.Err() == nil {
 			err := orderer.Retire.PutRetired(orderer.ctx, node)
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -32,7 +32,6 @@
 // Election makes at most one node the holder of a lease in the metadata store.
 type Election struct {
 	Store    metadata.Store
-	Health   *metadata.Health
 	Node     string
 	Settings ElectionSettings
 	Logger   *log.Logger
@@ -45,8 +44,8 @@
 }
 
 // NewElection returns an election that this node takes part in once Run is called.
-func NewElection(store metadata.Store, health *metadata.Health, node string, settings ElectionSettings, logger *log.Logger) *Election {
-	return &Election{Store: store, Health: health, Node: node, Settings: settings, Logger: logger, wake: make(chan struct{}, 1)}
+func NewElection(store metadata.Store, node string, settings ElectionSettings, logger *log.Logger) *Election {
+	return &Election{Store: store, Node: node, Settings: settings, Logger: logger, wake: make(chan struct{}, 1)}
 }
 
 // Term is a time during which this node holds the lease.
@@ -82,7 +81,7 @@
 }
 
 // Reset implements metadata.Handler.
-func (election *Election) Reset(items []metadata.Item) {
+func (election *Election) Reset(items []metadata.Item, _ metadata.Revision) {
 	election.mu.Lock()
 	election.holder, election.last, election.known = "", "", true
 	for _, item := range items {
@@ -93,7 +92,7 @@
 }
 
 // Apply implements metadata.Handler.
-func (election *Election) Apply(events []metadata.Event) {
+func (election *Election) Apply(events []metadata.Event, _ metadata.Revision) {
 	election.mu.Lock()
 	for _, event := range events {
 		election.put(event.Key, string(event.Value))
@@ -120,15 +119,17 @@
 }
 
 const (
-	candidateDelay  = 350 * time.Millisecond
-	electionPoll    = time.Second
-	electionCall    = 600 * time.Millisecond
+	candidateDelay = 350 * time.Millisecond
+	electionPoll   = time.Second
+	electionCall   = 600 * time.Millisecond
+	// electionWatch bounds how long a vacancy can be missed.
+	electionWatch   = 3 * time.Second
 	electionBackoff = 250 * time.Millisecond
 )
 
 // Run takes part until the context ends, and calls lead for each term; the context of lead ends with the term.
 func (election *Election) Run(ctx context.Context, lead func(context.Context, *Term)) {
-	follower := metadata.Follower{Store: election.Store, Prefix: electionPrefix, Handler: election, Logger: election.Logger, Health: election.Health}
+	follower := metadata.Follower{Store: election.Store, Prefix: electionPrefix, Handler: election, Logger: election.Logger, Wait: func() time.Duration { return electionWatch }}
 	go follower.Run(ctx)
 	for ctx.Err() == nil {
 		if !election.awaitVacancy(ctx) {
