Answer for ended jobs at the node that ended them

Change: the owner answers for jobs in its cache; a resubmission first asks the node that announced the job.

--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -55,6 +55,9 @@
 
 // ReadBody answers from a job that this node owns.
 func (service Service) ReadBody(_ context.Context, request *batchv1.ReadBodyRequest) (*batchv1.ReadBodyResponse, error) {
+	if service.Runner.ended.has(request.GetJobId()) {
+		return &batchv1.ReadBodyResponse{Owned: true}, nil
+	}
 	owned := service.Runner.find(request.GetJobId())
 	if owned == nil || !owned.isAccepted() {
 		return &batchv1.ReadBodyResponse{}, nil
@@ -65,6 +68,9 @@
 
 // End ends a job that this node owns.
 func (service Service) End(ctx context.Context, request *batchv1.EndRequest) (*batchv1.EndResponse, error) {
+	if service.Runner.ended.has(request.GetJobId()) {
+		return &batchv1.EndResponse{Owned: true}, nil
+	}
 	owned := service.Runner.find(request.GetJobId())
 	if owned == nil || !owned.isAccepted() {
 		return &batchv1.EndResponse{}, nil
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -27,6 +27,9 @@
 // Submit makes a job durable and runs it, here or at the node that owns it already. It returns once the job is accepted;
 // an error other than ErrStopping leaves open whether the job will run.
 func (runner *Runner) Submit(ctx context.Context, definition *batchv1.Job, route *catalog.Route) error {
+	if runner.knownElsewhere(ctx, definition.GetId()) {
+		return nil
+	}
 	runner.mu.Lock()
 	if runner.stopping {
 		runner.mu.Unlock()
@@ -53,6 +56,23 @@
 	}
 }
 
+// knownElsewhere reports whether the node that announced the job confirms that it has accepted it.
+func (runner *Runner) knownElsewhere(ctx context.Context, id string) bool {
+	runner.mu.Lock()
+	name := runner.owners[id]
+	runner.mu.Unlock()
+	if name == "" || name == runner.Node {
+		return false
+	}
+	return runner.callPeer(ctx, name, peerMargin, func(ctx context.Context, owner batchv1.Batches) (bool, error) {
+		response, err := owner.Read(ctx, &batchv1.ReadRequest{JobId: id, From: beyondResults})
+		return err == nil && response.GetOwned(), err
+	})
+}
+
+// beyondResults is a position that no job has, for reads that only ask whether a job is known.
+const beyondResults = 1 << 30
+
 // relay has another node accept the job. Only when no node was reached has the job surely not been accepted.
 func (runner *Runner) relay(ctx context.Context, definition *batchv1.Job) error {
 	for _, name := range runner.Peers.Nearest() {
