Finish calls that begin while a front ends, and survive a beacon before the first check

Besides, front-glostrup-2 crashed at its start: a beacon that came before the subscriber's first check made it stop a reading that had not begun. Change: the server for callers is shut down before the end; the subscriber begins by reading.

--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -36,14 +36,15 @@
 	if err := front.Start(); err != nil {
 		return err
 	}
-	if err := process.serve("callers", settings.Listen["front"], platform.NewServer(front.Counted(ingress), limits)); err != nil {
+	callers := platform.NewServer(front.Counted(ingress), limits)
+	if err := process.serve("callers", settings.Listen["front"], callers); err != nil {
 		return err
 	}
 	if err := process.serve("ready", settings.Listen["ready"], &http.Server{Handler: platform.ReadyHandler(front.Ready)}); err != nil {
 		return err
 	}
 	process.awaitStop()
-	front.Stop(settings.Grace())
+	front.Stop(settings.Grace(), callers)
 	return nil
 }
 
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -79,7 +79,10 @@
 
 // Run decides, until the context ends, whether this node relies on beacons or reads the store itself.
 func (subscriber *Subscriber) Run(ctx context.Context) {
-	var stop context.CancelFunc
+	stop := func() {}
+	subscriber.mu.Lock()
+	subscriber.calm = time.Now()
+	subscriber.mu.Unlock()
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
 	for first := true; ; first = false {
@@ -93,8 +96,8 @@
 				subscriber.Logger.Warn("beacons lost", "revision", subscriber.Catalog.Replicas().Revision)
 			}
 			subscriber.Health.CutWatches()
-			var followCtx context.Context
-			followCtx, stop = context.WithCancel(ctx)
+			followCtx, cancel := context.WithCancel(ctx)
+			stop = cancel
 			go subscriber.FollowReplicas(followCtx)
 		}
 		select {
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -175,9 +175,9 @@
 	stopLeast = 2200 * time.Millisecond
 )
 
-// Stop ends the front as planned: it is not ready at once, hands its jobs over, serves until its callers are gone, and
-// returns well inside the grace.
-func (front *Front) Stop(grace time.Duration) {
+// Stop ends the front as planned: it is not ready at once, hands its jobs over, serves until its callers are gone, has the
+// servers take no more and finish what they have, and returns well inside the grace.
+func (front *Front) Stop(grace time.Duration, servers ...*http.Server) {
 	started := time.Now()
 	front.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
@@ -191,6 +191,11 @@
 		time.Sleep(stopPoll)
 	}
 	front.Registry.Leave(ctx)
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			front.Logger.Warn("calls cut", "calls", front.calls.Load(), "error", err)
+		}
+	}
 	front.Logger.Info("stopped", "took_ms", time.Since(started).Milliseconds(), "calls_left", front.calls.Load())
 	front.Runner.Close()
 	front.cancel()
--- /dev/null
+++ b/internal/role/front_test.go
@@ -0,0 +1,88 @@
+package role_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+	"github.com/thistlewalk/thistlewalk/internal/role"
+)
+
+type ignore struct{}
+
+func (ignore) Reset([]metadata.Item, metadata.Revision)  {}
+func (ignore) Apply([]metadata.Event, metadata.Revision) {}
+
+// A call that begins while a front is about to end has to be answered: the process ended in the middle of one that came
+// after its last look at the calls in progress.
+func TestStopFinishesLateCalls(t *testing.T) {
+	front := role.NewFront(role.FrontOptions{
+		Node: "front-1", PeerAddress: freeAddress(t), Store: memstore.New(), PeerClient: http.DefaultClient, Logger: log.New(io.Discard),
+		Catalog: catalog.NewTable(), ConfigurationHandler: ignore{}, ReplicaHandler: ignore{},
+	})
+	must.NoError(t, front.Start())
+	server := &http.Server{Handler: front.Counted(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		time.Sleep(400 * time.Millisecond)
+		_, _ = writer.Write([]byte("whole"))
+	}))}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(listener) }() // ends with the server
+	stopped := make(chan struct{})
+	go func() {
+		front.Stop(6*time.Second, server)
+		server.Close() // as the end of the process does
+		close(stopped)
+	}()
+	answers := make(chan int64, 64)
+	calls := 0
+	for calling := true; calling; {
+		select {
+		case <-stopped:
+			calling = false
+		case <-time.After(70 * time.Millisecond):
+			connection, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				calling = false
+				break
+			}
+			calls++
+			go call(connection, answers)
+		}
+	}
+	must.Greater(t, 5, calls)
+	for range calls {
+		must.NotEq(t, int64(0), <-answers, must.Sprint("a call was cut after it had begun"))
+	}
+}
+
+// call sends a request and reports the length of its answer: negative when the connection was closed before it was read.
+func call(connection net.Conn, answers chan<- int64) {
+	defer connection.Close()
+	_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	if err != nil {
+		answers <- -1
+		return
+	}
+	content, err := io.ReadAll(connection)
+	if err != nil && len(content) == 0 {
+		answers <- -1
+		return
+	}
+	answers <- int64(len(content))
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
