Keep time of the grace to finish calls when they never pause

Cause: the new test of a stop under calls without pause failed: the wait for a pause used up the time to finish calls in. Change: 2 s of the grace are kept for that.

--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -171,6 +171,8 @@
 	quietTime  = 600 * time.Millisecond
 	stopPoll   = 50 * time.Millisecond
 	stopMargin = 2 * time.Second
+	// finishTime is kept of the grace to finish calls once no more are taken.
+	finishTime = 2 * time.Second
 	// stopLeast leaves callers time to notice that the front is not ready.
 	stopLeast = 2200 * time.Millisecond
 )
@@ -184,7 +186,8 @@
 	defer cancel()
 	front.Runner.HandOver(ctx)
 	quiet := time.Now()
-	for ctx.Err() == nil && (time.Since(quiet) < quietTime || time.Since(started) < stopLeast) {
+	last := started.Add(grace - stopMargin - finishTime)
+	for time.Now().Before(last) && (time.Since(quiet) < quietTime || time.Since(started) < stopLeast) {
 		if front.calls.Load() > 0 {
 			quiet = time.Now()
 		}
