Ask a refusing replica with one item at a time, and judge beacons when their push has had time

After an outage a candidate's watch stayed silent and the lease was free for 2.3 s. Change: one item at a time until a replica takes one; beacons are judged at checks; candidates probe the store as well; a node that newly watches another counts its silence from then.

--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -90,7 +90,6 @@
 		}
 		running.notBefore = now.Add(pauseAfterFailure)
 	case outcomeRefused:
-		runner.scheduler.cool(replica.ID, now)
 		running.notBefore = now.Add(pauseAfterRefusal)
 	case outcomeStale, outcomeMixed:
 		running.restart()
@@ -114,12 +113,16 @@
 	defer watchdog.Stop()
 	answer, err := runner.Sender.Send(ctx, replica, itemRequest(running, route))
 	if err != nil {
+		runner.scheduler.took(replica.ID)
 		return brokenOrCut(running), 0
 	}
 	defer answer.Body.Close()
-	switch {
-	case answer.NotExecuted:
+	if answer.NotExecuted {
+		runner.scheduler.refused(replica.ID, time.Now())
 		return outcomeRefused, answer.Status
+	}
+	runner.scheduler.took(replica.ID)
+	switch {
 	case answer.Status == http.StatusUnprocessableEntity:
 		running.rejected++
 		return outcomeRejected, answer.Status
--- a/internal/batchrun/room.go
+++ b/internal/batchrun/room.go
@@ -66,7 +66,7 @@
 		return false
 	case room.inFlight[replica.ID] >= max(replica.Slots, 1):
 		return false
-	case room.now.Before(room.scheduler.cooling[replica.ID]):
+	case !room.scheduler.open(replica.ID, room.now):
 		return false
 	case replica.ID == waiting.avoid && room.now.Before(waiting.avoidUntil):
 		return false
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -88,7 +88,7 @@
 }
 
 const (
-	scoringInFlight = 24
+	scoringInFlight = 8
 	ownerHints      = 4096
 )
 
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -55,7 +55,7 @@
 	waiting []*task
 	// groupHome is the replica that ran the last item of a group, which keeps the group's prompt.
 	groupHome map[string]string
-	cooling   map[string]time.Time // replicas that refused work, until when
+	refusals  map[string]*refusal // replicas that refused work and have taken none since
 	versions  map[string]map[string]int64
 	pace      *paceTable
 }
@@ -68,7 +68,7 @@
 
 func newScheduler(runner *Runner) *scheduler {
 	return &scheduler{
-		runner: runner, wake: make(chan struct{}, 1), groupHome: make(map[string]string), cooling: make(map[string]time.Time),
+		runner: runner, wake: make(chan struct{}, 1), groupHome: make(map[string]string), refusals: make(map[string]*refusal),
 		versions: make(map[string]map[string]int64), pace: newPaceTable(),
 	}
 }
@@ -197,6 +197,7 @@
 		return false
 	}
 	room.take(replica.ID)
+	scheduler.try(replica.ID)
 	scheduler.groupHome[waiting.item.GetGroup()] = replica.ID
 	scheduler.runner.Loads.Begin(replica.ID)
 	waiting.job.runs.Add(1)
@@ -214,11 +215,37 @@
 	return forwarding.PickPart(route.Parts)
 }
 
-// cool keeps work from a replica that refused some.
-func (scheduler *scheduler) cool(replica string, now time.Time) {
+// refusal keeps work from a replica: after a pause it gets one item at a time, until it takes one.
+type refusal struct {
+	until  time.Time
+	trying bool
+}
+
+// refused notes that a replica refused an item.
+func (scheduler *scheduler) refused(replica string, now time.Time) {
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	scheduler.refusals[replica] = &refusal{until: now.Add(refusalCooling)}
+}
+
+// took notes that a replica took an item, or that the item's attempt failed otherwise.
+func (scheduler *scheduler) took(replica string) {
 	scheduler.mu.Lock()
 	defer scheduler.mu.Unlock()
-	scheduler.cooling[replica] = now.Add(refusalCooling)
+	delete(scheduler.refusals, replica)
+}
+
+// open reports whether a replica may be tried. It must be called with mu held.
+func (scheduler *scheduler) open(replica string, now time.Time) bool {
+	held := scheduler.refusals[replica]
+	return held == nil || (now.After(held.until) && !held.trying)
+}
+
+// try notes that a replica is tried. It must be called with mu held.
+func (scheduler *scheduler) try(replica string) {
+	if held := scheduler.refusals[replica]; held != nil {
+		held.trying = true
+	}
 }
 
 // observe takes the version of a model that a replica itself named.
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -147,7 +147,13 @@
 			delete(registry.heard, name)
 		}
 	}
+	before := registry.watched()
 	registry.ring = NewRing(records)
+	for name := range registry.watched() {
+		if _, known := before[name]; !known {
+			registry.heard[name] = time.Now() // its heartbeats begin to come here now
+		}
+	}
 	return registry.joined && !registry.leaving && registry.nodes[registry.self.GetName()] == nil
 }
 
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -20,6 +20,8 @@
 	checkPeriod = 100 * time.Millisecond
 	// calmTime is how long beacons must have come again before this node relies on them.
 	calmTime = 1500 * time.Millisecond
+	// pauseLimit is how long this process may stand still before it distrusts what it knows.
+	pauseLimit = 600 * time.Millisecond
 )
 
 // Subscriber takes what a publisher spreads. It implements clusterv1.Nodes.
@@ -34,9 +36,11 @@
 
 	mu      sync.Mutex
 	heard   time.Time
-	behind  time.Time // since when the catalog lacks what a beacon told of; zero when it does not
+	told    *clusterv1.Beacon
+	behind  time.Time // since when every check found something lacking; zero when the last did not
 	relying bool
 	calm    time.Time // since when nothing was missing
+	checked time.Time
 }
 
 // Publish takes all replicas.
@@ -54,17 +58,18 @@
 func (subscriber *Subscriber) Heard(beacon *clusterv1.Beacon) {
 	subscriber.mu.Lock()
 	defer subscriber.mu.Unlock()
-	now := time.Now()
-	subscriber.heard = now
-	configuration := subscriber.Catalog.Configuration()
-	lacking := subscriber.Catalog.Replicas().Revision < beacon.GetReplicaRevision() ||
-		(beacon.GetConfigurationVersion() > 0 && (configuration == nil || configuration.Version < beacon.GetConfigurationVersion()))
-	switch {
-	case !lacking:
-		subscriber.behind = time.Time{}
-	case subscriber.behind.IsZero():
-		subscriber.behind = now
+	subscriber.heard = time.Now()
+	subscriber.told = beacon
+}
+
+// lacking reports whether the last beacon told of something that the catalog has not. It must be called with mu held.
+func (subscriber *Subscriber) lacking() bool {
+	if subscriber.Catalog.Replicas().Revision < subscriber.told.GetReplicaRevision() {
+		return true
 	}
+	version := subscriber.told.GetConfigurationVersion()
+	configuration := subscriber.Catalog.Configuration()
+	return version > 0 && (configuration == nil || configuration.Version < version)
 }
 
 // Wait is how long watches of the store may wait.
@@ -113,14 +118,19 @@
 func (subscriber *Subscriber) check(now time.Time) (relying, changed bool) {
 	subscriber.mu.Lock()
 	defer subscriber.mu.Unlock()
+	switch {
+	case !subscriber.lacking():
+		subscriber.behind = time.Time{}
+	case subscriber.behind.IsZero():
+		subscriber.behind = now
+	}
 	missing := now.Sub(subscriber.heard) > silenceLimit || (!subscriber.behind.IsZero() && now.Sub(subscriber.behind) > behindLimit)
-	if missing {
+	stoodStill := now.Sub(subscriber.checked) > pauseLimit
+	subscriber.checked = now
+	if missing || stoodStill {
 		subscriber.calm = now
 	}
 	before := subscriber.relying
-	subscriber.relying = !missing && now.Sub(subscriber.calm) > calmTime
-	if before && missing {
-		subscriber.behind = time.Time{} // watches are begun anew now
-	}
+	subscriber.relying = !missing && !stoodStill && now.Sub(subscriber.calm) > calmTime
 	return subscriber.relying, subscriber.relying != before
 }
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -129,7 +129,9 @@
 
 // Run takes part until the context ends, and calls lead for each term; the context of lead ends with the term.
 func (election *Election) Run(ctx context.Context, lead func(context.Context, *Term)) {
-	follower := metadata.Follower{Store: election.Store, Prefix: electionPrefix, Handler: election, Logger: election.Logger, Wait: func() time.Duration { return electionWatch }}
+	health := metadata.NewHealth(election.Store, election.Logger)
+	go health.Run(ctx)
+	follower := metadata.Follower{Store: election.Store, Prefix: electionPrefix, Handler: election, Logger: election.Logger, Health: health, Wait: func() time.Duration { return electionWatch }}
 	go follower.Run(ctx)
 	for ctx.Err() == nil {
 		if !election.awaitVacancy(ctx) {
