Load each version on half of a model's replicas where jobs accept the one before, and share loads between owners

Change: jobs tell the publisher the oldest version that they accept; where that is the one before the newest, only replicas that new jobs cannot use load, and each model has twice the replicas. Owners tell each other their requests in flight.

--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -18,7 +18,21 @@
 
 // Loads counts this node's requests in flight at each replica and remembers which replicas fail. It is safe for concurrent
 // use.
-type Loads struct{ shards [loadShards]loadShard }
+type Loads struct {
+	shards [loadShards]loadShard
+
+	mu     sync.Mutex
+	others map[string]otherLoads // by node
+}
+
+// otherLoads are the requests that another node told to have in flight.
+type otherLoads struct {
+	inFlight map[string]int
+	at       time.Time
+}
+
+// othersLife is how long what another node told is believed.
+const othersLife = 400 * time.Millisecond
 
 type loadShard struct {
 	mu       sync.Mutex
@@ -33,7 +47,7 @@
 
 // NewLoads returns loads without requests.
 func NewLoads() *Loads {
-	loads := &Loads{}
+	loads := &Loads{others: make(map[string]otherLoads)}
 	for index := range loads.shards {
 		loads.shards[index].replicas = make(map[string]*load)
 	}
@@ -102,22 +116,50 @@
 	}
 }
 
+// SetOthers takes what another node has in flight.
+func (loads *Loads) SetOthers(node string, inFlight map[string]int, now time.Time) {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	for other, told := range loads.others {
+		if now.Sub(told.at) > othersLife {
+			delete(loads.others, other)
+		}
+	}
+	loads.others[node] = otherLoads{inFlight: inFlight, at: now}
+}
+
+// othersInFlight returns what other nodes have in flight at a replica.
+func (loads *Loads) othersInFlight(id string, now time.Time) int {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	count := 0
+	for _, told := range loads.others {
+		if now.Sub(told.at) <= othersLife {
+			count += told.inFlight[id]
+		}
+	}
+	return count
+}
+
 // Reading is the state of one replica as this node sees it.
 type Reading struct {
+	// Own are this node's requests in flight, InFlight those of all nodes as far as they told.
+	Own      int
 	InFlight int
 	Ejected  bool
 }
 
 // Read returns the reading of a replica.
 func (loads *Loads) Read(id string, now time.Time) Reading {
+	others := loads.othersInFlight(id, now)
 	shard := loads.shard(id)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	entry := shard.replicas[id]
 	if entry == nil {
-		return Reading{}
+		return Reading{InFlight: others}
 	}
-	return Reading{InFlight: entry.inFlight, Ejected: now.Before(entry.ejected)}
+	return Reading{Own: entry.inFlight, InFlight: entry.inFlight + others, Ejected: now.Before(entry.ejected)}
 }
 
 // Choice picks the replica of one request.
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -50,8 +50,10 @@
 	Client(node string) batchv1.Batches
 	// Nearest returns the names of live nodes that could run jobs for this one, best first.
 	Nearest() []string
-	// AnnounceOwner tells all nodes where a job runs; they may miss it.
-	AnnounceOwner(jobID string)
+	// AnnounceJob tells all nodes where a job runs and what versions it takes; they may miss it.
+	AnnounceJob(job *batchv1.Job)
+	// ShareLoads tells all nodes of this node's requests in flight; they may miss it.
+	ShareLoads(inFlight map[string]int)
 }
 
 // Options of a Runner.
@@ -106,6 +108,7 @@
 // Start begins to dispatch items and takes up the jobs that an earlier process of this node owned.
 func (runner *Runner) Start() {
 	go runner.scheduler.run(runner.ctx)
+	go runner.shareLoads(runner.ctx)
 	go runner.sweep(runner.ctx)
 }
 
--- /dev/null
+++ b/internal/batchrun/share.go
@@ -0,0 +1,45 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+)
+
+const shareInterval = 120 * time.Millisecond
+
+// shareLoads tells the other nodes what this one has in flight, while it runs jobs and once more when it has none left.
+func (runner *Runner) shareLoads(ctx context.Context) {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	shared := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if runner.OpenJobs() == 0 && !shared {
+			continue
+		}
+		inFlight := runner.enginesInFlight()
+		shared = len(inFlight) > 0
+		runner.Peers.ShareLoads(inFlight)
+	}
+}
+
+// enginesInFlight returns this node's requests in flight at replicas that run models.
+func (runner *Runner) enginesInFlight() map[string]int {
+	counts := make(map[string]int)
+	now := time.Now()
+	replicas := runner.Catalog.Replicas()
+	for index := range replicas.All {
+		replica := &replicas.All[index]
+		if len(replica.Models) == 0 {
+			continue
+		}
+		if own := runner.Loads.Read(replica.ID, now).Own; own > 0 {
+			counts[replica.ID] = own
+		}
+	}
+	return counts
+}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -159,7 +159,7 @@
 		return
 	}
 	go runner.flushLoop(owned)
-	runner.Peers.AnnounceOwner(owned.id())
+	runner.Peers.AnnounceJob(owned.definition)
 	runner.begin(owned)
 	owned.wakeFlush()
 }
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -84,7 +84,7 @@
 	delete(runner.owners, owned.id())
 	runner.mu.Unlock()
 	go runner.flushLoop(owned)
-	runner.Peers.AnnounceOwner(owned.id())
+	runner.Peers.AnnounceJob(owned.definition)
 	runner.begin(owned)
 }
 
--- a/internal/cluster/datagrams.go
+++ b/internal/cluster/datagrams.go
@@ -28,18 +28,27 @@
 	}
 }
 
+// SendTo sends a datagram to an address.
+func (datagrams *Datagrams) SendTo(datagram *clusterv1.Datagram, address net.Addr) {
+	if payload, err := proto.Marshal(datagram); err == nil {
+		_, _ = datagrams.Conn.WriteTo(payload, address)
+	}
+}
+
 // Handlers take datagrams by their kind.
 type Handlers struct {
 	Heartbeat func(*clusterv1.Heartbeat)
-	Beacon    func(*clusterv1.Beacon)
+	Beacon    func(beacon *clusterv1.Beacon, from net.Addr)
 	JobOwner  func(*clusterv1.JobOwner)
+	Demand    func(*clusterv1.Demand)
+	Loads     func(*clusterv1.Loads)
 }
 
 // Receive hands datagrams to the handlers until the context ends or the connection is closed.
 func (datagrams *Datagrams) Receive(ctx context.Context, handlers Handlers) {
 	buffer := make([]byte, datagramSize)
 	for ctx.Err() == nil {
-		size, _, err := datagrams.Conn.ReadFrom(buffer)
+		size, from, err := datagrams.Conn.ReadFrom(buffer)
 		if err != nil {
 			return
 		}
@@ -47,13 +56,32 @@
 		if proto.Unmarshal(buffer[:size], datagram) != nil {
 			continue
 		}
-		switch kind := datagram.GetKind().(type) {
-		case *clusterv1.Datagram_Heartbeat:
+		handlers.take(datagram, from)
+	}
+}
+
+// take hands a datagram to its handler; kinds without one are passed over.
+func (handlers *Handlers) take(datagram *clusterv1.Datagram, from net.Addr) {
+	switch kind := datagram.GetKind().(type) {
+	case *clusterv1.Datagram_Heartbeat:
+		if handlers.Heartbeat != nil {
 			handlers.Heartbeat(kind.Heartbeat)
-		case *clusterv1.Datagram_Beacon:
-			handlers.Beacon(kind.Beacon)
-		case *clusterv1.Datagram_JobOwner:
+		}
+	case *clusterv1.Datagram_Beacon:
+		if handlers.Beacon != nil {
+			handlers.Beacon(kind.Beacon, from)
+		}
+	case *clusterv1.Datagram_JobOwner:
+		if handlers.JobOwner != nil {
 			handlers.JobOwner(kind.JobOwner)
 		}
+	case *clusterv1.Datagram_Demand:
+		if handlers.Demand != nil {
+			handlers.Demand(kind.Demand)
+		}
+	case *clusterv1.Datagram_Loads:
+		if handlers.Loads != nil {
+			handlers.Loads(kind.Loads)
+		}
 	}
 }
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -37,6 +38,7 @@
 	mu      sync.Mutex
 	heard   time.Time
 	told    *clusterv1.Beacon
+	from    net.Addr
 	behind  time.Time // since when every check found something lacking; zero when the last did not
 	relying bool
 	calm    time.Time // since when nothing was missing
@@ -54,12 +56,23 @@
 	return &clusterv1.PingResponse{Name: subscriber.Node, Life: subscriber.Life}, nil
 }
 
+// Publisher returns the address of the publisher whose beacon came last; nil when none has come lately.
+func (subscriber *Subscriber) Publisher() net.Addr {
+	subscriber.mu.Lock()
+	defer subscriber.mu.Unlock()
+	if time.Since(subscriber.heard) > silenceLimit {
+		return nil
+	}
+	return subscriber.from
+}
+
 // Heard takes a beacon.
-func (subscriber *Subscriber) Heard(beacon *clusterv1.Beacon) {
+func (subscriber *Subscriber) Heard(beacon *clusterv1.Beacon, from net.Addr) {
 	subscriber.mu.Lock()
 	defer subscriber.mu.Unlock()
 	subscriber.heard = time.Now()
 	subscriber.told = beacon
+	subscriber.from = from
 }
 
 // lacking reports whether the last beacon told of something that the catalog has not. It must be called with mu held.
--- a/internal/dissemination/subscriber_test.go
+++ b/internal/dissemination/subscriber_test.go
@@ -39,7 +39,7 @@
 
 func (fixture *fixture) beacons(count int, revision int64) {
 	for range count {
-		fixture.Heard(&clusterv1.Beacon{ReplicaRevision: revision})
+		fixture.Heard(&clusterv1.Beacon{ReplicaRevision: revision}, nil)
 		time.Sleep(400 * time.Millisecond)
 	}
 }
@@ -52,7 +52,7 @@
 func TestBeaconBeforeFirstCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		subscriber := newFixture()
-		subscriber.Heard(&clusterv1.Beacon{})
+		subscriber.Heard(&clusterv1.Beacon{}, nil)
 		ctx, cancel := context.WithCancel(t.Context())
 		go subscriber.Run(ctx)
 		time.Sleep(time.Second)
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -49,10 +49,13 @@
 	Registry  *cluster.Registry
 	health    *metadata.Health
 	datagrams *cluster.Datagrams
-	ctx       context.Context
-	cancel    context.CancelFunc
-	stopping  atomic.Bool
-	calls     atomic.Int64
+	// subscriber is set by Start, before anything uses it.
+	subscriber *dissemination.Subscriber
+	loads      *backend.Loads
+	ctx        context.Context
+	cancel     context.CancelFunc
+	stopping   atomic.Bool
+	calls      atomic.Int64
 }
 
 // Times of a front.
@@ -68,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	loads := backend.NewLoads()
 	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life}
-	front := &Front{FrontOptions: options, health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
+	front := &Front{FrontOptions: options, loads: loads, health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone: options.Zone, Logger: options.Logger}
 	front.Runner = batchrun.New(batchrun.Options{
@@ -94,6 +97,7 @@
 	subscriber := &dissemination.Subscriber{
 		Node: front.Node, Life: front.Life, Catalog: front.Catalog, Health: front.health, Logger: front.Logger, FollowReplicas: front.followReplicas,
 	}
+	front.subscriber = subscriber
 	front.servePeers(listener, subscriber)
 	go front.health.Run(front.ctx)
 	go front.follower(front.ConfigurationPrefix, front.ConfigurationHandler, 0, subscriber.Wait).Run(front.ctx)
@@ -101,7 +105,7 @@
 	go front.Registry.Register(front.ctx)
 	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.Runner.TakeOverNode}
 	go front.datagrams.Receive(front.ctx, cluster.Handlers{
-		Heartbeat: monitor.Heard, Beacon: subscriber.Heard,
+		Heartbeat: monitor.Heard, Beacon: subscriber.Heard, Loads: front.heardLoads,
 		JobOwner: func(owner *clusterv1.JobOwner) { front.Runner.RememberOwner(owner.GetJobId(), owner.GetNode()) },
 	})
 	go monitor.Run(front.ctx)
@@ -143,10 +147,34 @@
 // Nearest implements batchrun.Peers.
 func (peers peers) Nearest() []string { return peers.front.Registry.Nearest() }
 
-// AnnounceOwner implements batchrun.Peers.
-func (peers peers) AnnounceOwner(jobID string) {
-	owner := &clusterv1.JobOwner{JobId: jobID, Node: peers.front.Node}
-	peers.front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_JobOwner{JobOwner: owner}}, peers.front.Registry.Others())
+// AnnounceJob implements batchrun.Peers.
+func (peers peers) AnnounceJob(job *batchv1.Job) {
+	front := peers.front
+	owner := &clusterv1.JobOwner{JobId: job.GetId(), Node: front.Node}
+	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_JobOwner{JobOwner: owner}}, front.Registry.Others())
+	if publisher := front.subscriber.Publisher(); publisher != nil {
+		demand := &clusterv1.Demand{Model: job.GetModel(), MinimumVersion: job.GetMinimumVersion()}
+		front.datagrams.SendTo(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Demand{Demand: demand}}, publisher)
+	}
+}
+
+// ShareLoads implements batchrun.Peers.
+func (peers peers) ShareLoads(inFlight map[string]int) {
+	front := peers.front
+	loads := &clusterv1.Loads{Node: front.Node}
+	for id, count := range inFlight {
+		loads.Replicas = append(loads.Replicas, &clusterv1.ReplicaLoad{Id: id, InFlight: int32(count)})
+	}
+	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Loads{Loads: loads}}, front.Registry.Others())
+}
+
+// heardLoads takes what another node has in flight.
+func (front *Front) heardLoads(told *clusterv1.Loads) {
+	inFlight := make(map[string]int, len(told.GetReplicas()))
+	for _, replica := range told.GetReplicas() {
+		inFlight[replica.GetId()] = int(replica.GetInFlight())
+	}
+	front.loads.SetOthers(told.GetNode(), inFlight, time.Now())
 }
 
 // Ready reports whether callers may be sent here.
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -79,6 +79,11 @@
 		return err
 	}
 	orderer.datagrams = &cluster.Datagrams{Conn: packets}
+	go orderer.datagrams.Receive(orderer.ctx, cluster.Handlers{
+		Demand: func(demand *clusterv1.Demand) {
+			orderer.Weights.SetDemand(demand.GetModel(), demand.GetMinimumVersion())
+		},
+	})
 	orderer.operator = operator
 	election := weights.NewElection(orderer.Store, orderer.Node, orderer.Election, orderer.Logger)
 	orderer.done.Add(1)
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -75,11 +75,30 @@
 // SetTarget takes a named version, if it is newer than the one known.
 func (orderer *Orderer) SetTarget(model string, version int64) {
 	orderer.mu.Lock()
-	if orderer.targets[model] < version {
-		orderer.targets[model] = version
-		orderer.Logger.Info("version named", "model", model, "version", version)
+	target := orderer.targets[model]
+	if target.Version < version {
+		target.Version = version
+		orderer.targets[model] = target
+		orderer.Logger.Info("version named", "model", model, "version", version, "lag", target.Lag)
 	}
 	orderer.mu.Unlock()
+	orderer.nudge()
+}
+
+// SetDemand takes the oldest version that a new job accepts.
+func (orderer *Orderer) SetDemand(model string, minimum int64) {
+	orderer.mu.Lock()
+	target := orderer.targets[model]
+	if lag := max(0, target.Version-minimum); target.Version > 0 && lag != target.Lag {
+		target.Lag = lag
+		orderer.targets[model] = target
+		orderer.Logger.Info("lag of jobs", "model", model, "version", target.Version, "minimum", minimum, "lag", lag)
+	}
+	orderer.mu.Unlock()
+	orderer.nudge()
+}
+
+func (orderer *Orderer) nudge() {
 	select {
 	case orderer.changed <- struct{}{}:
 	default:
@@ -90,8 +109,8 @@
 	orderer.mu.Lock()
 	defer orderer.mu.Unlock()
 	copied := make(Targets, len(orderer.targets))
-	for model, version := range orderer.targets {
-		copied[model] = version
+	for model, target := range orderer.targets {
+		copied[model] = target
 	}
 	return copied
 }
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -1,5 +1,5 @@
 // Package weights brings the replicas of a service to the versions of weights that trainers name: one node at a time orders
-// replicas, a few load at once, and each model has its own replicas.
+// replicas, a few load at once, and each model has its own share of the replicas.
 package weights
 
 import (
@@ -9,8 +9,14 @@
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 )
 
-// Targets are the newest named version of each model.
-type Targets map[string]int64
+// Target is the newest named version of a model, and how many versions older its newest jobs accept.
+type Target struct {
+	Version int64
+	Lag     int64
+}
+
+// Targets are the targets of models.
+type Targets map[string]Target
 
 // Step is an order that is due.
 type Step struct {
@@ -19,103 +25,163 @@
 	Version int64
 }
 
-// Planner decides which replica runs which model, and which is ordered next. It is pure; its caller serializes calls.
+// Planner decides which replicas run which model, and which is ordered next. It is pure; its caller serializes calls.
+//
+// Where jobs accept the version before the newest, only half of a model's replicas load each version: those that the newest
+// jobs cannot use any more. A load then never takes a replica from work, and with as many loads each model has twice the
+// replicas.
 type Planner struct {
-	// assigned is the model of each replica, kept as long as it stays balanced.
-	assigned map[string]string
+	// assigned are the models of each replica, kept as long as they stay balanced.
+	assigned map[string][]string
 }
 
 // NewPlanner returns a planner without assignments.
-func NewPlanner() *Planner { return &Planner{assigned: make(map[string]string)} }
+func NewPlanner() *Planner { return &Planner{assigned: make(map[string][]string)} }
 
 // Plan returns the orders that are due for a service, the furthest behind first. Replicas in busy have an order in progress.
 func (planner *Planner) Plan(models []string, replicas []*catalog.Replica, targets Targets, busy func(id string) bool) []Step {
-	planner.assign(models, replicas, targets)
+	present := slices.DeleteFunc(slices.Clone(replicas), func(replica *catalog.Replica) bool { return replica.Draining })
+	planner.assign(models, present, targets)
 	var steps []Step
-	for _, replica := range replicas {
-		model := planner.assigned[replica.ID]
-		target := targets[model]
-		if replica.Draining || model == "" || busy(replica.ID) || replica.Version(model) >= target {
-			continue
-		}
-		steps = append(steps, Step{Replica: replica, Model: model, Version: target})
+	for _, model := range models {
+		steps = append(steps, planner.planModel(model, present, targets[model], busy)...)
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int {
 		return cmp.Compare(b.Version-b.Replica.Version(b.Model), a.Version-a.Replica.Version(a.Model))
 	})
-	return steps
+	return withoutRepeats(steps)
 }
 
-// assign gives every replica a model: as many replicas to each as can be, and to each model those that lag least.
-func (planner *Planner) assign(models []string, replicas []*catalog.Replica, targets Targets) {
-	present := make(map[string]bool, len(replicas))
-	count := make(map[string]int, len(models))
-	var free []*catalog.Replica
+// planModel returns the orders that are due for a model: for replicas that new jobs cannot use, and for others until enough
+// are ready for the jobs after those.
+func (planner *Planner) planModel(model string, replicas []*catalog.Replica, target Target, busy func(id string) bool) []Step {
+	var members []*catalog.Replica
+	ready := 0
 	for _, replica := range replicas {
-		present[replica.ID] = true
-		if replica.Draining {
+		if !slices.Contains(planner.assigned[replica.ID], model) {
 			continue
 		}
-		model, known := planner.assigned[replica.ID]
-		if known && slices.Contains(models, model) {
-			count[model]++
-			continue
+		members = append(members, replica)
+		if replica.Version(model) >= target.Version {
+			ready++
 		}
-		free = append(free, replica)
 	}
-	for id := range planner.assigned {
-		if !present[id] {
-			delete(planner.assigned, id)
+	slices.SortStableFunc(members, func(a, b *catalog.Replica) int { return cmp.Compare(a.Version(model), b.Version(model)) })
+	wanted := len(members)
+	if target.Lag >= 1 {
+		wanted = (len(members) + 1) / 2
+	}
+	var steps []Step
+	for _, replica := range members {
+		version := replica.Version(model)
+		due := version < target.Version-target.Lag || (version < target.Version && ready < wanted)
+		if !due {
+			continue
+		}
+		ready++
+		if !busy(replica.ID) {
+			steps = append(steps, Step{Replica: replica, Model: model, Version: target.Version})
 		}
 	}
-	planner.assignFree(models, free, targets, count)
-	planner.balance(models, replicas, targets, count)
+	return steps
+}
+
+// withoutRepeats keeps the first step of each replica: it takes one order at a time.
+func withoutRepeats(steps []Step) []Step {
+	seen := make(map[string]bool, len(steps))
+	return slices.DeleteFunc(steps, func(step Step) bool {
+		repeated := seen[step.Replica.ID]
+		seen[step.Replica.ID] = true
+		return repeated
+	})
+}
+
+// share is how many replicas a model has: its part, twice that where each version is loaded by half of them.
+func share(model string, models []string, replicas int, targets Targets) int {
+	part := (replicas + len(models) - 1) / max(len(models), 1)
+	if targets[model].Lag >= 1 {
+		part *= 2
+	}
+	return min(part, replicas)
+}
+
+// assign gives each model its share of the replicas: those that it has, then those with the fewest models and the least lag.
+func (planner *Planner) assign(models []string, replicas []*catalog.Replica, targets Targets) {
+	kept := make(map[string][]string, len(replicas))
+	for _, replica := range replicas {
+		kept[replica.ID] = slices.DeleteFunc(planner.assigned[replica.ID], func(model string) bool { return !slices.Contains(models, model) })
+	}
+	planner.assigned = kept
+	for _, model := range models {
+		planner.trim(model, replicas, share(model, models, len(replicas), targets))
+	}
+	for _, model := range models {
+		planner.extend(model, replicas, share(model, models, len(replicas), targets), targets[model])
+	}
+	planner.spread(replicas)
+}
+
+func (planner *Planner) members(model string, replicas []*catalog.Replica) []*catalog.Replica {
+	return slices.DeleteFunc(slices.Clone(replicas), func(replica *catalog.Replica) bool {
+		return !slices.Contains(planner.assigned[replica.ID], model)
+	})
+}
+
+// trim takes replicas from a model that has too many, those with the most models first.
+func (planner *Planner) trim(model string, replicas []*catalog.Replica, most int) {
+	members := planner.members(model, replicas)
+	slices.SortStableFunc(members, func(a, b *catalog.Replica) int {
+		return cmp.Compare(len(planner.assigned[b.ID]), len(planner.assigned[a.ID]))
+	})
+	for _, replica := range members[:max(0, len(members)-most)] {
+		planner.unassign(replica.ID, model)
+	}
+}
+
+func (planner *Planner) unassign(id, model string) {
+	planner.assigned[id] = slices.DeleteFunc(planner.assigned[id], func(held string) bool { return held == model })
 }
 
-// assignFree gives replicas without a model to the models that have the fewest, those with the least lag first.
-func (planner *Planner) assignFree(models []string, free []*catalog.Replica, targets Targets, count map[string]int) {
-	for len(free) > 0 && len(models) > 0 {
-		model := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(count[a], count[b]) })
-		best := slices.IndexFunc(free, func(replica *catalog.Replica) bool {
-			return lag(replica, model, targets) == leastLag(free, model, targets)
-		})
-		planner.assigned[free[best].ID] = model
-		count[model]++
-		free = slices.Delete(free, best, best+1)
+// extend gives replicas to a model that has too few.
+func (planner *Planner) extend(model string, replicas []*catalog.Replica, wanted int, target Target) {
+	lacking := wanted - len(planner.members(model, replicas))
+	free := slices.DeleteFunc(slices.Clone(replicas), func(replica *catalog.Replica) bool {
+		return slices.Contains(planner.assigned[replica.ID], model)
+	})
+	slices.SortStableFunc(free, func(a, b *catalog.Replica) int {
+		return cmp.Or(
+			cmp.Compare(len(planner.assigned[a.ID]), len(planner.assigned[b.ID])),
+			cmp.Compare(lag(a, model, target), lag(b, model, target)),
+		)
+	})
+	for _, replica := range free[:max(0, min(lacking, len(free)))] {
+		planner.assigned[replica.ID] = append(planner.assigned[replica.ID], model)
 	}
 }
 
-// balance moves a replica while one model has two more than another.
-func (planner *Planner) balance(models []string, replicas []*catalog.Replica, targets Targets, count map[string]int) {
-	for len(models) > 1 {
-		few := slices.MinFunc(models, func(a, b string) int { return cmp.Compare(count[a], count[b]) })
-		many := slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(count[a], count[b]) })
-		if count[many]-count[few] < 2 {
+// spread moves models from replicas with two more than others have.
+func (planner *Planner) spread(replicas []*catalog.Replica) {
+	for range replicas {
+		if len(replicas) == 0 {
 			return
 		}
-		var movable []*catalog.Replica
-		for _, replica := range replicas {
-			if planner.assigned[replica.ID] == many && !replica.Draining {
-				movable = append(movable, replica)
+		byCount := func(a, b *catalog.Replica) int {
+			return cmp.Compare(len(planner.assigned[a.ID]), len(planner.assigned[b.ID]))
+		}
+		few, many := slices.MinFunc(replicas, byCount), slices.MaxFunc(replicas, byCount)
+		if len(planner.assigned[many.ID])-len(planner.assigned[few.ID]) < 2 {
+			return
+		}
+		for _, model := range planner.assigned[many.ID] {
+			if !slices.Contains(planner.assigned[few.ID], model) {
+				planner.unassign(many.ID, model)
+				planner.assigned[few.ID] = append(planner.assigned[few.ID], model)
+				break
 			}
 		}
-		moved := slices.MinFunc(movable, func(a, b *catalog.Replica) int {
-			return cmp.Compare(lag(a, few, targets), lag(b, few, targets))
-		})
-		planner.assigned[moved.ID] = few
-		count[many]--
-		count[few]++
 	}
 }
 
-func lag(replica *catalog.Replica, model string, targets Targets) int64 {
-	return max(0, targets[model]-replica.Version(model))
-}
-
-func leastLag(replicas []*catalog.Replica, model string, targets Targets) int64 {
-	least := lag(replicas[0], model, targets)
-	for _, replica := range replicas[1:] {
-		least = min(least, lag(replica, model, targets))
-	}
-	return least
+func lag(replica *catalog.Replica, model string, target Target) int64 {
+	return max(0, target.Version-replica.Version(model))
 }
