Try the log again as soon as probes say that the store answers

Change: writes of the log wait for the health of the store, which is probed each 120 ms while it does not answer.

--- a/internal/batchlog/log.go
+++ b/internal/batchlog/log.go
@@ -36,6 +36,8 @@
 // Log reads and writes batch jobs. It is safe for concurrent use.
 type Log struct {
 	Store metadata.Store
+	// Health tells when the store does not answer, so that nothing is tried meanwhile; nil for unknown.
+	Health *metadata.Health
 	// Node is the name under which this node owns jobs.
 	Node string
 }
@@ -115,7 +117,7 @@
 		return nil, err
 	}
 	var held *Hold
-	err = retry(ctx, func(ctx context.Context) error {
+	err = log.retry(ctx, func(ctx context.Context) error {
 		owner, revision, err := log.Owner(ctx, id)
 		if err != nil {
 			return err
@@ -153,7 +155,7 @@
 		Conditions: []metadata.Condition{{Key: ownerKey(held.JobID), Revision: held.revision}, {Key: key}},
 		Puts:       []metadata.Put{{Key: key, Value: encoded}},
 	}
-	err = retry(ctx, func(ctx context.Context) error {
+	err = log.retry(ctx, func(ctx context.Context) error {
 		_, err := log.Store.Commit(ctx, txn)
 		var conflict *metadata.ConflictError
 		if !errors.As(err, &conflict) {
@@ -172,7 +174,7 @@
 
 // End makes the end of a job durable, whoever owns it. Ending twice is no error; ErrNotFound says that there is no such job.
 func (log *Log) End(ctx context.Context, id string) error {
-	return retry(ctx, func(ctx context.Context) error {
+	return log.retry(ctx, func(ctx context.Context) error {
 		owner, revision, err := log.Owner(ctx, id)
 		if errors.Is(err, ErrNotOwner) {
 			return log.checkEnded(ctx, id)
@@ -269,7 +271,7 @@
 // Resume reads a job that this node has claimed. It must follow the claim, after which no earlier owner can append.
 func (log *Log) Resume(ctx context.Context, held *Hold) (*Record, error) {
 	var record *Record
-	err := retry(ctx, func(ctx context.Context) error {
+	err := log.retry(ctx, func(ctx context.Context) error {
 		var err error
 		record, err = log.Load(ctx, held.JobID)
 		return err
@@ -308,10 +310,11 @@
 }
 
 // retry repeats an operation that is safe to repeat until it succeeds, fails for good, or the context ends.
-func retry(ctx context.Context, operation func(context.Context) error) error {
+func (log *Log) retry(ctx context.Context, operation func(context.Context) error) error {
 	policy := backoff.NewExponentialBackOff()
 	policy.InitialInterval, policy.MaxInterval = retryFirst, retryMost
 	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		log.Health.AwaitGood(ctx)
 		callCtx, cancel := context.WithTimeout(ctx, callLimit)
 		defer cancel()
 		err := operation(callCtx)
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -114,6 +114,7 @@
 			return
 		}
 		pause(owned.ctx, acceptPause)
+		runner.Log.Health.AwaitGood(owned.ctx)
 	}
 	runner.Logger.Warn("acceptance given up", "job", owned.id(), "took_ms", time.Since(started).Milliseconds())
 	runner.remove(owned)
--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -11,7 +11,7 @@
 const (
 	probeInterval = time.Second
 	probeLimit    = 700 * time.Millisecond
-	probeAgain    = 200 * time.Millisecond
+	probeAgain    = 120 * time.Millisecond
 )
 
 // Health finds out when the store has stopped answering and when it answers again. A watch that waited meanwhile may never
@@ -85,6 +85,27 @@
 	return !health.lost
 }
 
+// AwaitGood waits until the store answers, as far as the probes tell, or the context ends. Calls that would only be refused
+// are saved so, and are made at once when the store is back.
+func (health *Health) AwaitGood(ctx context.Context) {
+	if health == nil {
+		return
+	}
+	for {
+		health.mu.Lock()
+		lost, cut := health.lost, health.cut
+		health.mu.Unlock()
+		if !lost {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-cut:
+		}
+	}
+}
+
 // context returns a context that ends when watches are to begin anew.
 func (health *Health) context(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(parent)
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -76,7 +76,7 @@
 	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone: options.Zone, Logger: options.Logger}
 	front.Runner = batchrun.New(batchrun.Options{
 		Node: options.Node, Life: options.Life, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
-		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Node: options.Node}, Peers: peers{front}, Logger: options.Logger,
+		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node}, Peers: peers{front}, Logger: options.Logger,
 		Flush: batch.FlushPolicy{Spacing: flushSpacing, Longest: flushLongest},
 	})
 	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
