--- /dev/null
+++ b/internal/batchlog/log_test.go
@@ -0,0 +1,231 @@
+package batchlog_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+)
+
+func newJob(id string) *batchv1.Job {
+	return &batchv1.Job{Id: id, Items: []*batchv1.Item{{Id: id + "-1", Path: "/", Body: []byte("body")}}}
+}
+
+func result(id string) []*batchv1.Result {
+	return []*batchv1.Result{{ItemId: id, Text: []byte("text of " + id)}}
+}
+
+func within(t testing.TB, limit time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// A job is accepted once, whichever node is asked.
+func TestAcceptOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		first, second := batchlog.Log{Store: store, Node: "a"}, batchlog.Log{Store: store, Node: "b"}
+		held, err := first.Accept(within(t, time.Second), newJob("job"))
+		must.NoError(t, err)
+		must.NotNil(t, held)
+		held, err = second.Accept(within(t, time.Second), newJob("job"))
+		must.NoError(t, err)
+		must.Nil(t, held)
+		owner, _, err := second.Owner(within(t, time.Second), "job")
+		must.NoError(t, err)
+		must.Eq(t, "a", owner.GetNode())
+	})
+}
+
+// An owner that was frozen can't list results once another node has claimed its job.
+func TestFormerOwnerCannotAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		frozen, successor := batchlog.Log{Store: store, Node: "a"}, batchlog.Log{Store: store, Node: "b"}
+		held, err := frozen.Accept(within(t, time.Second), newJob("job"))
+		must.NoError(t, err)
+		must.NoError(t, frozen.Append(within(t, time.Second), held, result("before")))
+		claimed, err := successor.Claim(within(t, time.Second), "job")
+		must.NoError(t, err)
+		record, err := successor.Resume(within(t, time.Second), claimed)
+		must.NoError(t, err)
+		must.Eq(t, 1, len(record.Results))
+		must.ErrorIs(t, frozen.Append(within(t, time.Second), held, result("after")), batchlog.ErrNotOwner)
+		must.NoError(t, successor.Append(within(t, time.Second), claimed, result("own")))
+		still, err := frozen.StillOwner(within(t, time.Second), held)
+		must.NoError(t, err)
+		must.False(t, still)
+	})
+}
+
+// An append whose answer is lost, or that is done only after the try was given up, is listed once.
+func TestLostAnswerListsOnce(t *testing.T) {
+	for _, late := range []time.Duration{0, 1500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			store := memstore.New()
+			log := batchlog.Log{Store: store, Node: "a"}
+			held, err := log.Accept(within(t, time.Second), newJob("job"))
+			must.NoError(t, err)
+			store.SetFaults(memstore.Faults{LoseAnswers: 1, LateBy: late})
+			must.NoError(t, log.Append(within(t, 10*time.Second), held, result("x")))
+			time.Sleep(3 * time.Second)
+			must.NoError(t, log.Append(within(t, 10*time.Second), held, result("y")))
+			record, err := log.Load(within(t, time.Second), "job")
+			must.NoError(t, err)
+			must.Eq(t, 2, len(record.Results))
+			must.Eq(t, "x", record.Results[0].GetItemId())
+		})
+	}
+}
+
+// After an end nothing is listed, the end repeats, and the job reads as ended.
+func TestEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		owner, other := batchlog.Log{Store: store, Node: "a"}, batchlog.Log{Store: store, Node: "b"}
+		held, err := owner.Accept(within(t, time.Second), newJob("job"))
+		must.NoError(t, err)
+		must.NoError(t, other.End(within(t, time.Second), "job"))
+		must.NoError(t, other.End(within(t, time.Second), "job"))
+		must.NoError(t, owner.EndHeld(within(t, time.Second), held))
+		must.ErrorIs(t, owner.Append(within(t, time.Second), held, result("late")), batchlog.ErrNotOwner)
+		must.ErrorIs(t, other.End(within(t, time.Second), "none"), batchlog.ErrNotFound)
+		record, err := other.Load(within(t, time.Second), "job")
+		must.NoError(t, err)
+		must.True(t, record.Ended)
+		owned, err := other.Owned(within(t, time.Second), "a", false)
+		must.NoError(t, err)
+		must.SliceEmpty(t, owned)
+	})
+}
+
+// A job larger than a value of the store is kept in pieces.
+func TestLargeJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := batchlog.Log{Store: memstore.New(), Node: "a"}
+		job := newJob("job")
+		job.Items[0].Body = make([]byte, 2<<20)
+		_, err := log.Accept(within(t, time.Second), job)
+		must.NoError(t, err)
+		record, err := log.Load(within(t, time.Second), "job")
+		must.NoError(t, err)
+		must.Eq(t, 2<<20, len(record.Job.GetItems()[0].GetBody()))
+	})
+}
+
+// model is what callers were told of one job.
+type model struct {
+	accepted, ended bool
+	listed          []string // in the order of their positions
+}
+
+// node is one node's view: what it believes to own.
+type node struct {
+	log  batchlog.Log
+	held *batchlog.Hold
+}
+
+// Histories of accepts, appends, claims, ends, outages, lost and late writes: what was acknowledged stays, in its place.
+func TestHistories(t *testing.T) {
+	bubble = t
+	rapid.Check(t, func(t *rapid.T) {
+		seeds := rapid.SliceOfN(rapid.IntRange(0, 9), 5, 40).Draw(t, "operations")
+		picks := rapid.SliceOfN(rapid.IntRange(0, 2), len(seeds), len(seeds)).Draw(t, "nodes")
+		synctestRun(func() { playHistory(t, seeds, picks) })
+	})
+}
+
+func playHistory(t *rapid.T, operations, picks []int) {
+	store := memstore.New()
+	nodes := make([]*node, 3)
+	for index := range nodes {
+		nodes[index] = &node{log: batchlog.Log{Store: store, Node: fmt.Sprint("node-", index)}}
+	}
+	told := &model{}
+	for step, operation := range operations {
+		play(t, store, nodes[picks[step]], told, operation, fmt.Sprint("item-", step))
+		check(t, store, told)
+	}
+	store.SetFaults(memstore.Faults{})
+	time.Sleep(5 * time.Second) // late writes come
+	check(t, store, told)
+}
+
+func play(t *rapid.T, store *memstore.Store, actor *node, told *model, operation int, item string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 1200*time.Millisecond)
+	defer cancel()
+	switch operation {
+	case 0, 1:
+		held, err := actor.log.Accept(ctx, newJob("job"))
+		if err == nil {
+			told.accepted = true
+		}
+		if held != nil {
+			actor.held = held
+		}
+	case 2, 3, 4:
+		if actor.held != nil && actor.log.Append(ctx, actor.held, result(item)) == nil {
+			if told.ended {
+				t.Fatalf("%s was listed after the end", item)
+			}
+			told.listed = append(told.listed, item)
+		}
+	case 5, 6:
+		held, err := actor.log.Claim(ctx, "job")
+		if err != nil {
+			return
+		}
+		if _, err := actor.log.Resume(ctx, held); err == nil {
+			actor.held = held
+		}
+	case 7:
+		if actor.log.End(ctx, "job") == nil {
+			told.ended = true
+		}
+	case 8:
+		store.SetFaults(memstore.Faults{LoseAnswers: 2, LateBy: time.Duration(len(item)%3) * 700 * time.Millisecond})
+	case 9:
+		store.SetFaults(memstore.Faults{Down: len(item)%2 == 0, Silent: len(item)%2 == 1})
+		time.Sleep(time.Second)
+		store.SetFaults(memstore.Faults{})
+	}
+}
+
+// check reads the job as any node would and compares it with what callers were told.
+func check(t *rapid.T, store *memstore.Store, told *model) {
+	reader := batchlog.Log{Store: store, Node: "reader"}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	record, err := reader.Load(ctx, "job")
+	if err != nil {
+		if told.accepted {
+			t.Fatalf("an accepted job can't be read: %v", err)
+		}
+		return
+	}
+	if told.ended && !record.Ended {
+		t.Fatalf("an acknowledged end is gone")
+	}
+	position, seen := 0, make(map[string]bool)
+	for _, listed := range record.Results {
+		if seen[listed.GetItemId()] {
+			t.Fatalf("%s stands twice", listed.GetItemId())
+		}
+		seen[listed.GetItemId()] = true
+		if position < len(told.listed) && told.listed[position] == listed.GetItemId() {
+			position++
+		}
+	}
+	if position != len(told.listed) {
+		t.Fatalf("listed %v, told %v", record.Results, told.listed)
+	}
+}
--- /dev/null
+++ b/internal/forwarding/forwarding_test.go
@@ -0,0 +1,131 @@
+package forwarding_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/forwarding"
+)
+
+// behaviour is how a replica answers one request.
+type behaviour struct {
+	after       time.Duration
+	status      int
+	notExecuted bool
+	notSent     bool
+	broken      bool
+}
+
+// scripted answers the n-th request by the n-th behaviour, and the rest by the last.
+type scripted struct {
+	mu        sync.Mutex
+	script    []behaviour
+	sent      []string
+	deadlines []time.Duration
+}
+
+func (script *scripted) Send(ctx context.Context, replica *catalog.Replica, request *backend.Request) (*backend.Answer, error) {
+	script.mu.Lock()
+	behaviour := script.script[min(len(script.sent), len(script.script)-1)]
+	script.sent = append(script.sent, replica.ID)
+	script.deadlines = append(script.deadlines, request.Deadline)
+	script.mu.Unlock()
+	if behaviour.notSent {
+		return nil, backend.ErrNotSent
+	}
+	select {
+	case <-ctx.Done():
+		return nil, backend.ErrBroken
+	case <-time.After(behaviour.after):
+	}
+	if behaviour.broken {
+		return nil, backend.ErrBroken
+	}
+	return &backend.Answer{
+		Status: behaviour.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("body")), Length: 4, NotExecuted: behaviour.notExecuted,
+	}, nil
+}
+
+func forward(t *testing.T, kind catalog.Kind, attempts int, script ...behaviour) (forwarding.Result, *scripted) {
+	t.Helper()
+	sender := &scripted{script: script}
+	var result forwarding.Result
+	synctest.Test(t, func(t *testing.T) {
+		table := catalog.NewTable()
+		table.SetReplicas([]catalog.Replica{{ID: "r1", Service: "s", Slots: 6}, {ID: "r2", Service: "s", Slots: 6}, {ID: "r3", Service: "s", Slots: 6}}, 1)
+		forwarder := &forwarding.Forwarder{Catalog: table, Loads: backend.NewLoads(), Sender: sender, Logger: log.New(io.Discard)}
+		route := &catalog.Route{
+			Kind: kind, Parts: []catalog.Part{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: attempts,
+		}
+		result = forwarder.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q"}, Deadline: 900 * time.Millisecond})
+		synctest.Wait()
+	})
+	return result, sender
+}
+
+func TestForward(t *testing.T) {
+	whole := behaviour{after: 20 * time.Millisecond, status: http.StatusOK}
+	refused := behaviour{status: http.StatusServiceUnavailable, notExecuted: true}
+	failed := behaviour{status: http.StatusInternalServerError}
+	silent := behaviour{after: time.Hour}
+	cases := []struct {
+		name     string
+		kind     catalog.Kind
+		attempts int
+		script   []behaviour
+		status   int
+		own      bool
+		sent     int
+		retry    bool
+	}{
+		{"answered", catalog.Safe, 2, []behaviour{whole}, 200, false, 1, false},
+		{"refused then answered", catalog.Safe, 2, []behaviour{refused, whole}, 200, false, 2, false},
+		{"refused by as many as may be asked", catalog.Safe, 2, []behaviour{refused}, 503, true, 2, true},
+		{"unsafe refused then answered", catalog.Unsafe, 2, []behaviour{refused, whole}, 200, false, 2, false},
+		{"unsafe that may have run is not repeated", catalog.Unsafe, 3, []behaviour{{broken: true}, whole}, 502, true, 1, false},
+		{"unsafe that was not sent is repeated", catalog.Unsafe, 3, []behaviour{{notSent: true}, whole}, 200, false, 2, false},
+		{"unsafe failure is passed on", catalog.Unsafe, 3, []behaviour{failed, whole}, 500, false, 1, false},
+		{"safe failure is repeated", catalog.Safe, 2, []behaviour{failed, whole}, 200, false, 2, false},
+		{"safe failure stays a failure", catalog.Safe, 2, []behaviour{failed, refused}, 500, false, 2, false},
+		{"broken then answered", catalog.Safe, 2, []behaviour{{broken: true}, whole}, 200, false, 2, false},
+		{"a silent replica is joined by another", catalog.Safe, 2, []behaviour{silent, whole}, 200, false, 2, false},
+		{"one attempt stays one", catalog.Safe, 1, []behaviour{silent}, 504, true, 1, false},
+		{"silence to the end", catalog.Safe, 2, []behaviour{silent}, 504, true, 2, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			result, sender := forward(t, c.kind, c.attempts, c.script...)
+			must.Eq(t, c.status, result.Status)
+			must.Eq(t, c.own, result.Own)
+			must.Eq(t, c.sent, len(sender.sent))
+			must.Eq(t, c.retry, result.RetryAfter > 0)
+			for index, deadline := range sender.deadlines {
+				must.LessEq(t, 900*time.Millisecond, deadline)
+				must.True(t, index == 0 || sender.sent[index] != sender.sent[index-1], must.Sprint("the same replica twice"))
+			}
+		})
+	}
+}
+
+// Parts of a route get requests by their weights.
+func TestPickPart(t *testing.T) {
+	parts := []catalog.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}
+	counts := make(map[string]int)
+	for range 10000 {
+		counts[forwarding.PickPart(parts)]++
+	}
+	must.Between(t, 8800, counts["a"], 9200)
+	must.Eq(t, 0, counts["c"])
+	must.Eq(t, "", forwarding.PickPart(nil))
+}
--- /dev/null
+++ b/internal/weights/planner_test.go
@@ -0,0 +1,132 @@
+package weights_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/weights"
+)
+
+func fleet(count int, models []string) []*catalog.Replica {
+	var list []*catalog.Replica
+	for index := range count {
+		replica := &catalog.Replica{ID: fmt.Sprint("replica-", index), Slots: 8}
+		for _, model := range models {
+			replica.Models = append(replica.Models, catalog.ModelVersion{Model: model, Version: 1})
+		}
+		list = append(list, replica)
+	}
+	return list
+}
+
+func idle(string) bool { return false }
+
+// load carries orders out.
+func load(steps []weights.Step, replicas []*catalog.Replica) {
+	for _, step := range steps {
+		for _, replica := range replicas {
+			if replica.ID != step.Replica.ID {
+				continue
+			}
+			for index := range replica.Models {
+				if replica.Models[index].Model == step.Model {
+					replica.Models[index].Version = step.Version
+				}
+			}
+		}
+	}
+}
+
+// settle plans and loads until nothing is due, and returns the number of loads.
+func settle(planner *weights.Planner, models []string, replicas []*catalog.Replica, targets weights.Targets) int {
+	loads := 0
+	for range 100 {
+		steps := planner.Plan(models, replicas, targets, idle)
+		if len(steps) == 0 {
+			return loads
+		}
+		load(steps, replicas)
+		loads += len(steps)
+	}
+	return -1
+}
+
+func usable(replicas []*catalog.Replica, model string, minimum int64) int {
+	count := 0
+	for _, replica := range replicas {
+		if replica.Version(model) >= minimum {
+			count++
+		}
+	}
+	return count
+}
+
+// Where jobs take the version before the newest, half of the replicas load each version, and half are usable at once.
+func TestHalfLoadsEachVersion(t *testing.T) {
+	models := []string{"m"}
+	replicas := fleet(8, models)
+	planner := weights.NewPlanner()
+	for version := int64(2); version < 9; version++ {
+		must.GreaterEq(t, 4, usable(replicas, "m", version-1), must.Sprint("before the loads of version ", version))
+		must.Eq(t, 4, settle(planner, models, replicas, weights.Targets{"m": {Version: version, Lag: 1}}))
+		must.Eq(t, 8, usable(replicas, "m", version-1))
+	}
+}
+
+// Where jobs take the newest version only, every replica of the model loads it.
+func TestAllLoadWithoutLag(t *testing.T) {
+	models := []string{"m"}
+	replicas := fleet(8, models)
+	must.Eq(t, 8, settle(weights.NewPlanner(), models, replicas, weights.Targets{"m": {Version: 2}}))
+}
+
+// Three models share nine replicas: as many loads a version as one model has replicas by an equal share.
+func TestModelsShareReplicas(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	replicas := fleet(9, models)
+	planner := weights.NewPlanner()
+	for version := int64(2); version < 8; version++ {
+		targets := weights.Targets{"a": {version, 1}, "b": {version, 1}, "c": {version, 1}}
+		must.LessEq(t, 9, settle(planner, models, replicas, targets))
+		for _, model := range models {
+			must.GreaterEq(t, 6, usable(replicas, model, version-1))
+			must.GreaterEq(t, 3, usable(replicas, model, version))
+		}
+	}
+}
+
+// Whatever replicas come, drain and lag behind: planning ends, and then each model has usable replicas.
+func TestPlanningSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(t, "models")]
+		replicas := fleet(rapid.IntRange(1, 12).Draw(t, "replicas"), models)
+		planner := weights.NewPlanner()
+		targets := make(weights.Targets)
+		for version := int64(2); version < 6; version++ {
+			for _, model := range models {
+				targets[model] = weights.Target{Version: version, Lag: rapid.Int64Range(0, 2).Draw(t, "lag")}
+			}
+			for _, replica := range replicas {
+				replica.Draining = rapid.IntRange(0, 9).Draw(t, "drains") == 0
+			}
+			if settle(planner, models, replicas, targets) < 0 {
+				t.Fatalf("planning does not settle")
+			}
+			working := 0
+			for _, replica := range replicas {
+				if !replica.Draining {
+					working++
+				}
+			}
+			for _, model := range models {
+				if working >= len(models) && usable(replicas, model, version-targets[model].Lag) == 0 {
+					t.Fatalf("no replica can run %s", model)
+				}
+			}
+		}
+	})
+}
