Leave a replica alone that answers with older weights than it registered, and fuzz the runner of batch jobs

Cause: found by a new test: an item that came back from a replica with weights too old was sent there again at once, in a loop without a pause. Change: the item waits 60 ms and avoids the replica for 250 ms. Tests of take-over, hand-over, outage, end, minimum version and attempts, and drawn histories with kills, stops, outages, lost and late writes, read at every node after each event.

--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -38,6 +38,8 @@
 	pauseAfterFailure = 60 * time.Millisecond
 	pauseAfterRefusal = 15 * time.Millisecond
 	avoidFor          = 900 * time.Millisecond
+	// avoidStale is how long a replica is left alone that answers with older weights than it registered.
+	avoidStale = 250 * time.Millisecond
 	// mostMoves bounds how often an item is taken away from slow replicas.
 	mostMoves = 3
 )
@@ -93,6 +95,8 @@
 		running.notBefore = now.Add(pauseAfterRefusal)
 	case outcomeStale, outcomeMixed:
 		running.restart()
+		running.notBefore = now.Add(pauseAfterFailure)
+		running.avoid, running.avoidUntil = replica.ID, now.Add(avoidStale)
 	case outcomeSlow, outcomeBroken:
 		running.avoid, running.avoidUntil = replica.ID, now.Add(avoidFor)
 	}
--- /dev/null
+++ b/internal/batchrun/history_test.go
@@ -0,0 +1,173 @@
+package batchrun_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+)
+
+const historyItems = 12
+
+// recorder is a testing.TB that keeps the first failure instead of ending the test, and ends the history by a panic.
+type recorder struct {
+	testing.TB
+	failure string
+}
+
+type historyOver struct{}
+
+func (recorder *recorder) Helper() {}
+
+func (recorder *recorder) Fatalf(format string, arguments ...any) {
+	recorder.failure = fmt.Sprintf(format, arguments...)
+	panic(historyOver{})
+}
+
+// history is what callers saw of each job.
+type history struct {
+	world    *world
+	recorder *recorder
+	accepted map[string]bool
+	seen     map[string][]*batchv1.Result
+	jobs     int
+}
+
+// runHistory plays events in modelled time and returns what was wrong; empty if nothing was.
+func runHistory(t *testing.T, seed uint64, events, picks []int) string {
+	recorder := &recorder{TB: t}
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(seed)
+		world.engines.breakShare, world.engines.refuseShare, world.engines.failShare = 0.03, 0.05, 0.01
+		played := &history{world: world, recorder: recorder, accepted: make(map[string]bool), seen: make(map[string][]*batchv1.Result)}
+		defer func() {
+			if over := recover(); over != nil && over != (historyOver{}) {
+				panic(over)
+			}
+			world.store.SetFaults(memstore.Faults{})
+			world.close()
+			time.Sleep(12 * time.Second)
+			synctest.Wait()
+		}()
+		for _, name := range []string{"a", "b", "c"} {
+			world.start(name)
+		}
+		for step, event := range events {
+			played.play(event, []string{"a", "b", "c"}[picks[step]])
+			played.look()
+		}
+		played.finish()
+	})
+	return recorder.failure
+}
+
+func (history *history) play(event int, name string) {
+	switch event {
+	case 0, 1, 2:
+		history.submit(name)
+	case 3:
+		history.kill(name)
+	case 4:
+		history.stop(name)
+	case 5:
+		history.world.store.SetFaults(memstore.Faults{LoseAnswers: 3, LateBy: time.Duration(history.jobs%3) * 600 * time.Millisecond})
+		time.Sleep(800 * time.Millisecond)
+		history.world.store.SetFaults(memstore.Faults{})
+	case 6:
+		history.world.store.SetFaults(memstore.Faults{Down: history.jobs%2 == 0, Silent: history.jobs%2 == 1})
+		time.Sleep(1500 * time.Millisecond)
+		history.world.store.SetFaults(memstore.Faults{})
+	case 7:
+		time.Sleep(time.Second)
+	}
+}
+
+func (history *history) submit(name string) {
+	runner := history.world.node(name)
+	if runner == nil {
+		return
+	}
+	id := fmt.Sprint("job-", history.jobs)
+	history.jobs++
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if runner.Submit(ctx, newDefinition(id, historyItems, 1), jobRoute) == nil {
+		history.accepted[id] = true
+	}
+	time.Sleep(150 * time.Millisecond)
+}
+
+// kill ends a node; a live one takes over, as the failure detector would have it, and the node comes back empty.
+func (history *history) kill(name string) {
+	history.world.kill(name)
+	time.Sleep(1300 * time.Millisecond)
+	for _, other := range []string{"a", "b", "c"} {
+		if runner := history.world.node(other); runner != nil && other != name {
+			_ = runner.TakeOverNode(context.Background(), name) // the node itself takes up what is left
+			break
+		}
+	}
+	history.world.start(name)
+}
+
+// stop ends a node as planned and starts it again.
+func (history *history) stop(name string) {
+	runner := history.world.node(name)
+	if runner == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	runner.HandOver(ctx)
+	history.world.kill(name)
+	history.world.start(name)
+}
+
+// look reads every accepted job at every node.
+func (history *history) look() {
+	for id := range history.accepted {
+		for _, name := range []string{"a", "b", "c"} {
+			runner := history.world.node(name)
+			if runner == nil {
+				continue
+			}
+			results, err := readAll(context.Background(), runner, id)
+			if err != nil {
+				continue // a node that is not sure may say so
+			}
+			checkResults(history.recorder, results, 1)
+			checkPrefix(history.recorder, history.seen[id], results)
+			history.seen[id] = results
+		}
+	}
+}
+
+// finish waits until every accepted job is whole.
+func (history *history) finish() {
+	history.world.store.SetFaults(memstore.Faults{})
+	for range 40 {
+		time.Sleep(500 * time.Millisecond)
+		history.look()
+		if history.whole() {
+			return
+		}
+	}
+	for id := range history.accepted {
+		if len(history.seen[id]) < historyItems {
+			history.recorder.Fatalf("%s has %d of %d results after 20 s", id, len(history.seen[id]), historyItems)
+		}
+	}
+}
+
+func (history *history) whole() bool {
+	for id := range history.accepted {
+		if len(history.seen[id]) < historyItems {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/batchrun/runner_test.go
@@ -0,0 +1,172 @@
+package batchrun_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batchrun"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+)
+
+var jobRoute = &catalog.Route{Kind: catalog.Batch, JobObjective: 8 * time.Second}
+
+// inWorld runs a test over nodes in modelled time.
+func inWorld(t *testing.T, seed uint64, run func(t *testing.T, world *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(seed)
+		for _, name := range []string{"a", "b", "c"} {
+			world.start(name)
+		}
+		run(t, world)
+		world.close()
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
+
+// await reads a job at a node until all of it is listed.
+func await(t *testing.T, runner *batchrun.Runner, id string, total int, limit time.Duration) []*batchv1.Result {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		results, err := readAll(t.Context(), runner, id)
+		if err == nil && len(results) == total {
+			return results
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d listed after %s: %v", len(results), total, limit, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// A job runs whole although streams break, replicas refuse and fail.
+func TestRunsWholeUnderFaults(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, world *world) {
+		world.engines.breakShare, world.engines.refuseShare = 0.1, 0.2
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 20, 1), jobRoute))
+		results := await(t, world.node("b"), "job", 20, 8*time.Second)
+		checkResults(t, results, 1)
+	})
+}
+
+// A successor finishes what a killed node had begun, and keeps what was listed in its place.
+func TestTakeOverOfKilledNode(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
+		time.Sleep(500 * time.Millisecond)
+		before, err := readAll(t.Context(), world.node("a"), "job")
+		must.NoError(t, err)
+		must.SliceNotEmpty(t, before)
+		world.kill("a")
+		must.NoError(t, world.node("b").TakeOverNode(t.Context(), "a"))
+		results := await(t, world.node("c"), "job", 30, 6*time.Second)
+		checkPrefix(t, before, results)
+		checkResults(t, results, 1)
+	})
+}
+
+// A planned stop hands the texts of unfinished items over: the successor goes on where they end.
+func TestHandOverKeepsTexts(t *testing.T) {
+	inWorld(t, 3, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 6, 1), jobRoute))
+		time.Sleep(70 * time.Millisecond)
+		world.node("a").HandOver(t.Context())
+		results := await(t, world.node("c"), "job", 6, 4*time.Second)
+		checkResults(t, results, 1)
+	})
+}
+
+// An outage of the store delays the acceptance, not the items.
+func TestOutageDoesNotStopItems(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, world *world) {
+		world.store.SetFaults(memstore.Faults{Down: true})
+		accepted := make(chan error, 1)
+		go func() { accepted <- world.node("a").Submit(context.Background(), newDefinition("job", 8, 1), jobRoute) }()
+		time.Sleep(4 * time.Second)
+		world.store.SetFaults(memstore.Faults{})
+		must.NoError(t, <-accepted)
+		await(t, world.node("a"), "job", 8, 500*time.Millisecond)
+	})
+}
+
+// Items wait for a replica whose weights are new enough, and texts of older weights are not listed.
+func TestMinimumVersion(t *testing.T) {
+	inWorld(t, 5, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 4, 2), jobRoute))
+		time.Sleep(time.Second)
+		results, err := readAll(t.Context(), world.node("a"), "job")
+		must.NoError(t, err)
+		must.SliceEmpty(t, results)
+		world.engines.mu.Lock()
+		world.engines.versions["e1"] = 2
+		world.engines.mu.Unlock()
+		held := []catalog.ModelVersion{{Model: "m", Version: 2}}
+		world.catalog.SetReplicas([]catalog.Replica{
+			{ID: "e1", Service: "engine", Slots: 4, Models: held}, {ID: "e2", Service: "engine", Slots: 4, Models: held}, {ID: "s1", Service: "scorer", Slots: 9},
+		}, 2)
+		checkResults(t, await(t, world.node("a"), "job", 4, 4*time.Second), 2)
+	})
+}
+
+// An item that fails as often as its route allows is listed as given up; one that fails less often is not.
+func TestGivesUpAfterAttempts(t *testing.T) {
+	inWorld(t, 6, func(t *testing.T, world *world) {
+		world.engines.failShare = 1
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 2, 1), jobRoute))
+		for _, result := range await(t, world.node("a"), "job", 2, 4*time.Second) {
+			must.True(t, result.GetTerminated())
+			must.Eq(t, 3, world.engines.starts[result.GetItemId()])
+		}
+	})
+}
+
+// After an end no item starts, at any node, and what was listed stays.
+func TestEndStopsItems(t *testing.T) {
+	inWorld(t, 7, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 40, 1), jobRoute))
+		time.Sleep(400 * time.Millisecond)
+		must.NoError(t, world.node("b").End(t.Context(), "job"))
+		before, err := readAll(t.Context(), world.node("c"), "job")
+		must.NoError(t, err)
+		started := total(world.engines)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, started, total(world.engines))
+		after, err := readAll(t.Context(), world.node("a"), "job")
+		must.NoError(t, err)
+		checkPrefix(t, before, after)
+		must.NoError(t, world.node("c").End(t.Context(), "job"))
+		_, err = world.node("a").Body(t.Context(), "job", newDefinition("job", 1, 1).GetItems()[0].GetId())
+		must.ErrorIs(t, err, batchrun.ErrNotFound)
+	})
+}
+
+func total(engines *engines) int {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	count := 0
+	for _, starts := range engines.starts {
+		count += starts
+	}
+	return count
+}
+
+// Drawn histories: kills, restarts, hand-overs, outages, lost and late writes. What was listed stays in its place at every
+// node that answers, and every accepted job is whole in the end.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(drawn *rapid.T) {
+		events := rapid.SliceOfN(rapid.IntRange(0, 7), 4, 16).Draw(drawn, "events")
+		picks := rapid.SliceOfN(rapid.IntRange(0, 2), len(events), len(events)).Draw(drawn, "nodes")
+		seed := rapid.Uint64().Draw(drawn, "seed")
+		if failure := runHistory(t, seed, events, picks); failure != "" {
+			drawn.Fatal(failure)
+		}
+	})
+}
--- /dev/null
+++ b/internal/batchrun/world_test.go
@@ -0,0 +1,302 @@
+package batchrun_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+	"github.com/thistlewalk/thistlewalk/internal/batchrun"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+)
+
+// engines stand for all replicas: each item has a fixed number of events, and each replica a version and faults.
+type engines struct {
+	mu sync.Mutex
+	// breakShare is the share of events after which a stream breaks off, failShare that of answers of 500.
+	breakShare, failShare, refuseShare float64
+	random                             *rand.Rand
+	versions                           map[string]int64
+	running                            map[string]int // by item
+	starts                             map[string]int
+}
+
+func (engines *engines) draw(share float64) bool {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	return engines.random.Float64() < share
+}
+
+func (engines *engines) version(replica string) int64 {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	return engines.versions[replica]
+}
+
+func eventsOf(item string) int64 { return int64(len(item))%5 + 3 }
+
+func eventText(item string, event int64) string { return fmt.Sprint(item, " event ", event) }
+
+func wholeText(item string) string {
+	var parts []string
+	for event := int64(1); event <= eventsOf(item); event++ {
+		parts = append(parts, eventText(item, event))
+	}
+	return strings.Join(parts, "\n")
+}
+
+// Send implements backend.Sender.
+func (engines *engines) Send(ctx context.Context, replica *catalog.Replica, request *backend.Request) (*backend.Answer, error) {
+	if replica.Service == "scorer" {
+		return answer(http.StatusOK, "score of "+request.ID, strings.NewReader("")), nil
+	}
+	engines.mu.Lock()
+	engines.starts[request.ID]++
+	engines.mu.Unlock()
+	switch {
+	case engines.draw(engines.refuseShare):
+		refused := answer(http.StatusServiceUnavailable, "", strings.NewReader(""))
+		refused.NotExecuted = true
+		return refused, nil
+	case engines.draw(engines.failShare):
+		return answer(http.StatusInternalServerError, "", strings.NewReader("")), nil
+	}
+	reader, writer := io.Pipe()
+	go engines.generate(ctx, replica.ID, request, writer)
+	made := answer(http.StatusOK, "", reader)
+	made.WeightVersion = engines.version(replica.ID)
+	return made, nil
+}
+
+func answer(status int, stamp string, body io.Reader) *backend.Answer {
+	return &backend.Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), Length: -1, Stamp: stamp}
+}
+
+// generate writes events as lines "ID VERSION TEXT".
+func (engines *engines) generate(ctx context.Context, replica string, request *backend.Request, writer *io.PipeWriter) {
+	for event := request.ResumeAfter + 1; event <= eventsOf(request.ID); event++ {
+		select {
+		case <-ctx.Done():
+			writer.CloseWithError(ctx.Err())
+			return
+		case <-time.After(30 * time.Millisecond):
+		}
+		if engines.draw(engines.breakShare) {
+			writer.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+		if _, err := fmt.Fprintf(writer, "%d %d %s\n", event, engines.version(replica), eventText(request.ID, event)); err != nil {
+			return
+		}
+	}
+	writer.Close()
+}
+
+type lines struct{}
+
+// Events implements batchrun.Decoder.
+func (lines) Events(body io.Reader) batchrun.EventReader { return &lineReader{body: body} }
+
+type lineReader struct {
+	body io.Reader
+	rest []byte
+}
+
+// Next implements batchrun.EventReader.
+func (reader *lineReader) Next() (batchrun.Event, error) {
+	for {
+		if line, rest, found := bytes.Cut(reader.rest, []byte("\n")); found {
+			reader.rest = rest
+			parts := strings.SplitN(string(line), " ", 3)
+			id, _ := strconv.ParseInt(parts[0], 10, 64)
+			version, _ := strconv.ParseInt(parts[1], 10, 64)
+			return batchrun.Event{ID: id, Version: version, Data: []byte(parts[2])}, nil
+		}
+		buffer := make([]byte, 256)
+		count, err := reader.body.Read(buffer)
+		reader.rest = append(reader.rest, buffer[:count]...)
+		if err != nil {
+			return batchrun.Event{}, err
+		}
+	}
+}
+
+// world is some nodes over one metadata store, in modelled time.
+type world struct {
+	store   *memstore.Store
+	engines *engines
+	catalog *catalog.Table
+
+	mu    sync.Mutex
+	nodes map[string]*batchrun.Runner
+	lives int64
+}
+
+func newWorld(seed uint64) *world {
+	table := catalog.NewTable()
+	configuration := &catalog.Configuration{Version: 1, Routes: []catalog.Route{
+		{Name: "jobs", Host: "h", Prefix: "/jobs/", Kind: catalog.Batch, MaxAttempts: 3, Parts: []catalog.Part{{Service: "engine", Weight: 1}}},
+		{Name: "score", Host: "h", Prefix: "/score/", MaxAttempts: 3, Parts: []catalog.Part{{Service: "scorer", Weight: 1}}},
+	}}
+	configuration.Index()
+	table.SetConfiguration(configuration)
+	held := []catalog.ModelVersion{{Model: "m", Version: 1}}
+	table.SetReplicas([]catalog.Replica{
+		{ID: "e1", Service: "engine", Slots: 4, Models: held}, {ID: "e2", Service: "engine", Slots: 4, Models: held}, {ID: "s1", Service: "scorer", Slots: 9},
+	}, 1)
+	return &world{
+		store: memstore.New(), catalog: table, nodes: make(map[string]*batchrun.Runner),
+		engines: &engines{random: rand.New(rand.NewPCG(seed, 1)), versions: map[string]int64{"e1": 1, "e2": 1}, running: map[string]int{}, starts: map[string]int{}},
+	}
+}
+
+// start begins a process of a node.
+func (world *world) start(name string) *batchrun.Runner {
+	world.mu.Lock()
+	world.lives++
+	runner := batchrun.New(batchrun.Options{
+		Node: name, Life: world.lives, Catalog: world.catalog, Loads: backend.NewLoads(), Sender: world.engines, Decoder: lines{},
+		Log: &batchlog.Log{Store: world.store, Node: name}, Peers: &worldPeers{world, name}, Logger: log.New(io.Discard),
+		Flush: batch.FlushPolicy{Spacing: 50 * time.Millisecond, Longest: 200 * time.Millisecond},
+	})
+	world.nodes[name] = runner
+	world.mu.Unlock()
+	runner.Start()
+	return runner
+}
+
+// kill ends a node's process without notice.
+func (world *world) kill(name string) {
+	world.mu.Lock()
+	runner := world.nodes[name]
+	delete(world.nodes, name)
+	world.mu.Unlock()
+	if runner != nil {
+		runner.Close()
+	}
+}
+
+func (world *world) node(name string) *batchrun.Runner {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	return world.nodes[name]
+}
+
+func (world *world) close() {
+	for _, name := range []string{"a", "b", "c"} {
+		world.kill(name)
+	}
+}
+
+// worldPeers reaches the other nodes by calls in the process.
+type worldPeers struct {
+	world *world
+	self  string
+}
+
+// Client implements batchrun.Peers.
+func (peers *worldPeers) Client(node string) batchv1.Batches {
+	if runner := peers.world.node(node); runner != nil {
+		return batchrun.Service{Runner: runner}
+	}
+	return nil
+}
+
+// Nearest implements batchrun.Peers.
+func (peers *worldPeers) Nearest() []string {
+	peers.world.mu.Lock()
+	defer peers.world.mu.Unlock()
+	var names []string
+	for _, name := range []string{"a", "b", "c"} {
+		if name != peers.self && peers.world.nodes[name] != nil {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// AnnounceJob implements batchrun.Peers.
+func (peers *worldPeers) AnnounceJob(*batchv1.Job) {}
+
+// ShareLoads implements batchrun.Peers.
+func (peers *worldPeers) ShareLoads(map[string]int) {}
+
+func newDefinition(id string, items int, minimum int64) *batchv1.Job {
+	job := &batchv1.Job{Id: id, Host: "h", Path: "/jobs/" + id, Model: "m", MinimumVersion: minimum}
+	for index := range items {
+		name := fmt.Sprint(id, "-", strings.Repeat("x", index%7), index)
+		job.Items = append(job.Items, &batchv1.Item{
+			Id: name, Path: "/jobs/item", Model: "m", Group: fmt.Sprint("g", index/2), Body: []byte("body of " + name),
+			Scorer: &batchv1.Scorer{Id: "s" + name, Host: "h", Path: "/score/"},
+		})
+	}
+	return job
+}
+
+// readAll reads a job from the start.
+func readAll(ctx context.Context, runner *batchrun.Runner, id string) ([]*batchv1.Result, error) {
+	var results []*batchv1.Result
+	for {
+		page, err := runner.Read(ctx, id, len(results), 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(page.Results) == 0 {
+			return results, nil
+		}
+		results = append(results, page.Results...)
+	}
+}
+
+// checkResults compares results with what engines make of the items.
+func checkResults(t testing.TB, results []*batchv1.Result, minimum int64) {
+	t.Helper()
+	seen := make(map[string]bool)
+	for _, result := range results {
+		if seen[result.GetItemId()] {
+			t.Fatalf("%s stands twice", result.GetItemId())
+		}
+		seen[result.GetItemId()] = true
+		if result.GetTerminated() {
+			continue
+		}
+		if string(result.GetText()) != wholeText(result.GetItemId()) {
+			t.Fatalf("%s has the text %q", result.GetItemId(), result.GetText())
+		}
+		if result.GetScore() != "score of s"+result.GetItemId() {
+			t.Fatalf("%s has the score %q", result.GetItemId(), result.GetScore())
+		}
+		for _, version := range result.GetVersions() {
+			if version < minimum {
+				t.Fatalf("%s was made by version %d under the minimum %d", result.GetItemId(), version, minimum)
+			}
+		}
+	}
+}
+
+// checkPrefix reports a position that holds another result than it did.
+func checkPrefix(t testing.TB, before, after []*batchv1.Result) {
+	t.Helper()
+	for index, result := range before {
+		if index >= len(after) {
+			t.Fatalf("position %d is gone", index)
+		}
+		if after[index].GetItemId() != result.GetItemId() || !bytes.Equal(after[index].GetText(), result.GetText()) {
+			t.Fatalf("position %d held %s and holds %s", index, result.GetItemId(), after[index].GetItemId())
+		}
+	}
+}
