--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -23,8 +23,8 @@
 	replicas := platform.NewReplicas(dialer())
 	front := role.NewFront(role.FrontOptions{
 		Node: settings.Node, Zone: settings.Zone, Role: settings.Role, Life: process.life, PeerAddress: settings.PeerAddress(0),
-		Store: platform.NewStore(settings.API.Address, dialer()), Sender: replicas, Decoder: platform.EventDecoder{},
-		PeerClient: peerClient(), Logger: process.logger, Catalog: table,
+		Store: process.measuredStore(), Sender: replicas, Decoder: platform.EventDecoder{},
+		PeerClient: peerClient(), Logger: process.logger, Metrics: process.metrics, Catalog: table,
 		ConfigurationPrefix: platform.KeyConfiguration, ReplicaPrefix: platform.PrefixReplicas,
 		ConfigurationHandler: process.operator(table),
 		ReplicaHandler:       &platform.ReplicaHandler{Logger: process.logger, Catalog: table},
--- a/cmd/thistlewalk-rollout/main.go
+++ b/cmd/thistlewalk-rollout/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -17,6 +18,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/thistlewalk/thistlewalk/internal/logging"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 	"github.com/thistlewalk/thistlewalk/platform"
 )
 
@@ -26,6 +29,7 @@
 		Usage: "thistlewalk on the users' platform",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings file", Sources: cli.EnvVars(platform.SettingsVariable)},
+			&cli.IntFlag{Name: "metrics-port", Usage: "port for metrics on the node's address; 0 for none"},
 			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info"},
 		},
 		Commands: []*cli.Command{
@@ -45,6 +49,9 @@
 	settings *platform.Settings
 	logger   *log.Logger
 	queue    *logging.Queue
+	metrics  *telemetry.Metrics
+	store    *platform.Store
+	path     string
 	life     int64
 }
 
@@ -69,17 +76,37 @@
 			return err
 		}
 		debug.SetGCPercent(garbageTarget)
-		if settings.Limits.MemoryMB > 0 {
-			debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryShare * bytesPerMB))
+		limitMemory(settings)
+		started := &process{
+			settings: settings, logger: logger, queue: queue, metrics: telemetry.New(queue.Dropped), path: path, life: time.Now().UnixNano(),
+			store: platform.NewStore(settings.API.Address, dialer()),
 		}
-		started := &process{settings: settings, logger: logger, queue: queue, life: time.Now().UnixNano()}
 		logger.Info("start", "node", settings.Node, "role", settings.Role, "zone", settings.Zone, "life", started.life, "settings", path)
+		if port := command.Int("metrics-port"); port > 0 {
+			if err := started.serveMetrics(port); err != nil {
+				return err
+			}
+		}
 		err = run(started)
 		queue.Close(logFlushLimit)
 		return err
 	}
 }
 
+func limitMemory(settings *platform.Settings) {
+	if settings.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryShare * bytesPerMB))
+	}
+}
+
+// serveMetrics serves the figures of this process at any path of the port.
+func (process *process) serveMetrics(port int) error {
+	address := net.JoinHostPort(process.settings.IP, strconv.Itoa(port))
+	return process.serve("metrics", address, &http.Server{Handler: process.metrics.Handler(), ReadHeaderTimeout: metricsTimeout})
+}
+
+const metricsTimeout = 3 * time.Second
+
 func check(process *process) error {
 	fmt.Println("settings are right: node", process.settings.Node)
 	return nil
@@ -93,6 +120,11 @@
 	probeCount    = 3
 )
 
+// measuredStore is the metadata store with its calls counted.
+func (process *process) measuredStore() metadata.Store {
+	return &metadata.Measured{Store: process.store, Metrics: process.metrics}
+}
+
 func dialer() platform.DialFunc {
 	return (&net.Dialer{Timeout: dialLimit, KeepAliveConfig: keepAlive()}).DialContext
 }
@@ -118,16 +150,51 @@
 	return nil
 }
 
-// awaitStop waits for SIGTERM or an interrupt, and reloads the settings on SIGHUP.
+// awaitStop waits for SIGTERM or an interrupt. On SIGHUP, and when the settings file changes, it takes the new settings.
 func (process *process) awaitStop() {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	for received := range signals {
-		if received == syscall.SIGHUP {
-			process.logger.Info("reload", "signal", "SIGHUP")
-			continue
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	modified := modifiedAt(process.path)
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				process.logger.Info("stop", "signal", received.String())
+				return
+			}
+			process.reload("SIGHUP")
+			modified = modifiedAt(process.path)
+		case <-ticker.C:
+			if now := modifiedAt(process.path); !now.Equal(modified) {
+				modified = now
+				process.reload("file changed")
+			}
 		}
-		process.logger.Info("stop", "signal", received.String())
+	}
+}
+
+const settingsPoll = 2 * time.Second
+
+// modifiedAt returns when a file was written; zero if that can't be told.
+func modifiedAt(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload takes what may change while a process runs: the store's address and the memory limit. Settings that are not valid
+// change nothing.
+func (process *process) reload(cause string) {
+	settings, err := platform.LoadSettings(process.path)
+	if err != nil {
+		process.logger.Error("reload refused", "cause", cause, "error", err)
 		return
 	}
+	limitMemory(settings)
+	process.store.SetAddress(settings.API.Address)
+	process.logger.Info("reload", "cause", cause, "store", settings.API.Address, "memory_mb", settings.Limits.MemoryMB)
 }
--- a/cmd/thistlewalk-rollout/orderer.go
+++ b/cmd/thistlewalk-rollout/orderer.go
@@ -11,17 +11,16 @@
 
 // Times of the election of the orderer.
 const (
-	ordererLease  = 1800 * time.Millisecond
-	ordererRenew  = 450 * time.Millisecond
+	ordererLease  = 1300 * time.Millisecond
+	ordererRenew  = 300 * time.Millisecond
 	handoverSlack = 300 * time.Millisecond
 )
 
 func runOrderer(process *process) error {
 	settings := process.settings
 	table := catalog.NewTable()
-	store := platform.NewStore(settings.API.Address, dialer())
 	orderer := role.NewOrderer(role.OrdererOptions{
-		Node: settings.Node, Role: settings.Role, Life: process.life, PeerAddress: settings.PeerAddress(0), PeerClient: peerClient(), Store: store, Replicas: platform.NewReplicas(dialer()), Retire: store, Logger: process.logger, Catalog: table,
+		Node: settings.Node, Role: settings.Role, Life: process.life, PeerAddress: settings.PeerAddress(0), PeerClient: peerClient(), Store: process.measuredStore(), Replicas: platform.NewReplicas(dialer()), Retire: process.store, Logger: process.logger, Metrics: process.metrics, Catalog: table,
 		OperatorPrefix: platform.PrefixOperator, ReplicaPrefix: platform.PrefixReplicas,
 		ReplicaHandler: &platform.ReplicaHandler{Logger: process.logger, Catalog: table},
 		Election: weights.ElectionSettings{
--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -47,6 +47,7 @@
 	if err == nil || errors.Is(err, batchlog.ErrNotFound) {
 		runner.remember(owned)
 	}
+	runner.Metrics.Job("ended")
 	runner.Logger.Info("job ended", "job", owned.id(), "listed", len(owned.listed), "items", len(owned.items), "error", err)
 	runner.remove(owned)
 	if err != nil && ctx.Err() == nil {
--- a/internal/batchrun/flush.go
+++ b/internal/batchrun/flush.go
@@ -50,6 +50,7 @@
 		return true
 	}
 	if errors.Is(err, batchlog.ErrNotOwner) {
+		runner.Metrics.Job("lost")
 		runner.Logger.Warn("ownership lost", "job", owned.id(), "reason", "append refused")
 		runner.remove(owned)
 		return false
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -55,6 +55,7 @@
 	ended, status := runner.attempt(running, replica, route)
 	runner.Loads.End(replica.ID, loadOutcome(ended), time.Now())
 	runner.scheduler.nudge()
+	runner.Metrics.Item(ended.String(), time.Since(started))
 	runner.Logger.Info("item", "request", running.item.GetId(), "job", running.job.id(), "replica", replica.ID, "outcome", ended,
 		"status", status, "from", from, "events", running.lastEvent, "versions", running.versions, "minimum", running.job.definition.GetMinimumVersion(),
 		"took_ms", time.Since(started).Milliseconds())
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -16,6 +16,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
 // Errors of a Runner. ErrUnsure says that the answer can't be given now; a caller may ask again.
@@ -67,6 +68,7 @@
 	Log     *batchlog.Log
 	Peers   Peers
 	Logger  *log.Logger
+	Metrics *telemetry.Metrics
 	Flush   batch.FlushPolicy
 	// Zone is the node's own zone.
 	Zone string
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -152,6 +152,7 @@
 	owned.elsewhere = held == nil
 	owned.mu.Unlock()
 	close(owned.accepted)
+	runner.Metrics.Job("accepted")
 	runner.Logger.Info("job accepted", "job", owned.id(), "step", owned.definition.GetStep(), "model", owned.definition.GetModel(),
 		"minimum", owned.definition.GetMinimumVersion(), "items", len(owned.definition.GetItems()), "here", held != nil, "tries", tries,
 		"took_ms", time.Since(started).Milliseconds())
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -54,6 +54,7 @@
 			text: partial.GetText(), lastEvent: partial.GetLastEvent(), versions: partial.GetVersions(), at: time.Now(),
 		})
 	}
+	runner.Metrics.Job("taken_over")
 	runner.resume(held, record)
 	return nil
 }
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -15,6 +15,7 @@
 
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
 const (
@@ -61,6 +62,7 @@
 	Sender  backend.Sender
 	Zone    string
 	Logger  *log.Logger
+	Metrics *telemetry.Metrics
 }
 
 // PickPart draws a part of a route by weight.
@@ -99,8 +101,9 @@
 	if result.Rest == nil {
 		cancel()
 	}
+	forwarder.Metrics.Forwarded(result.Status, result.Own, time.Since(started))
 	forwarder.Logger.Info("forward", "request", call.Request.ID, "route", route.Name, "service", run.service,
-		"replica", run.last, "attempts", run.attempts, "held_ms", time.Since(started).Milliseconds(), "status", result.Status,
+		"replica", run.last, "attempts", run.attempts, "replicas_revision", forwarder.Catalog.Replicas().Revision, "held_ms", time.Since(started).Milliseconds(), "status", result.Status,
 		"own", result.Own, "reason", result.Reason)
 	return result
 }
--- /dev/null
+++ b/internal/metadata/measured.go
@@ -0,0 +1,80 @@
+package metadata
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/thistlewalk/thistlewalk/internal/telemetry"
+)
+
+// Measured is a Store whose calls are counted and timed.
+type Measured struct {
+	Store
+	Metrics *telemetry.Metrics
+}
+
+// resultOf names the outcome of a call for metrics.
+func resultOf(err error) string {
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.Is(err, ErrLimited):
+		return "limited"
+	case errors.Is(err, ErrCompacted):
+		return "compacted"
+	case errors.Is(err, ErrLeaseGone):
+		return "lease_gone"
+	case errors.Is(err, ErrUncertain):
+		return "uncertain"
+	}
+	return "unavailable"
+}
+
+func (measured *Measured) count(call string, started time.Time, err error) {
+	measured.Metrics.StoreCall(call, resultOf(err), time.Since(started))
+}
+
+// Get implements Store.
+func (measured *Measured) Get(ctx context.Context, key string) (Item, bool, error) {
+	started := time.Now()
+	item, found, err := measured.Store.Get(ctx, key)
+	measured.count("get", started, err)
+	return item, found, err
+}
+
+// List implements Store.
+func (measured *Measured) List(ctx context.Context, prefix string) (Listing, error) {
+	started := time.Now()
+	listing, err := measured.Store.List(ctx, prefix)
+	measured.count("list", started, err)
+	return listing, err
+}
+
+// Watch implements Store.
+func (measured *Measured) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error) {
+	started := time.Now()
+	changes, err := measured.Store.Watch(ctx, prefix, after, wait)
+	measured.count("watch", started, err)
+	return changes, err
+}
+
+// Commit implements Store.
+func (measured *Measured) Commit(ctx context.Context, txn Txn) (Revision, error) {
+	started := time.Now()
+	revision, err := measured.Store.Commit(ctx, txn)
+	measured.count("commit", started, err)
+	return revision, err
+}
+
+// Probe implements Store.
+func (measured *Measured) Probe(ctx context.Context) error {
+	started := time.Now()
+	err := measured.Store.Probe(ctx)
+	measured.count("probe", started, err)
+	return err
+}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -21,6 +21,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/forwarding"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
 // FrontOptions are what a front is made of.
@@ -34,6 +35,7 @@
 	Decoder     batchrun.Decoder
 	PeerClient  *http.Client
 	Logger      *log.Logger
+	Metrics     *telemetry.Metrics
 	// ConfigurationPrefix and ReplicaPrefix are the keys that the handlers follow; the handlers fill the catalog.
 	ConfigurationPrefix, ReplicaPrefix string
 	Catalog                            *catalog.Table
@@ -73,10 +75,10 @@
 	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life}
 	front := &Front{FrontOptions: options, loads: loads, health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
-	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone: options.Zone, Logger: options.Logger}
+	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics}
 	front.Runner = batchrun.New(batchrun.Options{
 		Node: options.Node, Life: options.Life, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
-		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node}, Peers: peers{front}, Logger: options.Logger,
+		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
 		Flush: batch.FlushPolicy{Spacing: flushSpacing, Longest: flushLongest},
 	})
 	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -14,6 +14,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 	"github.com/thistlewalk/thistlewalk/internal/weights"
 )
 
@@ -32,6 +33,7 @@
 	Retire      RetireReporter
 	PeerClient  *http.Client
 	Logger      *log.Logger
+	Metrics     *telemetry.Metrics
 	Catalog     *catalog.Table
 	// OperatorPrefix and ReplicaPrefix are the keys that the handlers follow while this node holds the lease.
 	OperatorPrefix, ReplicaPrefix string
@@ -65,9 +67,10 @@
 func NewOrderer(options OrdererOptions) *Orderer {
 	ctx, cancel := context.WithCancel(context.Background())
 	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Role: options.Role, Life: options.Life}
+	orders := weights.NewOrderer(options.Node, options.Catalog, options.Replicas, loadsAtOnce, options.Logger)
+	orders.Metrics = options.Metrics
 	return &Orderer{
-		OrdererOptions: options, ctx: ctx, cancel: cancel,
-		Weights:  weights.NewOrderer(options.Node, options.Catalog, options.Replicas, loadsAtOnce, options.Logger),
+		OrdererOptions: options, ctx: ctx, cancel: cancel, Weights: orders,
 		registry: cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger),
 	}
 }
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,87 @@
+// Package telemetry holds the counters and latency histograms of a node. A nil *Metrics counts nothing.
+package telemetry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Metrics are the figures of one process.
+type Metrics struct {
+	registry  *prometheus.Registry
+	forwarded *prometheus.HistogramVec
+	items     *prometheus.HistogramVec
+	jobs      *prometheus.CounterVec
+	store     *prometheus.HistogramVec
+	orders    *prometheus.CounterVec
+}
+
+// latencyBuckets are upper bounds in seconds, from a call to the store to the longest item.
+var latencyBuckets = []float64{0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10}
+
+// New returns metrics; dropped tells how many log lines were dropped.
+func New(dropped func() int64) *Metrics {
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "thistlewalk", Name: name, Help: help, Buckets: latencyBuckets}, labels)
+	}
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "thistlewalk", Name: name, Help: help}, labels)
+	}
+	metrics := &Metrics{
+		registry:  prometheus.NewRegistry(),
+		forwarded: histogram("forward_seconds", "Time of forwarded requests by final status.", "status", "own"),
+		items:     histogram("item_seconds", "Time of attempts at items by outcome.", "outcome"),
+		jobs:      counter("job_events_total", "Events of batch jobs.", "event"),
+		store:     histogram("store_seconds", "Time of calls to the metadata store by call and result.", "call", "result"),
+		orders:    counter("orders_total", "Orders to replicas by reply.", "reply"),
+	}
+	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
+	}, func() float64 { return float64(dropped()) })
+	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.store, metrics.orders, lines)
+	return metrics
+}
+
+// Handler serves the figures as text.
+func (metrics *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(metrics.registry, promhttp.HandlerOpts{DisableCompression: true})
+}
+
+// Forwarded counts a forwarded request. Own says that the status is this node's and not a replica's.
+func (metrics *Metrics) Forwarded(status int, own bool, took time.Duration) {
+	if metrics != nil {
+		metrics.forwarded.WithLabelValues(strconv.Itoa(status), strconv.FormatBool(own)).Observe(took.Seconds())
+	}
+}
+
+// Item counts an attempt at an item.
+func (metrics *Metrics) Item(outcome string, took time.Duration) {
+	if metrics != nil {
+		metrics.items.WithLabelValues(outcome).Observe(took.Seconds())
+	}
+}
+
+// Job counts an event of a batch job.
+func (metrics *Metrics) Job(event string) {
+	if metrics != nil {
+		metrics.jobs.WithLabelValues(event).Inc()
+	}
+}
+
+// StoreCall counts a call to the metadata store.
+func (metrics *Metrics) StoreCall(call, result string, took time.Duration) {
+	if metrics != nil {
+		metrics.store.WithLabelValues(call, result).Observe(took.Seconds())
+	}
+}
+
+// Order counts an order to a replica.
+func (metrics *Metrics) Order(reply string) {
+	if metrics != nil {
+		metrics.orders.WithLabelValues(reply).Inc()
+	}
+}
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -74,12 +74,6 @@
 	term.until = sent.Add(term.life)
 }
 
-func (term *Term) over() bool {
-	term.mu.Lock()
-	defer term.mu.Unlock()
-	return time.Now().After(term.until)
-}
-
 // Reset implements metadata.Handler.
 func (election *Election) Reset(items []metadata.Item, _ metadata.Revision) {
 	election.mu.Lock()
@@ -119,9 +113,14 @@
 }
 
 const (
-	candidateDelay = 350 * time.Millisecond
-	electionPoll   = time.Second
-	electionCall   = 600 * time.Millisecond
+	candidateDelay = 250 * time.Millisecond
+	// otherDelay is how much longer a candidate waits that did not hold the lease last: it has to wait before its first order,
+	// and the last holder has not.
+	otherDelay = 450 * time.Millisecond
+	// renewFaster is how many times as often a renewal is tried that failed.
+	renewFaster  = 3
+	electionPoll = time.Second
+	electionCall = 600 * time.Millisecond
 	// electionWatch bounds how long a vacancy can be missed.
 	electionWatch   = 3 * time.Second
 	electionBackoff = 250 * time.Millisecond
@@ -160,7 +159,7 @@
 		return false
 	}
 	if !own {
-		pause(ctx, time.Duration(rand.Int64N(int64(candidateDelay))))
+		pause(ctx, otherDelay+time.Duration(rand.Int64N(int64(candidateDelay))))
 	}
 	vacant, _ = election.vacant()
 	return vacant && ctx.Err() == nil
@@ -214,7 +213,8 @@
 	election.holder = holder
 }
 
-// hold renews the lease for as long as it can.
+// hold renews the lease until it is over. A lease may wait while the store is down: a term whose time has run out gives no
+// orders, and goes on when a renewal succeeds, since nobody else can have held the lease meanwhile.
 func (election *Election) hold(ctx context.Context, term *Term, lead func(context.Context, *Term)) {
 	termCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -223,8 +223,9 @@
 		defer close(done)
 		lead(termCtx, term)
 	}()
-	for ctx.Err() == nil && !term.over() {
-		pause(ctx, election.Settings.Renew)
+	wait := election.Settings.Renew
+	for ctx.Err() == nil {
+		pause(ctx, wait)
 		sent := time.Now()
 		callCtx, stop := context.WithTimeout(ctx, electionCall)
 		err := election.Store.RenewLease(callCtx, term.lease)
@@ -232,8 +233,10 @@
 		if errors.Is(err, metadata.ErrLeaseGone) {
 			break
 		}
+		wait = election.Settings.Renew / renewFaster
 		if err == nil {
 			term.extend(sent)
+			wait = election.Settings.Renew
 		}
 	}
 	cancel()
--- /dev/null
+++ b/internal/weights/election_test.go
@@ -0,0 +1,114 @@
+package weights_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+	"github.com/thistlewalk/thistlewalk/internal/weights"
+)
+
+var electionSettings = weights.ElectionSettings{Lease: 1800 * time.Millisecond, Renew: 450 * time.Millisecond, HandoverWait: 3300 * time.Millisecond}
+
+// duty is when which node could have given an order.
+type duty struct {
+	node  string
+	fence int64
+	at    time.Time
+}
+
+// duties records who may give orders, each 50 ms.
+type duties struct {
+	mu   sync.Mutex
+	list []duty
+}
+
+func (duties *duties) lead(node string) func(context.Context, *weights.Term) {
+	return func(ctx context.Context, term *weights.Term) {
+		for ctx.Err() == nil {
+			if term.Valid(300 * time.Millisecond) {
+				duties.mu.Lock()
+				duties.list = append(duties.list, duty{node, term.Fence, time.Now()})
+				duties.mu.Unlock()
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func (duties *duties) last() duty {
+	duties.mu.Lock()
+	defer duties.mu.Unlock()
+	return duties.list[len(duties.list)-1]
+}
+
+// check reports holders that share a fence, fences that fall, and turns without the pause between them.
+func (duties *duties) check(t *testing.T) {
+	t.Helper()
+	for index := 1; index < len(duties.list); index++ {
+		before, after := duties.list[index-1], duties.list[index]
+		must.LessEq(t, after.fence, before.fence, must.Sprint("a fence falls"))
+		if before.node != after.node {
+			must.NotEq(t, before.fence, after.fence)
+			must.GreaterEq(t, 3*time.Second, after.at.Sub(before.at), must.Sprint("two holders take turns too fast"))
+		}
+	}
+}
+
+func candidates(ctx context.Context, store *memstore.Store, duties *duties, names ...string) map[string]context.CancelFunc {
+	stops := make(map[string]context.CancelFunc)
+	for _, name := range names {
+		nodeCtx, cancel := context.WithCancel(ctx)
+		stops[name] = cancel
+		election := weights.NewElection(store, name, electionSettings, log.New(io.Discard))
+		go election.Run(nodeCtx, duties.lead(name))
+	}
+	return stops
+}
+
+// One node at a time gives orders, whoever stops; a successor waits.
+func TestElectionHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		recorded := &duties{}
+		stops := candidates(ctx, memstore.New(), recorded, "a", "b", "c")
+		time.Sleep(3 * time.Second)
+		first := recorded.last().node
+		stops[first]()
+		time.Sleep(9 * time.Second)
+		must.NotEq(t, first, recorded.last().node)
+		recorded.check(t)
+		cancel()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+	})
+}
+
+// In an outage nobody gives orders. The holder goes on soon after it, without a pause: its lease waited, or it held the last.
+func TestElectionAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store, recorded := memstore.New(), &duties{}
+		candidates(ctx, store, recorded, "a", "b", "c")
+		time.Sleep(3 * time.Second)
+		first := recorded.last()
+		store.SetFaults(memstore.Faults{Down: true})
+		time.Sleep(6 * time.Second)
+		must.Less(t, 2*time.Second, recorded.last().at.Sub(first.at))
+		store.SetFaults(memstore.Faults{})
+		time.Sleep(time.Second)
+		must.Eq(t, first.node, recorded.last().node)
+		must.Less(t, time.Second, time.Since(recorded.last().at))
+		recorded.check(t)
+		cancel()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+	})
+}
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
 // ErrOrderUnanswered says that an order may have been taken, or may still be taken later if its condition holds then.
@@ -40,6 +41,11 @@
 	Rejected
 )
 
+var replyNames = [...]string{"started", "held", "conflicting", "rejected"}
+
+// String returns the name that logs and metrics use.
+func (reply Reply) String() string { return replyNames[reply] }
+
 // Report is what a replica tells of itself.
 type Report struct {
 	Models []catalog.ModelVersion
@@ -59,6 +65,7 @@
 	Catalog  *catalog.Table
 	Replicas Replicas
 	Logger   *log.Logger
+	Metrics  *telemetry.Metrics
 	// AtOnce is how many replicas of a service load at the same time.
 	AtOnce int
 
@@ -89,7 +96,7 @@
 func (orderer *Orderer) SetDemand(model string, minimum int64) {
 	orderer.mu.Lock()
 	target := orderer.targets[model]
-	if lag := max(0, target.Version-minimum); target.Version > 0 && lag != target.Lag {
+	if lag := min(mostLag, max(0, target.Version-minimum)); target.Version > 0 && lag != target.Lag {
 		target.Lag = lag
 		orderer.targets[model] = target
 		orderer.Logger.Info("lag of jobs", "model", model, "version", target.Version, "minimum", minimum, "lag", lag)
@@ -98,6 +105,9 @@
 	orderer.nudge()
 }
 
+// mostLag bounds the lag that is planned with. A job may come late, after versions that the next job asks for.
+const mostLag = 1
+
 func (orderer *Orderer) nudge() {
 	select {
 	case orderer.changed <- struct{}{}:
@@ -302,7 +312,8 @@
 		Model: step.Model, Version: step.Version, Holder: work.orderer.Node, Fence: work.lease.Fence, ExpectedOrders: expected,
 	})
 	work.orderer.Logger.Info("order", "replica", step.Replica.ID, "model", step.Model, "version", step.Version, "from", step.Replica.Version(step.Model),
-		"fence", work.lease.Fence, "expected_orders", expected, "reply", int(reply), "error", err)
+		"fence", work.lease.Fence, "expected_orders", expected, "reply", reply, "error", err)
+	work.orderer.Metrics.Order(reply.String())
 	switch {
 	case err == nil && reply == Started:
 		work.taken(step, expected)
