Take a job only from the process that was found dead, and trust an ended job only if it was owned to the end

Change: an ended job is remembered only if the owner's own transaction ended it; a claim names the node and the life of the process that it takes the job from; look-ups have a limit.

--- a/internal/batchlog/log.go
+++ b/internal/batchlog/log.go
@@ -38,8 +38,9 @@
 	Store metadata.Store
 	// Health tells when the store does not answer, so that nothing is tried meanwhile; nil for unknown.
 	Health *metadata.Health
-	// Node is the name under which this node owns jobs.
+	// Node is the name under which this node owns jobs, Life the life of its process.
 	Node string
+	Life int64
 }
 
 // Hold is this node's ownership of a job. It belongs to one goroutine.
@@ -90,7 +91,7 @@
 
 func (log *Log) newClaim() (claim string, encoded []byte, err error) {
 	claim = uuid.NewString()
-	encoded, err = proto.Marshal(&batchv1.Ownership{Node: log.Node, Claim: claim})
+	encoded, err = proto.Marshal(&batchv1.Ownership{Node: log.Node, Claim: claim, Life: log.Life})
 	return claim, encoded, errors.Wrap(err, "encode an owner")
 }
 
@@ -110,8 +111,12 @@
 	return owner, item.Revision, nil
 }
 
-// Claim makes this node the owner of a job in place of whichever node owns it now.
-func (log *Log) Claim(ctx context.Context, id string) (*Hold, error) {
+// AnyLife stands for every process of a node.
+const AnyLife = 0
+
+// Claim makes this node the owner of a job in place of a process of a node; ErrNotOwner says that the job is not that one's
+// any more. Nobody takes a job from a node that was not found dead, nor from a process that has begun since.
+func (log *Log) Claim(ctx context.Context, id, from string, life int64) (*Hold, error) {
 	claim, encoded, err := log.newClaim()
 	if err != nil {
 		return nil, err
@@ -126,6 +131,9 @@
 			held = &Hold{JobID: id, revision: revision, claim: claim}
 			return nil
 		}
+		if owner.GetNode() != from || (life != AnyLife && owner.GetLife() != life) {
+			return ErrNotOwner
+		}
 		txn := metadata.Txn{
 			Conditions: []metadata.Condition{{Key: ownerKey(id), Revision: revision}},
 			Puts:       []metadata.Put{{Key: ownerKey(id), Value: encoded}, {Key: ownedKey(log.Node, id)}},
@@ -187,13 +195,14 @@
 	})
 }
 
-// EndHeld is End for the owner, which needs no look-up.
-func (log *Log) EndHeld(ctx context.Context, held *Hold) error {
-	_, err := log.Store.Commit(ctx, endTxn(held.JobID, log.Node, held.revision))
+// EndHeld is End for the owner, which needs no look-up. Whole reports whether the job was this owner's to the end, so that what
+// it listed is all there is; otherwise another node may have listed more.
+func (log *Log) EndHeld(ctx context.Context, held *Hold) (whole bool, err error) {
+	_, err = log.Store.Commit(ctx, endTxn(held.JobID, log.Node, held.revision))
 	if err == nil {
-		return nil
+		return true, nil
 	}
-	return log.End(ctx, held.JobID)
+	return false, log.End(ctx, held.JobID)
 }
 
 func endTxn(id, owner string, revision metadata.Revision) metadata.Txn {
--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -20,6 +20,11 @@
 	if owned := runner.find(id); owned != nil {
 		return runner.endHere(ctx, owned)
 	}
+	return runner.endElsewhere(ctx, id)
+}
+
+// endElsewhere has the owner end a job, or ends it in the log.
+func (runner *Runner) endElsewhere(ctx context.Context, id string) error {
 	served, err := runner.askOwner(ctx, id, endLimit, func(ctx context.Context, owner batchv1.Batches) (bool, error) {
 		response, err := owner.End(ctx, &batchv1.EndRequest{JobId: id})
 		return err == nil && response.GetOwned(), err
@@ -43,8 +48,8 @@
 	}
 	logCtx, cancel := context.WithTimeout(runner.ctx, acceptLimit)
 	defer cancel()
-	err := runner.Log.EndHeld(logCtx, owned.held)
-	if err == nil || errors.Is(err, batchlog.ErrNotFound) {
+	whole, err := runner.Log.EndHeld(logCtx, owned.held)
+	if whole {
 		runner.remember(owned)
 	}
 	runner.Metrics.Job("ended")
@@ -94,5 +99,5 @@
 	if runner.ended.has(owned.id()) {
 		return nil
 	}
-	return ErrUnsure
+	return runner.endElsewhere(ctx, owned.id())
 }
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -86,7 +86,7 @@
 	if service.Runner.isStopping() {
 		return nil, twirp.NewError(twirp.Unavailable, ErrStopping.Error())
 	}
-	err := service.Runner.takeOver(request.GetJobId(), request.GetPartials())
+	err := service.Runner.takeOver(request.GetJobId(), origin{request.GetFrom(), request.GetLife()}, request.GetPartials())
 	service.Runner.Logger.Info("job taken over", "job", request.GetJobId(), "partials", len(request.GetPartials()), "error", err)
 	if err != nil {
 		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "not taken over"), errors.Cause(err))
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -141,7 +141,7 @@
 		runner.RememberOwner(owned.id(), owner.GetNode())
 		return nil, true, nil
 	}
-	held, err = runner.Log.Claim(ctx, owned.id()) // an earlier try was done although its answer was lost
+	held, err = runner.Log.Claim(ctx, owned.id(), runner.Node, batchlog.AnyLife) // an earlier try was done although its answer was lost
 	return held, err == nil, err
 }
 
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -16,31 +16,37 @@
 	handOverLimit = 1200 * time.Millisecond
 )
 
-// TakeOverNode takes up every job that a silent node owns.
-func (runner *Runner) TakeOverNode(ctx context.Context, node string) error {
-	ids, err := runner.Log.Owned(ctx, node, false)
+// origin is the process that a job is taken from.
+type origin struct {
+	node string
+	life int64
+}
+
+// TakeOverNode takes up every job that a dead process of a node owns.
+func (runner *Runner) TakeOverNode(ctx context.Context, node string, life int64) error {
+	ids, err := runner.owned(ctx, node, false)
 	if err != nil {
 		return err
 	}
 	for _, id := range ids {
 		go func() {
-			err := runner.takeOver(id, nil)
-			runner.Logger.Warn("job taken over", "job", id, "from", node, "error", err)
+			err := runner.takeOver(id, origin{node, life}, nil)
+			runner.Logger.Warn("job taken over", "job", id, "from", node, "life", life, "error", err)
 		}()
 	}
 	return nil
 }
 
 // takeOver makes this node the owner of a job and runs what is left of it.
-func (runner *Runner) takeOver(id string, partials []*batchv1.Partial) error {
+func (runner *Runner) takeOver(id string, from origin, partials []*batchv1.Partial) error {
 	if runner.find(id) != nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(runner.ctx, takeOverLimit)
 	defer cancel()
-	held, err := runner.Log.Claim(ctx, id)
+	held, err := runner.Log.Claim(ctx, id, from.node, from.life)
 	if errors.Is(err, batchlog.ErrNotOwner) {
-		return nil // it ended meanwhile
+		return nil // it ended, or another node has it
 	}
 	if err != nil {
 		return err
@@ -94,14 +100,14 @@
 func (runner *Runner) sweep(ctx context.Context) {
 	stale := false
 	for ctx.Err() == nil {
-		ids, err := runner.Log.Owned(ctx, runner.Node, stale)
+		ids, err := runner.owned(ctx, runner.Node, stale)
 		if err != nil {
 			pause(ctx, acceptPause*4)
 			continue
 		}
 		for _, id := range ids {
 			if !runner.isStopping() && runner.find(id) == nil && !runner.ended.has(id) {
-				err := runner.takeOver(id, nil)
+				err := runner.takeOver(id, origin{runner.Node, batchlog.AnyLife}, nil)
 				runner.Logger.Info("job taken up", "job", id, "error", err)
 			}
 		}
@@ -110,6 +116,13 @@
 	}
 }
 
+// owned lists a node's jobs, within the time of a read.
+func (runner *Runner) owned(ctx context.Context, node string, stale bool) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeReads)
+	defer cancel()
+	return runner.Log.Owned(ctx, node, stale)
+}
+
 func (runner *Runner) isStopping() bool {
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
@@ -160,7 +173,7 @@
 	<-owned.flushed
 	runner.scheduler.drop(owned)
 	owned.runs.Wait()
-	request := &batchv1.TakeOverRequest{JobId: owned.id(), Partials: runner.partials(owned)}
+	request := &batchv1.TakeOverRequest{JobId: owned.id(), Partials: runner.partials(owned), From: runner.Node, Life: runner.Life}
 	for _, name := range runner.Peers.Nearest() {
 		client := runner.Peers.Client(name)
 		if client == nil {
--- a/internal/cluster/monitor.go
+++ b/internal/cluster/monitor.go
@@ -28,7 +28,7 @@
 	Datagrams *Datagrams
 	Logger    *log.Logger
 	// OnDead takes over what a dead node owned; an error has it tried again.
-	OnDead func(ctx context.Context, name string) error
+	OnDead func(ctx context.Context, name string, life int64) error
 }
 
 // Run works until the context ends.
@@ -80,7 +80,7 @@
 			continue
 		}
 		monitor.Logger.Warn("node dead", "node", silent, "silent_ms", monitor.Registry.silence(silent, now).Milliseconds())
-		if err := monitor.OnDead(ctx, silent); err != nil {
+		if err := monitor.OnDead(ctx, silent, monitor.Registry.life(silent)); err != nil {
 			monitor.Logger.Warn("take-over failed", "node", silent, "error", err)
 			continue
 		}
@@ -117,6 +117,13 @@
 	}
 }
 
+// life returns the life of a node's process as registered; zero when it is not.
+func (registry *Registry) life(name string) int64 {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	return registry.nodes[name].GetLife()
+}
+
 func (registry *Registry) silence(name string, now time.Time) time.Duration {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
--- /dev/null
+++ b/internal/lab/site/replica.go
@@ -0,0 +1,238 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Replica is one replica of a service, with an engine if it has a model.
+type Replica struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int
+	// Model is empty for an application.
+	Model string
+	// EventTime is the time between two events of a stream, LoadTime that of a change of version.
+	EventTime, LoadTime time.Duration
+
+	mu      sync.Mutex
+	version int64
+	orders  int64
+	loading bool
+	faults  ReplicaFaults
+	ran     map[string]int
+	bodies  map[string]string
+	refused int
+	holders []string
+	// OnChange is called after the replica's registered state changed.
+	OnChange func()
+}
+
+// ReplicaFaults are the faults in force. The zero value is none.
+type ReplicaFaults struct {
+	// CutAfter breaks a stream off inside the event after so many; zero never.
+	CutAfter int64
+	// OtherAnswer has answers carry another request's identifier.
+	OtherAnswer bool
+	// CloseSilently closes connections without an answer after the request has run.
+	CloseSilently bool
+	// Full has requests refused.
+	Full bool
+}
+
+// NewReplica returns a replica at version 1.
+func NewReplica(id, service, model string) *Replica {
+	return &Replica{
+		ID: id, Service: service, Model: model, Slots: 8, EventTime: 5 * time.Millisecond, LoadTime: 50 * time.Millisecond,
+		version: 1, ran: make(map[string]int), bodies: make(map[string]string), OnChange: func() {},
+	}
+}
+
+// SetFaults replaces the faults.
+func (replica *Replica) SetFaults(faults ReplicaFaults) {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	replica.faults = faults
+}
+
+// Ran returns how often a request ran here.
+func (replica *Replica) Ran(id string) int {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	return replica.ran[id]
+}
+
+// Version returns the version of the weights.
+func (replica *Replica) Version() int64 {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	return replica.version
+}
+
+// Holders returns the holder of each order that was taken, with its fence.
+func (replica *Replica) Holders() []string {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	return append([]string(nil), replica.holders...)
+}
+
+// Entry returns what the replica registers of itself.
+func (replica *Replica) Entry(address string) []byte {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	entry := map[string]any{
+		"service": replica.Service, "address": address, "zone": replica.Zone, "slots": replica.Slots, "state": "ready", "version": "v1",
+		"seq-no": 17, "cold-left-ms": 0,
+	}
+	if replica.Model != "" {
+		entry["models"] = []map[string]any{{"name": replica.Model, "version": replica.version, "adapters": []string{}}}
+	}
+	encoded, _ := json.Marshal(entry)
+	return encoded
+}
+
+// EventsOf returns how many events the stream of an item has, and EventData what one carries.
+func EventsOf(id string) int64 { return int64(len(id))%4 + 3 }
+
+// EventData returns the data of an event of an item.
+func EventData(id string, event int64) string { return fmt.Sprintf("%s/%d", id, event) }
+
+// ServeHTTP implements http.Handler.
+func (replica *Replica) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != replica.ID {
+		writer.Header().Set("Instance-Id", replica.ID)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch request.URL.Path {
+	case "/thistlewalk/order":
+		replica.order(writer, request)
+	case "/thistlewalk/report":
+		replica.report(writer)
+	default:
+		replica.run(writer, request)
+	}
+}
+
+func (replica *Replica) run(writer http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("Request-Id")
+	body, err := io.ReadAll(request.Body)
+	if err != nil || id == "" {
+		writer.Header().Set("Not-Executed", "1")
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	replica.mu.Lock()
+	faults, loading := replica.faults, replica.loading
+	refuse := faults.Full || (loading && replica.Model != "")
+	if refuse {
+		replica.refused++
+	} else {
+		replica.ran[id]++
+		replica.bodies[id] = request.Method + " " + request.RequestURI + " " + string(body)
+	}
+	replica.mu.Unlock()
+	if refuse {
+		writer.Header().Set("Not-Executed", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if faults.CloseSilently {
+		panic(http.ErrAbortHandler)
+	}
+	writer.Header().Set("Request-Id", id)
+	if faults.OtherAnswer {
+		writer.Header().Set("Request-Id", "another")
+	}
+	writer.Header().Set("Server-Stamp", "stamp."+replica.ID+"."+id)
+	if replica.Model == "" {
+		_, _ = io.WriteString(writer, "answer to "+id)
+		return
+	}
+	replica.stream(writer, request, id, faults)
+}
+
+// Received returns method, target and body of a request that ran here.
+func (replica *Replica) Received(id string) string {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	return replica.bodies[id]
+}
+
+// stream writes the events of an item from where the caller asks.
+func (replica *Replica) stream(writer http.ResponseWriter, request *http.Request, id string, faults ReplicaFaults) {
+	after, _ := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
+	version := replica.Version()
+	writer.Header().Set("Content-Type", "text/event-stream")
+	writer.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
+	flusher, _ := writer.(http.Flusher)
+	for event := after + 1; event <= EventsOf(id); event++ {
+		select {
+		case <-request.Context().Done():
+			return
+		case <-time.After(replica.EventTime):
+		}
+		if faults.CutAfter > 0 && event > faults.CutAfter {
+			_, _ = fmt.Fprintf(writer, "id: %d\nda", event)
+			panic(http.ErrAbortHandler)
+		}
+		if now := replica.Version(); now != version {
+			version = now
+			_, _ = fmt.Fprintf(writer, "weight-versions: %d\n", version)
+		}
+		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", event, EventData(id, event))
+		flusher.Flush()
+	}
+}
+
+func (replica *Replica) order(writer http.ResponseWriter, request *http.Request) {
+	order := struct {
+		Op       string `json:"op"`
+		Model    string `json:"model"`
+		Version  int64  `json:"version"`
+		Strategy string `json:"strategy"`
+		Holder   string `json:"holder"`
+		Fence    int64  `json:"fence"`
+		Expected *int64 `json:"expected-rev"`
+	}{}
+	if json.NewDecoder(request.Body).Decode(&order) != nil || order.Op != "version" || order.Holder == "" || order.Fence == 0 {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	switch {
+	case replica.version == order.Version:
+		writer.WriteHeader(http.StatusOK)
+	case replica.loading || (order.Expected != nil && *order.Expected != replica.orders):
+		writer.WriteHeader(http.StatusConflict)
+	default:
+		replica.orders++
+		replica.loading = true
+		replica.holders = append(replica.holders, fmt.Sprint(order.Holder, " ", order.Fence))
+		time.AfterFunc(replica.LoadTime, func() { replica.loaded(order.Version) })
+		writer.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func (replica *Replica) loaded(version int64) {
+	replica.mu.Lock()
+	replica.version, replica.loading = version, false
+	replica.mu.Unlock()
+	replica.OnChange()
+}
+
+func (replica *Replica) report(writer http.ResponseWriter) {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	_ = json.NewEncoder(writer).Encode(map[string]any{ // the caller may have left
+		"stage": "both", "busy": replica.loading, "seq-no": replica.orders, "num-waiting": 0, "num-running": 0,
+		"models": []map[string]any{{"name": replica.Model, "version": replica.version, "adapters": []string{}}},
+	})
+}
--- /dev/null
+++ b/internal/lab/site/store.go
@@ -0,0 +1,169 @@
+// Package site has stand-ins of the users' platform for tests and the lab: its metadata store, replicas with engines, and
+// application replicas, as HTTP servers. It is written from the published protocol and shares no code with the adapter.
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+)
+
+// StoreServer serves a store in memory by the platform's protocol.
+type StoreServer struct{ Store *memstore.Store }
+
+type wireItem struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Rev   int64  `json:"rev"`
+	Gone  bool   `json:"gone,omitempty"`
+	At    int64  `json:"at,omitempty"`
+}
+
+func toWire(item metadata.Item) wireItem {
+	return wireItem{Key: item.Key, Value: item.Value, Rev: int64(item.Revision)}
+}
+
+// ServeHTTP implements http.Handler.
+func (server *StoreServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	switch call := strings.TrimPrefix(request.URL.Path, "/thistlewalk/"); {
+	case call == "kv-key":
+		item, found, err := server.Store.Get(request.Context(), query.Get("key"))
+		if err == nil && !found {
+			writer.WriteHeader(http.StatusNotFound)
+			return
+		}
+		reply(writer, toWire(item), err)
+	case call == "kv-range":
+		server.list(writer, request)
+	case call == "kv-watch":
+		server.watch(writer, request)
+	case call == "kv-txn":
+		server.commit(writer, request)
+	case call == "kv-lease":
+		body := struct {
+			TTL int64 `json:"ttl_ms"`
+		}{}
+		_ = json.NewDecoder(request.Body).Decode(&body)
+		lease, err := server.Store.GrantLease(request.Context(), time.Duration(body.TTL)*time.Millisecond)
+		reply(writer, map[string]int64{"lease": int64(lease), "ttl_ms": body.TTL}, err)
+	case strings.HasPrefix(call, "kv-keep/"):
+		reply(writer, struct{}{}, server.Store.RenewLease(request.Context(), leaseOf(call)))
+	case strings.HasPrefix(call, "kv-lease-end/"):
+		reply(writer, struct{}{}, server.Store.RevokeLease(request.Context(), leaseOf(call)))
+	default:
+		writer.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+func leaseOf(call string) metadata.LeaseID {
+	_, id, _ := strings.Cut(call, "/")
+	number, _ := strconv.ParseInt(id, 10, 64)
+	return metadata.LeaseID(number)
+}
+
+// pageSize is small, so that tests meet pages.
+const pageSize = 3
+
+func (server *StoreServer) list(writer http.ResponseWriter, request *http.Request) {
+	listing, err := server.Store.List(request.Context(), request.URL.Query().Get("path-prefix"))
+	page := struct {
+		Items []wireItem `json:"items"`
+		More  bool       `json:"more"`
+		At    int64      `json:"at"`
+	}{Items: []wireItem{}, At: int64(listing.Revision)}
+	after := request.URL.Query().Get("after-rev")
+	for _, item := range listing.Items {
+		if item.Key <= after {
+			continue
+		}
+		if page.More = len(page.Items) == pageSize; page.More {
+			break
+		}
+		page.Items = append(page.Items, toWire(item))
+	}
+	reply(writer, page, err)
+}
+
+func (server *StoreServer) watch(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after-rev"), 10, 64)
+	wait, _ := strconv.ParseInt(query.Get("wait-ms"), 10, 64)
+	changes, err := server.Store.Watch(request.Context(), query.Get("path-prefix"), metadata.Revision(after), time.Duration(wait)*time.Millisecond)
+	answer := struct {
+		Events []wireItem `json:"events"`
+		At     int64      `json:"at"`
+	}{Events: []wireItem{}, At: int64(changes.Revision)}
+	for _, event := range changes.Events {
+		item := toWire(event.Item)
+		item.Gone = event.Deleted
+		answer.Events = append(answer.Events, item)
+	}
+	reply(writer, answer, err)
+}
+
+func (server *StoreServer) commit(writer http.ResponseWriter, request *http.Request) {
+	body := struct {
+		Expected []wireItem `json:"expected-rev"`
+		Put      []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease"`
+		} `json:"put"`
+		Remove []string `json:"remove"`
+	}{}
+	content, err := io.ReadAll(request.Body) // to the end, so that the server sees the caller leave
+	if err != nil || json.Unmarshal(content, &body) != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	txn := metadata.Txn{Deletes: body.Remove}
+	for _, condition := range body.Expected {
+		txn.Conditions = append(txn.Conditions, metadata.Condition{Key: condition.Key, Revision: metadata.Revision(condition.Rev)})
+	}
+	for _, put := range body.Put {
+		if strings.HasPrefix(put.Key, "op/") || strings.HasPrefix(put.Key, "servers/") {
+			writer.WriteHeader(http.StatusForbidden)
+			return
+		}
+		txn.Puts = append(txn.Puts, metadata.Put{Key: put.Key, Value: put.Value, Lease: metadata.LeaseID(put.Lease)})
+	}
+	revision, err := server.Store.Commit(request.Context(), txn)
+	var conflict *metadata.ConflictError
+	if errors.As(err, &conflict) {
+		items := []wireItem{}
+		for _, item := range conflict.Items {
+			items = append(items, toWire(item))
+		}
+		writer.WriteHeader(http.StatusPreconditionFailed)
+		_ = json.NewEncoder(writer).Encode(map[string][]wireItem{"items": items})
+		return
+	}
+	reply(writer, map[string]int64{"rev": int64(revision)}, err)
+}
+
+// reply answers 200 with a body, or the status of an error. A lost answer breaks the connection.
+func reply(writer http.ResponseWriter, body any, err error) {
+	switch {
+	case err == nil:
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(body) // the caller may have left
+	case errors.Is(err, metadata.ErrCompacted):
+		writer.WriteHeader(http.StatusGone)
+	case errors.Is(err, metadata.ErrLimited):
+		writer.WriteHeader(http.StatusTooManyRequests)
+	case errors.Is(err, metadata.ErrLeaseGone):
+		writer.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, metadata.ErrUnavailable):
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -78,7 +78,7 @@
 	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics}
 	front.Runner = batchrun.New(batchrun.Options{
 		Node: options.Node, Life: options.Life, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
-		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
+		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node, Life: options.Life}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
 		Flush: batch.FlushPolicy{Spacing: flushSpacing, Longest: flushLongest},
 	})
 	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
