--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"sync"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -88,7 +87,6 @@
 	owners   map[string]string // owner by job, as last seen; a hint only
 	kept     *keptItems
 	stopping bool
-	running  sync.WaitGroup
 }
 
 const (
@@ -157,5 +155,3 @@
 	defer runner.mu.Unlock()
 	return len(runner.jobs)
 }
-
-func timeLeft(deadline time.Time) time.Duration { return max(0, time.Until(deadline)) }
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -13,8 +13,6 @@
 // Service answers the other nodes. It implements batchv1.Batches.
 type Service struct{ Runner *Runner }
 
-const relayedAccept = 800 * time.Millisecond
-
 // Submit accepts a job for a node that could not.
 func (service Service) Submit(ctx context.Context, request *batchv1.SubmitRequest) (*batchv1.SubmitResponse, error) {
 	runner := service.Runner
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -36,7 +36,7 @@
 	clients map[string]peerClient
 	heard   map[string]time.Time
 	ring    *Ring
-	joined  bool // this process has registered itself
+	joined  metadata.Revision // at which this process registered itself; zero before
 	leaving bool
 }
 
@@ -63,11 +63,11 @@
 	}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, registerLimit)
-		_, err := registry.store.Commit(callCtx, metadata.Txn{Puts: []metadata.Put{{Key: Prefix + registry.self.GetName(), Value: value}}})
+		revision, err := registry.store.Commit(callCtx, metadata.Txn{Puts: []metadata.Put{{Key: Prefix + registry.self.GetName(), Value: value}}})
 		cancel()
 		if err == nil {
 			registry.mu.Lock()
-			registry.joined = true
+			registry.joined = revision
 			registry.mu.Unlock()
 			registry.logger.Info("node registered", "node", registry.self.GetName(), "address", registry.self.GetAddress(), "life", registry.self.GetLife())
 			return
@@ -96,19 +96,19 @@
 }
 
 // Reset implements metadata.Handler.
-func (registry *Registry) Reset(items []metadata.Item, _ metadata.Revision) {
+func (registry *Registry) Reset(items []metadata.Item, revision metadata.Revision) {
 	registry.mu.Lock()
 	clear(registry.nodes)
 	for _, item := range items {
 		registry.put(item)
 	}
-	expelled := registry.rebuild()
+	expelled := registry.rebuild(revision)
 	registry.mu.Unlock()
 	registry.rejoin(expelled)
 }
 
 // Apply implements metadata.Handler.
-func (registry *Registry) Apply(events []metadata.Event, _ metadata.Revision) {
+func (registry *Registry) Apply(events []metadata.Event, revision metadata.Revision) {
 	registry.mu.Lock()
 	for _, event := range events {
 		if event.Deleted {
@@ -117,7 +117,7 @@
 		}
 		registry.put(event.Item)
 	}
-	expelled := registry.rebuild()
+	expelled := registry.rebuild(revision)
 	registry.mu.Unlock()
 	registry.rejoin(expelled)
 }
@@ -136,8 +136,8 @@
 	registry.nodes[record.GetName()] = record
 }
 
-// rebuild must be called with mu held. It reports whether this node's own record is gone.
-func (registry *Registry) rebuild() (expelled bool) {
+// rebuild must be called with mu held. It reports whether this node's own record is gone, as of a revision at which it was there.
+func (registry *Registry) rebuild(revision metadata.Revision) (expelled bool) {
 	records := make([]*clusterv1.NodeRecord, 0, len(registry.nodes))
 	for _, record := range registry.nodes {
 		records = append(records, record)
@@ -154,7 +154,7 @@
 			registry.heard[name] = time.Now() // its heartbeats begin to come here now
 		}
 	}
-	return registry.joined && !registry.leaving && registry.nodes[registry.self.GetName()] == nil
+	return registry.joined > 0 && revision >= registry.joined && !registry.leaving && registry.nodes[registry.self.GetName()] == nil
 }
 
 func (registry *Registry) rejoin(expelled bool) {
--- /dev/null
+++ b/internal/cluster/registry_test.go
@@ -0,0 +1,64 @@
+package cluster_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/cluster"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+)
+
+func newRegistry(store metadata.Store, name string) *cluster.Registry {
+	return cluster.NewRegistry(&clusterv1.NodeRecord{Name: name, Address: "127.0.0.1:1", Role: "front"}, store, http.DefaultClient, log.New(io.Discard))
+}
+
+// A node that was removed by others registers again; what it reads of the time before its registration removes nothing.
+func TestExpelledNodeRegistersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, expelled := memstore.New(), 0
+		registry := newRegistry(store, "a")
+		registry.OnExpelled = func() { expelled++ }
+		_, err := store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "x"}}})
+		must.NoError(t, err)
+		registry.Register(t.Context())
+		registry.Reset(nil, 1)
+		must.Eq(t, 0, expelled)
+		listing, err := store.List(t.Context(), cluster.Prefix)
+		must.NoError(t, err)
+		registry.Reset(listing.Items, listing.Revision)
+		must.Eq(t, 0, expelled)
+		registry.Reset(nil, listing.Revision+1)
+		must.Eq(t, 1, expelled)
+		time.Sleep(time.Second)
+		after, err := store.List(t.Context(), cluster.Prefix)
+		must.NoError(t, err)
+		must.Eq(t, 1, len(after.Items))
+		must.Greater(t, listing.Revision, after.Revision)
+	})
+}
+
+// Every node is watched by its successors, and by no others, whoever looks.
+func TestRingAgrees(t *testing.T) {
+	var records []*clusterv1.NodeRecord
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		records = append(records, &clusterv1.NodeRecord{Name: name})
+	}
+	ring := cluster.NewRing(records)
+	for _, watched := range records {
+		successors := ring.Successors(watched.GetName(), 3)
+		must.Eq(t, 3, len(successors))
+		for rank, successor := range successors {
+			must.NotEq(t, watched.GetName(), successor.GetName())
+			must.Eq(t, rank, ring.Rank(successor.GetName(), watched.GetName()))
+		}
+	}
+	must.Eq(t, -1, ring.Rank("a", "a"))
+}
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -103,11 +103,18 @@
 	}
 	forwarder.Metrics.Forwarded(result.Status, result.Own, time.Since(started))
 	forwarder.Logger.Info("forward", "request", call.Request.ID, "route", route.Name, "service", run.service,
-		"replica", run.last, "attempts", run.attempts, "replicas_revision", forwarder.Catalog.Replicas().Revision, "held_ms", time.Since(started).Milliseconds(), "status", result.Status,
+		"replica", run.last, "attempts", run.attempts, "replicas_revision", forwarder.Catalog.Replicas().Revision, "configuration", forwarder.configurationVersion(), "held_ms", time.Since(started).Milliseconds(), "status", result.Status,
 		"own", result.Own, "reason", result.Reason)
 	return result
 }
 
+func (forwarder *Forwarder) configurationVersion() int64 {
+	if configuration := forwarder.Catalog.Configuration(); configuration != nil {
+		return configuration.Version
+	}
+	return 0
+}
+
 // run is one call in progress. All its fields belong to the goroutine of loop.
 type run struct {
 	forwarder *Forwarder
@@ -234,6 +241,7 @@
 
 // settle decides what the end of an attempt means for the call.
 func (run *run) settle(ctx context.Context, result attemptResult) (Result, bool) {
+	run.logFailure(result)
 	switch {
 	case result.err == nil && result.answer.NotExecuted:
 		closeRest(result)
@@ -257,6 +265,18 @@
 	return run.giveUp(), true
 }
 
+// logFailure tells of an attempt that did not serve the request, and whether it can have run.
+func (run *run) logFailure(result attemptResult) {
+	switch {
+	case result.err != nil:
+		run.forwarder.Logger.Info("attempt failed", "request", run.call.Request.ID, "replica", result.replica, "sent", !errors.Is(result.err, backend.ErrNotSent),
+			"after_ms", time.Since(run.started).Milliseconds(), "error", result.err)
+	case result.answer.NotExecuted || result.answer.Status >= http.StatusInternalServerError:
+		run.forwarder.Logger.Info("attempt failed", "request", run.call.Request.ID, "replica", result.replica, "status", result.answer.Status,
+			"not_executed", result.answer.NotExecuted, "after_ms", time.Since(run.started).Milliseconds())
+	}
+}
+
 // keepFailure keeps the first failure that a replica answered, in case no other replica does better.
 func (run *run) keepFailure(result attemptResult) {
 	run.mayHaveRun = true
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -121,6 +121,8 @@
 	renewFaster  = 3
 	electionPoll = time.Second
 	electionCall = 600 * time.Millisecond
+	// acquireLimit leaves time for the two calls of an acquisition at a slow store.
+	acquireLimit = 1500 * time.Millisecond
 	// electionWatch bounds how long a vacancy can be missed.
 	electionWatch   = 3 * time.Second
 	electionBackoff = 250 * time.Millisecond
@@ -173,7 +175,7 @@
 
 // acquire tries to take the lease; term is nil when another node has it.
 func (election *Election) acquire(ctx context.Context) (*Term, error) {
-	ctx, cancel := context.WithTimeout(ctx, electionCall)
+	ctx, cancel := context.WithTimeout(ctx, acquireLimit)
 	defer cancel()
 	election.mu.Lock()
 	last := election.last
@@ -196,7 +198,9 @@
 		}
 		return nil, nil
 	case err != nil:
-		return nil, err // if it was done all the same, the lease runs out
+		if revision, err = election.readBack(holder); err != nil {
+			return nil, err // if it was done all the same, the lease runs out
+		}
 	}
 	term := &Term{Fence: int64(revision), lease: lease, life: election.Settings.Lease, from: sent}
 	if last != "" && last != election.Node {
@@ -207,6 +211,20 @@
 	return term, nil
 }
 
+// readBack settles an acquisition whose answer was lost.
+func (election *Election) readBack(holder string) (metadata.Revision, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), electionCall)
+	defer cancel()
+	item, found, err := election.Store.Get(ctx, holderKey)
+	switch {
+	case err != nil:
+		return 0, err
+	case !found || string(item.Value) != holder:
+		return 0, metadata.ErrUncertain
+	}
+	return item.Revision, nil
+}
+
 func (election *Election) note(holder string) {
 	election.mu.Lock()
 	defer election.mu.Unlock()
--- a/internal/weights/election_test.go
+++ b/internal/weights/election_test.go
@@ -63,11 +63,15 @@
 }
 
 func candidates(ctx context.Context, store *memstore.Store, duties *duties, names ...string) map[string]context.CancelFunc {
+	return candidatesWith(ctx, store, duties, electionSettings, names...)
+}
+
+func candidatesWith(ctx context.Context, store *memstore.Store, duties *duties, settings weights.ElectionSettings, names ...string) map[string]context.CancelFunc {
 	stops := make(map[string]context.CancelFunc)
 	for _, name := range names {
 		nodeCtx, cancel := context.WithCancel(ctx)
 		stops[name] = cancel
-		election := weights.NewElection(store, name, electionSettings, log.New(io.Discard))
+		election := weights.NewElection(store, name, settings, log.New(io.Discard))
 		go election.Run(nodeCtx, duties.lead(name))
 	}
 	return stops
@@ -91,6 +95,23 @@
 	})
 }
 
+// A lease whose acquisition was done without an answer is the node's all the same: it used to lie idle until it ran out.
+func TestElectionReadsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store, recorded := memstore.New(), &duties{}
+		store.SetFaults(memstore.Faults{LoseAnswers: 1})
+		settings := electionSettings
+		settings.Lease = 6 * time.Second
+		candidatesWith(ctx, store, recorded, settings, "a")
+		time.Sleep(4 * time.Second)
+		must.SliceNotEmpty(t, recorded.list)
+		cancel()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+	})
+}
+
 // In an outage nobody gives orders. The holder goes on soon after it, without a pause: its lease waited, or it held the last.
 func TestElectionAfterOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
