Keep texts that cannot be listed at two other nodes

Change: while the store does not answer, an owner has its two nearest nodes keep finished texts; whoever takes the job over asks for them. Named test, in which no item runs twice.

--- /dev/null
+++ b/internal/batchrun/backup.go
@@ -0,0 +1,99 @@
+package batchrun
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+)
+
+const (
+	backupInterval = 250 * time.Millisecond
+	backupLimit    = 400 * time.Millisecond
+	// backupCopies is how many nodes keep the texts that can't be listed.
+	backupCopies = 2
+)
+
+// backUp has other nodes keep the job's finished texts while the log can't take them, so that they outlive this process.
+func (runner *Runner) backUp(owned *job) {
+	ticker := time.NewTicker(backupInterval)
+	defer ticker.Stop()
+	sent := make(map[string]bool)
+	for {
+		select {
+		case <-owned.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if runner.Log.Health.Good() {
+			continue
+		}
+		if partials := owned.unsent(sent); len(partials) > 0 {
+			runner.sendKept(owned, partials)
+		}
+	}
+}
+
+// unsent returns the pending texts that are not marked as sent, and marks them.
+func (owned *job) unsent(sent map[string]bool) []*batchv1.Partial {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	var list []*batchv1.Partial
+	for _, result := range owned.pending {
+		if result.GetTerminated() || sent[result.GetItemId()] {
+			continue
+		}
+		sent[result.GetItemId()] = true
+		list = append(list, &batchv1.Partial{
+			ItemId: result.GetItemId(), Text: result.GetText(), LastEvent: wholeText, Versions: result.GetVersions(), Whole: true,
+		})
+	}
+	return list
+}
+
+// wholeText stands for the last event of a text that is whole, which nobody goes on with.
+const wholeText = 1
+
+func (runner *Runner) sendKept(owned *job, partials []*batchv1.Partial) {
+	copies := 0
+	for _, name := range runner.Peers.Nearest() {
+		client := runner.Peers.Client(name)
+		if client == nil || copies == backupCopies {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(owned.ctx, backupLimit)
+		_, err := client.Keep(ctx, &batchv1.KeepRequest{JobId: owned.id(), Partials: partials})
+		cancel()
+		runner.Logger.Info("texts backed up", "job", owned.id(), "to", name, "count", len(partials), "error", err)
+		if err == nil {
+			copies++
+		}
+	}
+}
+
+// fetchKept asks the nodes that may keep texts of a job.
+func (runner *Runner) fetchKept(ctx context.Context, id string) []*batchv1.Partial {
+	ctx, cancel := context.WithTimeout(ctx, backupLimit)
+	defer cancel()
+	list := runner.kept.partialsOf(id)
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, name := range runner.Peers.Nearest() {
+		client := runner.Peers.Client(name)
+		if client == nil {
+			continue
+		}
+		calls.Go(func() {
+			response, err := client.Kept(ctx, &batchv1.KeptRequest{JobId: id})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			list = append(list, response.GetPartials()...)
+		})
+	}
+	calls.Wait()
+	return list
+}
--- a/internal/batchrun/kept.go
+++ b/internal/batchrun/kept.go
@@ -3,11 +3,14 @@
 import (
 	"sync"
 	"time"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 )
 
 const (
 	keptMost = 2048
 	keptLife = 30 * time.Second
+	keptJobs = 256
 )
 
 // keptText is what an ended job had made of an item, in case a later job brings the item back.
@@ -23,9 +26,52 @@
 type keptItems struct {
 	mu    sync.Mutex
 	items map[string]*keptText
+	// ofJob are the items that other nodes had kept here, by job.
+	ofJob map[string][]string
+}
+
+func newKeptItems() *keptItems {
+	return &keptItems{items: make(map[string]*keptText), ofJob: make(map[string][]string)}
+}
+
+// keepFor keeps texts of a job for its owner.
+func (kept *keptItems) keepFor(job string, partials []*batchv1.Partial) {
+	now := time.Now()
+	for _, partial := range partials {
+		kept.put(partial.GetItemId(), textOf(partial, now))
+	}
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	if len(kept.ofJob) >= keptJobs {
+		clear(kept.ofJob)
+	}
+	for _, partial := range partials {
+		kept.ofJob[job] = append(kept.ofJob[job], partial.GetItemId())
+	}
 }
 
-func newKeptItems() *keptItems { return &keptItems{items: make(map[string]*keptText)} }
+// partialsOf returns what is kept for a job.
+func (kept *keptItems) partialsOf(job string) []*batchv1.Partial {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	var list []*batchv1.Partial
+	for _, id := range kept.ofJob[job] {
+		if text := kept.items[id]; text != nil {
+			list = append(list, text.partial(id))
+		}
+	}
+	return list
+}
+
+func textOf(partial *batchv1.Partial, now time.Time) *keptText {
+	return &keptText{
+		text: partial.GetText(), lastEvent: partial.GetLastEvent(), versions: partial.GetVersions(), whole: partial.GetWhole(), at: now,
+	}
+}
+
+func (text *keptText) partial(id string) *batchv1.Partial {
+	return &batchv1.Partial{ItemId: id, Text: text.text, LastEvent: text.lastEvent, Versions: text.versions, Whole: text.whole}
+}
 
 func (kept *keptItems) put(id string, text *keptText) {
 	kept.mu.Lock()
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -96,6 +96,22 @@
 	})
 }
 
+// A node that is killed in an outage of the store loses no text that was finished: others kept it.
+func TestTextsOutliveTheirNodeInAnOutage(t *testing.T) {
+	inWorld(t, 8, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 8, 1), jobRoute))
+		world.store.SetFaults(memstore.Faults{Down: true})
+		time.Sleep(2 * time.Second)
+		world.kill("a")
+		started := total(world.engines)
+		world.start("a")
+		time.Sleep(time.Second)
+		world.store.SetFaults(memstore.Faults{})
+		checkResults(t, await(t, world.node("a"), "job", 8, 3*time.Second), 1)
+		must.Eq(t, started, total(world.engines), must.Sprint("items ran again"))
+	})
+}
+
 // Items wait for a replica whose weights are new enough, and texts of older weights are not listed.
 func TestMinimumVersion(t *testing.T) {
 	inWorld(t, 5, func(t *testing.T, world *world) {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -79,6 +79,17 @@
 	return &batchv1.EndResponse{Owned: true}, nil
 }
 
+// Keep keeps texts for the owner of a job.
+func (service Service) Keep(_ context.Context, request *batchv1.KeepRequest) (*batchv1.KeepResponse, error) {
+	service.Runner.kept.keepFor(request.GetJobId(), request.GetPartials())
+	return &batchv1.KeepResponse{}, nil
+}
+
+// Kept returns what is kept for a job.
+func (service Service) Kept(_ context.Context, request *batchv1.KeptRequest) (*batchv1.KeptResponse, error) {
+	return &batchv1.KeptResponse{Partials: service.Runner.kept.partialsOf(request.GetJobId())}, nil
+}
+
 // TakeOver takes a job from a node that stops.
 func (service Service) TakeOver(_ context.Context, request *batchv1.TakeOverRequest) (*batchv1.TakeOverResponse, error) {
 	if service.Runner.isStopping() {
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -161,6 +161,7 @@
 		return
 	}
 	go runner.flushLoop(owned)
+	go runner.backUp(owned)
 	runner.Peers.AnnounceJob(owned.definition)
 	runner.begin(owned)
 	owned.wakeFlush()
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -55,10 +55,9 @@
 	if err != nil {
 		return err
 	}
-	for _, partial := range partials {
-		runner.kept.put(partial.GetItemId(), &keptText{
-			text: partial.GetText(), lastEvent: partial.GetLastEvent(), versions: partial.GetVersions(), at: time.Now(),
-		})
+	now := time.Now()
+	for _, partial := range append(runner.fetchKept(ctx, id), partials...) {
+		runner.kept.put(partial.GetItemId(), textOf(partial, now))
 	}
 	runner.Metrics.Job("taken_over")
 	runner.resume(held, record)
@@ -91,6 +90,7 @@
 	delete(runner.owners, owned.id())
 	runner.mu.Unlock()
 	go runner.flushLoop(owned)
+	go runner.backUp(owned)
 	runner.Peers.AnnounceJob(owned.definition)
 	runner.begin(owned)
 }
@@ -199,9 +199,7 @@
 		if kept == nil {
 			continue
 		}
-		list = append(list, &batchv1.Partial{
-			ItemId: item.GetId(), Text: kept.text, LastEvent: kept.lastEvent, Versions: kept.versions,
-		})
+		list = append(list, kept.partial(item.GetId()))
 	}
 	return list
 }
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -21,6 +21,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/batchrun"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 )
 
@@ -144,6 +145,7 @@
 	mu    sync.Mutex
 	nodes map[string]*batchrun.Runner
 	lives int64
+	stops map[string]context.CancelFunc
 }
 
 func newWorld(seed uint64) *world {
@@ -159,7 +161,7 @@
 		{ID: "e1", Service: "engine", Slots: 4, Models: held}, {ID: "e2", Service: "engine", Slots: 4, Models: held}, {ID: "s1", Service: "scorer", Slots: 9},
 	}, 1)
 	return &world{
-		store: memstore.New(), catalog: table, nodes: make(map[string]*batchrun.Runner),
+		store: memstore.New(), catalog: table, nodes: make(map[string]*batchrun.Runner), stops: make(map[string]context.CancelFunc),
 		engines: &engines{random: rand.New(rand.NewPCG(seed, 1)), versions: map[string]int64{"e1": 1, "e2": 1}, running: map[string]int{}, starts: map[string]int{}},
 	}
 }
@@ -168,13 +170,17 @@
 func (world *world) start(name string) *batchrun.Runner {
 	world.mu.Lock()
 	world.lives++
+	health := metadata.NewHealth(world.store, log.New(io.Discard))
 	runner := batchrun.New(batchrun.Options{
 		Node: name, Life: world.lives, Catalog: world.catalog, Loads: backend.NewLoads(), Sender: world.engines, Decoder: lines{},
-		Log: &batchlog.Log{Store: world.store, Node: name, Life: world.lives}, Peers: &worldPeers{world, name}, Logger: log.New(io.Discard),
+		Log: &batchlog.Log{Store: world.store, Health: health, Node: name, Life: world.lives}, Peers: &worldPeers{world, name}, Logger: log.New(io.Discard),
 		Flush: batch.FlushPolicy{Spacing: 50 * time.Millisecond, Longest: 200 * time.Millisecond},
 	})
 	world.nodes[name] = runner
+	healthCtx, stop := context.WithCancel(context.Background())
+	world.stops[name] = stop
 	world.mu.Unlock()
+	go health.Run(healthCtx)
 	runner.Start()
 	return runner
 }
@@ -184,6 +190,9 @@
 	world.mu.Lock()
 	runner := world.nodes[name]
 	delete(world.nodes, name)
+	if stop := world.stops[name]; stop != nil {
+		stop()
+	}
 	world.mu.Unlock()
 	if runner == nil {
 		return 0
--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -80,6 +80,9 @@
 
 // Good reports whether the store answered when it was last asked.
 func (health *Health) Good() bool {
+	if health == nil {
+		return true
+	}
 	health.mu.Lock()
 	defer health.mu.Unlock()
 	return !health.lost
