Run a model's jobs of a zone at one node

Change: a front relays a job to the node of its zone that ranks first for the model, and accepts it itself when that takes over 250 ms.

--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -50,6 +50,8 @@
 	Client(node string) batchv1.Batches
 	// Nearest returns the names of live nodes that could run jobs for this one, best first.
 	Nearest() []string
+	// Preferred returns the name of the node that runs jobs of a model for this node's zone; empty for none.
+	Preferred(model string) string
 	// AnnounceJob tells all nodes where a job runs and what versions it takes; they may miss it.
 	AnnounceJob(job *batchv1.Job)
 	// ShareLoads tells all nodes of this node's requests in flight; they may miss it.
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -57,6 +57,20 @@
 	})
 }
 
+// Jobs go to the node that runs the model's jobs, and to the node that was asked when that one is gone.
+func TestPreferredNodeRunsJobs(t *testing.T) {
+	inWorld(t, 9, func(t *testing.T, world *world) {
+		world.preferred = "b"
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 4, 1), jobRoute))
+		must.Eq(t, 0, world.node("a").OpenJobs())
+		must.Eq(t, 1, world.node("b").OpenJobs())
+		await(t, world.node("a"), "job", 4, 3*time.Second)
+		world.kill("b")
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("other", 4, 1), jobRoute))
+		must.Eq(t, 1, world.node("a").OpenJobs())
+	})
+}
+
 // A successor finishes what a killed node had begun, and keeps what was listed in its place.
 func TestTakeOverOfKilledNode(t *testing.T) {
 	inWorld(t, 2, func(t *testing.T, world *world) {
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -22,6 +22,8 @@
 	// relayAfter is how many failed tries this node makes before it asks another to accept the job.
 	relayAfter   = 2
 	relayTimeout = 900 * time.Millisecond
+	// preferredLimit is how long the preferred node may take to accept a job.
+	preferredLimit = 250 * time.Millisecond
 )
 
 // Submit makes a job durable and runs it, here or at the node that owns it already. It returns once the job is accepted;
@@ -30,6 +32,9 @@
 	if runner.knownElsewhere(ctx, definition.GetId()) {
 		return nil
 	}
+	if runner.find(definition.GetId()) == nil && runner.relayToPreferred(ctx, definition) {
+		return nil
+	}
 	runner.mu.Lock()
 	if runner.stopping {
 		runner.mu.Unlock()
@@ -73,6 +78,24 @@
 // beyondResults is a position that no job has, for reads that only ask whether a job is known.
 const beyondResults = 1 << 30
 
+// relayToPreferred has the node that runs the model's jobs in this zone accept the job: it has connections to the engines, and
+// knows what it has in flight there. If that takes long, this node accepts the job itself.
+func (runner *Runner) relayToPreferred(ctx context.Context, definition *batchv1.Job) bool {
+	name := runner.Peers.Preferred(definition.GetModel())
+	if name == "" || name == runner.Node || !runner.Log.Health.Good() {
+		return false
+	}
+	accepted := runner.callPeer(ctx, name, preferredLimit, func(ctx context.Context, client batchv1.Batches) (bool, error) {
+		_, err := client.Submit(ctx, &batchv1.SubmitRequest{Job: definition})
+		return err == nil, err
+	})
+	if accepted {
+		runner.RememberOwner(definition.GetId(), name)
+	}
+	runner.Logger.Info("job relayed", "job", definition.GetId(), "to", name, "accepted", accepted)
+	return accepted
+}
+
 // relay has another node accept the job. Only when no node was reached has the job surely not been accepted.
 func (runner *Runner) relay(ctx context.Context, definition *batchv1.Job) error {
 	for _, name := range runner.Peers.Nearest() {
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -145,7 +145,9 @@
 	mu    sync.Mutex
 	nodes map[string]*batchrun.Runner
 	lives int64
-	stops map[string]context.CancelFunc
+	// preferred is the node that runs all jobs; empty for whichever is asked. It is set before the first job.
+	preferred string
+	stops     map[string]context.CancelFunc
 }
 
 func newWorld(seed uint64) *world {
@@ -240,6 +242,9 @@
 	return names
 }
 
+// Preferred implements batchrun.Peers.
+func (peers *worldPeers) Preferred(string) string { return peers.world.preferred }
+
 // AnnounceJob implements batchrun.Peers.
 func (peers *worldPeers) AnnounceJob(*batchv1.Job) {}
 
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"google.golang.org/protobuf/proto"
 
@@ -201,6 +202,22 @@
 	return made, true
 }
 
+// Preferred returns the name of the node of this node's zone and role that ranks first for a key; the same at all of these.
+func (registry *Registry) Preferred(key string) string {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	name, best := "", uint64(0)
+	for _, record := range registry.nodes {
+		if record.GetZone() != registry.self.GetZone() || record.GetRole() != registry.self.GetRole() {
+			continue
+		}
+		if rank := xxhash.Sum64String(record.GetName() + "/" + key); name == "" || rank > best {
+			name, best = record.GetName(), rank
+		}
+	}
+	return name
+}
+
 // Others returns the records of all other nodes.
 func (registry *Registry) Others() []*clusterv1.NodeRecord {
 	registry.mu.Lock()
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -149,6 +149,9 @@
 // Nearest implements batchrun.Peers.
 func (peers peers) Nearest() []string { return peers.front.Registry.Nearest() }
 
+// Preferred implements batchrun.Peers.
+func (peers peers) Preferred(model string) string { return peers.front.Registry.Preferred(model) }
+
 // AnnounceJob implements batchrun.Peers.
 func (peers peers) AnnounceJob(job *batchv1.Job) {
 	front := peers.front
