Wait longer in watches that something else makes up for

Change: candidates watch the election 8 s at a time, the publisher the replicas 3 s, and a front waits 4 s for the first publisher.

--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -21,6 +21,8 @@
 	checkPeriod = 100 * time.Millisecond
 	// calmTime is how long beacons must have come again before this node relies on them.
 	calmTime = 1500 * time.Millisecond
+	// startTime is how long after its start a node expects a publisher to be elected.
+	startTime = 4 * time.Second
 	// pauseLimit is how long this process may stand still before it distrusts what it knows.
 	pauseLimit = 600 * time.Millisecond
 )
@@ -43,6 +45,7 @@
 	relying bool
 	calm    time.Time // since when nothing was missing
 	checked time.Time
+	begun   time.Time
 }
 
 // Publish takes all replicas.
@@ -89,7 +92,7 @@
 func (subscriber *Subscriber) Wait() time.Duration {
 	subscriber.mu.Lock()
 	defer subscriber.mu.Unlock()
-	if subscriber.relying {
+	if subscriber.relying || time.Since(subscriber.begun) < startTime {
 		return metadata.LongWait
 	}
 	return metadata.ShortWait
@@ -99,7 +102,8 @@
 func (subscriber *Subscriber) Run(ctx context.Context) {
 	stop := func() {}
 	subscriber.mu.Lock()
-	subscriber.calm = time.Now()
+	subscriber.begun = time.Now()
+	subscriber.calm = subscriber.begun
 	subscriber.mu.Unlock()
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -137,7 +137,7 @@
 
 // followReplicas reads the replicas from the store, while no beacons come.
 func (front *Front) followReplicas(ctx context.Context) {
-	front.follower(front.ReplicaPrefix, front.ReplicaHandler, replicaPace, func() time.Duration { return metadata.ShortWait }).Run(ctx)
+	front.follower(front.ReplicaPrefix, front.ReplicaHandler, replicaPace, front.subscriber.Wait).Run(ctx)
 }
 
 // peers is the registry as the runner of batch jobs sees it.
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -61,6 +61,8 @@
 const (
 	ordererReplicaPace  = 150 * time.Millisecond
 	ordererRegistryPace = 500 * time.Millisecond
+	// replicaWait bounds how long a change of replicas can be missed in a compaction.
+	replicaWait = 3 * time.Second
 )
 
 // NewOrderer returns a candidate that does not work yet.
@@ -105,9 +107,10 @@
 		go follower.Run(ctx)
 	}
 	short := func() time.Duration { return metadata.ShortWait }
+	medium := func() time.Duration { return replicaWait }
 	go health.Run(ctx)
 	follow(orderer.OperatorPrefix, orderer.operator, 0, short)
-	follow(orderer.ReplicaPrefix, orderer.ReplicaHandler, ordererReplicaPace, short)
+	follow(orderer.ReplicaPrefix, orderer.ReplicaHandler, ordererReplicaPace, medium)
 	follow(cluster.Prefix, orderer.registry, ordererRegistryPace, nil)
 	publisher := &dissemination.Publisher{
 		Node: orderer.Node, Catalog: orderer.Catalog, Registry: orderer.registry, Datagrams: orderer.datagrams, Health: health, Logger: orderer.Logger,
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -124,7 +124,7 @@
 	// acquireLimit leaves time for the two calls of an acquisition at a slow store.
 	acquireLimit = 1500 * time.Millisecond
 	// electionWatch bounds how long a vacancy can be missed.
-	electionWatch   = 3 * time.Second
+	electionWatch   = 8 * time.Second
 	electionBackoff = 250 * time.Millisecond
 )
 
