--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -14,10 +15,22 @@
 	firstHeaderBytes   = 64 << 10
 	firstHeaderTimeout = 3 * time.Second
 	firstIdleTimeout   = 15 * time.Second
+	firstWait          = 700 * time.Millisecond
 	peerIdleConns      = 4
 )
 
 func runFront(process *process) error {
+	front, callers, err := startFront(process)
+	if err != nil {
+		return err
+	}
+	process.awaitStop()
+	front.Stop(process.settings.Grace(), callers)
+	return nil
+}
+
+// startFront puts a front together and starts it. The server is the one for callers.
+func startFront(process *process) (*role.Front, *http.Server, error) {
 	settings := process.settings
 	table := catalog.NewTable()
 	replicas := platform.NewReplicas(dialer())
@@ -32,20 +45,38 @@
 	ingress := &platform.Ingress{
 		Catalog: table, Forwarder: front.Forwarder, Runner: front.Runner, Logger: process.logger, Stopping: front.Stopping,
 	}
-	limits := catalog.Limits{HeaderBytes: firstHeaderBytes, HeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout}
 	if err := front.Start(); err != nil {
-		return err
+		return nil, nil, err
 	}
-	callers := platform.NewServer(front.Counted(ingress), limits)
+	callers := platform.NewServer(front.Counted(ingress), firstLimits(table))
 	if err := process.serve("callers", settings.Listen["front"], callers); err != nil {
-		return err
+		return nil, nil, err
 	}
 	if err := process.serve("ready", settings.Listen["ready"], &http.Server{Handler: platform.ReadyHandler(front.Ready)}); err != nil {
-		return err
+		return nil, nil, err
+	}
+	return front, callers, nil
+}
+
+// firstLimits returns the limits of the operator's configuration, or those in force without one if it does not come at once.
+func firstLimits(table *catalog.Table) catalog.Limits {
+	limits := catalog.Limits{HeaderBytes: firstHeaderBytes, HeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout}
+	timeout := time.After(firstWait)
+	for {
+		changed := table.Changed()
+		if configuration := table.Configuration(); configuration != nil {
+			known := configuration.Limits
+			limits.HeaderBytes = cmp.Or(known.HeaderBytes, limits.HeaderBytes)
+			limits.HeaderTimeout = cmp.Or(known.HeaderTimeout, limits.HeaderTimeout)
+			limits.IdleTimeout = cmp.Or(known.IdleTimeout, limits.IdleTimeout)
+			return limits
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return limits
+		}
 	}
-	process.awaitStop()
-	front.Stop(settings.Grace(), callers)
-	return nil
 }
 
 func peerClient() *http.Client {
--- a/cmd/thistlewalk-rollout/main.go
+++ b/cmd/thistlewalk-rollout/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -66,33 +67,42 @@
 func withSettings(run func(*process) error) cli.ActionFunc {
 	return func(_ context.Context, command *cli.Command) error {
 		path := command.String("settings")
-		settings, err := platform.LoadSettings(path)
-		if err != nil {
-			return err
-		}
-		queue := logging.NewQueue(os.Stdout)
-		logger, err := logging.New(queue, command.String("log-level"))
+		started, err := newProcess(path, os.Stdout, command.String("log-level"))
 		if err != nil {
 			return err
 		}
+		settings := started.settings
 		debug.SetGCPercent(garbageTarget)
 		limitMemory(settings)
-		started := &process{
-			settings: settings, logger: logger, queue: queue, metrics: telemetry.New(queue.Dropped), path: path, life: time.Now().UnixNano(),
-			store: platform.NewStore(settings.API.Address, dialer()),
-		}
-		logger.Info("start", "node", settings.Node, "role", settings.Role, "zone", settings.Zone, "life", started.life, "settings", path)
+		started.logger.Info("start", "node", settings.Node, "role", settings.Role, "zone", settings.Zone, "life", started.life, "settings", path)
 		if port := command.Int("metrics-port"); port > 0 {
 			if err := started.serveMetrics(port); err != nil {
 				return err
 			}
 		}
 		err = run(started)
-		queue.Close(logFlushLimit)
+		started.queue.Close(logFlushLimit)
 		return err
 	}
 }
 
+// newProcess reads the settings and makes what every role has.
+func newProcess(path string, output io.Writer, level string) (*process, error) {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	queue := logging.NewQueue(output)
+	logger, err := logging.New(queue, level)
+	if err != nil {
+		return nil, err
+	}
+	return &process{
+		settings: settings, logger: logger, queue: queue, metrics: telemetry.New(queue.Dropped), path: path, life: time.Now().UnixNano(),
+		store: platform.NewStore(settings.API.Address, dialer()),
+	}, nil
+}
+
 func limitMemory(settings *platform.Settings) {
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryShare * bytesPerMB))
--- a/cmd/thistlewalk-rollout/orderer.go
+++ b/cmd/thistlewalk-rollout/orderer.go
@@ -17,6 +17,17 @@
 )
 
 func runOrderer(process *process) error {
+	orderer, err := startOrderer(process)
+	if err != nil {
+		return err
+	}
+	process.awaitStop()
+	orderer.Stop()
+	return nil
+}
+
+// startOrderer puts a candidate together and starts it.
+func startOrderer(process *process) (*role.Orderer, error) {
 	settings := process.settings
 	table := catalog.NewTable()
 	orderer := role.NewOrderer(role.OrdererOptions{
@@ -30,10 +41,5 @@
 	operator := process.operator(table)
 	operator.OnVersion = orderer.Weights.SetTarget
 	operator.OnRetire = orderer.Retired
-	if err := orderer.Start(operator); err != nil {
-		return err
-	}
-	process.awaitStop()
-	orderer.Stop()
-	return nil
+	return orderer, orderer.Start(operator)
 }
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -155,20 +155,20 @@
 	return list
 }
 
-// HandOver gives all jobs to other nodes, for a planned stop. Jobs that no node takes stay this node's in the log; others
-// take them over once this node is silent.
-func (runner *Runner) HandOver(ctx context.Context) {
+// HandOver gives all jobs to other nodes, for a planned stop, and reports whether all were taken. Jobs that no node takes stay
+// this node's in the log; others take them over once this node is silent, as long as it is registered.
+func (runner *Runner) HandOver(ctx context.Context) (all bool) {
 	runner.mu.Lock()
 	runner.stopping = true
 	runner.mu.Unlock()
+	all = true
 	for _, owned := range runner.open() {
-		if owned.isAccepted() {
-			runner.handOver(ctx, owned)
-		}
+		all = owned.isAccepted() && runner.handOver(ctx, owned) && all
 	}
+	return all
 }
 
-func (runner *Runner) handOver(ctx context.Context, owned *job) {
+func (runner *Runner) handOver(ctx context.Context, owned *job) (taken bool) {
 	owned.cancel()
 	<-owned.flushed
 	runner.scheduler.drop(owned)
@@ -185,10 +185,15 @@
 		runner.Logger.Info("job handed over", "job", owned.id(), "to", name, "partials", len(request.GetPartials()), "error", err)
 		if err == nil {
 			runner.RememberOwner(owned.id(), name)
+			taken = true
 			break
 		}
 	}
+	if !taken {
+		runner.Logger.Warn("job not handed over", "job", owned.id())
+	}
 	runner.remove(owned)
+	return taken
 }
 
 // partials are the texts of a job's unfinished items, once nothing of the job runs here any more.
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -63,7 +63,7 @@
 // Times of a front.
 const (
 	replicaPace  = 400 * time.Millisecond
-	registryPace = 1500 * time.Millisecond
+	registryPace = 800 * time.Millisecond
 	flushSpacing = 250 * time.Millisecond
 	flushLongest = 800 * time.Millisecond
 )
@@ -217,7 +217,7 @@
 	front.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
 	defer cancel()
-	front.Runner.HandOver(ctx)
+	taken := front.Runner.HandOver(ctx)
 	quiet := time.Now()
 	last := started.Add(grace - stopMargin - finishTime)
 	for time.Now().Before(last) && (time.Since(quiet) < quietTime || time.Since(started) < stopLeast) {
@@ -226,7 +226,9 @@
 		}
 		time.Sleep(stopPoll)
 	}
-	front.Registry.Leave(ctx)
+	if taken {
+		front.Registry.Leave(ctx)
+	}
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
 			front.Logger.Warn("calls cut", "calls", front.calls.Load(), "error", err)
