--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -24,6 +24,7 @@
 	cut      chan struct{} // closed when watches are to begin anew
 	answered time.Time
 	lost     bool
+	regained time.Time // when it answered again; zero if it was never lost
 }
 
 // NewHealth returns the health of a store, which is good until a probe fails.
@@ -60,6 +61,7 @@
 	health.answered = time.Now()
 	if health.lost {
 		health.lost = false
+		health.regained = health.answered
 		health.logger.Info("metadata store answers again")
 		health.cutWatches()
 	}
@@ -88,6 +90,13 @@
 	return !health.lost
 }
 
+// GoodFor reports whether the store has answered for a time, since it was last lost.
+func (health *Health) GoodFor(duration time.Duration) bool {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	return !health.lost && time.Since(health.regained) >= duration
+}
+
 // AwaitGood waits until the store answers, as far as the probes tell, or the context ends. Calls that would only be refused
 // are saved so, and are made at once when the store is back.
 func (health *Health) AwaitGood(ctx context.Context) {
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 	Settings ElectionSettings
 	Logger   *log.Logger
 
+	health *metadata.Health
 	mu     sync.Mutex
 	holder string
 	last   string
@@ -45,7 +47,9 @@
 
 // NewElection returns an election that this node takes part in once Run is called.
 func NewElection(store metadata.Store, node string, settings ElectionSettings, logger *log.Logger) *Election {
-	return &Election{Store: store, Node: node, Settings: settings, Logger: logger, wake: make(chan struct{}, 1)}
+	return &Election{
+		Store: store, Node: node, Settings: settings, Logger: logger, health: metadata.NewHealth(store, logger), wake: make(chan struct{}, 1),
+	}
 }
 
 // Term is a time during which this node holds the lease.
@@ -130,9 +134,8 @@
 
 // Run takes part until the context ends, and calls lead for each term; the context of lead ends with the term.
 func (election *Election) Run(ctx context.Context, lead func(context.Context, *Term)) {
-	health := metadata.NewHealth(election.Store, election.Logger)
-	go health.Run(ctx)
-	follower := metadata.Follower{Store: election.Store, Prefix: electionPrefix, Handler: election, Logger: election.Logger, Health: health, Wait: func() time.Duration { return electionWatch }}
+	go election.health.Run(ctx)
+	follower := metadata.Follower{Store: election.Store, Prefix: electionPrefix, Handler: election, Logger: election.Logger, Health: election.health, Wait: func() time.Duration { return electionWatch }}
 	go follower.Run(ctx)
 	for ctx.Err() == nil {
 		if !election.awaitVacancy(ctx) {
@@ -163,8 +166,8 @@
 	if !own {
 		pause(ctx, otherDelay+time.Duration(rand.Int64N(int64(candidateDelay))))
 	}
-	vacant, _ = election.vacant()
-	return vacant && ctx.Err() == nil
+	vacant, own = election.vacant()
+	return vacant && (own || election.health.GoodFor(otherDelay)) && ctx.Err() == nil
 }
 
 func (election *Election) vacant() (vacant, own bool) {
@@ -225,6 +228,15 @@
 	return item.Revision, nil
 }
 
+// vacate notes that the lease which this node held is over, before the watch tells.
+func (election *Election) vacate() {
+	election.mu.Lock()
+	defer election.mu.Unlock()
+	if strings.HasPrefix(election.holder, election.Node+" ") {
+		election.holder = ""
+	}
+}
+
 func (election *Election) note(holder string) {
 	election.mu.Lock()
 	defer election.mu.Unlock()
@@ -249,6 +261,7 @@
 		err := election.Store.RenewLease(callCtx, term.lease)
 		stop()
 		if errors.Is(err, metadata.ErrLeaseGone) {
+			election.vacate()
 			break
 		}
 		wait = election.Settings.Renew / renewFaster
