Work out slow replicas once a round

Cause: the choice of a replica sorted all paces again for each waiting item and replica. Change: once a round; a round each 80 ms while items wait. Named test of the pace table.

--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -239,7 +239,7 @@
 	}
 	pace := stream.runner.scheduler.pace
 	pace.observe(stream.replica.ID, gap, now)
-	if stream.events%4 != 0 || stream.task.moves >= mostMoves || pace.slowdown(stream.replica.ID, now) <= 1 {
+	if stream.events%4 != 0 || stream.task.moves >= mostMoves || !pace.isSlow(stream.replica.ID, now) {
 		return 0, false
 	}
 	if !stream.runner.scheduler.hasRoomElsewhere(stream.task, stream.replica) {
@@ -256,7 +256,7 @@
 	replicas := scheduler.runner.Catalog.Replicas()
 	room := newRoom(scheduler, replicas, time.Now())
 	for _, replica := range replicas.Service(running.service) {
-		if replica.ID != current.ID && room.eligible(running, replica) && scheduler.pace.slowdown(replica.ID, room.now) <= 1 {
+		if replica.ID != current.ID && room.eligible(running, replica) && room.slowdown(replica.ID) <= 1 {
 			return true
 		}
 	}
--- a/internal/batchrun/pace.go
+++ b/internal/batchrun/pace.go
@@ -11,6 +11,8 @@
 	// paceLife is how long a pace is believed without new events.
 	paceLife       = 2500 * time.Millisecond
 	paceLeastCount = 4
+	// paceLeastReplicas is how many replicas must be known to tell a slow one.
+	paceLeastReplicas = 3
 	// slowFactor is how many times the median a replica's time for an event must be to count as slow.
 	slowFactor = 1.9
 )
@@ -43,29 +45,37 @@
 	entry.at = now
 }
 
-// slowdown returns how many times the median of all replicas a replica takes for an event; 1 unless it is clearly slow.
-func (table *paceTable) slowdown(replica string, now time.Time) float64 {
+// slowdowns returns the replicas that are clearly slow, with how many times the median of all they take for an event.
+func (table *paceTable) slowdowns(now time.Time) map[string]float64 {
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	entry := table.replicas[replica]
-	if entry == nil || entry.count < paceLeastCount || now.Sub(entry.at) > paceLife {
-		return 1
-	}
 	var known []float64
-	for _, other := range table.replicas {
-		if now.Sub(other.at) <= paceLife && other.count >= paceLeastCount {
-			known = append(known, other.perEvent)
+	for _, entry := range table.replicas {
+		if entry.believed(now) {
+			known = append(known, entry.perEvent)
 		}
 	}
-	if len(known) < 3 {
-		return 1
+	if len(known) < paceLeastReplicas {
+		return nil
 	}
 	slices.Sort(known)
 	median := known[(len(known)-1)/2]
-	if median <= 0 || entry.perEvent < slowFactor*median {
-		return 1
+	slow := make(map[string]float64)
+	for id, entry := range table.replicas {
+		if entry.believed(now) && median > 0 && entry.perEvent >= slowFactor*median {
+			slow[id] = entry.perEvent / median
+		}
 	}
-	return entry.perEvent / median
+	return slow
+}
+
+// isSlow reports whether a replica is clearly slow.
+func (table *paceTable) isSlow(replica string, now time.Time) bool {
+	return table.slowdowns(now)[replica] > 1
+}
+
+func (entry *pace) believed(now time.Time) bool {
+	return entry.count >= paceLeastCount && now.Sub(entry.at) <= paceLife
 }
 
 const stallLimit = 700 * time.Millisecond
--- /dev/null
+++ b/internal/batchrun/pace_test.go
@@ -0,0 +1,31 @@
+package batchrun
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A replica counts as slow against the others, as long as its events are fresh, and only if enough are known.
+func TestSlowReplicas(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := newPaceTable()
+	observe := func(replica string, gap time.Duration) {
+		for range paceLeastCount {
+			table.observe(replica, gap, now)
+		}
+	}
+	observe("slow", 150*time.Millisecond)
+	observe("r0", 30*time.Millisecond)
+	must.False(t, table.isSlow("slow", now), must.Sprint("two replicas are known"))
+	for index := range 3 {
+		observe(fmt.Sprint("r", index), 30*time.Millisecond)
+	}
+	must.True(t, table.isSlow("slow", now))
+	must.False(t, table.isSlow("r1", now))
+	must.InDelta(t, 5, table.slowdowns(now)["slow"], 0.01)
+	must.False(t, table.isSlow("slow", now.Add(paceLife+time.Second)))
+	must.MapEmpty(t, table.slowdowns(now.Add(time.Hour)))
+}
--- a/internal/batchrun/room.go
+++ b/internal/batchrun/room.go
@@ -11,11 +11,15 @@
 	scheduler *scheduler
 	inFlight  map[string]int
 	ejected   map[string]bool
+	slowdowns map[string]float64
 	now       time.Time
 }
 
 func newRoom(scheduler *scheduler, replicas *catalog.ReplicaSet, now time.Time) *room {
-	found := &room{scheduler: scheduler, inFlight: make(map[string]int, len(replicas.All)), ejected: make(map[string]bool), now: now}
+	found := &room{
+		scheduler: scheduler, inFlight: make(map[string]int, len(replicas.All)), ejected: make(map[string]bool),
+		slowdowns: scheduler.pace.slowdowns(now), now: now,
+	}
 	for index := range replicas.All {
 		id := replicas.All[index].ID
 		reading := scheduler.runner.Loads.Read(id, now)
@@ -25,6 +29,9 @@
 	return found
 }
 
+// slowdown returns how many times the median a replica takes for an event; 1 unless it is clearly slow.
+func (room *room) slowdown(id string) float64 { return max(1, room.slowdowns[id]) }
+
 func (room *room) take(id string) { room.inFlight[id]++ }
 
 const (
@@ -45,7 +52,7 @@
 			continue
 		}
 		cost := float64(room.inFlight[replica.ID]) / float64(max(replica.Slots, 1))
-		cost += slowCost * (room.scheduler.pace.slowdown(replica.ID, room.now) - 1)
+		cost += slowCost * (room.slowdown(replica.ID) - 1)
 		if replica.ID == home {
 			cost -= homeBonus
 		}
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -62,7 +62,7 @@
 
 const (
 	idleTick       = 250 * time.Millisecond
-	busyTick       = 40 * time.Millisecond
+	busyTick       = 80 * time.Millisecond
 	refusalCooling = 120 * time.Millisecond
 )
 
