Give each model as many replicas as loads can keep up with

Change: a model has up to twice its part of the replicas, as far as its loads fit into three quarters of the time between two versions, which is measured.

--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -71,12 +71,13 @@
 
 	mu      sync.Mutex
 	targets Targets
+	namedAt map[string]time.Time // when each model's newest version was named
 	changed chan struct{}
 }
 
 // NewOrderer returns an orderer that knows no targets.
 func NewOrderer(node string, table *catalog.Table, replicas Replicas, atOnce int, logger *log.Logger) *Orderer {
-	return &Orderer{Node: node, Catalog: table, Replicas: replicas, AtOnce: atOnce, Logger: logger, targets: make(Targets), changed: make(chan struct{}, 1)}
+	return &Orderer{Node: node, Catalog: table, Replicas: replicas, AtOnce: atOnce, Logger: logger, targets: make(Targets), namedAt: make(map[string]time.Time), changed: make(chan struct{}, 1)}
 }
 
 // SetTarget takes a named version, if it is newer than the one known.
@@ -84,6 +85,7 @@
 	orderer.mu.Lock()
 	target := orderer.targets[model]
 	if target.Version < version {
+		target.Interval = orderer.measure(model, target, version)
 		target.Version = version
 		orderer.targets[model] = target
 		orderer.Logger.Info("version named", "model", model, "version", version, "lag", target.Lag)
@@ -92,6 +94,24 @@
 	orderer.nudge()
 }
 
+// intervalWeight is the weight of the newest interval between two versions.
+const intervalWeight = 0.3
+
+// measure returns the usual time between two versions of a model. It must be called with mu held.
+func (orderer *Orderer) measure(model string, target Target, version int64) time.Duration {
+	now := time.Now()
+	before, known := orderer.namedAt[model]
+	orderer.namedAt[model] = now
+	if !known || version != target.Version+1 {
+		return target.Interval // several at once: this node has just begun to follow
+	}
+	gap := now.Sub(before)
+	if target.Interval <= 0 {
+		return gap
+	}
+	return target.Interval + time.Duration(intervalWeight*float64(gap-target.Interval))
+}
+
 // SetDemand takes the oldest version that a new job accepts.
 func (orderer *Orderer) SetDemand(model string, minimum int64) {
 	orderer.mu.Lock()
@@ -130,6 +150,8 @@
 	orderMargin = 450 * time.Millisecond
 	orderLimit  = 350 * time.Millisecond
 	reportLimit = 350 * time.Millisecond
+	// loadUsual is how long a load takes with no more than a few at once.
+	loadUsual = 930 * time.Millisecond
 	// loadExpected is when a load is first looked at; after loadLimit it is given up and ordered again.
 	loadExpected = 1300 * time.Millisecond
 	loadLimit    = 5 * time.Second
@@ -164,7 +186,7 @@
 // Lead gives orders until the term ends.
 func (orderer *Orderer) Lead(ctx context.Context, lease *Term) {
 	work := &term{
-		orderer: orderer, lease: lease, planner: NewPlanner(), loads: make(map[string]*load), pause: make(map[string]time.Time),
+		orderer: orderer, lease: lease, planner: NewPlanner(LoadBudget{AtOnce: orderer.AtOnce, LoadTime: loadUsual}), loads: make(map[string]*load), pause: make(map[string]time.Time),
 		held: make(map[string]map[string]int64), seen: make(map[string]int64),
 	}
 	for ctx.Err() == nil {
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 )
@@ -13,6 +14,8 @@
 type Target struct {
 	Version int64
 	Lag     int64
+	// Interval is the usual time between two versions; zero when not known.
+	Interval time.Duration
 }
 
 // Targets are the targets of models.
@@ -33,10 +36,40 @@
 type Planner struct {
 	// assigned are the models of each replica, kept as long as they stay balanced.
 	assigned map[string][]string
+	// Budget is what loads may take.
+	Budget LoadBudget
+}
+
+// LoadBudget is what loads may take: replicas load only a few at a time, and a model whose replicas cannot all load within the
+// time between two versions falls behind.
+type LoadBudget struct {
+	// AtOnce is how many replicas load at the same time, LoadTime how long a load takes.
+	AtOnce   int
+	LoadTime time.Duration
+}
+
+const (
+	// budgetShare is the share of the time that loads may use.
+	budgetShare = 0.75
+	// defaultInterval stands for the time between two versions until it is known.
+	defaultInterval = 4 * time.Second
+	// leastShare is the least number of replicas of a model, so that one can load while another works.
+	leastShare = 2
+)
+
+// replicas returns how many replicas a model can have if half of them load each version.
+func (budget LoadBudget) replicas(interval time.Duration, models int) int {
+	if interval <= 0 {
+		interval = defaultInterval
+	}
+	loads := budgetShare * float64(budget.AtOnce) * interval.Seconds() / budget.LoadTime.Seconds()
+	return max(leastShare, int(2*loads/float64(models)))
 }
 
 // NewPlanner returns a planner without assignments.
-func NewPlanner() *Planner { return &Planner{assigned: make(map[string][]string)} }
+func NewPlanner(budget LoadBudget) *Planner {
+	return &Planner{assigned: make(map[string][]string), Budget: budget}
+}
 
 // Plan returns the orders that are due for a service, the furthest behind first. Replicas in busy have an order in progress.
 func (planner *Planner) Plan(models []string, replicas []*catalog.Replica, targets Targets, busy func(id string) bool) []Step {
@@ -96,11 +129,12 @@
 	})
 }
 
-// share is how many replicas a model has: its part, twice that where each version is loaded by half of them.
-func share(model string, models []string, replicas int, targets Targets) int {
+// share is how many replicas a model has: its part; up to twice that where each version is loaded by half of them, as far as
+// loads can keep up.
+func (planner *Planner) share(model string, models []string, replicas int, targets Targets) int {
 	part := (replicas + len(models) - 1) / max(len(models), 1)
 	if targets[model].Lag >= 1 {
-		part *= 2
+		part = min(2*part, planner.Budget.replicas(targets[model].Interval, len(models)))
 	}
 	return min(part, replicas)
 }
@@ -113,10 +147,10 @@
 	}
 	planner.assigned = kept
 	for _, model := range models {
-		planner.trim(model, replicas, share(model, models, len(replicas), targets))
+		planner.trim(model, replicas, planner.share(model, models, len(replicas), targets))
 	}
 	for _, model := range models {
-		planner.extend(model, replicas, share(model, models, len(replicas), targets), targets[model])
+		planner.extend(model, replicas, planner.share(model, models, len(replicas), targets), targets[model])
 	}
 	planner.spread(replicas)
 }
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -11,6 +12,8 @@
 	"github.com/thistlewalk/thistlewalk/internal/weights"
 )
 
+var budget = weights.LoadBudget{AtOnce: 2, LoadTime: 930 * time.Millisecond}
+
 func fleet(count int, models []string) []*catalog.Replica {
 	var list []*catalog.Replica
 	for index := range count {
@@ -69,7 +72,7 @@
 func TestHalfLoadsEachVersion(t *testing.T) {
 	models := []string{"m"}
 	replicas := fleet(8, models)
-	planner := weights.NewPlanner()
+	planner := weights.NewPlanner(budget)
 	for version := int64(2); version < 9; version++ {
 		must.GreaterEq(t, 4, usable(replicas, "m", version-1), must.Sprint("before the loads of version ", version))
 		must.Eq(t, 4, settle(planner, models, replicas, weights.Targets{"m": {Version: version, Lag: 1}}))
@@ -81,20 +84,20 @@
 func TestAllLoadWithoutLag(t *testing.T) {
 	models := []string{"m"}
 	replicas := fleet(8, models)
-	must.Eq(t, 8, settle(weights.NewPlanner(), models, replicas, weights.Targets{"m": {Version: 2}}))
+	must.Eq(t, 8, settle(weights.NewPlanner(budget), models, replicas, weights.Targets{"m": {Version: 2}}))
 }
 
 // Three models share nine replicas: as many loads a version as one model has replicas by an equal share.
 func TestModelsShareReplicas(t *testing.T) {
 	models := []string{"a", "b", "c"}
 	replicas := fleet(9, models)
-	planner := weights.NewPlanner()
+	planner := weights.NewPlanner(budget)
 	for version := int64(2); version < 8; version++ {
-		targets := weights.Targets{"a": {version, 1}, "b": {version, 1}, "c": {version, 1}}
-		must.LessEq(t, 9, settle(planner, models, replicas, targets))
+		targets := weights.Targets{"a": {Version: version, Lag: 1}, "b": {Version: version, Lag: 1}, "c": {Version: version, Lag: 1}}
+		must.LessEq(t, 6, settle(planner, models, replicas, targets))
 		for _, model := range models {
-			must.GreaterEq(t, 6, usable(replicas, model, version-1))
-			must.GreaterEq(t, 3, usable(replicas, model, version))
+			must.GreaterEq(t, 4, usable(replicas, model, version-1))
+			must.GreaterEq(t, 2, usable(replicas, model, version))
 		}
 	}
 }
@@ -104,7 +107,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		models := []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(t, "models")]
 		replicas := fleet(rapid.IntRange(1, 12).Draw(t, "replicas"), models)
-		planner := weights.NewPlanner()
+		planner := weights.NewPlanner(budget)
 		targets := make(weights.Targets)
 		for version := int64(2); version < 6; version++ {
 			for _, model := range models {
@@ -130,3 +133,16 @@
 		}
 	})
 }
+
+// Versions that come seldom leave time for more replicas of each model, up to twice its part; those that come fast for fewer.
+func TestLoadsKeepUpWithVersions(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	for interval, most := range map[time.Duration]int{time.Second: 3, 4 * time.Second: 6, time.Minute: 9} {
+		replicas := fleet(9, models)
+		targets := make(weights.Targets)
+		for _, model := range models {
+			targets[model] = weights.Target{Version: 2, Lag: 1, Interval: interval}
+		}
+		must.Eq(t, most, settle(weights.NewPlanner(budget), models, replicas, targets), must.Sprint(interval))
+	}
+}
