--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -83,7 +83,10 @@
 // SetTarget takes a named version, if it is newer than the one known.
 func (orderer *Orderer) SetTarget(model string, version int64) {
 	orderer.mu.Lock()
-	target := orderer.targets[model]
+	target, known := orderer.targets[model]
+	if !known {
+		target.Lag = mostLag // until a job tells: replicas that it needs are ordered then, others need not be
+	}
 	if target.Version < version {
 		target.Interval = orderer.measure(model, target, version)
 		target.Version = version
--- /dev/null
+++ b/internal/weights/orderer_test.go
@@ -0,0 +1,159 @@
+package weights_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+	"github.com/thistlewalk/thistlewalk/internal/weights"
+)
+
+// engine is a replica's control calls: orders take a while, and some are lost or carried out late.
+type engine struct {
+	version, orders int64
+	loading         bool
+	// loseNext orders get no answer; late has them carried out after that time, on the condition that they carry.
+	loseNext int
+	late     time.Duration
+}
+
+// engines implements weights.Replicas.
+type engines struct {
+	mu    sync.Mutex
+	table *catalog.Table
+	byID  map[string]*engine
+	taken []weights.Order
+}
+
+func newEngines(count int) *engines {
+	created := &engines{table: catalog.NewTable(), byID: make(map[string]*engine)}
+	for _, replica := range fleet(count, []string{"m"}) {
+		created.byID[replica.ID] = &engine{version: 1}
+	}
+	configuration := &catalog.Configuration{Version: 1, Services: map[string]catalog.Service{"s": {Name: "s", Models: []string{"m"}}}}
+	configuration.Index()
+	created.table.SetConfiguration(configuration)
+	created.register()
+	return created
+}
+
+// register publishes what replicas hold, as the registry does.
+func (engines *engines) register() {
+	var list []catalog.Replica
+	for id, engine := range engines.byID {
+		list = append(list, catalog.Replica{ID: id, Service: "s", Slots: 8, Models: []catalog.ModelVersion{{Model: "m", Version: engine.version}}})
+	}
+	engines.table.SetReplicas(list, engines.table.Replicas().Revision+1)
+}
+
+func (engines *engines) Order(ctx context.Context, replica *catalog.Replica, order weights.Order) (weights.Reply, error) {
+	engines.mu.Lock()
+	engine := engines.byID[replica.ID]
+	if engine.loseNext > 0 {
+		engine.loseNext--
+		if engine.late > 0 {
+			time.AfterFunc(engine.late, func() { engines.take(engine, order) })
+		}
+		engines.mu.Unlock()
+		<-ctx.Done()
+		return weights.Rejected, weights.ErrOrderUnanswered
+	}
+	engines.mu.Unlock()
+	return engines.take(engine, order), nil
+}
+
+func (engines *engines) take(engine *engine, order weights.Order) weights.Reply {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	if engine.loading || order.ExpectedOrders != engine.orders {
+		return weights.Conflicting
+	}
+	engine.orders++
+	engine.loading = true
+	engines.taken = append(engines.taken, order)
+	time.AfterFunc(900*time.Millisecond, func() {
+		engines.mu.Lock()
+		defer engines.mu.Unlock()
+		engine.version, engine.loading = order.Version, false
+		engines.register()
+	})
+	return weights.Started
+}
+
+func (engines *engines) Report(_ context.Context, replica *catalog.Replica) (weights.Report, error) {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	engine := engines.byID[replica.ID]
+	return weights.Report{Busy: engine.loading, Orders: engine.orders, Models: []catalog.ModelVersion{{Model: "m", Version: engine.version}}}, nil
+}
+
+func (engines *engines) at(version int64) int {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	count := 0
+	for _, engine := range engines.byID {
+		if engine.version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// inTerm runs an orderer that holds the lease.
+func inTerm(t *testing.T, run func(t *testing.T, engines *engines, orderer *weights.Orderer)) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := newEngines(4)
+		ctx, cancel := context.WithCancel(t.Context())
+		orderer := weights.NewOrderer("node", engines.table, engines, 2, log.New(io.Discard))
+		election := weights.NewElection(memstore.New(), "node", electionSettings, log.New(io.Discard))
+		go election.Run(ctx, orderer.Lead)
+		time.Sleep(2 * time.Second)
+		run(t, engines, orderer)
+		cancel()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+	})
+}
+
+// Half of the replicas load a version at first; the rest follow when a job comes that takes no older one.
+func TestOrdersFollowDemand(t *testing.T) {
+	inTerm(t, func(t *testing.T, engines *engines, orderer *weights.Orderer) {
+		orderer.SetTarget("m", 2)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, 2, engines.at(2))
+		orderer.SetDemand("m", 2)
+		time.Sleep(3 * time.Second)
+		must.Eq(t, 4, engines.at(2))
+	})
+}
+
+// Orders that are lost are given again; those that are carried out late change nothing.
+func TestLostAndLateOrders(t *testing.T) {
+	inTerm(t, func(t *testing.T, engines *engines, orderer *weights.Orderer) {
+		for _, engine := range engines.byID {
+			engine.loseNext, engine.late = 1, 5*time.Second
+		}
+		for version := int64(2); version < 6; version++ {
+			orderer.SetTarget("m", version)
+			orderer.SetDemand("m", version)
+			time.Sleep(4 * time.Second)
+		}
+		time.Sleep(8 * time.Second)
+		must.Eq(t, 4, engines.at(5))
+		for _, engine := range engines.byID {
+			must.LessEq(t, 4, engine.orders)
+		}
+		for _, order := range engines.taken {
+			must.Eq(t, "node", order.Holder)
+			must.Eq(t, engines.taken[0].Fence, order.Fence)
+		}
+	})
+}
