Tell demands of open jobs again, and bound the memory of bodies

Cause: TestSite failed once the lag was 1 by default: a job's demand was told once, when no publisher was known yet, and half of the replicas stayed at the old version. Bodies of 32 MB were bounded each but not together. Change: the demands of open jobs are told again each second; bodies over 64 KB are reserved in 96 MB and refused with 503 beyond. Bad heads, bodies and jobs have a test over real connections.

--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/forwarding"
 	"github.com/thistlewalk/thistlewalk/internal/role"
 	"github.com/thistlewalk/thistlewalk/platform"
 )
@@ -43,7 +44,8 @@
 		ReplicaHandler:       &platform.ReplicaHandler{Logger: process.logger, Catalog: table},
 	})
 	ingress := &platform.Ingress{
-		Catalog: table, Forwarder: front.Forwarder, Runner: front.Runner, Logger: process.logger, Stopping: front.Stopping,
+		Catalog: table, Forwarder: front.Forwarder, Runner: front.Runner, Bodies: forwarding.NewBodies(), Logger: process.logger,
+		Stopping: front.Stopping,
 	}
 	if err := front.Start(); err != nil {
 		return nil, nil, err
--- a/cmd/thistlewalk-rollout/site_test.go
+++ b/cmd/thistlewalk-rollout/site_test.go
@@ -49,7 +49,10 @@
 	t.Helper()
 	store := memstore.New()
 	created := &deployment{t: t, store: store, server: httptest.NewServer(&site.StoreServer{Store: store}), replicas: make(map[string]*site.Replica)}
-	t.Cleanup(created.server.Close)
+	t.Cleanup(func() {
+		created.server.CloseClientConnections() // watches wait on
+		created.server.Close()
+	})
 	for _, id := range []string{"e1", "e2", "e3", "e4"} {
 		created.addReplica(site.NewReplica(id, "lm", "m"))
 	}
@@ -288,3 +291,52 @@
 		must.ErrorContains(t, err, path)
 	}
 }
+
+// rawCall writes bytes to a front and returns the status line of its answer; empty when the connection is closed.
+func rawCall(t *testing.T, front *runningFront, content string) string {
+	t.Helper()
+	connection, err := net.Dial("tcp", front.address)
+	must.NoError(t, err)
+	defer connection.Close()
+	must.NoError(t, connection.SetDeadline(time.Now().Add(8*time.Second)))
+	_, err = io.WriteString(connection, content)
+	must.NoError(t, err)
+	answer, _ := io.ReadAll(connection) // the end of the connection may be a reset
+	line, _, _ := strings.Cut(string(answer), "\r\n")
+	return line
+}
+
+// Bad input gets a status of the node's own, and nothing of it runs.
+func TestBadInput(t *testing.T) {
+	deployment := newDeployment(t)
+	deployment.put("op/config", fmt.Appendf(nil, configurationDocument, 3))
+	front := deployment.startFront("front-1")
+	eventually(t, 3*time.Second, "the front is ready", func() bool { return deployment.isReady(front) })
+	head := "POST /book/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+	for name, c := range map[string]struct{ content, status string }{
+		"no protocol":            {"nonsense\r\n\r\n", "HTTP/1.1 400 Bad Request"},
+		"malformed header":       {head + "Request-Id q\r\n\r\n", "HTTP/1.1 400 Bad Request"},
+		"two lengths":            {head + "Request-Id: q\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx", "HTTP/1.1 400 Bad Request"},
+		"length and chunks":      {head + "Request-Id: q\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n", "HTTP/1.1 400 Bad Request"},
+		"malformed chunk":        {head + "Request-Id: q\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n", "HTTP/1.1 400 Bad Request"},
+		"oversized head":         {head + "X: " + strings.Repeat("x", 40000) + "\r\n\r\n", "HTTP/1.1 431 Request Header Fields Too Large"},
+		"announced oversized":    {head + "Request-Id: q\r\nContent-Length: 99999999\r\n\r\n", "HTTP/1.1 413 Request Entity Too Large"},
+		"no identifier":          {head + "Content-Length: 0\r\n\r\n", "HTTP/1.1 400 Bad Request"},
+		"a head that never ends": {"POST /book/1 HTTP/1.1\r\nHost: a.exa", ""},
+	} {
+		t.Run(name, func(t *testing.T) { must.Eq(t, c.status, rawCall(t, front, c.content)) })
+	}
+	for name, body := range map[string]string{
+		"not JSON":   `{`,
+		"no items":   `{"items":[]}`,
+		"item twice": `{"items":[{"id":"i","path":"/jobs/x"},{"id":"i","path":"/jobs/x"}]}`,
+		"no path":    `{"items":[{"id":"i"}]}`,
+		"bad body":   `{"items":[{"id":"i","path":"/jobs/x","body":"***"}]}`,
+	} {
+		status, _, _ := deployment.call(front, http.MethodPost, "/jobs/j", "job", body)
+		must.Eq(t, http.StatusBadRequest, status, must.Sprint(name))
+	}
+	for _, replica := range deployment.replicas {
+		must.Eq(t, 0, replica.Ran("q")+replica.Ran("i")+replica.Ran(""))
+	}
+}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -52,8 +52,10 @@
 	Nearest() []string
 	// Preferred returns the name of the node that runs jobs of a model for this node's zone; empty for none.
 	Preferred(model string) string
-	// AnnounceJob tells all nodes where a job runs and what versions it takes; they may miss it.
+	// AnnounceJob tells all nodes where a job runs; they may miss it.
 	AnnounceJob(job *batchv1.Job)
+	// AnnounceDemand tells whoever orders replicas which versions of a model a job takes; it may be missed.
+	AnnounceDemand(job *batchv1.Job)
 	// ShareLoads tells all nodes of this node's requests in flight; they may miss it.
 	ShareLoads(inFlight map[string]int)
 }
--- a/internal/batchrun/share.go
+++ b/internal/batchrun/share.go
@@ -5,14 +5,25 @@
 	"time"
 )
 
-const shareInterval = 120 * time.Millisecond
+const (
+	shareInterval = 120 * time.Millisecond
+	// demandRounds is after how many rounds the demands of open jobs are told again.
+	demandRounds = 8
+)
+
+// announceDemands tells again what versions the open jobs take.
+func (runner *Runner) announceDemands() {
+	for _, owned := range runner.open() {
+		runner.Peers.AnnounceDemand(owned.definition)
+	}
+}
 
 // shareLoads tells the other nodes what this one has in flight, while it runs jobs and once more when it has none left.
 func (runner *Runner) shareLoads(ctx context.Context) {
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
 	shared := false
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -21,6 +32,9 @@
 		if runner.OpenJobs() == 0 && !shared {
 			continue
 		}
+		if round%demandRounds == 0 {
+			runner.announceDemands()
+		}
 		inFlight := runner.enginesInFlight()
 		shared = len(inFlight) > 0
 		runner.Peers.ShareLoads(inFlight)
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -186,6 +186,7 @@
 	go runner.flushLoop(owned)
 	go runner.backUp(owned)
 	runner.Peers.AnnounceJob(owned.definition)
+	runner.Peers.AnnounceDemand(owned.definition)
 	runner.begin(owned)
 	owned.wakeFlush()
 }
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -92,6 +92,7 @@
 	go runner.flushLoop(owned)
 	go runner.backUp(owned)
 	runner.Peers.AnnounceJob(owned.definition)
+	runner.Peers.AnnounceDemand(owned.definition)
 	runner.begin(owned)
 }
 
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -248,6 +248,9 @@
 // AnnounceJob implements batchrun.Peers.
 func (peers *worldPeers) AnnounceJob(*batchv1.Job) {}
 
+// AnnounceDemand implements batchrun.Peers.
+func (peers *worldPeers) AnnounceDemand(*batchv1.Job) {}
+
 // ShareLoads implements batchrun.Peers.
 func (peers *worldPeers) ShareLoads(map[string]int) {}
 
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -157,6 +157,11 @@
 	front := peers.front
 	owner := &clusterv1.JobOwner{JobId: job.GetId(), Node: front.Node}
 	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_JobOwner{JobOwner: owner}}, front.Registry.Others())
+}
+
+// AnnounceDemand implements batchrun.Peers.
+func (peers peers) AnnounceDemand(job *batchv1.Job) {
+	front := peers.front
 	if publisher := front.subscriber.Publisher(); publisher != nil {
 		demand := &clusterv1.Demand{Model: job.GetModel(), MinimumVersion: job.GetMinimumVersion()}
 		front.datagrams.SendTo(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Demand{Demand: demand}}, publisher)
