Back up results that wait too long to be listed, and try appends again sooner

Change: results that wait 0.3 s longer than usual are backed up, whatever the probes say; an append without an answer is tried again after 0.6 s in place of 0.9 s.

--- a/internal/batchlog/log.go
+++ b/internal/batchlog/log.go
@@ -34,7 +34,7 @@
 	chunkBytes = 700 << 10
 	retryFirst = 40 * time.Millisecond
 	retryMost  = 300 * time.Millisecond
-	callLimit  = 900 * time.Millisecond
+	callLimit  = 600 * time.Millisecond
 )
 
 // Log reads and writes batch jobs. It is safe for concurrent use.
--- a/internal/batchrun/backup.go
+++ b/internal/batchrun/backup.go
@@ -11,6 +11,9 @@
 const (
 	backupInterval = 250 * time.Millisecond
 	backupLimit    = 400 * time.Millisecond
+	// stuckAfter is how much longer than usual results may wait to be listed before they are backed up: answers to writes may
+	// be lost while the store answers probes.
+	stuckAfter = 300 * time.Millisecond
 	// backupCopies is how many nodes keep the texts that can't be listed.
 	backupCopies = 2
 )
@@ -26,7 +29,7 @@
 			return
 		case <-ticker.C:
 		}
-		if runner.Log.Health.Good() {
+		if runner.Log.Health.Good() && !owned.isStuck(runner.Flush.Longest+stuckAfter) {
 			continue
 		}
 		if partials := owned.unsent(sent); len(partials) > 0 {
@@ -35,6 +38,13 @@
 	}
 }
 
+// isStuck reports whether a result has waited for so long.
+func (owned *job) isStuck(limit time.Duration) bool {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	return len(owned.pending) > 0 && time.Since(owned.since) > limit
+}
+
 // unsent returns the pending texts that are not marked as sent, and marks them.
 func (owned *job) unsent(sent map[string]bool) []*batchv1.Partial {
 	owned.mu.Lock()
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -126,6 +126,24 @@
 	})
 }
 
+// The same holds while the store answers, but loses the answers to writes.
+func TestTextsOutliveTheirNodeWhenWritesAreLost(t *testing.T) {
+	inWorld(t, 10, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 8, 1), jobRoute))
+		world.store.SetFaults(memstore.Faults{LoseAnswers: 1000, LateBy: time.Hour})
+		time.Sleep(3 * time.Second)
+		started := total(world.engines)
+		world.kill("a")
+		world.store.SetFaults(memstore.Faults{})
+		world.start("a")
+		checkResults(t, await(t, world.node("a"), "job", 8, 3*time.Second), 1)
+		must.Eq(t, started, total(world.engines), must.Sprint("items ran again"))
+		world.close()
+		time.Sleep(2 * time.Hour) // the late writes come, to no effect
+		checkResults(t, await(t, world.start("b"), "job", 8, 3*time.Second), 1)
+	})
+}
+
 // Items wait for a replica whose weights are new enough, and texts of older weights are not listed.
 func TestMinimumVersion(t *testing.T) {
 	inWorld(t, 5, func(t *testing.T, world *world) {
