Load weights on a share of a service's replicas at once, and plan services apart

Ruled out: processor time (0.03 of 0.19 cores at most) and slots (under half of all used). Change: a fifth of a service's replicas load at once, rounded up (2 of 8 and of 9 as before, 7 of 35). Also: a planner a service, since two services with models took each other's assignments (test fails without it), and no second of rest when all replicas that are due are left alone for 60 ms. Conclusion: the limit was the planner's, not the fleet's.

--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -57,8 +57,8 @@
 	done      sync.WaitGroup
 }
 
-// loadsAtOnce is how many replicas of a service load weights at the same time without slowing each other.
-const loadsAtOnce = 2
+// loadShare is the share of a service's replicas that load weights at the same time without slowing each other.
+const loadShare = 0.2
 
 // Paces at which the holder of the lease looks at changes.
 const (
@@ -72,7 +72,7 @@
 func NewOrderer(options OrdererOptions) *Orderer {
 	ctx, cancel := context.WithCancel(context.Background())
 	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Role: options.Role, Life: options.Life}
-	orders := weights.NewOrderer(options.Node, options.Catalog, options.Replicas, loadsAtOnce, options.Logger)
+	orders := weights.NewOrderer(options.Node, options.Catalog, options.Replicas, loadShare, options.Logger)
 	orders.Metrics = options.Metrics
 	return &Orderer{
 		OrdererOptions: options, ctx: ctx, cancel: cancel, Weights: orders,
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -66,8 +67,8 @@
 	Replicas Replicas
 	Logger   *log.Logger
 	Metrics  *telemetry.Metrics
-	// AtOnce is how many replicas of a service load at the same time.
-	AtOnce int
+	// LoadShare is the share of a service's replicas that load at the same time, rounded up.
+	LoadShare float64
 
 	mu      sync.Mutex
 	targets Targets
@@ -76,8 +77,16 @@
 }
 
 // NewOrderer returns an orderer that knows no targets.
-func NewOrderer(node string, table *catalog.Table, replicas Replicas, atOnce int, logger *log.Logger) *Orderer {
-	return &Orderer{Node: node, Catalog: table, Replicas: replicas, AtOnce: atOnce, Logger: logger, targets: make(Targets), namedAt: make(map[string]time.Time), changed: make(chan struct{}, 1)}
+func NewOrderer(node string, table *catalog.Table, replicas Replicas, loadShare float64, logger *log.Logger) *Orderer {
+	return &Orderer{
+		Node: node, Catalog: table, Replicas: replicas, LoadShare: loadShare, Logger: logger,
+		targets: make(Targets), namedAt: make(map[string]time.Time), changed: make(chan struct{}, 1),
+	}
+}
+
+// atOnce returns how many replicas of a service load at the same time.
+func (orderer *Orderer) atOnce(replicas int) int {
+	return max(1, int(math.Ceil(orderer.LoadShare*float64(replicas))))
 }
 
 // SetTarget takes a named version, if it is newer than the one known.
@@ -175,9 +184,9 @@
 
 // term is the work of one term. Its fields belong to one goroutine but for what mu guards.
 type term struct {
-	orderer *Orderer
-	lease   *Term
-	planner *Planner
+	orderer  *Orderer
+	lease    *Term
+	planners map[string]*Planner // by service
 
 	mu    sync.Mutex
 	loads map[string]*load     // by replica
@@ -189,8 +198,8 @@
 // Lead gives orders until the term ends.
 func (orderer *Orderer) Lead(ctx context.Context, lease *Term) {
 	work := &term{
-		orderer: orderer, lease: lease, planner: NewPlanner(LoadBudget{AtOnce: orderer.AtOnce, LoadTime: loadUsual}), loads: make(map[string]*load), pause: make(map[string]time.Time),
-		held: make(map[string]map[string]int64), seen: make(map[string]int64),
+		orderer: orderer, lease: lease, planners: make(map[string]*Planner),
+		loads: make(map[string]*load), pause: make(map[string]time.Time), held: make(map[string]map[string]int64), seen: make(map[string]int64),
 	}
 	for ctx.Err() == nil {
 		changed := orderer.Catalog.Changed()
@@ -224,16 +233,28 @@
 		}
 		members := work.corrected(replicas.Service(name))
 		work.settle(ctx, members)
-		steps := work.planner.Plan(service.Models, members, targets, work.isBusy)
-		room := work.orderer.AtOnce - work.loading(members)
+		planner := work.planner(name)
+		planner.Budget.AtOnce = work.orderer.atOnce(len(members))
+		steps := planner.Plan(service.Models, members, targets, work.isBusy)
+		room := planner.Budget.AtOnce - work.loading(members)
 		for _, step := range steps[:max(0, min(room, len(steps)))] {
 			work.start(ctx, step)
 		}
-		busy = busy || len(steps) > 0 || work.loading(members) > 0
+		busy = busy || len(steps) > 0 || work.loading(members) > 0 || work.anyPaused()
 	}
 	return busy
 }
 
+// planner returns the planner of a service.
+func (work *term) planner(service string) *Planner {
+	planner := work.planners[service]
+	if planner == nil {
+		planner = NewPlanner(LoadBudget{AtOnce: 1, LoadTime: loadUsual})
+		work.planners[service] = planner
+	}
+	return planner
+}
+
 // corrected returns the replicas with what they reported themselves since they registered.
 func (work *term) corrected(members []*catalog.Replica) []*catalog.Replica {
 	work.mu.Lock()
@@ -257,6 +278,19 @@
 	return work.loads[id] != nil || time.Now().Before(work.pause[id])
 }
 
+// anyPaused reports whether a replica is left alone for a while: its order may be due again soon.
+func (work *term) anyPaused() bool {
+	work.mu.Lock()
+	defer work.mu.Unlock()
+	now := time.Now()
+	for _, until := range work.pause {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 func (work *term) loading(members []*catalog.Replica) int {
 	work.mu.Lock()
 	defer work.mu.Unlock()
--- a/internal/weights/orderer_test.go
+++ b/internal/weights/orderer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,6 +19,7 @@
 
 // engine is a replica's control calls: orders take a while, and some are lost or carried out late.
 type engine struct {
+	service, model  string
 	version, orders int64
 	loading         bool
 	// loseNext orders get no answer; late has them carried out after that time, on the condition that they carry.
@@ -36,7 +38,7 @@
 func newEngines(count int) *engines {
 	created := &engines{table: catalog.NewTable(), byID: make(map[string]*engine)}
 	for _, replica := range fleet(count, []string{"m"}) {
-		created.byID[replica.ID] = &engine{version: 1}
+		created.byID[replica.ID] = &engine{service: "s", model: "m", version: 1}
 	}
 	configuration := &catalog.Configuration{Version: 1, Services: map[string]catalog.Service{"s": {Name: "s", Models: []string{"m"}}}}
 	configuration.Index()
@@ -49,11 +51,37 @@
 func (engines *engines) register() {
 	var list []catalog.Replica
 	for id, engine := range engines.byID {
-		list = append(list, catalog.Replica{ID: id, Service: "s", Slots: 8, Models: []catalog.ModelVersion{{Model: "m", Version: engine.version}}})
+		list = append(list, catalog.Replica{ID: id, Service: engine.service, Slots: 8, Models: []catalog.ModelVersion{{Model: engine.model, Version: engine.version}}})
 	}
 	engines.table.SetReplicas(list, engines.table.Replicas().Revision+1)
 }
 
+// addService adds replicas of a second service with a model of its own.
+func (engines *engines) addService(service, model string, count int) {
+	for index := range count {
+		engines.byID[service+"-"+strconv.Itoa(index)] = &engine{service: service, model: model, version: 1}
+	}
+	configuration := &catalog.Configuration{Version: 2, Services: map[string]catalog.Service{
+		"s": {Name: "s", Models: []string{"m"}}, service: {Name: service, Models: []string{model}},
+	}}
+	configuration.Index()
+	engines.table.SetConfiguration(configuration)
+	engines.register()
+}
+
+// loading returns how many replicas load now.
+func (engines *engines) loading() int {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	count := 0
+	for _, engine := range engines.byID {
+		if engine.loading {
+			count++
+		}
+	}
+	return count
+}
+
 func (engines *engines) Order(ctx context.Context, replica *catalog.Replica, order weights.Order) (weights.Reply, error) {
 	engines.mu.Lock()
 	engine := engines.byID[replica.ID]
@@ -92,7 +120,7 @@
 	engines.mu.Lock()
 	defer engines.mu.Unlock()
 	engine := engines.byID[replica.ID]
-	return weights.Report{Busy: engine.loading, Orders: engine.orders, Models: []catalog.ModelVersion{{Model: "m", Version: engine.version}}}, nil
+	return weights.Report{Busy: engine.loading, Orders: engine.orders, Models: []catalog.ModelVersion{{Model: engine.model, Version: engine.version}}}, nil
 }
 
 func (engines *engines) at(version int64) int {
@@ -112,7 +140,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines := newEngines(4)
 		ctx, cancel := context.WithCancel(t.Context())
-		orderer := weights.NewOrderer("node", engines.table, engines, 2, log.New(io.Discard))
+		orderer := weights.NewOrderer("node", engines.table, engines, 0.5, log.New(io.Discard))
 		election := weights.NewElection(memstore.New(), "node", electionSettings, log.New(io.Discard))
 		go election.Run(ctx, orderer.Lead)
 		time.Sleep(2 * time.Second)
@@ -157,3 +185,39 @@
 		}
 	})
 }
+
+// A large service loads more replicas at once than a small one, and its models get replicas accordingly: with two at once,
+// 35 replicas of three models left each model four.
+func TestLoadsAtOnceGrowWithService(t *testing.T) {
+	for _, row := range []struct{ replicas, loading int }{{1, 1}, {8, 2}, {9, 2}, {35, 7}} {
+		synctest.Test(t, func(t *testing.T) {
+			engines := newEngines(row.replicas)
+			ctx, cancel := context.WithCancel(t.Context())
+			orderer := weights.NewOrderer("node", engines.table, engines, 0.2, log.New(io.Discard))
+			election := weights.NewElection(memstore.New(), "node", electionSettings, log.New(io.Discard))
+			go election.Run(ctx, orderer.Lead)
+			time.Sleep(2 * time.Second)
+			orderer.SetTarget("m", 2)
+			orderer.SetDemand("m", 2)
+			time.Sleep(500 * time.Millisecond)
+			must.Eq(t, row.loading, engines.loading())
+			cancel()
+			time.Sleep(3 * time.Second)
+			synctest.Wait()
+		})
+	}
+}
+
+// Two services with models are planned apart: the assignments of one used to take the place of the other's.
+func TestServicesArePlannedApart(t *testing.T) {
+	inTerm(t, func(t *testing.T, engines *engines, orderer *weights.Orderer) {
+		engines.addService("other", "n", 4)
+		orderer.SetTarget("m", 2)
+		orderer.SetTarget("n", 2)
+		orderer.SetDemand("m", 2)
+		orderer.SetDemand("n", 2)
+		time.Sleep(6 * time.Second)
+		must.Eq(t, 8, engines.at(2))
+		must.Eq(t, 8, len(engines.taken))
+	})
+}
