Add a fault soak of the real programs as processes

Cause: nothing injected faults from outside of the real programs; the histories and the bench do it in modelled time. Change: internal/lab/platform/soak and 'thistlewalk-lab soak': five fronts and three orderers as processes over stand-ins of the store and of replicas on the loopback address; a plan drawn from a seed kills, freezes, stops and restarts processes, cuts, delays, holds and resets links by a proxy, makes the store refuse, hang, lose and delay answers and forget its history, crashes, drains and spoils replicas, damages settings files, changes the configuration. Twelve promises are judged by what callers and replicas saw.

--- /dev/null
+++ b/cmd/thistlewalk-lab/soak.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/thistlewalk/thistlewalk/internal/lab/platform/soak"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run the real programs as processes over stand-ins of the users' platform, with drawn faults, and check the promises",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binary", Required: true, Usage: "the built thistlewalk-rollout"},
+			&cli.IntFlag{Name: "seconds", Value: 60, Usage: "length of a plan of faults"},
+			&cli.IntFlag{Name: "seed", Usage: "seed of the first plan; 0 takes the time"},
+			&cli.IntFlag{Name: "plans", Value: 1, Usage: "how many plans, with seeds that follow each other"},
+			&cli.StringFlag{Name: "keep", Usage: "folder for settings and logs of plans that broke a promise; the system's folder for temporary files if not given"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, command *cli.Command) error {
+	seed := uint64(command.Int("seed"))
+	if seed == 0 {
+		seed = uint64(time.Now().Unix())
+	}
+	base := command.String("keep")
+	if base == "" {
+		base = os.TempDir()
+	}
+	broken := 0
+	for index := range command.Int("plans") {
+		plan := soak.Draw(seed+uint64(index), time.Duration(command.Int("seconds"))*time.Second)
+		folder := filepath.Join(base, fmt.Sprint("soak-", plan.Seed))
+		report, err := soak.Run(ctx, soak.Options{Binary: command.String("binary"), Folder: folder, Plan: plan})
+		if err != nil {
+			return err
+		}
+		fmt.Println(report)
+		if len(report.Violations) == 0 {
+			if err := os.RemoveAll(folder); err != nil {
+				return err
+			}
+			continue
+		}
+		broken++
+		fmt.Printf("%s\nlogs: %s\n", plan, folder)
+	}
+	if broken > 0 {
+		return errBreach
+	}
+	return nil
+}
--- a/internal/lab/platform/site/replica.go
+++ b/internal/lab/platform/site/replica.go
@@ -18,8 +18,9 @@
 	Slots   int
 	// Model is empty for an application.
 	Model string
-	// EventTime is the time between two events of a stream, LoadTime that of a change of version.
-	EventTime, LoadTime time.Duration
+	// EventTime is the time between two events of a stream, LoadTime that of a change of version, WorkTime what a request
+	// takes before its answer begins.
+	EventTime, LoadTime, WorkTime time.Duration
 
 	mu      sync.Mutex
 	version int64
@@ -32,6 +33,9 @@
 	holders []string
 	// OnChange is called after the replica's registered state changed.
 	OnChange func()
+	// Log takes what the replica does; nil for none.
+	Log *Executions
+	draining bool
 }
 
 // ReplicaFaults are the faults in force. The zero value is none.
@@ -54,6 +58,25 @@
 	}
 }
 
+// Restart returns a new incarnation of the replica, with the version that it had.
+func (replica *Replica) Restart(id string) *Replica {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	next := NewReplica(id, replica.Service, replica.Model)
+	next.Zone, next.Slots = replica.Zone, replica.Slots
+	next.EventTime, next.LoadTime, next.WorkTime = replica.EventTime, replica.LoadTime, replica.WorkTime
+	next.version, next.Log = replica.version, replica.Log
+	return next
+}
+
+// Drain has the replica say that it is leaving.
+func (replica *Replica) Drain() {
+	replica.mu.Lock()
+	replica.draining = true
+	replica.mu.Unlock()
+	replica.OnChange()
+}
+
 // SetFaults replaces the faults.
 func (replica *Replica) SetFaults(faults ReplicaFaults) {
 	replica.mu.Lock()
@@ -86,8 +109,12 @@
 func (replica *Replica) Entry(address string) []byte {
 	replica.mu.Lock()
 	defer replica.mu.Unlock()
+	state := "ready"
+	if replica.draining {
+		state = "draining"
+	}
 	entry := map[string]any{
-		"service": replica.Service, "address": address, "zone": replica.Zone, "slots": replica.Slots, "state": "ready", "version": "v1",
+		"service": replica.Service, "address": address, "zone": replica.Zone, "slots": replica.Slots, "state": state, "version": "v1",
 		"seq-no": 17, "cold-left-ms": 0,
 	}
 	if replica.Model != "" {
@@ -143,6 +170,9 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	after, _ := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
+	execution := replica.Log.begin(id, replica.ID, after)
+	time.Sleep(replica.WorkTime)
 	if faults.CloseSilently {
 		panic(http.ErrAbortHandler)
 	}
@@ -155,7 +185,7 @@
 		_, _ = io.WriteString(writer, "answer to "+id)
 		return
 	}
-	replica.stream(writer, request, id, faults)
+	replica.stream(writer, request, execution, id, faults)
 }
 
 // Received returns method, target and body of a request that ran here.
@@ -166,7 +196,7 @@
 }
 
 // stream writes the events of an item from where the caller asks.
-func (replica *Replica) stream(writer http.ResponseWriter, request *http.Request, id string, faults ReplicaFaults) {
+func (replica *Replica) stream(writer http.ResponseWriter, request *http.Request, execution *Execution, id string, faults ReplicaFaults) {
 	after, _ := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
 	version := replica.Version()
 	writer.Header().Set("Content-Type", "text/event-stream")
@@ -186,6 +216,7 @@
 			version = now
 			_, _ = fmt.Fprintf(writer, "weight-versions: %d\n", version)
 		}
+		replica.Log.made(execution, event, version)
 		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", event, EventData(id, event))
 		flusher.Flush()
 	}
@@ -216,6 +247,7 @@
 		replica.orders++
 		replica.loading = true
 		replica.holders = append(replica.holders, fmt.Sprint(order.Holder, " ", order.Fence))
+		replica.Log.ordered(OrderTaken{Replica: replica.ID, Holder: order.Holder, Fence: order.Fence})
 		time.AfterFunc(replica.LoadTime, func() { replica.loaded(order.Version) })
 		writer.WriteHeader(http.StatusAccepted)
 	}
--- /dev/null
+++ b/internal/lab/platform/soak/soak.go
@@ -0,0 +1,228 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/thistlewalk/thistlewalk/internal/lab/platform/site"
+)
+
+// Options of a soak.
+type Options struct {
+	// Binary is the program that runs the roles.
+	Binary string
+	// Folder takes settings and logs.
+	Folder string
+	Plan   Plan
+}
+
+// Report is what a soak showed.
+type Report struct {
+	Plan       Plan
+	Violations []Violation
+	// Served and Failed count calls; Accepted, Ended and Whole count jobs; Items are results read.
+	Served, Failed, Accepted, Ended, Whole, Items int
+	Orders, Configurations                        int
+	Took                                          time.Duration
+}
+
+// String returns the report's lines.
+func (report Report) String() string {
+	lines := []string{fmt.Sprintf("seed %d: %d faults in %.0fs; %d calls served, %d not; %d jobs accepted, %d ended, %d results read; %d orders, %d configurations; %d violations",
+		report.Plan.Seed, len(report.Plan.Events), report.Took.Seconds(), report.Served, report.Failed, report.Accepted, report.Ended, report.Items,
+		report.Orders, report.Configurations, len(report.Violations))}
+	for _, violation := range report.Violations {
+		lines = append(lines, violation.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ErrNotStarted says that the programs did not begin to serve before any fault.
+var ErrNotStarted = errors.New("the fronts are not ready in time")
+
+const (
+	startLimit  = 10 * time.Second
+	finishLimit = 25 * time.Second
+	finishPause = 200 * time.Millisecond
+)
+
+// soak is one run.
+type soak struct {
+	options    Options
+	world      *World
+	violations *violations
+	calm       *calm
+	ingress    *ingress
+	calls      *calls
+	trainers   *trainers
+}
+
+// Run carries a plan out and returns what it showed. Faults end before the last checks.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	if err := os.MkdirAll(options.Folder, 0o755); err != nil {
+		return nil, errors.Wrap(err, "make the folder of the soak")
+	}
+	found := &violations{began: time.Now()}
+	world, err := newWorld(options.Folder, options.Binary, found.add)
+	if err != nil {
+		return nil, err
+	}
+	defer world.Close()
+	quiet := &calm{}
+	entry := newIngress(world)
+	run := &soak{
+		options: options, world: world, violations: found, calm: quiet, ingress: entry,
+		calls:    &calls{world: world, ingress: entry, calm: quiet, report: found.add},
+		trainers: &trainers{world: world, ingress: entry, calm: quiet, report: found.add, version: 1},
+	}
+	if err := run.start(ctx); err != nil {
+		return nil, err
+	}
+	run.work(ctx)
+	run.finish(ctx)
+	return run.summary(), nil
+}
+
+// start runs the programs and waits until the fronts serve.
+func (run *soak) start(ctx context.Context) error {
+	run.world.Configure()
+	for _, node := range run.world.Nodes {
+		if err := node.Start(); err != nil {
+			return err
+		}
+	}
+	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline); time.Sleep(finishPause) {
+		ready := 0
+		for _, node := range run.world.Fronts() {
+			if isReady(ctx, node) {
+				ready++
+			}
+		}
+		if ready == fronts {
+			return nil
+		}
+	}
+	return ErrNotStarted
+}
+
+// work has callers and trainers work while faults are injected.
+func (run *soak) work(ctx context.Context) {
+	began := time.Now()
+	working, stop := context.WithDeadline(ctx, began.Add(run.options.Plan.Length))
+	defer stop()
+	var parts sync.WaitGroup
+	parts.Go(func() { run.ingress.run(working) })
+	parts.Go(func() { run.calls.run(working) })
+	parts.Go(func() { run.trainers.run(working) })
+	parts.Go(func() { (&configurations{world: run.world, calm: run.calm, report: run.violations.add}).run(working) })
+	newInjector(run.world, run.calm).run(working, began, run.options.Plan)
+	<-working.Done()
+	parts.Wait()
+}
+
+// finish checks what has to hold once all faults are over.
+func (run *soak) finish(ctx context.Context) {
+	deadline := time.Now().Add(finishLimit)
+	for _, created := range run.trainers.jobs {
+		run.finishJob(ctx, created, deadline)
+	}
+	newest := run.world.Configured()
+	for _, node := range run.world.Fronts() {
+		if got := call(ctx, node, http.MethodPost, markPrefix(newest)+"last", "last-"+node.Name, "", callTime); got.status != http.StatusOK {
+			run.violations.add(Violation{Promise: PromiseConfiguration, Subject: node.Name, Detail: fmt.Sprintf("version %d is not in force at the end: %d %v", newest, got.status, got.broken)})
+		}
+	}
+	run.calls.verify()
+	run.verifyEnds()
+	for _, violation := range judgeOrders(run.world.Executions.Orders()) {
+		run.violations.add(violation)
+	}
+}
+
+// finishJob waits until an accepted job can be read; until it is whole, if nobody ended it.
+func (run *soak) finishJob(ctx context.Context, created *job, deadline time.Time) {
+	if created.accepted.IsZero() {
+		return
+	}
+	open := !created.endAsked
+	for time.Now().Before(deadline) {
+		whole := run.trainers.read(ctx, created, 0)
+		if whole || (!open && created.lastReadOK(ctx, run)) {
+			return
+		}
+		pause(ctx, finishPause)
+	}
+	run.violations.add(Violation{Promise: PromiseFinished, Subject: created.id, Detail: fmt.Sprintf("%d of %d results, open %t", created.known(), len(created.items), open)})
+}
+
+// lastReadOK reports whether a job that was ended can be read with all the positions that were shown.
+func (created *job) lastReadOK(ctx context.Context, run *soak) bool {
+	node := run.ingress.pick()
+	got := call(ctx, node, http.MethodGet, "/thistlewalk/lots/"+created.id+"?after-rev=0", "read-"+created.id, "", readLimit)
+	if got.broken != nil || got.status != http.StatusOK {
+		return false
+	}
+	return strings.Count(got.body, `"state":`) >= created.known()
+}
+
+// verifyEnds checks that nothing of a job ran later than the bound after its end was acknowledged.
+func (run *soak) verifyEnds() {
+	for _, created := range run.trainers.jobs {
+		if created.ended.IsZero() {
+			continue
+		}
+		for _, id := range created.items {
+			for _, execution := range run.world.Executions.Of(id) {
+				if late := execution.Started.Sub(created.ended); late > cancelTime {
+					run.violations.add(Violation{Promise: PromiseEnded, Subject: created.id, Detail: fmt.Sprintf("%s began at %s %s after the end", id, execution.Replica, late)})
+				}
+			}
+		}
+	}
+}
+
+// judgeOrders checks that replicas were ordered by one node at a time.
+func judgeOrders(orders []site.OrderTaken) []Violation {
+	var list []Violation
+	last := make(map[string]site.OrderTaken)
+	for _, order := range orders {
+		before, known := last[order.Replica]
+		last[order.Replica] = order
+		if !known || before.Holder == order.Holder {
+			continue
+		}
+		gap := order.At.Sub(before.At)
+		if order.Fence <= before.Fence || gap < leaseTime {
+			list = append(list, Violation{Promise: PromiseOneOrders, Subject: order.Replica, Detail: fmt.Sprintf(
+				"%s with fence %d, %s after %s with fence %d", order.Holder, order.Fence, gap, before.Holder, before.Fence)})
+		}
+	}
+	return list
+}
+
+func (run *soak) summary() *Report {
+	report := &Report{
+		Plan: run.options.Plan, Violations: run.violations.all(), Served: run.calls.served, Failed: run.calls.failed,
+		Orders: len(run.world.Executions.Orders()), Configurations: int(run.world.Configured()), Took: time.Since(run.violations.began),
+	}
+	for _, created := range run.trainers.jobs {
+		if !created.accepted.IsZero() {
+			report.Accepted++
+		}
+		if !created.ended.IsZero() {
+			report.Ended++
+		}
+		if len(created.results) == len(created.items) {
+			report.Whole++
+		}
+		report.Items += len(created.results)
+	}
+	return report
+}
--- /dev/null
+++ b/internal/lab/platform/soak/violation.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Promise is one of the promises that the soak checks.
+type Promise string
+
+// The promises, as docs/TESTING.md lists them.
+const (
+	PromiseWholeAnswer   Promise = "a caller gets the whole answer to its own request"
+	PromiseNotRun        Promise = "what was refused has not run"
+	PromiseOnce          Promise = "what may not be repeated runs at most once"
+	PromiseNotCut        Promise = "a planned stop cuts off no request"
+	PromiseAccepted      Promise = "an accepted job and its positions last"
+	PromiseText          Promise = "a result is the whole output of its item, under the versions that made it"
+	PromiseScore         Promise = "a score is the signature of a call made after the text"
+	PromiseEnded         Promise = "an ended job runs nothing more"
+	PromiseFinished      Promise = "jobs become whole once faults are over"
+	PromiseConfiguration Promise = "a configuration is in force in time and never reverts"
+	PromiseOneOrders     Promise = "one node at a time orders a replica"
+	PromiseProcess       Promise = "a process does not end by itself"
+)
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Promise Promise
+	Subject string // the request, job or node
+	Detail  string
+	// After is the time since the soak began.
+	After time.Duration
+}
+
+// String returns one line.
+func (violation Violation) String() string {
+	return fmt.Sprintf("%6.2fs %s: %s: %s", violation.After.Seconds(), violation.Promise, violation.Subject, violation.Detail)
+}
+
+// violations collects what was broken. It is safe for concurrent use.
+type violations struct {
+	began time.Time
+	mu    sync.Mutex
+	list  []Violation
+}
+
+func (found *violations) add(violation Violation) {
+	found.mu.Lock()
+	defer found.mu.Unlock()
+	violation.After = time.Since(found.began)
+	found.list = append(found.list, violation)
+}
+
+func (found *violations) all() []Violation {
+	found.mu.Lock()
+	defer found.mu.Unlock()
+	return append([]Violation(nil), found.list...)
+}
