Order loads first for the models that lack usable replicas

Change: steps are sorted by the share of the model's replicas that the newest jobs can use. TestLoadsGoToModelsThatLackReplicas fails without it (0 replicas instead of 5).

--- a/internal/lab/platform/site/replica.go
+++ b/internal/lab/platform/site/replica.go
@@ -34,7 +34,7 @@
 	// OnChange is called after the replica's registered state changed.
 	OnChange func()
 	// Log takes what the replica does; nil for none.
-	Log *Executions
+	Log      *Executions
 	draining bool
 }
 
--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -270,9 +270,3 @@
 	defer calm.mu.Unlock()
 	return calm.changed, calm.active == 0
 }
-
-// through reports whether the time from begin on was without faults, with the margin before it.
-func (calm *calm) through(begin time.Time, margin time.Duration) bool {
-	since, quiet := calm.since()
-	return quiet && since.Before(begin.Add(-margin))
-}
--- a/internal/metadata/memstore/store.go
+++ b/internal/metadata/memstore/store.go
@@ -185,7 +185,9 @@
 }
 
 // CommitDirectly commits for a writer that the faults do not meet.
-func (store *Store) CommitDirectly(txn metadata.Txn) (metadata.Revision, error) { return store.apply(txn) }
+func (store *Store) CommitDirectly(txn metadata.Txn) (metadata.Revision, error) {
+	return store.apply(txn)
+}
 
 // takeLoss reports whether the answer of this write is to be lost.
 func (store *Store) takeLoss() bool {
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -26,6 +26,8 @@
 	Replica *catalog.Replica
 	Model   string
 	Version int64
+	// covered is the share of the model's replicas that the newest jobs can use before this step.
+	covered float64
 }
 
 // Planner decides which replicas run which model, and which is ordered next. It is pure; its caller serializes calls.
@@ -71,7 +73,8 @@
 	return &Planner{assigned: make(map[string][]string), Budget: budget}
 }
 
-// Plan returns the orders that are due for a service, the furthest behind first. Replicas in busy have an order in progress.
+// Plan returns the orders that are due for a service: first those of the models with the smallest share of replicas that the newest
+// jobs can use, so that a model whose versions come fast doesn't take all loads. Replicas in busy have an order in progress.
 func (planner *Planner) Plan(models []string, replicas []*catalog.Replica, targets Targets, busy func(id string) bool) []Step {
 	present := slices.DeleteFunc(slices.Clone(replicas), func(replica *catalog.Replica) bool { return replica.Draining })
 	planner.assign(models, present, targets)
@@ -80,7 +83,10 @@
 		steps = append(steps, planner.planModel(model, present, targets[model], busy)...)
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int {
-		return cmp.Compare(b.Version-b.Replica.Version(b.Model), a.Version-a.Replica.Version(a.Model))
+		return cmp.Or(
+			cmp.Compare(a.covered, b.covered),
+			cmp.Compare(b.Version-b.Replica.Version(b.Model), a.Version-a.Replica.Version(a.Model)),
+		)
 	})
 	return withoutRepeats(steps)
 }
@@ -88,16 +94,15 @@
 // planModel returns the orders that are due for a model: for replicas that new jobs cannot use, and for others until enough
 // are ready for the jobs after those.
 func (planner *Planner) planModel(model string, replicas []*catalog.Replica, target Target, busy func(id string) bool) []Step {
-	var members []*catalog.Replica
-	ready := 0
-	for _, replica := range replicas {
-		if !slices.Contains(planner.assigned[replica.ID], model) {
-			continue
-		}
-		members = append(members, replica)
+	members := planner.members(model, replicas)
+	ready, usable := 0, 0
+	for _, replica := range members {
 		if replica.Version(model) >= target.Version {
 			ready++
 		}
+		if replica.Version(model) >= target.Version-target.Lag {
+			usable++
+		}
 	}
 	slices.SortStableFunc(members, func(a, b *catalog.Replica) int { return cmp.Compare(a.Version(model), b.Version(model)) })
 	wanted := len(members)
@@ -112,8 +117,12 @@
 			continue
 		}
 		ready++
+		covered := float64(usable) / float64(len(members))
+		if version < target.Version-target.Lag {
+			usable++
+		}
 		if !busy(replica.ID) {
-			steps = append(steps, Step{Replica: replica, Model: model, Version: target.Version})
+			steps = append(steps, Step{Replica: replica, Model: model, Version: target.Version, covered: covered})
 		}
 	}
 	return steps
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -146,3 +146,21 @@
 		must.Eq(t, most, settle(weights.NewPlanner(budget), models, replicas, targets), must.Sprint(interval))
 	}
 }
+
+// A model whose versions come fast leaves loads to the others: all loads used to go to the first model that was behind.
+func TestLoadsGoToModelsThatLackReplicas(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	replicas := fleet(30, models)
+	targets := weights.Targets{"a": {Version: 2, Lag: 1}, "b": {Version: 1, Lag: 1}, "c": {Version: 1, Lag: 1}}
+	planner := weights.NewPlanner(weights.LoadBudget{AtOnce: 6, LoadTime: 930 * time.Millisecond})
+	must.Positive(t, settle(planner, models, replicas, targets))
+	for version := int64(3); version < 8; version++ {
+		targets["a"] = weights.Target{Version: version, Lag: 1}
+		targets["b"] = weights.Target{Version: 3, Lag: 1}
+		targets["c"] = weights.Target{Version: 3, Lag: 1}
+		load(planner.Plan(models, replicas, targets, idle)[:6], replicas)
+	}
+	for _, model := range []string{"b", "c"} {
+		must.GreaterEq(t, 5, usable(replicas, model, 2), must.Sprint(model))
+	}
+}
