Give models replicas by the work of their jobs

Change: fronts tell the expected output of a job with its demand; parts follow it, between half and twice an equal one; what loads can keep up with is shared the same way; the time between versions is the median of the last three gaps; a model keeps one replica more than its share before it is trimmed. TestReplicasFollowTheWorkOfJobs is new.

--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -128,3 +128,20 @@
 	}
 	return max(0, due.Sub(now))
 }
+
+// ExpectedOutput returns the tokens that a job is likely to make: the callers' estimates, or the most that items may make.
+func ExpectedOutput(job *batchv1.Job) int64 {
+	total := int64(0)
+	for _, item := range job.GetItems() {
+		total += ExpectedTokens(item)
+	}
+	return total
+}
+
+// ExpectedTokens returns the tokens that an item is likely to make.
+func ExpectedTokens(item *batchv1.Item) int64 {
+	if hint := item.GetLengthHint(); hint > 0 {
+		return hint
+	}
+	return item.GetOutputTokens()
+}
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/forwarding"
 )
@@ -35,10 +36,7 @@
 
 // estimate is the number of tokens that are likely still to come.
 func (waiting *task) estimate() int64 {
-	if hint := waiting.item.GetLengthHint(); hint > 0 {
-		return hint
-	}
-	return waiting.item.GetOutputTokens()
+	return batch.ExpectedTokens(waiting.item)
 }
 
 // restart forgets the text, which does not fit the job.
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -163,7 +163,7 @@
 func (peers peers) AnnounceDemand(job *batchv1.Job) {
 	front := peers.front
 	if publisher := front.subscriber.Publisher(); publisher != nil {
-		demand := &clusterv1.Demand{Model: job.GetModel(), MinimumVersion: job.GetMinimumVersion()}
+		demand := &clusterv1.Demand{Model: job.GetModel(), MinimumVersion: job.GetMinimumVersion(), Work: batch.ExpectedOutput(job)}
 		front.datagrams.SendTo(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Demand{Demand: demand}}, publisher)
 	}
 }
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -89,7 +89,7 @@
 	orderer.datagrams = &cluster.Datagrams{Conn: packets}
 	go orderer.datagrams.Receive(orderer.ctx, cluster.Handlers{
 		Demand: func(demand *clusterv1.Demand) {
-			orderer.Weights.SetDemand(demand.GetModel(), demand.GetMinimumVersion())
+			orderer.Weights.SetDemand(demand.GetModel(), demand.GetMinimumVersion(), demand.GetWork())
 		},
 	})
 	orderer.operator = operator
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 
 	mu      sync.Mutex
 	targets Targets
-	namedAt map[string]time.Time // when each model's newest version was named
+	named   map[string]naming // by model
 	changed chan struct{}
 }
 
@@ -80,7 +81,7 @@
 func NewOrderer(node string, table *catalog.Table, replicas Replicas, loadShare float64, logger *log.Logger) *Orderer {
 	return &Orderer{
 		Node: node, Catalog: table, Replicas: replicas, LoadShare: loadShare, Logger: logger,
-		targets: make(Targets), namedAt: make(map[string]time.Time), changed: make(chan struct{}, 1),
+		targets: make(Targets), named: make(map[string]naming), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -106,33 +107,49 @@
 	orderer.nudge()
 }
 
-// intervalWeight is the weight of the newest interval between two versions.
-const intervalWeight = 0.3
+// gapsKept is how many of the last gaps between two versions count; their median does, so that an outage doesn't.
+const gapsKept = 3
+
+// naming is when a model's versions were named.
+type naming struct {
+	at   time.Time
+	gaps []time.Duration
+}
 
 // measure returns the usual time between two versions of a model. It must be called with mu held.
 func (orderer *Orderer) measure(model string, target Target, version int64) time.Duration {
 	now := time.Now()
-	before, known := orderer.namedAt[model]
-	orderer.namedAt[model] = now
+	before, known := orderer.named[model]
 	if !known || version != target.Version+1 {
+		orderer.named[model] = naming{at: now, gaps: before.gaps}
 		return target.Interval // several at once: this node has just begun to follow
 	}
-	gap := now.Sub(before)
-	if target.Interval <= 0 {
-		return gap
-	}
-	return target.Interval + time.Duration(intervalWeight*float64(gap-target.Interval))
+	gaps := append(slices.Clone(before.gaps), now.Sub(before.at))
+	gaps = gaps[max(0, len(gaps)-gapsKept):]
+	orderer.named[model] = naming{at: now, gaps: gaps}
+	return slices.Sorted(slices.Values(gaps))[(len(gaps)-1)/2]
 }
 
-// SetDemand takes the oldest version that a new job accepts.
-func (orderer *Orderer) SetDemand(model string, minimum int64) {
+// workWeight is the weight of the newest job in the work of a model's jobs.
+const workWeight = 0.3
+
+// SetDemand takes the oldest version that a new job accepts, and its expected output in tokens; zero when not known.
+func (orderer *Orderer) SetDemand(model string, minimum, work int64) {
 	orderer.mu.Lock()
 	target := orderer.targets[model]
 	if lag := min(mostLag, max(0, target.Version-minimum)); target.Version > 0 && lag != target.Lag {
 		target.Lag = lag
-		orderer.targets[model] = target
 		orderer.Logger.Info("lag of jobs", "model", model, "version", target.Version, "minimum", minimum, "lag", lag)
 	}
+	switch {
+	case work > 0 && target.Work > 0:
+		target.Work += workWeight * (float64(work) - target.Work)
+	case work > 0:
+		target.Work = float64(work)
+	}
+	if target.Version > 0 {
+		orderer.targets[model] = target
+	}
 	orderer.mu.Unlock()
 	orderer.nudge()
 }
--- a/internal/weights/orderer_test.go
+++ b/internal/weights/orderer_test.go
@@ -157,7 +157,7 @@
 		orderer.SetTarget("m", 2)
 		time.Sleep(5 * time.Second)
 		must.Eq(t, 2, engines.at(2))
-		orderer.SetDemand("m", 2)
+		orderer.SetDemand("m", 2, 0)
 		time.Sleep(3 * time.Second)
 		must.Eq(t, 4, engines.at(2))
 	})
@@ -171,7 +171,7 @@
 		}
 		for version := int64(2); version < 6; version++ {
 			orderer.SetTarget("m", version)
-			orderer.SetDemand("m", version)
+			orderer.SetDemand("m", version, 0)
 			time.Sleep(4 * time.Second)
 		}
 		time.Sleep(8 * time.Second)
@@ -198,7 +198,7 @@
 			go election.Run(ctx, orderer.Lead)
 			time.Sleep(2 * time.Second)
 			orderer.SetTarget("m", 2)
-			orderer.SetDemand("m", 2)
+			orderer.SetDemand("m", 2, 0)
 			time.Sleep(500 * time.Millisecond)
 			must.Eq(t, row.loading, engines.loading())
 			cancel()
@@ -214,8 +214,8 @@
 		engines.addService("other", "n", 4)
 		orderer.SetTarget("m", 2)
 		orderer.SetTarget("n", 2)
-		orderer.SetDemand("m", 2)
-		orderer.SetDemand("n", 2)
+		orderer.SetDemand("m", 2, 0)
+		orderer.SetDemand("n", 2, 0)
 		time.Sleep(6 * time.Second)
 		must.Eq(t, 8, engines.at(2))
 		must.Eq(t, 8, len(engines.taken))
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 	Lag     int64
 	// Interval is the usual time between two versions; zero when not known.
 	Interval time.Duration
+	// Work is the expected output of a job in tokens; zero when not known.
+	Work float64
 }
 
 // Targets are the targets of models.
@@ -59,13 +62,51 @@
 	leastShare = 2
 )
 
-// replicas returns how many replicas a model can have if half of them load each version.
-func (budget LoadBudget) replicas(interval time.Duration, models int) int {
-	if interval <= 0 {
-		interval = defaultInterval
+// replicas returns how many replicas the models can have together, each its part of them, if half of each model's load each of
+// its versions.
+func (budget LoadBudget) replicas(parts map[string]float64, targets Targets) float64 {
+	perSecond := 0.0 // loads that one replica of each model, divided by parts, needs
+	for model, part := range parts {
+		interval := targets[model].Interval
+		if interval <= 0 {
+			interval = defaultInterval
+		}
+		perSecond += part / loadsShareOfVersions / interval.Seconds()
+	}
+	return budgetShare * float64(budget.AtOnce) / budget.LoadTime.Seconds() / perSecond
+}
+
+// loadsShareOfVersions is how many versions go by for each load of a replica.
+const loadsShareOfVersions = 2
+
+const (
+	// leastPart and mostPart bound a model's part of the replicas against an equal one.
+	leastPart = 0.5
+	mostPart  = 2.0
+)
+
+// partsOf returns the part of the replicas that each model is due by the work of its jobs; equal ones where that is not known.
+func partsOf(models []string, targets Targets) map[string]float64 {
+	known, count := 0.0, 0
+	for _, model := range models {
+		if targets[model].Work > 0 {
+			known += targets[model].Work
+			count++
+		}
+	}
+	parts, total := make(map[string]float64, len(models)), 0.0
+	for _, model := range models {
+		part := 1.0
+		if work := targets[model].Work; work > 0 {
+			part = min(mostPart, max(leastPart, work*float64(count)/known))
+		}
+		parts[model] = part
+		total += part
+	}
+	for model := range parts {
+		parts[model] /= total
 	}
-	loads := budgetShare * float64(budget.AtOnce) * interval.Seconds() / budget.LoadTime.Seconds()
-	return max(leastShare, int(2*loads/float64(models)))
+	return parts
 }
 
 // NewPlanner returns a planner without assignments.
@@ -138,16 +179,25 @@
 	})
 }
 
-// share is how many replicas a model has: its part; up to twice that where each version is loaded by half of them, as far as
-// loads can keep up.
-func (planner *Planner) share(model string, models []string, replicas int, targets Targets) int {
-	part := (replicas + len(models) - 1) / max(len(models), 1)
-	if targets[model].Lag >= 1 {
-		part = min(2*part, planner.Budget.replicas(targets[model].Interval, len(models)))
+// shares returns how many replicas each model has: its part; up to twice that where each version is loaded by half of them, as
+// far as loads can keep up.
+func (planner *Planner) shares(models []string, replicas int, targets Targets) map[string]int {
+	parts := partsOf(models, targets)
+	together := planner.Budget.replicas(parts, targets)
+	shares := make(map[string]int, len(models))
+	for _, model := range models {
+		share := int(math.Ceil(parts[model]*float64(replicas) - rounding))
+		if targets[model].Lag >= 1 {
+			share = min(2*share, max(leastShare, int(parts[model]*together+rounding)))
+		}
+		shares[model] = min(share, replicas)
 	}
-	return min(part, replicas)
+	return shares
 }
 
+// rounding covers what sums of parts lose.
+const rounding = 1e-6
+
 // assign gives each model its share of the replicas: those that it has, then those with the fewest models and the least lag.
 func (planner *Planner) assign(models []string, replicas []*catalog.Replica, targets Targets) {
 	kept := make(map[string][]string, len(replicas))
@@ -155,15 +205,19 @@
 		kept[replica.ID] = slices.DeleteFunc(planner.assigned[replica.ID], func(model string) bool { return !slices.Contains(models, model) })
 	}
 	planner.assigned = kept
+	shares := planner.shares(models, len(replicas), targets)
 	for _, model := range models {
-		planner.trim(model, replicas, planner.share(model, models, len(replicas), targets))
+		planner.trim(model, replicas, shares[model]+trimSlack)
 	}
 	for _, model := range models {
-		planner.extend(model, replicas, planner.share(model, models, len(replicas), targets), targets[model])
+		planner.extend(model, replicas, shares[model], targets[model])
 	}
 	planner.spread(replicas)
 }
 
+// trimSlack is how many replicas above its share a model keeps, since shares follow the work of jobs, which varies.
+const trimSlack = 1
+
 func (planner *Planner) members(model string, replicas []*catalog.Replica) []*catalog.Replica {
 	return slices.DeleteFunc(slices.Clone(replicas), func(replica *catalog.Replica) bool {
 		return !slices.Contains(planner.assigned[replica.ID], model)
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -164,3 +164,19 @@
 		must.GreaterEq(t, 5, usable(replicas, model, 2), must.Sprint(model))
 	}
 }
+
+// A model whose jobs are larger has more replicas, within bounds; the total follows what loads can keep up with.
+func TestReplicasFollowTheWorkOfJobs(t *testing.T) {
+	models := []string{"small", "middle", "large"}
+	replicas := fleet(30, models)
+	targets := weights.Targets{
+		"small": {Version: 2, Lag: 1, Work: 1000}, "middle": {Version: 2, Lag: 1, Work: 2000}, "large": {Version: 2, Lag: 1, Work: 3000},
+	}
+	planner := weights.NewPlanner(weights.LoadBudget{AtOnce: 4, LoadTime: time.Second})
+	must.Positive(t, settle(planner, models, replicas, targets))
+	counts := make(map[string]int)
+	for _, model := range models {
+		counts[model] = usable(replicas, model, 2)
+	}
+	must.Eq(t, map[string]int{"small": 2, "middle": 4, "large": 6}, counts)
+}
