--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -15,6 +15,7 @@
 	definition *batchv1.Job
 	items      map[string]*batchv1.Item
 	due        time.Time
+	usualWork  float64 // expected output of an item in tokens, on average
 	ctx        context.Context
 	cancel     context.CancelFunc
 	// accepted is closed once the job is durable, or known to be owned elsewhere.
@@ -54,9 +55,18 @@
 	for _, item := range definition.GetItems() {
 		created.items[item.GetId()] = item
 	}
+	created.usualWork = float64(batch.ExpectedOutput(definition)) / float64(max(1, len(definition.GetItems())))
 	return created
 }
 
+// relativeLength returns how many times the usual an item of the job is expected to make.
+func (owned *job) relativeLength(tokens int64) float64 {
+	if owned.usualWork <= 0 {
+		return 1
+	}
+	return float64(tokens) / owned.usualWork
+}
+
 func (owned *job) id() string { return owned.definition.GetId() }
 
 // isAccepted reports whether the job is durable with this node as its owner.
--- a/internal/batchrun/pace.go
+++ b/internal/batchrun/pace.go
@@ -8,6 +8,9 @@
 
 const (
 	paceWeight = 0.25
+	// usualWeight is the weight of one event in a replica's usual pace, which is remembered for usualLife.
+	usualWeight = 0.04
+	usualLife   = 30 * time.Second
 	// paceLife is how long a pace is believed without new events.
 	paceLife       = 2500 * time.Millisecond
 	paceLeastCount = 4
@@ -25,6 +28,7 @@
 
 type pace struct {
 	perEvent float64 // seconds, exponentially weighted
+	usual    float64 // the same over many more events
 	count    int
 	at       time.Time
 }
@@ -36,11 +40,15 @@
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	entry := table.replicas[replica]
-	if entry == nil || now.Sub(entry.at) > paceLife {
-		entry = &pace{perEvent: gap.Seconds()}
+	switch {
+	case entry == nil || now.Sub(entry.at) > usualLife:
+		entry = &pace{perEvent: gap.Seconds(), usual: gap.Seconds()}
 		table.replicas[replica] = entry
+	case now.Sub(entry.at) > paceLife:
+		entry.perEvent, entry.count = gap.Seconds(), 0
 	}
 	entry.perEvent += paceWeight * (gap.Seconds() - entry.perEvent)
+	entry.usual += usualWeight * (gap.Seconds() - entry.usual)
 	entry.count++
 	entry.at = now
 }
@@ -69,6 +77,27 @@
 	return slow
 }
 
+// relative returns how many times the fastest each replica usually takes for an event, as far as that is known.
+func (table *paceTable) relative(now time.Time) map[string]float64 {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	fastest := 0.0
+	known := make(map[string]float64, len(table.replicas))
+	for id, entry := range table.replicas {
+		if now.Sub(entry.at) > usualLife || entry.usual <= 0 {
+			continue
+		}
+		known[id] = entry.usual
+		if fastest == 0 || entry.usual < fastest {
+			fastest = entry.usual
+		}
+	}
+	for id := range known {
+		known[id] /= fastest
+	}
+	return known
+}
+
 // isSlow reports whether a replica is clearly slow.
 func (table *paceTable) isSlow(replica string, now time.Time) bool {
 	return table.slowdowns(now)[replica] > 1
--- a/internal/batchrun/pace_test.go
+++ b/internal/batchrun/pace_test.go
@@ -29,3 +29,17 @@
 	must.False(t, table.isSlow("slow", now.Add(paceLife+time.Second)))
 	must.MapEmpty(t, table.slowdowns(now.Add(time.Hour)))
 }
+
+// What a replica usually takes is remembered for longer than whether it is slow now.
+func TestUsualPace(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := newPaceTable()
+	for range 10 {
+		table.observe("fast", 40*time.Millisecond, now)
+		table.observe("other", 52*time.Millisecond, now)
+	}
+	now = now.Add(paceLife + time.Second)
+	must.InDelta(t, 1.0, table.relative(now)["fast"], 0.001)
+	must.InDelta(t, 1.3, table.relative(now)["other"], 0.001)
+	must.MapEmpty(t, table.relative(now.Add(usualLife)))
+}
