Back up the texts of long items while they grow

Change: a text of 16 events, and again each time it has grown by 1.6, is kept by the nearest node, which is also the first to take the job over; of two texts of an item the one of newer weights, then the longer one, stays. TestGrowingTextsOutliveTheirNode fails without it (items resumed after event 0, not 15 or later).

--- a/internal/batchrun/backup.go
+++ b/internal/batchrun/backup.go
@@ -1,7 +1,9 @@
 package batchrun
 
 import (
+	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,11 +16,16 @@
 	// stuckAfter is how much longer than usual results may wait to be listed before they are backed up: answers to writes may
 	// be lost while the store answers probes.
 	stuckAfter = 300 * time.Millisecond
-	// backupCopies is how many nodes keep the texts that can't be listed.
-	backupCopies = 2
+	// backupCopies is how many nodes keep the texts that can't be listed, partialCopies how many those that are not whole.
+	backupCopies  = 2
+	partialCopies = 1
+	// partialLeast is how many events a text has when it is first backed up; then each time it has grown by partialGrowth.
+	partialLeast  = 16
+	partialGrowth = 1.6
 )
 
-// backUp has other nodes keep the job's finished texts while the log can't take them, so that they outlive this process.
+// backUp has other nodes keep what would be lost with this process: the texts of long items while they grow, and finished
+// texts while the log can't take them.
 func (runner *Runner) backUp(owned *job) {
 	ticker := time.NewTicker(backupInterval)
 	defer ticker.Stop()
@@ -29,15 +36,47 @@
 			return
 		case <-ticker.C:
 		}
+		if partials := owned.takeGrowing(); len(partials) > 0 {
+			runner.sendKept(owned, partials, partialCopies)
+		}
 		if runner.Log.Health.Good() && !owned.isStuck(runner.Flush.Longest+stuckAfter) {
 			continue
 		}
 		if partials := owned.unsent(sent); len(partials) > 0 {
-			runner.sendKept(owned, partials)
+			runner.sendKept(owned, partials, backupCopies)
 		}
 	}
 }
 
+// offerGrowing has the text of a running item backed up if it has grown enough since it last was. It is called by the item's run.
+func (running *task) offerGrowing() {
+	if running.lastEvent < max(partialLeast, running.backedUp) {
+		return
+	}
+	running.backedUp = int64(partialGrowth * float64(running.lastEvent))
+	partial := &batchv1.Partial{
+		ItemId: running.item.GetId(), Text: bytes.Clone(running.text), LastEvent: running.lastEvent, Versions: slices.Clone(running.versions),
+	}
+	owned := running.job
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	owned.growing[partial.GetItemId()] = partial
+}
+
+// takeGrowing returns the texts that have grown since the last call, but for those of items that are finished.
+func (owned *job) takeGrowing() []*batchv1.Partial {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	var list []*batchv1.Partial
+	for id, partial := range owned.growing {
+		if !owned.progress.Finished(id) {
+			list = append(list, partial)
+		}
+	}
+	clear(owned.growing)
+	return list
+}
+
 // isStuck reports whether a result has waited for so long.
 func (owned *job) isStuck(limit time.Duration) bool {
 	owned.mu.Lock()
@@ -65,11 +104,11 @@
 // wholeText stands for the last event of a text that is whole, which nobody goes on with.
 const wholeText = 1
 
-func (runner *Runner) sendKept(owned *job, partials []*batchv1.Partial) {
+func (runner *Runner) sendKept(owned *job, partials []*batchv1.Partial, wanted int) {
 	copies := 0
 	for _, name := range runner.Peers.Nearest() {
 		client := runner.Peers.Client(name)
-		if client == nil || copies == backupCopies {
+		if client == nil || copies == wanted {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(owned.ctx, backupLimit)
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -216,6 +216,7 @@
 	if stream.version > 0 && !slices.Contains(task.versions, stream.version) {
 		task.versions = append(task.versions, stream.version)
 	}
+	task.offerGrowing()
 	return stream.watchPace()
 }
 
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -28,6 +28,7 @@
 	tasks     map[string]*task
 	listed    []*batchv1.Result
 	pending   []*batchv1.Result
+	growing   map[string]*batchv1.Partial // texts to be backed up, by item
 	since     time.Time // when the oldest pending result was finished
 	written   time.Time // when results were last made durable
 	begun     bool
@@ -50,7 +51,7 @@
 	created := &job{
 		definition: definition, items: make(map[string]*batchv1.Item, len(definition.GetItems())), due: time.Now().Add(objective),
 		ctx: ctx, cancel: cancel, accepted: make(chan struct{}), progress: batch.NewProgress(definition), tasks: make(map[string]*task),
-		changed: make(chan struct{}), flush: make(chan struct{}, 1), flushed: make(chan struct{}),
+		growing: make(map[string]*batchv1.Partial), changed: make(chan struct{}), flush: make(chan struct{}, 1), flushed: make(chan struct{}),
 	}
 	for _, item := range definition.GetItems() {
 		created.items[item.GetId()] = item
--- a/internal/batchrun/kept.go
+++ b/internal/batchrun/kept.go
@@ -27,11 +27,11 @@
 	mu    sync.Mutex
 	items map[string]*keptText
 	// ofJob are the items that other nodes had kept here, by job.
-	ofJob map[string][]string
+	ofJob map[string]map[string]bool
 }
 
 func newKeptItems() *keptItems {
-	return &keptItems{items: make(map[string]*keptText), ofJob: make(map[string][]string)}
+	return &keptItems{items: make(map[string]*keptText), ofJob: make(map[string]map[string]bool)}
 }
 
 // keepFor keeps texts of a job for its owner.
@@ -45,8 +45,11 @@
 	if len(kept.ofJob) >= keptJobs {
 		clear(kept.ofJob)
 	}
+	if kept.ofJob[job] == nil {
+		kept.ofJob[job] = make(map[string]bool, len(partials))
+	}
 	for _, partial := range partials {
-		kept.ofJob[job] = append(kept.ofJob[job], partial.GetItemId())
+		kept.ofJob[job][partial.GetItemId()] = true
 	}
 }
 
@@ -55,7 +58,7 @@
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
 	var list []*batchv1.Partial
-	for _, id := range kept.ofJob[job] {
+	for id := range kept.ofJob[job] {
 		if text := kept.items[id]; text != nil {
 			list = append(list, text.partial(id))
 		}
@@ -76,14 +79,31 @@
 func (kept *keptItems) put(id string, text *keptText) {
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
-	if len(kept.items) >= keptMost {
+	present := kept.items[id]
+	if present == nil && len(kept.items) >= keptMost {
 		kept.expire(text.at)
 	}
-	if len(kept.items) < keptMost {
+	if (present != nil && text.supersedes(present)) || (present == nil && len(kept.items) < keptMost) {
 		kept.items[id] = text
 	}
 }
 
+// supersedes reports whether a text takes the place of another of the same item: one made under newer weights, or a longer one.
+func (text *keptText) supersedes(other *keptText) bool {
+	if newest, before := newestOf(text.versions), newestOf(other.versions); newest != before {
+		return newest > before
+	}
+	return text.whole || (!other.whole && text.lastEvent >= other.lastEvent)
+}
+
+func newestOf(versions []int64) int64 {
+	newest := int64(0)
+	for _, version := range versions {
+		newest = max(newest, version)
+	}
+	return newest
+}
+
 // expire must be called with mu held.
 func (kept *keptItems) expire(now time.Time) {
 	for id, text := range kept.items {
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -86,6 +86,20 @@
 	})
 }
 
+// The texts of long items outlive a node that is killed, as far as they were backed up: the successor goes on with them.
+func TestGrowingTextsOutliveTheirNode(t *testing.T) {
+	inWorld(t, 11, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition(longJob, 4, 1), jobRoute))
+		time.Sleep(1300 * time.Millisecond)
+		life := world.kill("a")
+		must.NoError(t, world.node("b").TakeOverNode(t.Context(), "a", life))
+		checkResults(t, await(t, world.node("c"), longJob, 4, 3*time.Second), 1)
+		for item, event := range world.engines.resumed {
+			must.GreaterEq(t, longEvents/4, event, must.Sprint(item))
+		}
+	})
+}
+
 // A planned stop hands the texts of unfinished items over: the successor goes on where they end.
 func TestHandOverKeepsTexts(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, world *world) {
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -32,6 +32,7 @@
 	avoidUntil time.Time
 	notBefore  time.Time
 	moves      int
+	backedUp   int64 // the event from which on the text is backed up again
 }
 
 // estimate is the number of tokens that are likely still to come.
@@ -41,7 +42,7 @@
 
 // restart forgets the text, which does not fit the job.
 func (waiting *task) restart() {
-	waiting.text, waiting.lastEvent, waiting.versions = nil, 0, nil
+	waiting.text, waiting.lastEvent, waiting.versions, waiting.backedUp = nil, 0, nil, 0
 }
 
 // scheduler assigns waiting items to replicas with free slots.
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -34,6 +34,7 @@
 	versions                           map[string]int64
 	running                            map[string]int // by item
 	starts                             map[string]int
+	resumed                            map[string]int64 // the event after which the last run of an item began
 }
 
 func (engines *engines) draw(share float64) bool {
@@ -48,7 +49,18 @@
 	return engines.versions[replica]
 }
 
-func eventsOf(item string) int64 { return int64(len(item))%5 + 3 }
+// longJob is the identifier of a job whose items have many events.
+const (
+	longJob    = "long"
+	longEvents = 60
+)
+
+func eventsOf(item string) int64 {
+	if strings.HasPrefix(item, longJob) {
+		return longEvents
+	}
+	return int64(len(item))%5 + 3
+}
 
 func eventText(item string, event int64) string { return fmt.Sprint(item, " event ", event) }
 
@@ -67,6 +79,7 @@
 	}
 	engines.mu.Lock()
 	engines.starts[request.ID]++
+	engines.resumed[request.ID] = request.ResumeAfter
 	engines.mu.Unlock()
 	switch {
 	case engines.draw(engines.refuseShare):
@@ -164,7 +177,7 @@
 	}, 1)
 	return &world{
 		store: memstore.New(), catalog: table, nodes: make(map[string]*batchrun.Runner), stops: make(map[string]context.CancelFunc),
-		engines: &engines{random: rand.New(rand.NewPCG(seed, 1)), versions: map[string]int64{"e1": 1, "e2": 1}, running: map[string]int{}, starts: map[string]int{}},
+		engines: &engines{random: rand.New(rand.NewPCG(seed, 1)), versions: map[string]int64{"e1": 1, "e2": 1}, running: map[string]int{}, starts: map[string]int{}, resumed: map[string]int64{}},
 	}
 }
 
