Write the texts of long items with the pages of results

Change: a page of results carries the texts of the longest unfinished items, at most 300 KB, under one key that each page replaces; a node that takes a job up goes on with them. No call more. TestGrowingTextsOutliveAllNodes fails without it (0 items resumed, not 4).

--- a/internal/batchlog/log.go
+++ b/internal/batchlog/log.go
@@ -61,6 +61,7 @@
 func endKey(id string) string          { return "batch/" + id + "/end" }
 func ownerKey(id string) string        { return "batch/" + id + "/owner" }
 func pageKey(id string, n int) string  { return fmt.Sprintf("batch/%s/page/%06d", id, n) }
+func unfinishedKey(id string) string   { return "batch/" + id + "/unfinished" }
 func ownedPrefix(node string) string   { return "owners/" + node + "/" }
 func endedKey(id string) string        { return endedPrefix + id }
 func ownedKey(node, id string) string  { return ownedPrefix(node) + id }
@@ -156,9 +157,9 @@
 	return held, err
 }
 
-// Append lists results after those that are listed already. It tries until it succeeds, the context ends, or another owner
-// took the job.
-func (log *Log) Append(ctx context.Context, held *Hold, results []*batchv1.Result) error {
+// Append lists results after those that are listed already, and replaces the texts that are not finished unless there are none.
+// It tries until it succeeds, the context ends, or another owner took the job.
+func (log *Log) Append(ctx context.Context, held *Hold, results []*batchv1.Result, unfinished []*batchv1.Partial) error {
 	encoded, err := proto.Marshal(&batchv1.ResultPage{Results: results})
 	if err != nil {
 		return errors.Wrap(err, "encode results")
@@ -168,6 +169,13 @@
 		Conditions: []metadata.Condition{{Key: ownerKey(held.JobID), Revision: held.revision}, {Key: key}},
 		Puts:       []metadata.Put{{Key: key, Value: encoded}},
 	}
+	if len(unfinished) > 0 {
+		texts, err := proto.Marshal(&batchv1.Unfinished{Partials: unfinished})
+		if err != nil {
+			return errors.Wrap(err, "encode unfinished texts")
+		}
+		txn.Puts = append(txn.Puts, metadata.Put{Key: unfinishedKey(held.JobID), Value: texts})
+	}
 	err = log.retry(ctx, func(ctx context.Context) error {
 		_, err := log.Store.Commit(ctx, txn)
 		var conflict *metadata.ConflictError
@@ -233,9 +241,11 @@
 type Record struct {
 	Job     *batchv1.Job
 	Results []*batchv1.Result
-	Ended   bool
-	Owner   *batchv1.Ownership
-	pages   int
+	// Unfinished are texts that the owner had not finished when it last listed results.
+	Unfinished []*batchv1.Partial
+	Ended      bool
+	Owner      *batchv1.Ownership
+	pages      int
 }
 
 // Load reads a job; ErrNotFound says that it was never accepted.
@@ -278,6 +288,12 @@
 		}
 		record.Results = append(record.Results, page.GetResults()...)
 		record.pages++
+	case name == "unfinished":
+		unfinished := &batchv1.Unfinished{}
+		if err := proto.Unmarshal(value, unfinished); err != nil {
+			return err
+		}
+		record.Unfinished = unfinished.GetPartials()
 	}
 	return nil
 }
--- a/internal/batchlog/log_test.go
+++ b/internal/batchlog/log_test.go
@@ -53,14 +53,14 @@
 		frozen, successor := batchlog.Log{Store: store, Node: "a"}, batchlog.Log{Store: store, Node: "b"}
 		held, err := frozen.Accept(within(t, time.Second), newJob("job"))
 		must.NoError(t, err)
-		must.NoError(t, frozen.Append(within(t, time.Second), held, result("before")))
+		must.NoError(t, frozen.Append(within(t, time.Second), held, result("before"), nil))
 		claimed, err := successor.Claim(within(t, time.Second), "job", "a", batchlog.AnyLife)
 		must.NoError(t, err)
 		record, err := successor.Resume(within(t, time.Second), claimed)
 		must.NoError(t, err)
 		must.Eq(t, 1, len(record.Results))
-		must.ErrorIs(t, frozen.Append(within(t, time.Second), held, result("after")), batchlog.ErrNotOwner)
-		must.NoError(t, successor.Append(within(t, time.Second), claimed, result("own")))
+		must.ErrorIs(t, frozen.Append(within(t, time.Second), held, result("after"), nil), batchlog.ErrNotOwner)
+		must.NoError(t, successor.Append(within(t, time.Second), claimed, result("own"), nil))
 		still, err := frozen.StillOwner(within(t, time.Second), held)
 		must.NoError(t, err)
 		must.False(t, still)
@@ -76,9 +76,9 @@
 			held, err := log.Accept(within(t, time.Second), newJob("job"))
 			must.NoError(t, err)
 			store.SetFaults(memstore.Faults{LoseAnswers: 1, LateBy: late})
-			must.NoError(t, log.Append(within(t, 10*time.Second), held, result("x")))
+			must.NoError(t, log.Append(within(t, 10*time.Second), held, result("x"), nil))
 			time.Sleep(3 * time.Second)
-			must.NoError(t, log.Append(within(t, 10*time.Second), held, result("y")))
+			must.NoError(t, log.Append(within(t, 10*time.Second), held, result("y"), nil))
 			record, err := log.Load(within(t, time.Second), "job")
 			must.NoError(t, err)
 			must.Eq(t, 2, len(record.Results))
@@ -99,7 +99,7 @@
 		whole, err := owner.EndHeld(within(t, time.Second), held)
 		must.NoError(t, err)
 		must.False(t, whole)
-		must.ErrorIs(t, owner.Append(within(t, time.Second), held, result("late")), batchlog.ErrNotOwner)
+		must.ErrorIs(t, owner.Append(within(t, time.Second), held, result("late"), nil), batchlog.ErrNotOwner)
 		must.ErrorIs(t, other.End(within(t, time.Second), "none"), batchlog.ErrNotFound)
 		record, err := other.Load(within(t, time.Second), "job")
 		must.NoError(t, err)
@@ -120,7 +120,7 @@
 		must.NoError(t, err)
 		claimed, err := successor.Claim(within(t, time.Second), "job", "a", batchlog.AnyLife)
 		must.NoError(t, err)
-		must.NoError(t, successor.Append(within(t, time.Second), claimed, result("x")))
+		must.NoError(t, successor.Append(within(t, time.Second), claimed, result("x"), nil))
 		whole, err := frozen.EndHeld(within(t, time.Second), held)
 		must.NoError(t, err)
 		must.False(t, whole)
@@ -141,7 +141,7 @@
 			held, err := log.Accept(within(t, time.Second), newJob(id))
 			must.NoError(t, err)
 			for page := range 40 {
-				must.NoError(t, log.Append(within(t, time.Second), held, result(fmt.Sprint(id, page))))
+				must.NoError(t, log.Append(within(t, time.Second), held, result(fmt.Sprint(id, page)), nil))
 			}
 			if id != "open" {
 				_, err = log.EndHeld(within(t, time.Second), held)
@@ -232,7 +232,7 @@
 			actor.held = held
 		}
 	case 2, 3, 4:
-		if actor.held != nil && actor.log.Append(ctx, actor.held, result(item)) == nil {
+		if actor.held != nil && actor.log.Append(ctx, actor.held, result(item), nil) == nil {
 			if told.ended {
 				t.Fatalf("%s was listed after the end", item)
 			}
--- a/internal/batchrun/backup.go
+++ b/internal/batchrun/backup.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +24,8 @@
 	// partialLeast is how many events a text has when it is first backed up; then each time it has grown by partialGrowth.
 	partialLeast  = 16
 	partialGrowth = 1.6
+	// unfinishedBytes bounds the texts that are written with a page of results.
+	unfinishedBytes = 300 << 10
 )
 
 // backUp has other nodes keep what would be lost with this process: the texts of long items while they grow, and finished
@@ -61,6 +65,31 @@
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
 	owned.growing[partial.GetItemId()] = partial
+	owned.unfinished[partial.GetItemId()] = partial
+	owned.unlogged = true
+}
+
+// unfinishedTexts returns the texts that are to be written with a page of results, so that they outlive all processes: those of
+// the longest items, as many as fit, if any has grown since the last page.
+func (owned *job) unfinishedTexts(results []*batchv1.Result) []*batchv1.Partial {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	if !owned.unlogged {
+		return nil
+	}
+	owned.unlogged = false
+	for _, result := range results {
+		delete(owned.unfinished, result.GetItemId())
+	}
+	list := slices.Collect(maps.Values(owned.unfinished))
+	slices.SortFunc(list, func(a, b *batchv1.Partial) int { return cmp.Compare(b.GetLastEvent(), a.GetLastEvent()) })
+	size := 0
+	for index, partial := range list {
+		if size += len(partial.GetText()) + resultOverhead; size > unfinishedBytes {
+			return list[:index]
+		}
+	}
+	return list
 }
 
 // takeGrowing returns the texts that have grown since the last call, but for those of items that are finished.
--- a/internal/batchrun/flush.go
+++ b/internal/batchrun/flush.go
@@ -43,7 +43,7 @@
 func (runner *Runner) write(owned *job) bool {
 	results := owned.takePending()
 	started := time.Now()
-	err := runner.Log.Append(owned.ctx, owned.held, results)
+	err := runner.Log.Append(owned.ctx, owned.held, results, owned.unfinishedTexts(results))
 	if err == nil {
 		owned.list(results)
 		runner.Logger.Info("results listed", "job", owned.id(), "count", len(results), "took_ms", time.Since(started).Milliseconds())
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -29,15 +29,18 @@
 	listed    []*batchv1.Result
 	pending   []*batchv1.Result
 	growing   map[string]*batchv1.Partial // texts to be backed up, by item
-	since     time.Time                   // when the oldest pending result was finished
-	written   time.Time                   // when results were last made durable
-	begun     bool
-	ending    bool
-	changed   chan struct{} // closed at each change that a reader may wait for
-	flush     chan struct{}
-	flushed   chan struct{} // closed when the flush loop is over
-	unsure    bool          // an append was cut: the log may hold more than listed
-	runs      sync.WaitGroup
+	// unfinished are the texts to be written with the next page of results, unlogged whether any has grown since the last.
+	unfinished map[string]*batchv1.Partial
+	unlogged   bool
+	since      time.Time // when the oldest pending result was finished
+	written    time.Time // when results were last made durable
+	begun      bool
+	ending     bool
+	changed    chan struct{} // closed at each change that a reader may wait for
+	flush      chan struct{}
+	flushed    chan struct{} // closed when the flush loop is over
+	unsure     bool          // an append was cut: the log may hold more than listed
+	runs       sync.WaitGroup
 }
 
 // defaultObjective is used when the route does not say when a job is due.
@@ -51,7 +54,7 @@
 	created := &job{
 		definition: definition, items: make(map[string]*batchv1.Item, len(definition.GetItems())), due: time.Now().Add(objective),
 		ctx: ctx, cancel: cancel, accepted: make(chan struct{}), progress: batch.NewProgress(definition), tasks: make(map[string]*task),
-		growing: make(map[string]*batchv1.Partial), changed: make(chan struct{}), flush: make(chan struct{}, 1), flushed: make(chan struct{}),
+		growing: make(map[string]*batchv1.Partial), unfinished: make(map[string]*batchv1.Partial), changed: make(chan struct{}), flush: make(chan struct{}, 1), flushed: make(chan struct{}),
 	}
 	for _, item := range definition.GetItems() {
 		created.items[item.GetId()] = item
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -100,6 +100,31 @@
 	})
 }
 
+// Texts of long items outlive all processes, as far as they were written with results: the same node goes on with them.
+func TestGrowingTextsOutliveAllNodes(t *testing.T) {
+	inWorld(t, 12, func(t *testing.T, world *world) {
+		definition := newDefinition(longJob, 4, 1)
+		definition.Items = append(definition.Items, newDefinition(middleItem, 2, 1).GetItems()...)
+		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
+		time.Sleep(1300 * time.Millisecond)
+		for _, name := range []string{"b", "c", "a"} {
+			world.kill(name)
+		}
+		world.start("a")
+		checkResults(t, await(t, world.node("a"), longJob, 6, 4*time.Second), 1)
+		resumed := 0
+		for _, event := range world.engines.resumed {
+			if event >= partialEvents {
+				resumed++
+			}
+		}
+		must.GreaterEq(t, 4, resumed)
+	})
+}
+
+// partialEvents is how many events a text has at least when it is first backed up.
+const partialEvents = 16
+
 // A planned stop hands the texts of unfinished items over: the successor goes on where they end.
 func TestHandOverKeepsTexts(t *testing.T) {
 	inWorld(t, 3, func(t *testing.T, world *world) {
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,7 +57,7 @@
 		return err
 	}
 	now := time.Now()
-	for _, partial := range append(runner.fetchKept(ctx, id), partials...) {
+	for _, partial := range slices.Concat(record.Unfinished, runner.fetchKept(ctx, id), partials) {
 		runner.kept.put(partial.GetItemId(), textOf(partial, now))
 	}
 	runner.Metrics.Job("taken_over")
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -49,16 +49,21 @@
 	return engines.versions[replica]
 }
 
-// longJob is the identifier of a job whose items have many events.
+// Items whose identifiers begin so have many events, or some.
 const (
-	longJob    = "long"
-	longEvents = 60
+	longJob      = "long"
+	longEvents   = 60
+	middleItem   = "middle"
+	middleEvents = 30
 )
 
 func eventsOf(item string) int64 {
 	if strings.HasPrefix(item, longJob) {
 		return longEvents
 	}
+	if strings.HasPrefix(item, middleItem) {
+		return middleEvents
+	}
 	return int64(len(item))%5 + 3
 }
 
