Publish what has changed of the replicas, not all of them

Change: a push carries what changed since the revision that the node told; one that lacks more tells so and gets the rest in a second call; 32 pushes at a time.

--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -21,6 +21,9 @@
 	publishLimit   = 500 * time.Millisecond
 )
 
+// pushesAtOnce bounds the pushes in progress, so that many nodes at once don't choke the publisher's link.
+const pushesAtOnce = 32
+
 // Publisher pushes a catalog's replicas and sends beacons.
 type Publisher struct {
 	Node      string
@@ -30,16 +33,21 @@
 	Health    *metadata.Health
 	Logger    *log.Logger
 
-	mu    sync.Mutex
-	acked map[string]int64 // revision that each node has taken
-	sent  map[string]int64 // revision that is on its way
+	pushes chan struct{}
+
+	mu      sync.Mutex
+	changes *changes
+	acked   map[string]int64 // revision that each node has reached, as it told
+	pushing map[string]bool  // nodes with a push in progress
 }
 
 // Run publishes until the context ends. It says nothing while the metadata store does not answer.
 func (publisher *Publisher) Run(ctx context.Context) {
 	publisher.mu.Lock()
-	publisher.acked, publisher.sent = make(map[string]int64), make(map[string]int64)
+	publisher.changes = newChanges()
+	publisher.acked, publisher.pushing = make(map[string]int64), make(map[string]bool)
 	publisher.mu.Unlock()
+	publisher.pushes = make(chan struct{}, pushesAtOnce)
 	ticker := time.NewTicker(beaconInterval)
 	defer ticker.Stop()
 	for {
@@ -62,10 +70,13 @@
 	if len(replicas.All) == 0 {
 		return
 	}
+	publisher.mu.Lock()
+	publisher.changes.advance(replicas)
+	publisher.mu.Unlock()
 	nodes := publisher.Registry.Others()
 	for _, node := range nodes {
 		if publisher.claim(node.GetName(), replicas.Revision) {
-			go publisher.push(ctx, node.GetName(), replicas)
+			go publisher.push(ctx, node.GetName())
 		}
 	}
 	beacon := &clusterv1.Beacon{Name: publisher.Node, ReplicaRevision: replicas.Revision}
@@ -75,49 +86,83 @@
 	publisher.Datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Beacon{Beacon: beacon}}, nodes)
 }
 
-// claim reports whether a revision is to be pushed to a node now.
+// claim reports whether a push to a node is to begin.
 func (publisher *Publisher) claim(node string, revision int64) bool {
 	publisher.mu.Lock()
 	defer publisher.mu.Unlock()
-	if publisher.acked[node] >= revision || publisher.sent[node] >= revision {
+	if publisher.acked[node] >= revision || publisher.pushing[node] {
 		return false
 	}
-	publisher.sent[node] = revision
+	publisher.pushing[node] = true
 	return true
 }
 
-func (publisher *Publisher) push(ctx context.Context, node string, replicas *catalog.ReplicaSet) {
+// push brings a node up to date. A node that has not told its revision yet gets the changes since this term began, and tells
+// whether it lacks more.
+func (publisher *Publisher) push(ctx context.Context, node string) {
+	defer publisher.release(node)
 	client := publisher.Registry.NodeClient(node)
 	if client == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, publishLimit)
-	defer cancel()
-	_, err := client.Publish(ctx, encodeReplicas(replicas))
+	select {
+	case publisher.pushes <- struct{}{}:
+		defer func() { <-publisher.pushes }()
+	case <-ctx.Done():
+		return
+	}
+	for range pushSteps {
+		request := publisher.next(node)
+		callCtx, cancel := context.WithTimeout(ctx, publishLimit)
+		response, err := client.Publish(callCtx, request)
+		cancel()
+		if err != nil {
+			publisher.Logger.Warn("replicas not published", "node", node, "revision", request.GetRevision(), "base", request.GetBaseRevision(), "error", err)
+			return
+		}
+		if publisher.reached(node, response.GetRevision(), request.GetRevision()) {
+			return
+		}
+	}
+}
+
+// pushSteps is how many calls a push may take: one that tells what a node lacks, and one that brings it.
+const pushSteps = 2
+
+// next returns the request that a node is sent next.
+func (publisher *Publisher) next(node string) *clusterv1.PublishRequest {
 	publisher.mu.Lock()
 	defer publisher.mu.Unlock()
-	if err == nil {
-		publisher.acked[node] = max(publisher.acked[node], replicas.Revision)
-		return
+	base, told := publisher.acked[node]
+	if !told {
+		base = publisher.changes.since
 	}
-	publisher.sent[node] = publisher.acked[node]
-	publisher.Logger.Warn("replicas not published", "node", node, "revision", replicas.Revision, "error", err)
+	return publisher.changes.request(base)
 }
 
-func encodeReplicas(replicas *catalog.ReplicaSet) *clusterv1.PublishRequest {
-	request := &clusterv1.PublishRequest{Revision: replicas.Revision}
-	for index := range replicas.All {
-		replica := &replicas.All[index]
-		encoded := &clusterv1.Replica{
-			Id: replica.ID, Service: replica.Service, Address: replica.Address, Zone: replica.Zone, Slots: int32(replica.Slots),
-			Draining: replica.Draining,
-		}
-		for _, held := range replica.Models {
-			encoded.Models = append(encoded.Models, &clusterv1.ModelVersion{Model: held.Model, Version: held.Version})
-		}
-		request.Replicas = append(request.Replicas, encoded)
+// reached notes the revision that a node told, and reports whether it is up to the one sent.
+func (publisher *Publisher) reached(node string, revision, sent int64) bool {
+	publisher.mu.Lock()
+	defer publisher.mu.Unlock()
+	publisher.acked[node] = revision
+	return revision >= sent
+}
+
+func (publisher *Publisher) release(node string) {
+	publisher.mu.Lock()
+	defer publisher.mu.Unlock()
+	delete(publisher.pushing, node)
+}
+
+func encodeReplica(replica *catalog.Replica) *clusterv1.Replica {
+	encoded := &clusterv1.Replica{
+		Id: replica.ID, Service: replica.Service, Address: replica.Address, Zone: replica.Zone, Slots: int32(replica.Slots),
+		Draining: replica.Draining,
+	}
+	for _, held := range replica.Models {
+		encoded.Models = append(encoded.Models, &clusterv1.ModelVersion{Model: held.Model, Version: held.Version})
 	}
-	return request
+	return encoded
 }
 
 func decodeReplicas(request *clusterv1.PublishRequest) []catalog.Replica {
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -48,10 +48,15 @@
 	begun   time.Time
 }
 
-// Publish takes all replicas.
+// Publish takes replicas, and tells the revision that this node has then.
 func (subscriber *Subscriber) Publish(_ context.Context, request *clusterv1.PublishRequest) (*clusterv1.PublishResponse, error) {
-	subscriber.Catalog.SetReplicas(decodeReplicas(request), request.GetRevision())
-	return &clusterv1.PublishResponse{}, nil
+	replicas := decodeReplicas(request)
+	if request.GetBaseRevision() == 0 {
+		subscriber.Catalog.SetReplicas(replicas, request.GetRevision())
+		return &clusterv1.PublishResponse{Revision: subscriber.Catalog.Replicas().Revision}, nil
+	}
+	known := subscriber.Catalog.ChangeReplicas(request.GetBaseRevision(), replicas, request.GetRemoved(), request.GetRevision())
+	return &clusterv1.PublishResponse{Revision: known}, nil
 }
 
 // Ping tells who answers.
