Have fronts stand for orderer when nobody else does

Change: a front that ranks first in its zone starts a candidate in its own process once no beacon has come for 7 s while the store answered; the election and the pause between holders are the same. TestFrontOrdersWhenNobodyElseDoes.

--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -18,6 +18,8 @@
 	firstIdleTimeout   = 15 * time.Second
 	firstWait          = 700 * time.Millisecond
 	peerIdleConns      = 4
+	// standbyPort is the internal port of the orderer that a front may have to be.
+	standbyPort = 1
 )
 
 func runFront(process *process) error {
@@ -42,6 +44,7 @@
 		ConfigurationPrefix: platform.KeyConfiguration, ReplicaPrefix: platform.PrefixReplicas,
 		ConfigurationHandler: process.operator(table),
 		ReplicaHandler:       &platform.ReplicaHandler{Logger: process.logger, Catalog: table},
+		StartOrderer:         process.standby(),
 	})
 	ingress := &platform.Ingress{
 		Catalog: table, Forwarder: front.Forwarder, Runner: front.Runner, Bodies: forwarding.NewBodies(), Logger: process.logger,
@@ -60,6 +63,14 @@
 	return front, callers, nil
 }
 
+// standby returns how this process starts a candidate for giving orders; nil if it has no port for one.
+func (process *process) standby() func() (*role.Orderer, error) {
+	if process.settings.Ports[0]+standbyPort > process.settings.Ports[1] {
+		return nil
+	}
+	return func() (*role.Orderer, error) { return startOrderer(process, standbyPort) }
+}
+
 // firstLimits returns the limits of the operator's configuration, or those in force without one if it does not come at once.
 func firstLimits(table *catalog.Table) catalog.Limits {
 	limits := catalog.Limits{HeaderBytes: firstHeaderBytes, HeaderTimeout: firstHeaderTimeout, IdleTimeout: firstIdleTimeout}
--- a/cmd/thistlewalk-rollout/orderer.go
+++ b/cmd/thistlewalk-rollout/orderer.go
@@ -19,7 +19,7 @@
 )
 
 func runOrderer(process *process) error {
-	orderer, err := startOrderer(process)
+	orderer, err := startOrderer(process, 0)
 	if err != nil {
 		return err
 	}
@@ -28,12 +28,13 @@
 	return nil
 }
 
-// startOrderer puts a candidate together and starts it.
-func startOrderer(process *process) (*role.Orderer, error) {
+// startOrderer puts a candidate together and starts it, at one of the node's internal ports.
+func startOrderer(process *process, port int) (*role.Orderer, error) {
 	settings := process.settings
 	table := catalog.NewTable()
 	orderer := role.NewOrderer(role.OrdererOptions{
-		Node: settings.Node, Role: settings.Role, Life: process.life, PeerAddress: settings.PeerAddress(0), PeerClient: peerClient(), Store: process.measuredStore(), Replicas: platform.NewReplicas(dialer()), Retire: process.store, Logger: process.logger, Metrics: process.metrics, Catalog: table,
+		Node: settings.Node, Role: settings.Role, Life: process.life, PeerAddress: settings.PeerAddress(port), PeerClient: peerClient(),
+		Store: process.measuredStore(), Replicas: platform.NewReplicas(dialer()), Retire: process.store, Logger: process.logger, Metrics: process.metrics, Catalog: table,
 		OperatorPrefix: platform.PrefixOperator, ReplicaPrefix: platform.PrefixReplicas,
 		ReplicaHandler: &platform.ReplicaHandler{Logger: process.logger, Catalog: table},
 		Retention:      settings.Retention() + retentionSlack,
--- a/cmd/thistlewalk-rollout/site_test.go
+++ b/cmd/thistlewalk-rollout/site_test.go
@@ -84,7 +84,7 @@
 	peer := freePort(deployment.t)
 	listen = map[string]string{"front": fmt.Sprint("127.0.0.1:", freePort(deployment.t)), "ready": fmt.Sprint("127.0.0.1:", freePort(deployment.t))}
 	content, err := json.Marshal(map[string]any{
-		"node-name": name, "role": "role", "ip": "127.0.0.1", "zone": "z", "listen": listen, "internal-ports": []int{peer, peer},
+		"node-name": name, "role": "role", "ip": "127.0.0.1", "zone": "z", "listen": listen, "internal-ports": []int{peer, peer + 1},
 		"limits": map[string]int{"memory-mb": 200}, "bounds": map[string]any{"grace-s": 8, "lease-ms": 300},
 		"platform-api": map[string]any{"address": strings.TrimPrefix(deployment.server.URL, "http://"), "ttl_min_ms": 1000},
 	})
@@ -116,7 +116,7 @@
 	path, _ := deployment.settings(name)
 	process, err := newProcess(path, io.Discard, "info")
 	must.NoError(deployment.t, err)
-	orderer, err := startOrderer(process)
+	orderer, err := startOrderer(process, 0)
 	must.NoError(deployment.t, err)
 	deployment.t.Cleanup(orderer.Stop)
 }
@@ -340,3 +340,23 @@
 		must.Eq(t, 0, replica.Ran("q")+replica.Ran("i")+replica.Ran(""))
 	}
 }
+
+// When all nodes that stand for the election always are gone for good, a front orders replicas.
+func TestFrontOrdersWhenNobodyElseDoes(t *testing.T) {
+	deployment := newDeployment(t)
+	deployment.put("op/config", fmt.Appendf(nil, configurationDocument, 3))
+	first := deployment.startFront("front-1")
+	second := deployment.startFront("front-2")
+	eventually(t, 3*time.Second, "fronts are ready", func() bool { return deployment.isReady(first) && deployment.isReady(second) })
+	deployment.put("op/version/m", []byte(`{"model":"m","version":2}`))
+	status, _, _ := deployment.call(first, http.MethodPost, "/jobs/j1", "job1", jobBody(6, 2))
+	must.Eq(t, http.StatusAccepted, status)
+	eventually(t, 16*time.Second, "the step is whole", func() bool { return len(deployment.results(second, "job1").Results) == 6 })
+	holders := make(map[string]bool)
+	for _, replica := range deployment.replicas {
+		for _, holder := range replica.Holders() {
+			holders[strings.Fields(holder)[0]] = true
+		}
+	}
+	must.MapLen(t, 1, holders)
+}
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -74,6 +74,23 @@
 	return subscriber.from
 }
 
+// Silent returns how long no beacon has come, counted from the start of this process at most.
+func (subscriber *Subscriber) Silent(now time.Time) time.Duration {
+	subscriber.mu.Lock()
+	defer subscriber.mu.Unlock()
+	if subscriber.begun.IsZero() {
+		return 0
+	}
+	return now.Sub(later(subscriber.heard, subscriber.begun))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Heard takes a beacon.
 func (subscriber *Subscriber) Heard(beacon *clusterv1.Beacon, from net.Addr) {
 	subscriber.mu.Lock()
--- a/internal/lab/platform/soak/world.go
+++ b/internal/lab/platform/soak/world.go
@@ -223,7 +223,7 @@
 
 func (node *Node) writeSettings(listen map[string]string, peerPort int) error {
 	content, err := json.Marshal(map[string]any{
-		"node-name": node.Name, "role": node.Process.role, "ip": "127.0.0.1", "zone": "zone", "listen": listen, "internal-ports": []int{peerPort, peerPort},
+		"node-name": node.Name, "role": node.Process.role, "ip": "127.0.0.1", "zone": "zone", "listen": listen, "internal-ports": []int{peerPort, peerPort + 1},
 		"limits": map[string]int{"memory-mb": 200},
 		"bounds": map[string]any{"grace-s": graceTime.Seconds(), "lease-ms": leaseTime.Milliseconds(), "status-s": 120},
 		"platform-api": map[string]any{
@@ -243,12 +243,12 @@
 	lastPort  = 32000
 )
 
-// freeAddresses returns loopback addresses that nobody listens at, by TCP or UDP.
+// freeAddresses returns loopback addresses at whose port and the next one nobody listens, by TCP or UDP.
 func freeAddresses(count int) ([]*net.TCPAddr, error) {
 	var list []*net.TCPAddr
 	for tries := 0; len(list) < count && tries < lastPort-firstPort; tries++ {
 		address := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: firstPort + rand.IntN(lastPort-firstPort)}
-		if isFree(address) {
+		if isFree(address) && isFree(&net.TCPAddr{IP: address.IP, Port: address.Port + 1}) {
 			list = append(list, address)
 		}
 	}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -41,6 +41,8 @@
 	Catalog                            *catalog.Table
 	ConfigurationHandler               metadata.Handler
 	ReplicaHandler                     metadata.Handler
+	// StartOrderer starts a candidate for giving orders in this process; nil for none.
+	StartOrderer func() (*Orderer, error)
 }
 
 // Front serves callers and runs batch jobs.
@@ -112,6 +114,9 @@
 	})
 	go monitor.Run(front.ctx)
 	go subscriber.Run(front.ctx)
+	if front.StartOrderer != nil {
+		go front.standBy(front.ctx)
+	}
 	front.Runner.Start()
 	return nil
 }
