--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -141,6 +141,34 @@
 	return count
 }
 
+// Snapshot is the readings of all replicas at one time, for decisions that look at many.
+type Snapshot struct {
+	loads  *Loads
+	others map[string]int
+	now    time.Time
+}
+
+// Snapshot sums up what other nodes have in flight; this node's own requests are read when they are asked for.
+func (loads *Loads) Snapshot(now time.Time) Snapshot {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	others := make(map[string]int)
+	for _, told := range loads.others {
+		if now.Sub(told.at) > othersLife {
+			continue
+		}
+		for id, count := range told.inFlight {
+			others[id] += count
+		}
+	}
+	return Snapshot{loads: loads, others: others, now: now}
+}
+
+// Read returns the reading of a replica.
+func (snapshot Snapshot) Read(id string) Reading {
+	return snapshot.loads.read(id, snapshot.others[id], snapshot.now)
+}
+
 // Reading is the state of one replica as this node sees it.
 type Reading struct {
 	// Own are this node's requests in flight, InFlight those of all nodes as far as they told.
@@ -151,7 +179,10 @@
 
 // Read returns the reading of a replica.
 func (loads *Loads) Read(id string, now time.Time) Reading {
-	others := loads.othersInFlight(id, now)
+	return loads.read(id, loads.othersInFlight(id, now), now)
+}
+
+func (loads *Loads) read(id string, others int, now time.Time) Reading {
 	shard := loads.shard(id)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -265,7 +265,7 @@
 	scheduler.mu.Lock()
 	defer scheduler.mu.Unlock()
 	replicas := scheduler.runner.Catalog.Replicas()
-	room := newRoom(scheduler, replicas, time.Now())
+	room := newRoom(scheduler, time.Now())
 	for _, replica := range replicas.Service(running.service) {
 		if replica.ID != current.ID && room.eligible(running, replica) && room.slowdown(replica.ID) <= 1 {
 			return true
--- a/internal/batchrun/pace.go
+++ b/internal/batchrun/pace.go
@@ -24,8 +24,15 @@
 type paceTable struct {
 	mu       sync.Mutex
 	replicas map[string]*pace
+	// slow and compared are what was found out at a time, which is good for compareFor.
+	slow, compared map[string]float64
+	at             time.Time
 }
 
+// compareFor is how long replicas that were compared need not be compared again: comparing takes all of them, and streams ask
+// several times a second each.
+const compareFor = 150 * time.Millisecond
+
 type pace struct {
 	perEvent float64 // seconds, exponentially weighted
 	usual    float64 // the same over many more events
@@ -51,12 +58,40 @@
 	entry.usual += usualWeight * (gap.Seconds() - entry.usual)
 	entry.count++
 	entry.at = now
+	if entry.count == paceLeastCount {
+		table.at = time.Time{} // one replica more is believed: compare anew
+	}
 }
 
-// slowdowns returns the replicas that are clearly slow, with how many times the median of all they take for an event.
+// slowdowns returns the replicas that are clearly slow, with how many times the median of all they take for an event. The map
+// must not be changed.
 func (table *paceTable) slowdowns(now time.Time) map[string]float64 {
 	table.mu.Lock()
 	defer table.mu.Unlock()
+	table.compare(now)
+	return table.slow
+}
+
+// relative returns how many times the fastest each replica usually takes for an event, as far as that is known. The map must not
+// be changed.
+func (table *paceTable) relative(now time.Time) map[string]float64 {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	table.compare(now)
+	return table.compared
+}
+
+// compare must be called with mu held.
+func (table *paceTable) compare(now time.Time) {
+	if since := now.Sub(table.at); since >= 0 && since < compareFor {
+		return
+	}
+	table.at = now
+	table.slow, table.compared = table.findSlow(now), table.comparePaces(now)
+}
+
+// findSlow must be called with mu held.
+func (table *paceTable) findSlow(now time.Time) map[string]float64 {
 	var known []float64
 	for _, entry := range table.replicas {
 		if entry.believed(now) {
@@ -77,10 +112,8 @@
 	return slow
 }
 
-// relative returns how many times the fastest each replica usually takes for an event, as far as that is known.
-func (table *paceTable) relative(now time.Time) map[string]float64 {
-	table.mu.Lock()
-	defer table.mu.Unlock()
+// comparePaces must be called with mu held.
+func (table *paceTable) comparePaces(now time.Time) map[string]float64 {
 	fastest := 0.0
 	known := make(map[string]float64, len(table.replicas))
 	for id, entry := range table.replicas {
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -170,7 +170,7 @@
 		return len(scheduler.waiting)
 	}
 	replicas := scheduler.runner.Catalog.Replicas()
-	room := newRoom(scheduler, replicas, now)
+	room := newRoom(scheduler, now)
 	left := scheduler.waiting[:0]
 	for _, waiting := range scheduler.waiting {
 		if now.Before(waiting.notBefore) || !scheduler.place(waiting, configuration, replicas, room) {
