Open a replica again when the job of its trial item ends first

Cause: a replica that refused an item gets one item at a time until it takes one. If the job ended between placing that item and sending it, nothing noted its outcome, and the replica stayed closed at that node for good; with all of a model's replicas closed a job lay still. Change: such a trial counts as not made. The history stands in TestFailedHistories.

--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -120,6 +120,7 @@
 // attempt sends an item to a replica and follows the stream.
 func (runner *Runner) attempt(running *task, replica *catalog.Replica, route *catalog.Route) (ended outcome, status int) {
 	if running.job.ctx.Err() != nil {
+		runner.scheduler.untried(replica.ID)
 		return outcomeCut, 0
 	}
 	ctx, cancel := context.WithCancelCause(running.job.ctx)
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -268,6 +268,8 @@
 			[]int{4, 2, 1, 1, 0, 3, 6, 1, 3, 0, 1, 3}, []int{0, 0, 1, 2, 2, 2, 1, 0, 0, 0, 2, 2}},
 		{"a node's first look for its own jobs waited on a silent store without a limit", 0x2d83074,
 			[]int{1, 3, 6, 4, 6, 3, 2}, []int{0, 0, 0, 1, 0, 2, 0}},
+		{"a job ended just as an item was to try a replica that had refused: the replica stayed closed at that node for good", 0x47407f,
+			[]int{0, 8, 1, 0, 6}, []int{0, 0, 2, 0, 0}},
 	}
 	for _, c := range cases {
 		for range 5 {
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -247,6 +247,15 @@
 	}
 }
 
+// untried notes that a replica was not tried after all: the job ended before. Without it the replica would stay closed for good.
+func (scheduler *scheduler) untried(replica string) {
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	if held := scheduler.refusals[replica]; held != nil {
+		held.trying = false
+	}
+}
+
 // observe takes the version of a model that a replica itself named.
 func (scheduler *scheduler) observe(replica, model string, version int64) {
 	if version <= 0 {
