Bound loads at once and the orderer's rounds

A round over 2,700 replicas takes 6 ms (BenchmarkPlan), and every change of a replica and every demand began one. Change: 150 loads at once at most (750 replicas load in 5 s so); after a round it rests ten times as long as the round took, 250 ms at most.

--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -87,9 +87,13 @@
 
 // atOnce returns how many replicas of a service load at the same time.
 func (orderer *Orderer) atOnce(replicas int) int {
-	return max(1, int(math.Ceil(orderer.LoadShare*float64(replicas))))
+	return min(mostAtOnce, max(1, int(math.Ceil(orderer.LoadShare*float64(replicas)))))
 }
 
+// mostAtOnce bounds how many replicas load at the same time, so that one node can order them all: enough for 750 replicas to load
+// within 5 s.
+const mostAtOnce = 150
+
 // SetTarget takes a named version, if it is newer than the one known.
 func (orderer *Orderer) SetTarget(model string, version int64) {
 	orderer.mu.Lock()
@@ -190,6 +194,10 @@
 	loadExpected = 1300 * time.Millisecond
 	loadLimit    = 5 * time.Second
 	workTick     = 100 * time.Millisecond
+	// After a round the orderer rests for restShare times as long as it took, at most for mostRest: with thousands of replicas
+	// changes come faster than rounds can be made.
+	restShare = 10
+	mostRest  = 250 * time.Millisecond
 	idleWait     = time.Second
 	retryPause   = 300 * time.Millisecond
 	// lookPause is how long a replica that was never asked for its state is left alone while it is.
@@ -226,9 +234,11 @@
 	for ctx.Err() == nil {
 		changed := orderer.Catalog.Changed()
 		wait := idleWait
+		started := time.Now()
 		if work.round(ctx) {
 			wait = workTick
 		}
+		pause(ctx, min(mostRest, restShare*time.Since(started)))
 		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -180,3 +180,23 @@
 	}
 	must.Eq(t, map[string]int{"small": 2, "middle": 4, "large": 6}, counts)
 }
+
+// One round over the replicas of the target size, and more.
+func BenchmarkPlan(b *testing.B) {
+	for _, count := range []int{35, 750, 2700} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			models := []string{"a", "b", "c"}
+			replicas := fleet(count, models)
+			planner := weights.NewPlanner(weights.LoadBudget{AtOnce: count / 5, LoadTime: time.Second})
+			version := int64(1)
+			for b.Loop() {
+				version++
+				targets := make(weights.Targets)
+				for _, model := range models {
+					targets[model] = weights.Target{Version: version, Lag: 1}
+				}
+				load(planner.Plan(models, replicas, targets, idle)[:1], replicas)
+			}
+		})
+	}
+}
