--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -196,10 +196,10 @@
 	workTick     = 100 * time.Millisecond
 	// After a round the orderer rests for restShare times as long as it took, at most for mostRest: with thousands of replicas
 	// changes come faster than rounds can be made.
-	restShare = 10
-	mostRest  = 250 * time.Millisecond
-	idleWait     = time.Second
-	retryPause   = 300 * time.Millisecond
+	restShare  = 10
+	mostRest   = 250 * time.Millisecond
+	idleWait   = time.Second
+	retryPause = 300 * time.Millisecond
 	// lookPause is how long a replica that was never asked for its state is left alone while it is.
 	lookPause = 60 * time.Millisecond
 )
