Move the reading of bodies and the kind of unknown routes out of the adapter

Cause: platform/ingress.go decided when a body is refused and how much memory is set aside for it, and platform/documents.go that a route of an unknown kind runs once; the adapter is to decide nothing. Change: forwarding.Bodies reads bodies and says why it does not; the zero kind of a route is the one that runs once.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,10 +14,10 @@
 
 // Kinds of routes.
 const (
+	// Unsafe requests run at most once. A kind that nobody knows counts as this one.
+	Unsafe Kind = iota
 	// Safe requests may run more than once.
-	Safe Kind = iota
-	// Unsafe requests run at most once.
-	Unsafe
+	Safe
 	// Stream requests are answered by a series of events, and run at most once unless the route is resumable.
 	Stream
 	// Batch routes take batch jobs, whose items may run more than once.
--- a/internal/forwarding/bodies_test.go
+++ b/internal/forwarding/bodies_test.go
@@ -1,8 +1,12 @@
 package forwarding_test
 
 import (
+	"io"
+	"strings"
 	"testing"
+	"testing/iotest"
 
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
 	"github.com/thistlewalk/thistlewalk/internal/forwarding"
@@ -19,3 +23,36 @@
 	bodies.Release(size)
 	must.True(t, bodies.Reserve(size))
 }
+
+// A body is read whole, or refused for the reason that holds; what was set aside for it is given back.
+func TestBodiesRead(t *testing.T) {
+	bodies := forwarding.NewBodies()
+	large := strings.Repeat("x", 2*forwarding.SmallBody)
+	broken := io.MultiReader(strings.NewReader(large), iotest.ErrReader(errors.New("cut off")))
+	for name, c := range map[string]struct {
+		source           io.Reader
+		announced, limit int64
+		length           int
+		failure          error
+	}{
+		"empty":                 {strings.NewReader(""), 0, 10, 0, nil},
+		"small":                 {strings.NewReader("abc"), 3, 10, 3, nil},
+		"at the limit":          {strings.NewReader("abc"), -1, 3, 3, nil},
+		"over the limit":        {strings.NewReader("abcd"), -1, 3, 0, forwarding.ErrTooLarge},
+		"announced over":        {strings.NewReader(""), 11, 10, 0, forwarding.ErrTooLarge},
+		"large":                 {strings.NewReader(large), int64(len(large)), 0, len(large), nil},
+		"large without length":  {strings.NewReader(large), -1, 1 << 20, len(large), nil},
+		"large over the limit":  {strings.NewReader(large), -1, int64(len(large)) - 1, 0, forwarding.ErrTooLarge},
+		"large that breaks off": {broken, -1, 1 << 20, 0, forwarding.ErrNotRead},
+	} {
+		body, release, err := bodies.Read(c.source, c.announced, c.limit)
+		release()
+		must.True(t, errors.Is(err, c.failure), must.Sprint(name, err))
+		must.Len(t, c.length, body, must.Sprint(name))
+	}
+	const all = 96 << 20
+	must.True(t, bodies.Reserve(all), must.Sprint("all was given back"))
+	_, release, err := bodies.Read(strings.NewReader(large), -1, 1<<20)
+	release()
+	must.ErrorIs(t, err, forwarding.ErrMemory)
+}
