--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -128,6 +128,19 @@
 	loads.others[node] = otherLoads{inFlight: inFlight, at: now}
 }
 
+// Telling returns the nodes that have told of their requests lately: those that have some, and so need to know of others'.
+func (loads *Loads) Telling(now time.Time) map[string]bool {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	nodes := make(map[string]bool, len(loads.others))
+	for node, told := range loads.others {
+		if now.Sub(told.at) <= othersLife {
+			nodes[node] = true
+		}
+	}
+	return nodes
+}
+
 // othersInFlight returns what other nodes have in flight at a replica.
 func (loads *Loads) othersInFlight(id string, now time.Time) int {
 	loads.mu.Lock()
--- a/internal/batchrun/share.go
+++ b/internal/batchrun/share.go
@@ -18,7 +18,8 @@
 	}
 }
 
-// shareLoads tells the other nodes what this one has in flight, while it runs jobs and once more when it has none left.
+// shareLoads tells the other nodes what this one has in flight, while it runs jobs and once more when it has none left: those that run
+// jobs too each time, the rest now and then, so that whoever begins to run jobs learns of it.
 func (runner *Runner) shareLoads(ctx context.Context) {
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
@@ -32,12 +33,13 @@
 		if runner.OpenJobs() == 0 && !shared {
 			continue
 		}
+		first := round%demandRounds == 0 || !shared
 		if round%demandRounds == 0 {
 			runner.announceDemands()
 		}
 		inFlight := runner.enginesInFlight()
 		shared = len(inFlight) > 0
-		runner.Peers.ShareLoads(inFlight)
+		runner.Peers.ShareLoads(inFlight, first || !shared)
 	}
 }
 
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -270,7 +270,7 @@
 func (peers *worldPeers) AnnounceDemand(*batchv1.Job) {}
 
 // ShareLoads implements batchrun.Peers.
-func (peers *worldPeers) ShareLoads(map[string]int) {}
+func (peers *worldPeers) ShareLoads(map[string]int, bool) {}
 
 func newDefinition(id string, items int, minimum int64) *batchv1.Job {
 	job := &batchv1.Job{Id: id, Host: "h", Path: "/jobs/" + id, Model: "m", MinimumVersion: minimum}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -174,13 +175,18 @@
 }
 
 // ShareLoads implements batchrun.Peers.
-func (peers peers) ShareLoads(inFlight map[string]int) {
+func (peers peers) ShareLoads(inFlight map[string]int, all bool) {
 	front := peers.front
 	loads := &clusterv1.Loads{Node: front.Node}
 	for id, count := range inFlight {
 		loads.Replicas = append(loads.Replicas, &clusterv1.ReplicaLoad{Id: id, InFlight: int32(count)})
 	}
-	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Loads{Loads: loads}}, front.Registry.Others())
+	nodes := front.Registry.Others()
+	if !all {
+		telling := front.loads.Telling(time.Now())
+		nodes = slices.DeleteFunc(nodes, func(node *clusterv1.NodeRecord) bool { return !telling[node.GetName()] })
+	}
+	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Loads{Loads: loads}}, nodes)
 }
 
 // heardLoads takes what another node has in flight.
