--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -18,6 +18,7 @@
 	cause  string
 }{
 	{seed: 7, length: 14 * time.Second, cause: "none: a plan with kills, a freeze, a cut and an outage of the store"},
+	{seed: 1796211571, length: time.Minute, cause: "the soak itself: it asked for the newest configuration 0.4 s after a silent store came back"},
 }
 
 // The real programs keep their promises under the faults of fixed plans.
