--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -81,6 +81,7 @@
 		runner.keep(running, false)
 		return
 	case outcomeWhole:
+		runner.scheduler.lengths.observe(running.item.GetLengthHint(), running.lastEvent)
 		runner.score(running)
 		return
 	case outcomeRejected:
--- a/internal/batchrun/pace.go
+++ b/internal/batchrun/pace.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	paceWeight = 0.25
+	// paceWindow is the time over which a replica's present pace is measured, in two halves.
+	paceWindow = 1200 * time.Millisecond
 	// usualWeight is the weight of one event in a replica's usual pace, which is remembered for usualLife.
 	usualWeight = 0.04
 	usualLife   = 30 * time.Second
@@ -26,6 +27,7 @@
 	replicas map[string]*pace
 	// slow and compared are what was found out at a time, which is good for compareFor.
 	slow, compared map[string]float64
+	best           float64 // seconds of an event at the usually fastest replica
 	at             time.Time
 }
 
@@ -33,11 +35,41 @@
 // several times a second each.
 const compareFor = 150 * time.Millisecond
 
+// pace is what is known of one replica. Its present pace is a mean over a window of time and not over the last events: a process
+// that stands still for a moment makes one gap of each of a replica's streams long, and a replica that is slow makes all of them so.
 type pace struct {
-	perEvent float64 // seconds, exponentially weighted
-	usual    float64 // the same over many more events
-	count    int
-	at       time.Time
+	halves [2]paceHalf // of the window: the current one and the one before
+	began  time.Time   // when the current half began
+	usual  float64     // seconds for an event, exponentially weighted over many events
+	count  int         // events since the replica was last silent
+	at     time.Time   // of the last event
+}
+
+// paceHalf sums up the events of half a window.
+type paceHalf struct {
+	seconds float64
+	events  int
+}
+
+// add takes an event into the current half, and begins the next one when that is over.
+func (entry *pace) add(gap time.Duration, now time.Time) {
+	switch elapsed := now.Sub(entry.began); {
+	case elapsed > paceWindow:
+		entry.halves, entry.began = [2]paceHalf{}, now
+	case elapsed > paceWindow/2:
+		entry.halves, entry.began = [2]paceHalf{{}, entry.halves[0]}, now
+	}
+	entry.halves[0].seconds += gap.Seconds()
+	entry.halves[0].events++
+}
+
+// perEvent returns the seconds that an event took lately, on average.
+func (entry *pace) perEvent() float64 {
+	events := entry.halves[0].events + entry.halves[1].events
+	if events == 0 {
+		return 0
+	}
+	return (entry.halves[0].seconds + entry.halves[1].seconds) / float64(events)
 }
 
 func newPaceTable() *paceTable { return &paceTable{replicas: make(map[string]*pace)} }
@@ -49,12 +81,12 @@
 	entry := table.replicas[replica]
 	switch {
 	case entry == nil || now.Sub(entry.at) > usualLife:
-		entry = &pace{perEvent: gap.Seconds(), usual: gap.Seconds()}
+		entry = &pace{usual: gap.Seconds(), began: now}
 		table.replicas[replica] = entry
 	case now.Sub(entry.at) > paceLife:
-		entry.perEvent, entry.count = gap.Seconds(), 0
+		entry.count = 0
 	}
-	entry.perEvent += paceWeight * (gap.Seconds() - entry.perEvent)
+	entry.add(gap, now)
 	entry.usual += usualWeight * (gap.Seconds() - entry.usual)
 	entry.count++
 	entry.at = now
@@ -95,7 +127,7 @@
 	var known []float64
 	for _, entry := range table.replicas {
 		if entry.believed(now) {
-			known = append(known, entry.perEvent)
+			known = append(known, entry.perEvent())
 		}
 	}
 	if len(known) < paceLeastReplicas {
@@ -105,8 +137,8 @@
 	median := known[(len(known)-1)/2]
 	slow := make(map[string]float64)
 	for id, entry := range table.replicas {
-		if entry.believed(now) && median > 0 && entry.perEvent >= slowFactor*median {
-			slow[id] = entry.perEvent / median
+		if entry.believed(now) && median > 0 && entry.perEvent() >= slowFactor*median {
+			slow[id] = entry.perEvent() / median
 		}
 	}
 	return slow
@@ -125,6 +157,7 @@
 			fastest = entry.usual
 		}
 	}
+	table.best = fastest
 	for id := range known {
 		known[id] /= fastest
 	}
@@ -136,6 +169,29 @@
 	return table.slowdowns(now)[replica] > 1
 }
 
+// expected returns the seconds that the next events of a replica are expected to take each: those of late if they are believed, the
+// usual ones otherwise; zero when nothing is known.
+func (table *paceTable) expected(replica string, now time.Time) float64 {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	entry := table.replicas[replica]
+	switch {
+	case entry == nil || now.Sub(entry.at) > usualLife:
+		return 0
+	case entry.believed(now):
+		return entry.perEvent()
+	}
+	return entry.usual
+}
+
+// fastest returns the seconds that an event takes at the replica that is usually the fastest; zero when nothing is known.
+func (table *paceTable) fastest(now time.Time) float64 {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	table.compare(now)
+	return table.best
+}
+
 func (entry *pace) believed(now time.Time) bool {
 	return entry.count >= paceLeastCount && now.Sub(entry.at) <= paceLife
 }
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -32,7 +32,8 @@
 	avoidUntil time.Time
 	notBefore  time.Time
 	moves      int
-	backedUp   int64 // the event from which on the text is backed up again
+	latest     time.Time // at which it can begin to be whole in time; set while it waits
+	backedUp   int64     // the event from which on the text is backed up again
 }
 
 // estimate is the number of tokens that are likely still to come.
@@ -57,6 +58,7 @@
 	refusals  map[string]*refusal // replicas that refused work and have taken none since
 	versions  map[string]map[string]int64
 	pace      *paceTable
+	lengths   lengthTable
 }
 
 const (
@@ -117,14 +119,16 @@
 	}
 }
 
-// add puts items in line: returned groups first, then the job that is due first, then the longest.
+// add puts items in line, in the order of the latest times at which they can begin.
 func (scheduler *scheduler) add(tasks ...*task) {
+	now := time.Now()
 	scheduler.mu.Lock()
 	for _, added := range tasks {
 		if added.job.ctx.Err() != nil {
 			scheduler.runner.keep(added, false)
 			continue
 		}
+		scheduler.rank(added, now)
 		scheduler.waiting = append(scheduler.waiting, added)
 	}
 	slices.SortStableFunc(scheduler.waiting, compareTasks)
@@ -133,16 +137,7 @@
 }
 
 func compareTasks(a, b *task) int {
-	if a.job != b.job {
-		return cmp.Or(a.job.due.Compare(b.job.due), cmp.Compare(a.job.id(), b.job.id()))
-	}
-	if a.returned != b.returned {
-		if a.returned {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Compare(b.estimate(), a.estimate())
+	return cmp.Or(a.latest.Compare(b.latest), cmp.Compare(b.estimate(), a.estimate()))
 }
 
 // drop takes a job's items out of the line and keeps their texts.
