Move running items to faster replicas by the time that it saves

Change: before waiting items are placed, those that run are moved where the rest of their text saves 0.3 s at least; the slot is reserved first. Replaces the check of each stream.

--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -25,11 +25,11 @@
 	outcomeRejected // an answer of 422
 	outcomeStale    // the replica's weights are too old for the job
 	outcomeMixed    // the versions do not fit a route that allows one
-	outcomeSlow     // taken away from a slow replica
+	outcomeMoved    // goes on at a faster replica
 	outcomeCut      // the job ended or left this node
 )
 
-var outcomeNames = [...]string{"whole", "broken", "refused", "failed", "rejected", "stale", "mixed", "slow", "cut"}
+var outcomeNames = [...]string{"whole", "broken", "refused", "failed", "rejected", "stale", "mixed", "moved", "cut"}
 
 // String returns the name that logs use.
 func (outcome outcome) String() string { return outcomeNames[outcome] }
@@ -40,8 +40,6 @@
 	avoidFor          = 900 * time.Millisecond
 	// avoidStale is how long a replica is left alone that answers with older weights than it registered.
 	avoidStale = 250 * time.Millisecond
-	// mostMoves bounds how often an item is taken away from slow replicas.
-	mostMoves = 3
 )
 
 // errStalled is the cause of an attempt's end when the replica was silent for too long.
@@ -52,13 +50,22 @@
 	defer running.job.runs.Done()
 	started := time.Now()
 	from := running.lastEvent
-	ended, status := runner.attempt(running, replica, route)
+	current := runner.scheduler.begin(running, replica, route)
+	ended, status := runner.attempt(current, route)
 	runner.Loads.End(replica.ID, loadOutcome(ended), time.Now())
+	target := runner.scheduler.end(current)
+	if target != nil && ended != outcomeMoved {
+		runner.Loads.End(target.ID, backend.Unknown, time.Now())
+	}
 	runner.scheduler.nudge()
 	runner.Metrics.Item(ended.String(), time.Since(started))
 	runner.Logger.Info("item", "request", running.item.GetId(), "job", running.job.id(), "replica", replica.ID, "outcome", ended,
 		"status", status, "from", from, "events", running.lastEvent, "versions", running.versions, "minimum", running.job.definition.GetMinimumVersion(),
 		"took_ms", time.Since(started).Milliseconds())
+	if ended == outcomeMoved {
+		runner.goOn(running, target, route)
+		return
+	}
 	runner.follow(running, replica, route, ended)
 }
 
@@ -66,7 +73,7 @@
 	switch ended {
 	case outcomeBroken:
 		return backend.Failed
-	case outcomeCut:
+	case outcomeCut, outcomeMoved:
 		return backend.Unknown
 	default:
 		return backend.Served
@@ -99,7 +106,7 @@
 		running.restart()
 		running.notBefore = now.Add(pauseAfterFailure)
 		running.avoid, running.avoidUntil = replica.ID, now.Add(avoidStale)
-	case outcomeSlow, outcomeBroken:
+	case outcomeBroken:
 		running.avoid, running.avoidUntil = replica.ID, now.Add(avoidFor)
 	}
 	runner.scheduler.add(running)
@@ -119,19 +126,21 @@
 }
 
 // attempt sends an item to a replica and follows the stream.
-func (runner *Runner) attempt(running *task, replica *catalog.Replica, route *catalog.Route) (ended outcome, status int) {
+func (runner *Runner) attempt(current *attempt, route *catalog.Route) (ended outcome, status int) {
+	running, replica := current.task, current.replica
 	if running.job.ctx.Err() != nil {
 		runner.scheduler.untried(replica.ID)
 		return outcomeCut, 0
 	}
 	ctx, cancel := context.WithCancelCause(running.job.ctx)
 	defer cancel(nil)
+	runner.scheduler.cancelWith(current, cancel)
 	watchdog := time.AfterFunc(stallLimit, func() { cancel(errStalled) })
 	defer watchdog.Stop()
 	answer, err := runner.Sender.Send(ctx, replica, itemRequest(running, route))
 	if err != nil {
 		runner.scheduler.took(replica.ID)
-		return brokenOrCut(running), 0
+		return interrupted(ctx, running), 0
 	}
 	defer answer.Body.Close()
 	if answer.NotExecuted {
@@ -149,13 +158,17 @@
 	case answer.Status >= http.StatusMultipleChoices:
 		return outcomeBroken, answer.Status
 	}
-	stream := &itemStream{runner: runner, task: running, replica: replica, route: route, version: answer.WeightVersion, last: time.Now()}
-	return stream.follow(runner.Decoder.Events(answer.Body), watchdog), answer.Status
+	stream := &itemStream{runner: runner, attempt: current, task: running, replica: replica, route: route, version: answer.WeightVersion, last: time.Now()}
+	return stream.follow(ctx, runner.Decoder.Events(answer.Body), watchdog), answer.Status
 }
 
-func brokenOrCut(running *task) outcome {
-	if running.job.ctx.Err() != nil {
+// interrupted says why an attempt ended that got no whole answer; ctx is the attempt's.
+func interrupted(ctx context.Context, running *task) outcome {
+	switch {
+	case running.job.ctx.Err() != nil:
 		return outcomeCut
+	case errors.Is(context.Cause(ctx), errMoved):
+		return outcomeMoved
 	}
 	return outcomeBroken
 }
@@ -175,6 +188,7 @@
 // itemStream is the stream of one attempt.
 type itemStream struct {
 	runner  *Runner
+	attempt *attempt
 	task    *task
 	replica *catalog.Replica
 	route   *catalog.Route
@@ -184,7 +198,7 @@
 }
 
 // follow takes events until the stream ends.
-func (stream *itemStream) follow(events EventReader, watchdog *time.Timer) outcome {
+func (stream *itemStream) follow(ctx context.Context, events EventReader, watchdog *time.Timer) outcome {
 	stream.runner.scheduler.observe(stream.replica.ID, stream.task.item.GetModel(), stream.version)
 	if ended, wrong := stream.checkVersion(); wrong {
 		return ended
@@ -195,7 +209,7 @@
 		case errors.Is(err, io.EOF) && stream.task.lastEvent > 0:
 			return outcomeWhole
 		case err != nil:
-			return brokenOrCut(stream.task)
+			return interrupted(ctx, stream.task)
 		}
 		watchdog.Reset(stallLimit)
 		if ended, over := stream.take(event); over {
@@ -226,7 +240,8 @@
 		task.versions = append(task.versions, stream.version)
 	}
 	task.offerGrowing()
-	return stream.watchPace()
+	stream.watchPace()
+	return 0, false
 }
 
 // checkVersion reports an attempt whose weights do not fit the job.
@@ -241,37 +256,14 @@
 	return 0, false
 }
 
-// watchPace notes the time of the event, and ends the attempt at a replica that is slow while others have room.
-func (stream *itemStream) watchPace() (ended outcome, over bool) {
+// watchPace notes the time of the event.
+func (stream *itemStream) watchPace() {
 	now := time.Now()
 	gap := now.Sub(stream.last)
 	stream.last = now
 	stream.events++
-	if stream.events == 1 {
-		return 0, false
-	}
-	pace := stream.runner.scheduler.pace
-	pace.observe(stream.replica.ID, gap, now)
-	if stream.events%4 != 0 || stream.task.moves >= mostMoves || !pace.isSlow(stream.replica.ID, now) {
-		return 0, false
-	}
-	if !stream.runner.scheduler.hasRoomElsewhere(stream.task, stream.replica) {
-		return 0, false
-	}
-	stream.task.moves++
-	return outcomeSlow, true
-}
-
-// hasRoomElsewhere reports whether a replica that is not slow could take the item.
-func (scheduler *scheduler) hasRoomElsewhere(running *task, current *catalog.Replica) bool {
-	scheduler.mu.Lock()
-	defer scheduler.mu.Unlock()
-	replicas := scheduler.runner.Catalog.Replicas()
-	room := newRoom(scheduler, time.Now())
-	for _, replica := range replicas.Service(running.service) {
-		if replica.ID != current.ID && room.eligible(running, replica) && room.slowdown(replica.ID) <= 1 {
-			return true
-		}
+	stream.attempt.made.Store(stream.task.lastEvent)
+	if stream.events > 1 {
+		stream.runner.scheduler.pace.observe(stream.replica.ID, gap, now)
 	}
-	return false
 }
--- /dev/null
+++ b/internal/batchrun/move.go
@@ -0,0 +1,136 @@
+package batchrun
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+)
+
+const (
+	// mostMoves bounds how often an item is moved to a faster replica.
+	mostMoves = 3
+	// moveInterval is the least time between two searches for items to move: each looks at all that run.
+	moveInterval = 150 * time.Millisecond
+	// moveGain is the least time that a move must save. The prompt and the text are read again at the other replica, which takes
+	// some hundredths of a second.
+	moveGain = 300 * time.Millisecond
+	// moveLeastEvents is how many events an attempt has made before it can be moved: until then its replica's pace is not known.
+	moveLeastEvents = 4
+)
+
+// errMoved is the cause of an attempt's end when the item goes on at a faster replica.
+var errMoved = errors.New("the item was moved")
+
+// attempt is one run of an item at a replica. Its fields but made belong to the scheduler's mu.
+type attempt struct {
+	task    *task
+	replica *catalog.Replica
+	cancel  context.CancelCauseFunc // nil until the request is sent
+	first   int64                   // the item's events when the attempt began
+	made    atomic.Int64            // the item's events by now
+	target  *catalog.Replica        // where the item goes on, with a slot reserved; nil for nowhere
+	fixed   bool                    // the route wants one version: another replica may have another
+}
+
+// begin notes an attempt that is about to be made.
+func (scheduler *scheduler) begin(running *task, replica *catalog.Replica, route *catalog.Route) *attempt {
+	started := &attempt{task: running, replica: replica, first: running.lastEvent, fixed: route.SingleVersion}
+	started.made.Store(running.lastEvent)
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	scheduler.running[started] = struct{}{}
+	return started
+}
+
+// cancelWith sets how the attempt is cut.
+func (scheduler *scheduler) cancelWith(started *attempt, cancel context.CancelCauseFunc) {
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	started.cancel = cancel
+}
+
+// end forgets an attempt, and returns the replica at which a slot is reserved for the item; nil for none.
+func (scheduler *scheduler) end(ended *attempt) *catalog.Replica {
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	delete(scheduler.running, ended)
+	return ended.target
+}
+
+// planMoves reserves slots at faster replicas for the running items that gain the most by it, and cuts their attempts. It goes
+// before waiting items are placed, and must be called with mu held.
+func (scheduler *scheduler) planMoves(replicas *catalog.ReplicaSet, room *room) {
+	if room.now.Sub(scheduler.lookedForMoves) < moveInterval {
+		return
+	}
+	scheduler.lookedForMoves = room.now
+	type candidate struct {
+		attempt *attempt
+		seconds float64 // that the rest takes where it is
+	}
+	var candidates []candidate
+	for started := range scheduler.running {
+		if seconds, movable := scheduler.rest(started, room.now); movable {
+			candidates = append(candidates, candidate{started, seconds})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.seconds, a.seconds) })
+	for _, candidate := range candidates {
+		scheduler.move(candidate.attempt, replicas, room)
+	}
+}
+
+// rest returns how many seconds the rest of a running item takes where it is. movable is false when a move cannot gain enough.
+// It must be called with mu held.
+func (scheduler *scheduler) rest(started *attempt, now time.Time) (seconds float64, movable bool) {
+	made := started.made.Load()
+	if started.fixed || started.cancel == nil || started.target != nil || started.task.moves >= mostMoves || made < started.first+moveLeastEvents {
+		return 0, false
+	}
+	left := scheduler.remaining(started.task, made)
+	seconds = left * scheduler.pace.expected(started.replica.ID, now)
+	return seconds, seconds-left*scheduler.pace.fastest(now) >= moveGain.Seconds()
+}
+
+// move has an item go on at the best replica that has room, if that saves enough. It must be called with mu held.
+func (scheduler *scheduler) move(started *attempt, replicas *catalog.ReplicaSet, room *room) {
+	left := scheduler.remaining(started.task, started.made.Load())
+	here := left * scheduler.pace.expected(started.replica.ID, room.now)
+	var best *catalog.Replica
+	bestSeconds := here - moveGain.Seconds()
+	for _, replica := range room.candidates(started.task, replicas.Service(started.task.service)) {
+		pace := scheduler.pace.expected(replica.ID, room.now)
+		if pace <= 0 || replica.ID == started.replica.ID || !room.hasRoom(replica) || room.scheduler.refusals[replica.ID] != nil {
+			continue
+		}
+		if seconds := left * pace; seconds < bestSeconds {
+			best, bestSeconds = replica, seconds
+		}
+	}
+	if best == nil {
+		return
+	}
+	room.take(best.ID)
+	scheduler.runner.Loads.Begin(best.ID)
+	started.target = best
+	started.task.moves++
+	started.cancel(errMoved)
+}
+
+// goOn makes the next attempt of an item that was moved.
+func (runner *Runner) goOn(moved *task, target *catalog.Replica, route *catalog.Route) {
+	if moved.job.ctx.Err() != nil {
+		runner.Loads.End(target.ID, backend.Unknown, time.Now())
+		runner.keep(moved, false)
+		return
+	}
+	moved.job.runs.Add(1)
+	go runner.runItem(moved, target, route)
+}
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -59,6 +59,9 @@
 	versions  map[string]map[string]int64
 	pace      *paceTable
 	lengths   lengthTable
+	running   map[*attempt]struct{}
+	// lookedForMoves is when items to move were last searched for.
+	lookedForMoves time.Time
 }
 
 const (
@@ -70,7 +73,7 @@
 func newScheduler(runner *Runner) *scheduler {
 	return &scheduler{
 		runner: runner, wake: make(chan struct{}, 1), groupHome: make(map[string]string), refusals: make(map[string]*refusal),
-		versions: make(map[string]map[string]int64), pace: newPaceTable(),
+		versions: make(map[string]map[string]int64), pace: newPaceTable(), running: make(map[*attempt]struct{}),
 	}
 }
 
@@ -101,7 +104,7 @@
 // waitForWork sleeps until an item waits, so that an idle node uses no processor time.
 func (scheduler *scheduler) waitForWork(ctx context.Context) {
 	scheduler.mu.Lock()
-	empty := len(scheduler.waiting) == 0
+	empty := len(scheduler.waiting) == 0 && len(scheduler.running) == 0
 	scheduler.mu.Unlock()
 	if !empty {
 		return
@@ -166,6 +169,7 @@
 	}
 	replicas := scheduler.runner.Catalog.Replicas()
 	room := newRoom(scheduler, now)
+	scheduler.planMoves(replicas, room)
 	left := scheduler.waiting[:0]
 	for _, waiting := range scheduler.waiting {
 		if now.Before(waiting.notBefore) || !scheduler.place(waiting, configuration, replicas, room) {
