--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,43 +29,63 @@
 // no such job exists, ErrUnsure that this can't be told now.
 func (runner *Runner) Read(ctx context.Context, id string, from int, wait time.Duration) (Page, error) {
 	wait = min(wait, mostWaiting)
-	if page, ok := runner.readHere(ctx, id, from, wait); ok {
+	if page, ok := runner.readHere(ctx, id, from, wait, pageLimit); ok {
 		return page, nil
 	}
-	var page Page
-	served, err := runner.askOwner(ctx, id, wait+peerMargin, func(ctx context.Context, owner batchv1.Batches) (bool, error) {
-		response, err := owner.Read(ctx, &batchv1.ReadRequest{JobId: id, From: int64(from), WaitMs: wait.Milliseconds()})
+	page, served, err := runner.readThere(ctx, id, from, wait)
+	if served || err != nil {
+		return page, err
+	}
+	record, err := runner.load(ctx, id)
+	if err != nil {
+		return Page{}, err
+	}
+	return cutPage(len(record.Job.GetItems()), record.Results, from, pageLimit), nil
+}
+
+// readThere reads from the owner of a job what this node has no copy of. What is listed never changes, so that copies are right for
+// ever, and are answered also when the owner can't be asked.
+func (runner *Runner) readThere(ctx context.Context, id string, from int, wait time.Duration) (page Page, served bool, err error) {
+	known := runner.copies.page(id, from)
+	if len(known.Results) > 0 {
+		wait = 0
+	}
+	next := from + len(known.Results)
+	allowance := runner.copies.allowance(id, from)
+	served, err = runner.askOwnerNamed(ctx, id, wait+peerMargin, func(ctx context.Context, name string, owner batchv1.Batches) (bool, error) {
+		request := &batchv1.ReadRequest{JobId: id, From: int64(next), WaitMs: wait.Milliseconds()}
+		if !runner.Peers.SameZone(name) {
+			request.MaxBytes = allowance
+		}
+		response, err := owner.Read(ctx, request)
 		if err != nil || !response.GetOwned() {
 			return false, err
 		}
-		page = Page{Total: int(response.GetTotal()), Results: response.GetResults()}
+		page = Page{Total: int(response.GetTotal()), Results: slices.Concat(known.Results, response.GetResults())}
+		runner.copies.put(id, page.Total, next, response.GetResults())
 		return true, nil
 	})
-	if served {
-		return page, nil
+	if err != nil && len(known.Results) > 0 {
+		page, served, err = known, true, nil
 	}
-	if err != nil {
-		return Page{}, err
-	}
-	record, err := runner.load(ctx, id)
-	if err != nil {
-		return Page{}, err
+	if served {
+		runner.copies.answered(id, from, from+len(page.Results))
 	}
-	return cutPage(len(record.Job.GetItems()), record.Results, from), nil
+	return page, served, err
 }
 
 // readHere answers from what this node owns or remembers.
-func (runner *Runner) readHere(ctx context.Context, id string, from int, wait time.Duration) (Page, bool) {
+func (runner *Runner) readHere(ctx context.Context, id string, from int, wait time.Duration, limit int) (Page, bool) {
 	if owned := runner.find(id); owned != nil && owned.isAccepted() {
-		return owned.read(ctx, from, wait), true
+		return owned.read(ctx, from, wait, limit), true
 	}
 	if ended := runner.ended.get(id); ended != nil {
-		return cutPage(ended.total, ended.results, from), true
+		return cutPage(ended.total, ended.results, from, limit), true
 	}
 	return Page{}, false
 }
 
-func (owned *job) read(ctx context.Context, from int, wait time.Duration) Page {
+func (owned *job) read(ctx context.Context, from int, wait time.Duration, limit int) Page {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -72,7 +93,7 @@
 		listed, changed, over := owned.listed, owned.changed, owned.ending
 		owned.mu.Unlock()
 		if len(listed) > from || len(listed) == len(owned.items) || wait <= 0 || over {
-			return cutPage(len(owned.items), listed, from)
+			return cutPage(len(owned.items), listed, from, limit)
 		}
 		select {
 		case <-changed:
@@ -86,7 +107,8 @@
 	}
 }
 
-func cutPage(total int, results []*batchv1.Result, from int) Page {
+// cutPage returns the results from a position on whose texts take up to limit bytes, and one at least.
+func cutPage(total int, results []*batchv1.Result, from, limit int) Page {
 	page := Page{Total: total}
 	if from < 0 || from >= len(results) {
 		return page
@@ -94,7 +116,7 @@
 	size, end := 0, from
 	for end < len(results) {
 		size += len(results[end].GetText()) + resultOverhead
-		if end > from && size > pageLimit {
+		if end > from && size > limit {
 			break
 		}
 		end++
@@ -106,10 +128,18 @@
 // askOwner calls the node that owns a job. served is false when no owner could be asked, and the job has to be read from the
 // log; err says that not even the owner could be found out.
 func (runner *Runner) askOwner(ctx context.Context, id string, limit time.Duration, call func(context.Context, batchv1.Batches) (bool, error)) (served bool, err error) {
+	return runner.askOwnerNamed(ctx, id, limit, func(ctx context.Context, _ string, owner batchv1.Batches) (bool, error) { return call(ctx, owner) })
+}
+
+// askOwnerNamed is askOwner for calls that depend on the owner's name.
+func (runner *Runner) askOwnerNamed(ctx context.Context, id string, limit time.Duration, call func(context.Context, string, batchv1.Batches) (bool, error)) (served bool, err error) {
+	callNamed := func(name string) bool {
+		return runner.callPeer(ctx, name, limit, func(ctx context.Context, owner batchv1.Batches) (bool, error) { return call(ctx, name, owner) })
+	}
 	runner.mu.Lock()
 	name := runner.owners[id]
 	runner.mu.Unlock()
-	if name != "" && runner.callPeer(ctx, name, limit, call) {
+	if name != "" && callNamed(name) {
 		return true, nil
 	}
 	runner.forgetOwner(id)
@@ -124,7 +154,7 @@
 	case owner.GetNode() == name || owner.GetNode() == runner.Node:
 		return false, nil
 	}
-	if !runner.callPeer(ctx, owner.GetNode(), limit, call) {
+	if !callNamed(owner.GetNode()) {
 		return false, nil
 	}
 	runner.RememberOwner(id, owner.GetNode())
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -52,6 +52,8 @@
 	Nearest() []string
 	// Preferred returns the name of the node that runs jobs of a model for this node's zone; empty for none.
 	Preferred(model string) string
+	// SameZone reports whether a node is in this node's zone.
+	SameZone(node string) bool
 	// AnnounceJob tells all nodes where a job runs; they may miss it.
 	AnnounceJob(job *batchv1.Job)
 	// AnnounceDemand tells whoever orders replicas which versions of a model a job takes; it may be missed.
@@ -90,6 +92,7 @@
 	ended    *endedCache
 	owners   map[string]string // owner by job, as last seen; a hint only
 	kept     *keptItems
+	copies   *copies
 	stopping bool
 }
 
@@ -103,7 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	runner := &Runner{
 		Options: options, ctx: ctx, cancel: cancel, scoring: make(chan struct{}, scoringInFlight),
-		jobs: make(map[string]*job), ended: newEndedCache(), owners: make(map[string]string), kept: newKeptItems(),
+		jobs: make(map[string]*job), ended: newEndedCache(), owners: make(map[string]string), kept: newKeptItems(), copies: newCopies(),
 	}
 	runner.scheduler = newScheduler(runner)
 	return runner
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
@@ -71,6 +72,24 @@
 	})
 }
 
+// What a node has read of a job at its owner it answers also when neither the owner nor the store can be asked.
+func TestCopiesAreReadWithoutTheOwner(t *testing.T) {
+	inWorld(t, 12, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 20, 1), jobRoute))
+		listed := await(t, world.node("b"), "job", 20, 8*time.Second)
+		world.store.SetFaults(memstore.Faults{Down: true})
+		world.kill("a")
+		page, err := world.node("b").Read(t.Context(), "job", 3, 0)
+		must.NoError(t, err)
+		must.Eq(t, 20, page.Total)
+		must.Eq(t, listed[3].GetItemId(), page.Results[0].GetItemId())
+		must.Len(t, 17, page.Results)
+		_, err = world.node("c").Read(t.Context(), "job", 3, 0)
+		must.True(t, errors.Is(err, batchrun.ErrUnsure), must.Sprint(err))
+		world.store.SetFaults(memstore.Faults{})
+	})
+}
+
 // A successor finishes what a killed node had begun, and keeps what was listed in its place.
 func TestTakeOverOfKilledNode(t *testing.T) {
 	inWorld(t, 2, func(t *testing.T, world *world) {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -47,7 +47,11 @@
 // Read answers from a job that this node owns.
 func (service Service) Read(ctx context.Context, request *batchv1.ReadRequest) (*batchv1.ReadResponse, error) {
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, mostWaiting)
-	page, ok := service.Runner.readHere(ctx, request.GetJobId(), int(request.GetFrom()), wait)
+	limit := pageLimit
+	if request.GetMaxBytes() > 0 {
+		limit = min(limit, int(request.GetMaxBytes()))
+	}
+	page, ok := service.Runner.readHere(ctx, request.GetJobId(), int(request.GetFrom()), wait, limit)
 	return &batchv1.ReadResponse{Owned: ok, Total: int64(page.Total), Results: page.Results}, nil
 }
 
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -263,6 +263,9 @@
 // Preferred implements batchrun.Peers.
 func (peers *worldPeers) Preferred(string) string { return peers.world.preferred }
 
+// SameZone implements batchrun.Peers: each node has a zone of its own.
+func (peers *worldPeers) SameZone(string) bool { return false }
+
 // AnnounceJob implements batchrun.Peers.
 func (peers *worldPeers) AnnounceJob(*batchv1.Job) {}
 
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -218,6 +218,14 @@
 	return name
 }
 
+// SameZone reports whether a node is registered in this node's zone.
+func (registry *Registry) SameZone(name string) bool {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	record := registry.nodes[name]
+	return record != nil && record.GetZone() == registry.self.GetZone()
+}
+
 // Others returns the records of all other nodes.
 func (registry *Registry) Others() []*clusterv1.NodeRecord {
 	registry.mu.Lock()
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -159,6 +159,9 @@
 // Preferred implements batchrun.Peers.
 func (peers peers) Preferred(model string) string { return peers.front.Registry.Preferred(model) }
 
+// SameZone implements batchrun.Peers.
+func (peers peers) SameZone(node string) bool { return peers.front.Registry.SameZone(node) }
+
 // AnnounceJob implements batchrun.Peers.
 func (peers peers) AnnounceJob(job *batchv1.Job) {
 	front := peers.front
