Ask a lost store seldom, and let one node tell the others that it answers

Change: followers wait for the probes; nodes that share a lost store probe so much more seldom, at most each second, spread; who finds it answering tells the others, who ask at once. Tests: TestRefusalsAreFew, TestToldNodeProbesAtOnce.

--- a/internal/cluster/datagrams.go
+++ b/internal/cluster/datagrams.go
@@ -42,6 +42,8 @@
 	JobOwner  func(*clusterv1.JobOwner)
 	Demand    func(*clusterv1.Demand)
 	Loads     func(*clusterv1.Loads)
+	// StoreAnswers is told that the metadata store answers another node again.
+	StoreAnswers func(*clusterv1.StoreAnswers)
 }
 
 // Receive hands datagrams to the handlers until the context ends or the connection is closed.
@@ -83,5 +85,9 @@
 		if handlers.Loads != nil {
 			handlers.Loads(kind.Loads)
 		}
+	case *clusterv1.Datagram_StoreAnswers:
+		if handlers.StoreAnswers != nil {
+			handlers.StoreAnswers(kind.StoreAnswers)
+		}
 	}
 }
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -226,6 +226,13 @@
 	return record != nil && record.GetZone() == registry.self.GetZone()
 }
 
+// Count returns how many nodes are registered.
+func (registry *Registry) Count() int {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	return len(registry.nodes)
+}
+
 // Others returns the records of all other nodes.
 func (registry *Registry) Others() []*clusterv1.NodeRecord {
 	registry.mu.Lock()
--- a/internal/metadata/follow.go
+++ b/internal/metadata/follow.go
@@ -69,6 +69,7 @@
 		}
 		lost = true
 		sleep(ctx, retry.NextBackOff())
+		follower.Health.AwaitGood(ctx) // calls that a lost store refuses are paid for all the same
 	}
 }
 
--- a/internal/metadata/follow_test.go
+++ b/internal/metadata/follow_test.go
@@ -105,3 +105,111 @@
 		synctest.Wait()
 	})
 }
+
+// refusingStore refuses every call while it is lost, and counts them.
+type refusingStore struct {
+	metadata.Store
+	mu     sync.Mutex
+	lost   bool
+	probes int
+	calls  int
+}
+
+func (store *refusingStore) enter(count *int) error {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	*count++
+	if store.lost {
+		return metadata.ErrUnavailable
+	}
+	return nil
+}
+
+func (store *refusingStore) lose(lost bool) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.lost, store.probes, store.calls = lost, 0, 0
+}
+
+func (store *refusingStore) counts() (probes, calls int) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return store.probes, store.calls
+}
+
+func (store *refusingStore) Probe(context.Context) error { return store.enter(&store.probes) }
+
+func (store *refusingStore) List(context.Context, string) (metadata.Listing, error) {
+	return metadata.Listing{Revision: 1}, store.enter(&store.calls)
+}
+
+func (store *refusingStore) Watch(ctx context.Context, _ string, after metadata.Revision, wait time.Duration) (metadata.Changes, error) {
+	if err := store.enter(&store.calls); err != nil {
+		return metadata.Changes{}, err
+	}
+	select {
+	case <-ctx.Done():
+		return metadata.Changes{}, ctx.Err()
+	case <-time.After(wait):
+		return metadata.Changes{Revision: after}, nil
+	}
+}
+
+type ignoringHandler struct{}
+
+func (ignoringHandler) Reset([]metadata.Item, metadata.Revision)  {}
+func (ignoringHandler) Apply([]metadata.Event, metadata.Revision) {}
+
+// While the store refuses, followers leave it to the probes to find out when it is back, and many nodes share these.
+func TestRefusalsAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &refusingStore{}
+		health := metadata.NewHealth(store, log.New(io.Discard))
+		health.Nodes = func() int { return 300 }
+		regained := 0
+		health.OnRegained = func() { regained++ }
+		go health.Run(ctx)
+		follower := metadata.Follower{Store: store, Prefix: "p/", Handler: ignoringHandler{}, Logger: log.New(io.Discard), Health: health,
+			Wait: func() time.Duration { return 500 * time.Millisecond }}
+		go follower.Run(ctx)
+		time.Sleep(1100 * time.Millisecond)
+		store.lose(true)
+		time.Sleep(10 * time.Second)
+		probes, calls := store.counts()
+		must.Between(t, 7, probes, 21)
+		must.LessEq(t, 12, calls) // until the first probe fails
+		must.False(t, health.Good())
+		store.lose(false)
+		time.Sleep(2 * time.Second)
+		must.True(t, health.Good())
+		must.Eq(t, 1, regained)
+		_, calls = store.counts()
+		must.Positive(t, calls)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A node that is told that the store answers others again asks it at once, and does not tell that again.
+func TestToldNodeProbesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &refusingStore{lost: true}
+		health := metadata.NewHealth(store, log.New(io.Discard))
+		health.Nodes = func() int { return 300 }
+		health.OnRegained = func() { t.Error("what another node told is told again") }
+		go health.Run(ctx)
+		synctest.Wait()
+		must.False(t, health.Good())
+		health.Told()
+		synctest.Wait()
+		must.False(t, health.Good(), must.Sprint("the store refuses this node still"))
+		store.lose(false)
+		health.Told()
+		synctest.Wait()
+		must.True(t, health.Good())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,7 +12,12 @@
 const (
 	probeInterval = time.Second
 	probeLimit    = 700 * time.Millisecond
-	probeAgain    = 120 * time.Millisecond
+	// probeAgain is the time between two probes of a lost store by all nodes together that share them, as far as each may wait so
+	// long: refused calls are paid for as others are.
+	probeAgain     = 30 * time.Millisecond
+	probeAgainMost = time.Second
+	// probeAgainAlone is the time between two probes of a lost store by a node that shares them with nobody.
+	probeAgainAlone = 120 * time.Millisecond
 )
 
 // Health finds out when the store has stopped answering and when it answers again. A watch that waited meanwhile may never
@@ -19,6 +25,13 @@
 type Health struct {
 	store  Store
 	logger *log.Logger
+	// Nodes returns how many nodes share the probes of a lost store: each probes so much more seldom, and tells the others when the
+	// store answers again. Nil for none. It must be set before Run.
+	Nodes func() int
+	// OnRegained is called when a probe of this node's own found that the store answers again; nil for nothing.
+	OnRegained func()
+
+	wake chan struct{} // a lost store is to be probed now
 
 	mu       sync.Mutex
 	cut      chan struct{} // closed when watches are to begin anew
@@ -29,26 +42,62 @@
 
 // NewHealth returns the health of a store, which is good until a probe fails.
 func NewHealth(store Store, logger *log.Logger) *Health {
-	return &Health{store: store, logger: logger, cut: make(chan struct{}), answered: time.Now()}
+	return &Health{store: store, logger: logger, wake: make(chan struct{}, 1), cut: make(chan struct{}), answered: time.Now()}
 }
 
 // Run probes the store until the context ends.
 func (health *Health) Run(ctx context.Context) {
+	told := false // whether another node said that the store answers
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, probeLimit)
 		err := health.store.Probe(callCtx)
 		cancel()
-		health.Observe(err)
+		if health.Observe(err) && !told && health.OnRegained != nil {
+			health.OnRegained()
+		}
 		interval := probeInterval
 		if err != nil {
-			interval = probeAgain
+			interval = health.again()
 		}
-		sleep(ctx, interval)
+		told = health.await(ctx, interval)
+	}
+}
+
+// again returns how long to wait before a lost store is probed again, spread so that nodes do not do so at the same moment.
+func (health *Health) again() time.Duration {
+	if health.Nodes == nil {
+		return probeAgainAlone
+	}
+	interval := min(probeAgainMost, max(probeAgainAlone, time.Duration(health.Nodes())*probeAgain))
+	return interval/2 + rand.N(interval)
+}
+
+// await waits, and reports whether it was woken.
+func (health *Health) await(ctx context.Context, interval time.Duration) bool {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-health.wake:
+		return true
+	}
+	return false
+}
+
+// Told takes another node's word that the store answers again: a lost one is probed at once.
+func (health *Health) Told() {
+	if health.Good() {
+		return
+	}
+	select {
+	case health.wake <- struct{}{}:
+	default:
 	}
 }
 
-// Observe takes the outcome of a call that the store must answer at once.
-func (health *Health) Observe(err error) {
+// Observe takes the outcome of a call that the store must answer at once, and reports whether the store answers again by it.
+func (health *Health) Observe(err error) (again bool) {
 	health.mu.Lock()
 	defer health.mu.Unlock()
 	if err != nil {
@@ -56,15 +105,17 @@
 			health.logger.Warn("metadata store silent", "error", err, "answered_ms_ago", time.Since(health.answered).Milliseconds())
 		}
 		health.lost = true
-		return
+		return false
 	}
 	health.answered = time.Now()
-	if health.lost {
-		health.lost = false
-		health.regained = health.answered
-		health.logger.Info("metadata store answers again")
-		health.cutWatches()
+	if !health.lost {
+		return false
 	}
+	health.lost = false
+	health.regained = health.answered
+	health.logger.Info("metadata store answers again")
+	health.cutWatches()
+	return true
 }
 
 // CutWatches has all watches begin anew.
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -85,6 +85,8 @@
 		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node, Life: options.Life}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
 		Flush: batch.FlushPolicy{Spacing: flushSpacing, Longest: flushLongest, FinalSpacing: flushFinal},
 	})
+	front.health.Nodes = front.Registry.Count
+	front.health.OnRegained = front.tellStoreAnswers
 	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
 	return front
 }
@@ -112,7 +114,8 @@
 	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.Runner.TakeOverNode}
 	go front.datagrams.Receive(front.ctx, cluster.Handlers{
 		Heartbeat: monitor.Heard, Beacon: subscriber.Heard, Loads: front.heardLoads,
-		JobOwner: func(owner *clusterv1.JobOwner) { front.Runner.RememberOwner(owner.GetJobId(), owner.GetNode()) },
+		StoreAnswers: func(*clusterv1.StoreAnswers) { front.health.Told() },
+		JobOwner:     func(owner *clusterv1.JobOwner) { front.Runner.RememberOwner(owner.GetJobId(), owner.GetNode()) },
 	})
 	go monitor.Run(front.ctx)
 	go subscriber.Run(front.ctx)
@@ -123,6 +126,12 @@
 	return nil
 }
 
+// tellStoreAnswers tells all other nodes that the metadata store answers again.
+func (front *Front) tellStoreAnswers() {
+	told := &clusterv1.StoreAnswers{Node: front.Node}
+	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_StoreAnswers{StoreAnswers: told}}, front.Registry.Others())
+}
+
 // servePeers answers other nodes until the process ends.
 func (front *Front) servePeers(listener net.Listener, subscriber *dissemination.Subscriber) {
 	batches := batchv1.NewBatchesServer(batchrun.Service{Runner: front.Runner})
