Begin nothing at a node that is cut off

Change: a node that reaches neither the store nor any node that it watches refuses jobs at once without a promise, and begins no items before the acceptance while it hears of nobody. Test: TestCutOffNodeTakesNoJobs.

--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -52,6 +52,8 @@
 	Nearest() []string
 	// Preferred returns the name of the node that runs jobs of a model for this node's zone; empty for none.
 	Preferred(model string) string
+	// Isolated reports whether none of the nodes that this one watches was heard of lately.
+	Isolated() bool
 	// SameZone reports whether a node is in this node's zone.
 	SameZone(node string) bool
 	// AnnounceJob tells all nodes where a job runs; they may miss it.
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -298,3 +298,53 @@
 		}
 	}
 }
+
+// A node that reaches neither the store nor other nodes refuses jobs at once, so that their callers go to nodes that do, and begins
+// nothing that it had not begun.
+func TestCutOffNodeTakesNoJobs(t *testing.T) {
+	inWorld(t, 13, func(t *testing.T, world *world) {
+		world.mu.Lock()
+		world.isolated["a"] = true
+		world.mu.Unlock()
+		world.store.SetFaults(memstore.Faults{Down: true})
+		early := make(chan error, 1)
+		go func() { early <- world.node("a").Submit(context.Background(), newDefinition("early", 8, 1), jobRoute) }()
+		time.Sleep(4 * time.Second)
+		sent := time.Now()
+		err := world.node("a").Submit(t.Context(), newDefinition("late", 8, 1), jobRoute)
+		must.True(t, errors.Is(err, batchrun.ErrUnsure), must.Sprint(err))
+		must.Less(t, 10*time.Millisecond, time.Since(sent))
+		must.Eq(t, 0, world.engines.started(), must.Sprint("items began at a node that is cut off"))
+		world.mu.Lock()
+		world.isolated["a"] = false
+		world.mu.Unlock()
+		world.store.SetFaults(memstore.Faults{})
+		must.NoError(t, <-early)
+		await(t, world.node("a"), "early", 8, 8*time.Second)
+	})
+}
+
+// Items that run at a slow replica go on at a faster one once that has room, from where they were.
+func TestItemsMoveToFasterReplicas(t *testing.T) {
+	inWorld(t, 14, func(t *testing.T, world *world) {
+		definition := newDefinition("first", 8, 1)
+		for _, item := range definition.GetItems() {
+			item.LengthHint = 10 * eventsOf(item.GetId())
+		}
+		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
+		await(t, world.node("a"), "first", 8, 3*time.Second)
+		const slowGap = 6 * usualGap
+		world.engines.mu.Lock()
+		world.engines.gaps["e1"] = slowGap
+		world.engines.mu.Unlock()
+		definition = newDefinition("middle", 6, 1)
+		for _, item := range definition.GetItems() {
+			item.LengthHint = 10 * middleEvents
+		}
+		began := time.Now()
+		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
+		results := await(t, world.node("a"), "middle", 6, 10*time.Second)
+		must.Less(t, middleEvents*slowGap*2/3, time.Since(began))
+		checkResults(t, results, 1)
+	})
+}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -32,8 +32,14 @@
 	if runner.knownElsewhere(ctx, definition.GetId()) {
 		return nil
 	}
-	if runner.find(definition.GetId()) == nil && runner.relayToPreferred(ctx, definition) {
-		return nil
+	if runner.find(definition.GetId()) == nil {
+		if runner.isCutOff() {
+			runner.Logger.Warn("job not taken", "job", definition.GetId(), "reason", "cut off")
+			return ErrUnsure
+		}
+		if runner.relayToPreferred(ctx, definition) {
+			return nil
+		}
 	}
 	runner.mu.Lock()
 	if runner.stopping {
@@ -61,6 +67,10 @@
 	}
 }
 
+// isCutOff reports whether this node reaches neither the metadata store nor any of the nodes that it watches: what it runs could not
+// be listed, while the caller may reach a node that is not cut off.
+func (runner *Runner) isCutOff() bool { return !runner.Log.Health.Good() && runner.Peers.Isolated() }
+
 // knownElsewhere reports whether the node that announced the job confirms that it has accepted it.
 func (runner *Runner) knownElsewhere(ctx context.Context, id string) bool {
 	runner.mu.Lock()
@@ -121,8 +131,7 @@
 // outage of the store then costs the job no more than the store's answer.
 func (runner *Runner) accept(owned *job) {
 	started := time.Now()
-	early := time.AfterFunc(beginAfter, func() { runner.begin(owned) })
-	defer early.Stop()
+	go runner.beginEarly(owned)
 	for tries := 1; owned.ctx.Err() == nil && time.Since(started) < acceptLimit; tries++ {
 		held, settled, err := runner.tryAccept(owned)
 		if settled {
@@ -143,6 +152,26 @@
 	runner.remove(owned)
 }
 
+// beginEarly begins the items of a job whose acceptance takes long, unless this node is cut off: another may have accepted the job
+// by now, and items that run twice take the replicas' slots from each other.
+func (runner *Runner) beginEarly(owned *job) {
+	ticker := time.NewTicker(beginAfter)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-owned.accepted:
+			return
+		case <-owned.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !runner.Peers.Isolated() {
+			runner.begin(owned)
+			return
+		}
+	}
+}
+
 // tryAccept makes one try. settled says that the job is durable; held is nil when another node owns it or it has ended.
 func (runner *Runner) tryAccept(owned *job) (held *batchlog.Hold, settled bool, err error) {
 	ctx, cancel := context.WithTimeout(owned.ctx, acceptCallLimit)
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -35,6 +36,27 @@
 	running                            map[string]int // by item
 	starts                             map[string]int
 	resumed                            map[string]int64 // the event after which the last run of an item began
+	// gaps is the time that a replica takes for an event, where it is not usualGap.
+	gaps map[string]time.Duration
+}
+
+const usualGap = 30 * time.Millisecond
+
+// started returns how many runs of items were begun.
+func (engines *engines) started() int {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	count := 0
+	for _, starts := range engines.starts {
+		count += starts
+	}
+	return count
+}
+
+func (engines *engines) gap(replica string) time.Duration {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	return cmp.Or(engines.gaps[replica], usualGap)
 }
 
 func (engines *engines) draw(share float64) bool {
@@ -112,7 +134,7 @@
 		case <-ctx.Done():
 			writer.CloseWithError(ctx.Err())
 			return
-		case <-time.After(30 * time.Millisecond):
+		case <-time.After(engines.gap(replica)):
 		}
 		if engines.draw(engines.breakShare) {
 			writer.CloseWithError(io.ErrUnexpectedEOF)
@@ -166,6 +188,7 @@
 	// preferred is the node that runs all jobs; empty for whichever is asked. It is set before the first job.
 	preferred string
 	stops     map[string]context.CancelFunc
+	isolated  map[string]bool // nodes that hear of no other
 }
 
 func newWorld(seed uint64) *world {
@@ -181,8 +204,8 @@
 		{ID: "e1", Service: "engine", Slots: 4, Models: held}, {ID: "e2", Service: "engine", Slots: 4, Models: held}, {ID: "s1", Service: "scorer", Slots: 9},
 	}, 1)
 	return &world{
-		store: memstore.New(), catalog: table, nodes: make(map[string]*batchrun.Runner), stops: make(map[string]context.CancelFunc),
-		engines: &engines{random: rand.New(rand.NewPCG(seed, 1)), versions: map[string]int64{"e1": 1, "e2": 1}, running: map[string]int{}, starts: map[string]int{}, resumed: map[string]int64{}},
+		store: memstore.New(), catalog: table, nodes: make(map[string]*batchrun.Runner), stops: make(map[string]context.CancelFunc), isolated: make(map[string]bool),
+		engines: &engines{random: rand.New(rand.NewPCG(seed, 1)), versions: map[string]int64{"e1": 1, "e2": 1}, running: map[string]int{}, starts: map[string]int{}, resumed: map[string]int64{}, gaps: map[string]time.Duration{}},
 	}
 }
 
@@ -263,6 +286,13 @@
 // Preferred implements batchrun.Peers.
 func (peers *worldPeers) Preferred(string) string { return peers.world.preferred }
 
+// Isolated implements batchrun.Peers.
+func (peers *worldPeers) Isolated() bool {
+	peers.world.mu.Lock()
+	defer peers.world.mu.Unlock()
+	return peers.world.isolated[peers.self]
+}
+
 // SameZone implements batchrun.Peers: each node has a zone of its own.
 func (peers *worldPeers) SameZone(string) bool { return false }
 
--- a/internal/cluster/monitor.go
+++ b/internal/cluster/monitor.go
@@ -145,7 +145,7 @@
 	defer registry.mu.Unlock()
 	var names []string
 	watched, limit := registry.watched(), silenceLimit
-	if len(watched) > 1 && registry.allSilent(watched, now) {
+	if registry.isolated(watched, now) {
 		limit += isolationDelay
 	}
 	for name, rank := range watched {
@@ -167,12 +167,20 @@
 	return list
 }
 
-// allSilent must be called with mu held.
-func (registry *Registry) allSilent(watched map[string]int, now time.Time) bool {
+// Isolated reports whether none of the nodes that this one watches was heard of lately, so that it is likely cut off itself. With
+// one node to watch this can't be told from that node's death.
+func (registry *Registry) Isolated(now time.Time) bool {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	return registry.isolated(registry.watched(), now)
+}
+
+// isolated must be called with mu held.
+func (registry *Registry) isolated(watched map[string]int, now time.Time) bool {
 	for name := range watched {
 		if now.Sub(registry.heard[name]) < silenceLimit {
 			return false
 		}
 	}
-	return true
+	return len(watched) > 1
 }
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -168,6 +168,9 @@
 // Preferred implements batchrun.Peers.
 func (peers peers) Preferred(model string) string { return peers.front.Registry.Preferred(model) }
 
+// Isolated implements batchrun.Peers.
+func (peers peers) Isolated() bool { return peers.front.Registry.Isolated(time.Now()) }
+
 // SameZone implements batchrun.Peers.
 func (peers peers) SameZone(node string) bool { return peers.front.Registry.SameZone(node) }
 
