Save growing texts in the log each second, and back them up only while it is lost

Cause: after a loss of all power items went on from event 102 of 146 or 64 of 102: texts were saved each time they had grown by 1.6, and with pages of results only. Copies at other nodes meanwhile took bytes between zones. Change: texts are offered each 8 events and written each second at most, with a page or without; the copies are made in outages only. Tests: TestGrowingTextsOutliveAllNodes and its neighbours hold.

--- a/internal/batchlog/log.go
+++ b/internal/batchlog/log.go
@@ -157,17 +157,23 @@
 	return held, err
 }
 
-// Append lists results after those that are listed already, and replaces the texts that are not finished unless there are none.
-// It tries until it succeeds, the context ends, or another owner took the job.
+// Append lists results after those that are listed already, and replaces the texts that are not finished; either may be missing. It
+// tries until it succeeds, the context ends, or another owner took the job.
 func (log *Log) Append(ctx context.Context, held *Hold, results []*batchv1.Result, unfinished []*batchv1.Partial) error {
-	encoded, err := proto.Marshal(&batchv1.ResultPage{Results: results})
-	if err != nil {
-		return errors.Wrap(err, "encode results")
+	if len(results) == 0 && len(unfinished) == 0 {
+		return nil
 	}
+	txn := metadata.Txn{Conditions: []metadata.Condition{{Key: ownerKey(held.JobID), Revision: held.revision}}}
 	key := pageKey(held.JobID, held.pages)
-	txn := metadata.Txn{
-		Conditions: []metadata.Condition{{Key: ownerKey(held.JobID), Revision: held.revision}, {Key: key}},
-		Puts:       []metadata.Put{{Key: key, Value: encoded}},
+	var encoded []byte
+	if len(results) > 0 {
+		page, err := proto.Marshal(&batchv1.ResultPage{Results: results})
+		if err != nil {
+			return errors.Wrap(err, "encode results")
+		}
+		encoded = page
+		txn.Conditions = append(txn.Conditions, metadata.Condition{Key: key})
+		txn.Puts = append(txn.Puts, metadata.Put{Key: key, Value: encoded})
 	}
 	if len(unfinished) > 0 {
 		texts, err := proto.Marshal(&batchv1.Unfinished{Partials: unfinished})
@@ -176,7 +182,7 @@
 		}
 		txn.Puts = append(txn.Puts, metadata.Put{Key: unfinishedKey(held.JobID), Value: texts})
 	}
-	err = log.retry(ctx, func(ctx context.Context) error {
+	err := log.retry(ctx, func(ctx context.Context) error {
 		_, err := log.Store.Commit(ctx, txn)
 		var conflict *metadata.ConflictError
 		if !errors.As(err, &conflict) {
@@ -187,7 +193,7 @@
 		}
 		return ErrNotOwner
 	})
-	if err == nil {
+	if err == nil && len(results) > 0 {
 		held.pages++
 	}
 	return err
--- a/internal/batchrun/backup.go
+++ b/internal/batchrun/backup.go
@@ -24,12 +24,18 @@
 	// partialLeast is how many events a text has when it is first backed up; then each time it has grown by partialGrowth.
 	partialLeast  = 16
 	partialGrowth = 1.6
-	// unfinishedBytes bounds the texts that are written with a page of results.
-	unfinishedBytes = 300 << 10
+	// savedStep is by how many events a text grows before it is saved in the log again, saveInterval the least time between two such
+	// writes of a job when it lists no results meanwhile.
+	savedStep    = 8
+	saveInterval = time.Second
+	// saveGather is how long a text that has grown waits for others to be saved with it.
+	saveGather = 200 * time.Millisecond
+	// unfinishedBytes bounds the texts that are saved of one job.
+	unfinishedBytes = 700 << 10
 )
 
-// backUp has other nodes keep what would be lost with this process: the texts of long items while they grow, and finished
-// texts while the log can't take them.
+// backUp has other nodes keep what would be lost with this process while the log can't take it: the texts of long items while they
+// grow, and finished texts.
 func (runner *Runner) backUp(owned *job) {
 	ticker := time.NewTicker(backupInterval)
 	defer ticker.Stop()
@@ -40,44 +46,51 @@
 			return
 		case <-ticker.C:
 		}
-		if partials := owned.takeGrowing(); len(partials) > 0 {
-			runner.sendKept(owned, partials, partialCopies)
-		}
 		if runner.Log.Health.Good() && !owned.isStuck(runner.Flush.Longest+stuckAfter) {
 			continue
 		}
+		if partials := owned.takeGrowing(); len(partials) > 0 {
+			runner.sendKept(owned, partials, partialCopies)
+		}
 		if partials := owned.unsent(sent); len(partials) > 0 {
 			runner.sendKept(owned, partials, backupCopies)
 		}
 	}
 }
 
-// offerGrowing has the text of a running item backed up if it has grown enough since it last was. It is called by the item's run.
+// offerGrowing has the text of a running item saved if it has grown enough since it last was, and backed up if the log can't take it.
+// It is called by the item's run.
 func (running *task) offerGrowing() {
-	if running.lastEvent < max(partialLeast, running.backedUp) {
+	if running.lastEvent < max(partialLeast, running.saved) {
 		return
 	}
-	running.backedUp = int64(partialGrowth * float64(running.lastEvent))
+	running.saved = running.lastEvent + savedStep
 	partial := &batchv1.Partial{
 		ItemId: running.item.GetId(), Text: bytes.Clone(running.text), LastEvent: running.lastEvent, Versions: slices.Clone(running.versions),
 	}
 	owned := running.job
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
-	owned.growing[partial.GetItemId()] = partial
+	if running.lastEvent >= running.backedUp {
+		running.backedUp = int64(partialGrowth * float64(running.lastEvent))
+		owned.growing[partial.GetItemId()] = partial
+	}
 	owned.unfinished[partial.GetItemId()] = partial
-	owned.unlogged = true
+	if owned.unlogged.IsZero() {
+		owned.unlogged = time.Now()
+		owned.wakeFlush()
+	}
 }
 
-// unfinishedTexts returns the texts that are to be written with a page of results, so that they outlive all processes: those of
-// the longest items, as many as fit, if any has grown since the last page.
+// unfinishedTexts returns the texts that are to be written, with a page of results or without, so that they outlive all processes:
+// those of the longest items, as many as fit, if any has grown since they last were.
 func (owned *job) unfinishedTexts(results []*batchv1.Result) []*batchv1.Partial {
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
-	if !owned.unlogged {
+	if owned.unlogged.IsZero() {
 		return nil
 	}
-	owned.unlogged = false
+	owned.unlogged = time.Time{}
 	for _, result := range results {
 		delete(owned.unfinished, result.GetItemId())
 	}
--- a/internal/batchrun/flush.go
+++ b/internal/batchrun/flush.go
@@ -39,13 +39,17 @@
 	}
 }
 
-// write appends the pending results, and reports whether this node still owns the job.
+// write appends the pending results and saves texts that have grown, and reports whether this node still owns the job.
 func (runner *Runner) write(owned *job) bool {
 	results := owned.takePending()
+	texts := owned.unfinishedTexts(results)
 	started := time.Now()
-	err := runner.Log.Append(owned.ctx, owned.held, results, owned.unfinishedTexts(results))
+	err := runner.Log.Append(owned.ctx, owned.held, results, texts)
 	if err == nil {
 		owned.list(results)
+		if len(results) == 0 {
+			return true
+		}
 		runner.Logger.Info("results listed", "job", owned.id(), "count", len(results), "took_ms", time.Since(started).Milliseconds())
 		return true
 	}
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -29,9 +29,9 @@
 	listed    []*batchv1.Result
 	pending   []*batchv1.Result
 	growing   map[string]*batchv1.Partial // texts to be backed up, by item
-	// unfinished are the texts to be written with the next page of results, unlogged whether any has grown since the last.
+	// unfinished are the texts to be saved in the log, unlogged since when any has grown; zero if none has since they last were.
 	unfinished map[string]*batchv1.Partial
-	unlogged   bool
+	unlogged   time.Time
 	since      time.Time // when the oldest pending result was finished
 	written    time.Time // when results were last made durable
 	begun      bool
@@ -107,14 +107,25 @@
 	}
 }
 
-// nextFlush returns how long the flush loop waits; ok is false when nothing is pending.
+// nextFlush returns how long the flush loop waits; ok is false when there is nothing to write.
 func (owned *job) nextFlush(policy batch.FlushPolicy) (delay time.Duration, ok bool) {
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
-	if len(owned.pending) == 0 || owned.held == nil {
+	if owned.held == nil {
 		return 0, false
 	}
-	return policy.Delay(owned.progress, time.Now(), owned.since, owned.written), true
+	now := time.Now()
+	saving, listing := !owned.unlogged.IsZero(), len(owned.pending) > 0
+	if saving {
+		delay = max(0, owned.written.Add(saveInterval).Sub(now), owned.unlogged.Add(saveGather).Sub(now))
+	}
+	if listing {
+		wait := policy.Delay(owned.progress, now, owned.since, owned.written)
+		if !saving || wait < delay {
+			delay = wait
+		}
+	}
+	return delay, saving || listing
 }
 
 // takePending returns the results to write next.
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -34,6 +34,7 @@
 	moves      int
 	latest     time.Time // at which it can begin to be whole in time; set while it waits
 	backedUp   int64     // the event from which on the text is backed up again
+	saved      int64     // the event from which on the text is saved again
 }
 
 // estimate is the number of tokens that are likely still to come.
@@ -43,7 +44,7 @@
 
 // restart forgets the text, which does not fit the job.
 func (waiting *task) restart() {
-	waiting.text, waiting.lastEvent, waiting.versions, waiting.backedUp = nil, 0, nil, 0
+	waiting.text, waiting.lastEvent, waiting.versions, waiting.backedUp, waiting.saved = nil, 0, nil, 0, 0
 }
 
 // scheduler assigns waiting items to replicas with free slots.
