Tell a dead neighbourhood from being cut off, and do not move items for short slow-downs

(2) Moved items read their prompts at once and slowed their new replica for a moment, which moved them on: up to four moves within 2 s. Change: any datagram shows that a node is not cut off; silent successors are passed over; a replica's usual pace counts unless it is clearly slow. Tests: TestSilenceOfAllWatchedNodes, TestSilentSuccessorsArePassedOver.

--- a/internal/batchrun/pace.go
+++ b/internal/batchrun/pace.go
@@ -169,17 +169,18 @@
 	return table.slowdowns(now)[replica] > 1
 }
 
-// expected returns the seconds that the next events of a replica are expected to take each: those of late if they are believed, the
-// usual ones otherwise; zero when nothing is known.
+// expected returns the seconds that the next events of a replica are expected to take each: what they usually take, unless the
+// replica is clearly slow now; zero when nothing is known.
 func (table *paceTable) expected(replica string, now time.Time) float64 {
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	entry := table.replicas[replica]
-	switch {
-	case entry == nil || now.Sub(entry.at) > usualLife:
+	if entry == nil || now.Sub(entry.at) > usualLife {
 		return 0
-	case entry.believed(now):
-		return entry.perEvent()
+	}
+	table.compare(now)
+	if table.slow[replica] > 1 {
+		return max(entry.usual, entry.perEvent())
 	}
 	return entry.usual
 }
--- a/internal/cluster/datagrams.go
+++ b/internal/cluster/datagrams.go
@@ -37,6 +37,8 @@
 
 // Handlers take datagrams by their kind.
 type Handlers struct {
+	// Any is called before the handler of each datagram's kind.
+	Any       func()
 	Heartbeat func(*clusterv1.Heartbeat)
 	Beacon    func(beacon *clusterv1.Beacon, from net.Addr)
 	JobOwner  func(*clusterv1.JobOwner)
@@ -64,6 +66,9 @@
 
 // take hands a datagram to its handler; kinds without one are passed over.
 func (handlers *Handlers) take(datagram *clusterv1.Datagram, from net.Addr) {
+	if handlers.Any != nil {
+		handlers.Any()
+	}
 	switch kind := datagram.GetKind().(type) {
 	case *clusterv1.Datagram_Heartbeat:
 		if handlers.Heartbeat != nil {
--- a/internal/cluster/monitor.go
+++ b/internal/cluster/monitor.go
@@ -139,7 +139,7 @@
 	}
 }
 
-// silent returns the nodes that this one watches and has not heard of for too long, by its rank among their successors.
+// silent returns the nodes that this one watches and has not heard of for too long, by its rank among their live successors.
 func (registry *Registry) silent(now time.Time) []string {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
@@ -148,14 +148,30 @@
 	if registry.isolated(watched, now) {
 		limit += isolationDelay
 	}
-	for name, rank := range watched {
-		if now.Sub(registry.heard[name]) >= limit+time.Duration(rank)*rankDelay {
+	for name := range watched {
+		if now.Sub(registry.heard[name]) >= limit+time.Duration(registry.rankAmongLive(name, now))*rankDelay {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
+// rankAmongLive returns this node's rank among the successors of a node, without those that this node watches too and that are silent:
+// they take nothing over. It must be called with mu held.
+func (registry *Registry) rankAmongLive(name string, now time.Time) int {
+	rank := 0
+	for _, successor := range registry.ring.Successors(name, monitorsOfNode) {
+		if successor.GetName() == registry.self.GetName() {
+			break
+		}
+		heard, watched := registry.heard[successor.GetName()]
+		if registry.ring.Rank(registry.self.GetName(), successor.GetName()) < 0 || !watched || now.Sub(heard) < silenceLimit {
+			rank++
+		}
+	}
+	return rank
+}
+
 // watched returns the nodes that this one watches, with its rank among their successors. It must be called with mu held.
 func (registry *Registry) watched() map[string]int {
 	list := make(map[string]int)
@@ -167,8 +183,8 @@
 	return list
 }
 
-// Isolated reports whether none of the nodes that this one watches was heard of lately, so that it is likely cut off itself. With
-// one node to watch this can't be told from that node's death.
+// Isolated reports whether nothing was heard of any other node lately, so that this one is likely cut off itself. With fewer than two
+// nodes to watch this can't be told from a node's death.
 func (registry *Registry) Isolated(now time.Time) bool {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
@@ -177,10 +193,20 @@
 
 // isolated must be called with mu held.
 func (registry *Registry) isolated(watched map[string]int, now time.Time) bool {
+	if len(watched) < 2 || now.Sub(registry.heardAny) < silenceLimit {
+		return false
+	}
 	for name := range watched {
 		if now.Sub(registry.heard[name]) < silenceLimit {
 			return false
 		}
 	}
-	return len(watched) > 1
+	return true
+}
+
+// HeardAny notes that another node, watched or not, sent something.
+func (registry *Registry) HeardAny(now time.Time) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	registry.heardAny = now
 }
--- /dev/null
+++ b/internal/cluster/monitor_test.go
@@ -0,0 +1,73 @@
+package cluster
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+)
+
+// ringOf returns the registry of one of some nodes, and the nodes that it watches, those first of which it is the first successor.
+func ringOf(t *testing.T, nodes int) (registry *Registry, watched []string) {
+	t.Helper()
+	var items []metadata.Item
+	for index := range nodes {
+		name := fmt.Sprint("node-", index)
+		value, err := proto.Marshal(&clusterv1.NodeRecord{Name: name, Address: "127.0.0.1:1", Role: "front", Zone: "z"})
+		must.NoError(t, err)
+		items = append(items, metadata.Item{Key: Prefix + name, Value: value})
+	}
+	self := &clusterv1.NodeRecord{Name: "node-0", Address: "127.0.0.1:1", Role: "front", Zone: "z"}
+	registry = NewRegistry(self, nil, http.DefaultClient, log.New(io.Discard))
+	registry.Reset(items, 1)
+	for name := range registry.watched() {
+		watched = append(watched, name)
+	}
+	slices.SortFunc(watched, func(a, b string) int {
+		return registry.ring.Rank("node-0", a) - registry.ring.Rank("node-0", b)
+	})
+	return registry, watched
+}
+
+// A node that hears of nobody it watches holds itself for cut off, unless it hears of anybody else: then those have died.
+func TestSilenceOfAllWatchedNodes(t *testing.T) {
+	now := time.Now()
+	registry, watched := ringOf(t, 9)
+	must.Len(t, monitorsOfNode, watched)
+	registry.forgiveSilence(now)
+	now = now.Add(silenceLimit + time.Millisecond)
+	must.True(t, registry.Isolated(now))
+	must.SliceEmpty(t, registry.silent(now))
+	registry.HeardAny(now)
+	must.False(t, registry.Isolated(now))
+	must.SliceContains(t, registry.silent(now), watched[0])
+}
+
+// A node waits for the successors before it only if these may be alive: it knows of those that it watches too.
+func TestSilentSuccessorsArePassedOver(t *testing.T) {
+	now := time.Now()
+	registry, watched := ringOf(t, 9)
+	last := watched[len(watched)-1]
+	must.Eq(t, monitorsOfNode-1, registry.ring.Rank("node-0", last))
+	registry.forgiveSilence(now)
+	later := now.Add(silenceLimit + time.Millisecond)
+	registry.HeardAny(later)
+	for _, name := range watched[:len(watched)-1] {
+		registry.hear(name, later)
+	}
+	must.SliceNotContains(t, registry.silent(later), last, must.Sprint("two successors before this one are alive"))
+	latest := now.Add(silenceLimit + (monitorsOfNode-1)*rankDelay)
+	registry.HeardAny(latest)
+	must.SliceContains(t, registry.silent(latest), last)
+	registry.forgiveSilence(now)
+	must.SliceContains(t, registry.silent(later), last, must.Sprint("the successors before this one are silent"))
+}
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -36,9 +36,11 @@
 	nodes   map[string]*clusterv1.NodeRecord
 	clients map[string]peerClient
 	heard   map[string]time.Time
-	ring    *Ring
-	joined  metadata.Revision // at which this process registered itself; zero before
-	leaving bool
+	// heardAny is when any other node was last heard of.
+	heardAny time.Time
+	ring     *Ring
+	joined   metadata.Revision // at which this process registered itself; zero before
+	leaving  bool
 }
 
 type peerClient struct {
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -113,6 +113,7 @@
 	go front.Registry.Register(front.ctx)
 	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.Runner.TakeOverNode}
 	go front.datagrams.Receive(front.ctx, cluster.Handlers{
+		Any:       func() { front.Registry.HeardAny(time.Now()) },
 		Heartbeat: monitor.Heard, Beacon: subscriber.Heard, Loads: front.heardLoads,
 		StoreAnswers: func(*clusterv1.StoreAnswers) { front.health.Told() },
 		JobOwner:     func(owner *clusterv1.JobOwner) { front.Runner.RememberOwner(owner.GetJobId(), owner.GetNode()) },
