Give jobs away when the store answers other nodes and not their owner

Change: after 0.8 s the owner asks the nearest nodes whether the store answers them, and hands its jobs over with all texts, listed or not; a node that the store does not answer refuses to take jobs and relays new ones; whoever is asked for an end makes it durable itself when the owner takes over 0.9 s.

--- a/internal/batchrun/backup.go
+++ b/internal/batchrun/backup.go
@@ -136,13 +136,20 @@
 			continue
 		}
 		sent[result.GetItemId()] = true
-		list = append(list, &batchv1.Partial{
-			ItemId: result.GetItemId(), Text: result.GetText(), LastEvent: wholeText, Versions: result.GetVersions(), Whole: true,
-		})
+		list = append(list, wholePartial(result))
 	}
 	return list
 }
 
+// unlisted returns the pending texts.
+func (owned *job) unlisted() []*batchv1.Partial { return owned.unsent(make(map[string]bool)) }
+
+func wholePartial(result *batchv1.Result) *batchv1.Partial {
+	return &batchv1.Partial{
+		ItemId: result.GetItemId(), Text: result.GetText(), LastEvent: wholeText, Versions: result.GetVersions(), Whole: true,
+	}
+}
+
 // wholeText stands for the last event of a text that is whole, which nobody goes on with.
 const wholeText = 1
 
--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -10,7 +10,11 @@
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 )
 
-const endLimit = 3 * time.Second
+const (
+	endLimit = 3 * time.Second
+	// ownerEndLimit is how long the owner of a job may take to end it; then whoever was asked makes the end durable itself.
+	ownerEndLimit = 900 * time.Millisecond
+)
 
 // End ends a job. It returns once the end is durable.
 func (runner *Runner) End(ctx context.Context, id string) error {
@@ -25,7 +29,7 @@
 
 // endElsewhere has the owner end a job, or ends it in the log.
 func (runner *Runner) endElsewhere(ctx context.Context, id string) error {
-	served, err := runner.askOwner(ctx, id, endLimit, func(ctx context.Context, owner batchv1.Batches) (bool, error) {
+	served, err := runner.askOwner(ctx, id, ownerEndLimit, func(ctx context.Context, owner batchv1.Batches) (bool, error) {
 		response, err := owner.End(ctx, &batchv1.EndRequest{JobId: id})
 		return err == nil && response.GetOwned(), err
 	})
@@ -41,24 +45,36 @@
 	return errors.Mark(err, ErrUnsure)
 }
 
-// endHere cuts the items at once, and makes the end durable.
+// endHere cuts the items at once, and makes the end durable. It goes on with that when the caller has left.
 func (runner *Runner) endHere(ctx context.Context, owned *job) error {
 	if !runner.stopItems(owned) {
 		return runner.awaitEnd(ctx, owned)
 	}
-	logCtx, cancel := context.WithTimeout(runner.ctx, acceptLimit)
+	ended := make(chan error, 1)
+	go func() { ended <- runner.endDurably(owned) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+		return ErrUnsure
+	}
+}
+
+// endDurably writes the end of a job whose items are cut.
+func (runner *Runner) endDurably(owned *job) error {
+	ctx, cancel := context.WithTimeout(runner.ctx, acceptLimit)
 	defer cancel()
-	whole, err := runner.Log.EndHeld(logCtx, owned.held)
+	whole, err := runner.Log.EndHeld(ctx, owned.held)
 	if whole {
 		runner.remember(owned)
 	}
 	runner.Metrics.Job("ended")
 	runner.Logger.Info("job ended", "job", owned.id(), "listed", len(owned.listed), "items", len(owned.items), "error", err)
 	runner.remove(owned)
-	if err != nil && ctx.Err() == nil {
+	if err != nil {
 		return errors.Mark(err, ErrUnsure)
 	}
-	return err
+	return nil
 }
 
 // remember keeps an ended job at hand, unless the log may hold more of it than this node knows.
--- /dev/null
+++ b/internal/batchrun/evacuate.go
@@ -0,0 +1,59 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+)
+
+const (
+	// evacuateAfter is how long the metadata store must have been lost before this node's jobs are given away: some of its answers
+	// may be lost while it answers others.
+	evacuateAfter = 800 * time.Millisecond
+	evacuateCheck = 250 * time.Millisecond
+	// servedLimit bounds the question whether the metadata store answers another node, servedCall the call that puts it.
+	servedLimit = 300 * time.Millisecond
+	servedCall  = 500 * time.Millisecond
+)
+
+// evacuate gives the jobs of this node to another one when the metadata store answers that one and not this: here no result could be
+// listed and no job ended until it does again. When it answers nobody, they stay where they run.
+func (runner *Runner) evacuate(ctx context.Context) {
+	ticker := time.NewTicker(evacuateCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if runner.Log.Health.LostFor() < evacuateAfter || runner.OpenJobs() == 0 || runner.isStopping() {
+			continue
+		}
+		name := runner.servedPeer(ctx)
+		if name == "" {
+			continue
+		}
+		for _, owned := range runner.open() {
+			if owned.isAccepted() {
+				taken := runner.handOver(ctx, owned, []string{name})
+				runner.Logger.Warn("job evacuated", "job", owned.id(), "to", name, "taken", taken, "lost_ms", runner.Log.Health.LostFor().Milliseconds())
+			}
+		}
+	}
+}
+
+// servedPeer returns the nearest node that the metadata store answers; empty for none.
+func (runner *Runner) servedPeer(ctx context.Context) string {
+	for _, name := range runner.Peers.Nearest() {
+		served := runner.callPeer(ctx, name, servedCall, func(ctx context.Context, client batchv1.Batches) (bool, error) {
+			response, err := client.Served(ctx, &batchv1.ServedRequest{})
+			return response.GetServed(), err
+		})
+		if served {
+			return name
+		}
+	}
+	return ""
+}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -24,6 +24,8 @@
 	ErrNotFound = batchlog.ErrNotFound
 	// ErrStopping says that the node takes no more jobs; nothing of the job has run here.
 	ErrStopping = errors.New("the node is stopping")
+
+	errNotServed = errors.New("the metadata store does not answer this node")
 )
 
 // Event is one event of an engine's stream.
@@ -119,6 +121,7 @@
 	go runner.scheduler.run(runner.ctx)
 	go runner.shareLoads(runner.ctx)
 	go runner.sweep(runner.ctx)
+	go runner.evacuate(runner.ctx)
 }
 
 // Close cuts all that is running.
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -19,6 +19,9 @@
 	if runner.isStopping() {
 		return nil, twirp.NewError(twirp.Unavailable, ErrStopping.Error())
 	}
+	if !runner.Log.Health.Good() {
+		return nil, twirp.NewError(twirp.Unavailable, errNotServed.Error())
+	}
 	definition := request.GetJob()
 	owned := newJob(runner.ctx, definition, defaultObjective)
 	if configuration := runner.Catalog.Configuration(); configuration != nil {
@@ -94,11 +97,14 @@
 	return &batchv1.KeptResponse{Partials: service.Runner.kept.partialsOf(request.GetJobId())}, nil
 }
 
-// TakeOver takes a job from a node that stops.
+// TakeOver takes a job from a node that stops, or that the metadata store does not answer.
 func (service Service) TakeOver(_ context.Context, request *batchv1.TakeOverRequest) (*batchv1.TakeOverResponse, error) {
 	if service.Runner.isStopping() {
 		return nil, twirp.NewError(twirp.Unavailable, ErrStopping.Error())
 	}
+	if !service.Runner.Log.Health.Good() {
+		return nil, twirp.NewError(twirp.Unavailable, errNotServed.Error())
+	}
 	err := service.Runner.takeOver(request.GetJobId(), origin{request.GetFrom(), request.GetLife()}, request.GetPartials())
 	service.Runner.Logger.Info("job taken over", "job", request.GetJobId(), "partials", len(request.GetPartials()), "error", err)
 	if err != nil {
@@ -106,3 +112,14 @@
 	}
 	return &batchv1.TakeOverResponse{}, nil
 }
+
+// Served reports whether the metadata store answers this node.
+func (service Service) Served(ctx context.Context, _ *batchv1.ServedRequest) (*batchv1.ServedResponse, error) {
+	runner := service.Runner
+	if runner.isStopping() || !runner.Log.Health.Good() {
+		return &batchv1.ServedResponse{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, servedLimit)
+	defer cancel()
+	return &batchv1.ServedResponse{Served: runner.Log.Store.Probe(ctx) == nil}, nil
+}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -22,6 +22,8 @@
 	// relayAfter is how many failed tries this node makes before it asks another to accept the job.
 	relayAfter   = 2
 	relayTimeout = 900 * time.Millisecond
+	// relayAgain is how long after a relay that failed another is tried, while the metadata store does not answer this node.
+	relayAgain = 500 * time.Millisecond
 	// preferredLimit is how long the preferred node may take to accept a job.
 	preferredLimit = 250 * time.Millisecond
 )
@@ -40,6 +42,9 @@
 		if runner.relayToPreferred(ctx, definition) {
 			return nil
 		}
+		if !runner.Log.Health.Good() && runner.relay(ctx, definition) == nil {
+			return nil
+		}
 	}
 	runner.mu.Lock()
 	if runner.stopping {
@@ -133,6 +138,14 @@
 	started := time.Now()
 	go runner.beginEarly(owned)
 	for tries := 1; owned.ctx.Err() == nil && time.Since(started) < acceptLimit; tries++ {
+		if !runner.Log.Health.Good() {
+			if runner.relay(owned.ctx, owned.definition) == nil {
+				runner.settleAccept(owned, nil, started, tries)
+				return
+			}
+			runner.awaitGood(owned.ctx, relayAgain)
+			continue
+		}
 		held, settled, err := runner.tryAccept(owned)
 		if settled {
 			runner.settleAccept(owned, held, started, tries)
@@ -146,12 +159,18 @@
 			return
 		}
 		pause(owned.ctx, acceptPause)
-		runner.Log.Health.AwaitGood(owned.ctx)
 	}
 	runner.Logger.Warn("acceptance given up", "job", owned.id(), "took_ms", time.Since(started).Milliseconds())
 	runner.remove(owned)
 }
 
+// awaitGood waits until the metadata store answers this node, at most for the limit.
+func (runner *Runner) awaitGood(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	runner.Log.Health.AwaitGood(ctx)
+}
+
 // beginEarly begins the items of a job whose acceptance takes long, unless this node is cut off: another may have accepted the job
 // by now, and items that run twice take the replicas' slots from each other.
 func (runner *Runner) beginEarly(owned *job) {
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -165,18 +165,19 @@
 	runner.mu.Unlock()
 	all = true
 	for _, owned := range runner.open() {
-		all = owned.isAccepted() && runner.handOver(ctx, owned) && all
+		all = owned.isAccepted() && runner.handOver(ctx, owned, runner.Peers.Nearest()) && all
 	}
 	return all
 }
 
-func (runner *Runner) handOver(ctx context.Context, owned *job) (taken bool) {
+// handOver gives a job to the first of some nodes that takes it.
+func (runner *Runner) handOver(ctx context.Context, owned *job, names []string) (taken bool) {
 	owned.cancel()
 	<-owned.flushed
 	runner.scheduler.drop(owned)
 	owned.runs.Wait()
 	request := &batchv1.TakeOverRequest{JobId: owned.id(), Partials: runner.partials(owned), From: runner.Node, Life: runner.Life}
-	for _, name := range runner.Peers.Nearest() {
+	for _, name := range names {
 		client := runner.Peers.Client(name)
 		if client == nil {
 			continue
@@ -193,14 +194,17 @@
 	}
 	if !taken {
 		runner.Logger.Warn("job not handed over", "job", owned.id())
+		for _, partial := range request.GetPartials() {
+			runner.kept.put(partial.GetItemId(), textOf(owned.id(), partial, time.Now()))
+		}
 	}
 	runner.remove(owned)
 	return taken
 }
 
-// partials are the texts of a job's unfinished items, once nothing of the job runs here any more.
+// partials are the texts of a job's unfinished items and of those that are not listed, once nothing of the job runs here any more.
 func (runner *Runner) partials(owned *job) []*batchv1.Partial {
-	var list []*batchv1.Partial
+	list := owned.unlisted()
 	for _, item := range owned.definition.GetItems() {
 		kept := runner.kept.take(item.GetId())
 		if kept == nil || kept.lastEvent == 0 {
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -189,6 +189,70 @@
 	preferred string
 	stops     map[string]context.CancelFunc
 	isolated  map[string]bool // nodes that hear of no other
+	refused   map[string]bool // nodes that the store refuses
+}
+
+// nodeStore is the store as one node reaches it.
+type nodeStore struct {
+	metadata.Store
+	world *world
+	node  string
+}
+
+func (store nodeStore) check() error {
+	store.world.mu.Lock()
+	defer store.world.mu.Unlock()
+	if store.world.refused[store.node] {
+		return metadata.ErrUnavailable
+	}
+	return nil
+}
+
+// Get implements metadata.Store.
+func (store nodeStore) Get(ctx context.Context, key string) (metadata.Item, bool, error) {
+	if err := store.check(); err != nil {
+		return metadata.Item{}, false, err
+	}
+	return store.Store.Get(ctx, key)
+}
+
+// List implements metadata.Store.
+func (store nodeStore) List(ctx context.Context, prefix string) (metadata.Listing, error) {
+	if err := store.check(); err != nil {
+		return metadata.Listing{}, err
+	}
+	return store.Store.List(ctx, prefix)
+}
+
+// ListStale implements metadata.Store.
+func (store nodeStore) ListStale(ctx context.Context, prefix string) (metadata.Listing, error) {
+	if err := store.check(); err != nil {
+		return metadata.Listing{}, err
+	}
+	return store.Store.ListStale(ctx, prefix)
+}
+
+// Commit implements metadata.Store.
+func (store nodeStore) Commit(ctx context.Context, txn metadata.Txn) (metadata.Revision, error) {
+	if err := store.check(); err != nil {
+		return 0, err
+	}
+	return store.Store.Commit(ctx, txn)
+}
+
+// Probe implements metadata.Store.
+func (store nodeStore) Probe(ctx context.Context) error {
+	if err := store.check(); err != nil {
+		return err
+	}
+	return store.Store.Probe(ctx)
+}
+
+// refuse has the store refuse a node, or serve it again.
+func (world *world) refuse(name string, refused bool) {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	world.refused[name] = refused
 }
 
 func newWorld(seed uint64) *world {
@@ -204,7 +268,7 @@
 		{ID: "e1", Service: "engine", Slots: 4, Models: held}, {ID: "e2", Service: "engine", Slots: 4, Models: held}, {ID: "s1", Service: "scorer", Slots: 9},
 	}, 1)
 	return &world{
-		store: memstore.New(), catalog: table, nodes: make(map[string]*batchrun.Runner), stops: make(map[string]context.CancelFunc), isolated: make(map[string]bool),
+		store: memstore.New(), catalog: table, nodes: make(map[string]*batchrun.Runner), stops: make(map[string]context.CancelFunc), isolated: make(map[string]bool), refused: make(map[string]bool),
 		engines: &engines{random: rand.New(rand.NewPCG(seed, 1)), versions: map[string]int64{"e1": 1, "e2": 1}, running: map[string]int{}, starts: map[string]int{}, resumed: map[string]int64{}, gaps: map[string]time.Duration{}},
 	}
 }
@@ -213,10 +277,11 @@
 func (world *world) start(name string) *batchrun.Runner {
 	world.mu.Lock()
 	world.lives++
-	health := metadata.NewHealth(world.store, log.New(io.Discard))
+	store := nodeStore{Store: world.store, world: world, node: name}
+	health := metadata.NewHealth(store, log.New(io.Discard))
 	runner := batchrun.New(batchrun.Options{
 		Node: name, Life: world.lives, Catalog: world.catalog, Loads: backend.NewLoads(), Sender: world.engines, Decoder: lines{},
-		Log: &batchlog.Log{Store: world.store, Health: health, Node: name, Life: world.lives}, Peers: &worldPeers{world, name}, Logger: log.New(io.Discard),
+		Log: &batchlog.Log{Store: store, Health: health, Node: name, Life: world.lives}, Peers: &worldPeers{world, name}, Logger: log.New(io.Discard),
 		Flush: batch.FlushPolicy{Spacing: 50 * time.Millisecond, Longest: 200 * time.Millisecond},
 	})
 	world.nodes[name] = runner
--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -37,6 +37,7 @@
 	cut      chan struct{} // closed when watches are to begin anew
 	answered time.Time
 	lost     bool
+	lostAt   time.Time // when a probe first failed
 	regained time.Time // when it answered again; zero if it was never lost
 }
 
@@ -104,7 +105,9 @@
 		if !health.lost {
 			health.logger.Warn("metadata store silent", "error", err, "answered_ms_ago", time.Since(health.answered).Milliseconds())
 		}
-		health.lost = true
+		if !health.lost {
+			health.lost, health.lostAt = true, time.Now()
+		}
 		return false
 	}
 	health.answered = time.Now()
@@ -141,6 +144,19 @@
 	return !health.lost
 }
 
+// LostFor returns how long the store has been lost; zero if it answers.
+func (health *Health) LostFor() time.Duration {
+	if health == nil {
+		return 0
+	}
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	if !health.lost {
+		return 0
+	}
+	return time.Since(health.lostAt)
+}
+
 // GoodFor reports whether the store has answered for a time, since it was last lost.
 func (health *Health) GoodFor(duration time.Duration) bool {
 	health.mu.Lock()
