Move items as soon as there is room, and let trainers read whole pages from other zones

Cause: (1) slots that came free were given to waiting items before the next search for moves, up to 5 s on a slow replica. (2) Items were moved for gains within the noise, and to replicas that were loading. Change: the list of those that gain most is kept and tried at each dispatch; a move saves 15% of the rest at least; replicas that refused lately cost more; only looks at ended jobs are bounded.

--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -16,11 +16,15 @@
 const (
 	// mostMoves bounds how often an item is moved to a faster replica.
 	mostMoves = 3
-	// moveInterval is the least time between two searches for items to move: each looks at all that run.
+	// moveInterval is the least time between two searches for items to move: each looks at all that run. Those that gain the most,
+	// moversMost of them, are moved as soon as there is room.
 	moveInterval = 150 * time.Millisecond
+	moversMost   = 16
 	// moveGain is the least time that a move must save. The prompt and the text are read again at the other replica, which takes
 	// some hundredths of a second.
 	moveGain = 300 * time.Millisecond
+	// moveShare is the least share of the rest's time that a move must save: estimates of less are noise.
+	moveShare = 0.15
 	// moveLeastEvents is how many events an attempt has made before it can be moved: until then its replica's pace is not known.
 	moveLeastEvents = 4
 )
@@ -67,24 +71,31 @@
 // planMoves reserves slots at faster replicas for the running items that gain the most by it, and cuts their attempts. It goes
 // before waiting items are placed, and must be called with mu held.
 func (scheduler *scheduler) planMoves(replicas *catalog.ReplicaSet, room *room) {
-	if room.now.Sub(scheduler.lookedForMoves) < moveInterval {
-		return
+	if room.now.Sub(scheduler.lookedForMoves) >= moveInterval {
+		scheduler.lookedForMoves = room.now
+		scheduler.findMovers(room.now)
 	}
-	scheduler.lookedForMoves = room.now
-	type candidate struct {
-		attempt *attempt
-		seconds float64 // that the rest takes where it is
+	for _, mover := range scheduler.movers {
+		if _, runs := scheduler.running[mover]; runs && mover.target == nil {
+			scheduler.move(mover, replicas, room)
+		}
 	}
-	var candidates []candidate
+}
+
+// findMovers lists the running items that a move may gain the most. It must be called with mu held.
+func (scheduler *scheduler) findMovers(now time.Time) {
+	seconds := make(map[*attempt]float64) // that the rest takes where it is
+	scheduler.movers = scheduler.movers[:0]
 	for started := range scheduler.running {
-		if seconds, movable := scheduler.rest(started, room.now); movable {
-			candidates = append(candidates, candidate{started, seconds})
+		if rest, movable := scheduler.rest(started, now); movable {
+			seconds[started] = rest
+			scheduler.movers = append(scheduler.movers, started)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.seconds, a.seconds) })
-	for _, candidate := range candidates {
-		scheduler.move(candidate.attempt, replicas, room)
-	}
+	slices.SortFunc(scheduler.movers, func(a, b *attempt) int { return cmp.Compare(seconds[b], seconds[a]) })
+	kept := min(moversMost, len(scheduler.movers))
+	clear(scheduler.movers[kept:])
+	scheduler.movers = scheduler.movers[:kept]
 }
 
 // rest returns how many seconds the rest of a running item takes where it is. movable is false when a move cannot gain enough.
@@ -96,7 +107,12 @@
 	}
 	left := scheduler.remaining(started.task, made)
 	seconds = left * scheduler.pace.expected(started.replica.ID, now)
-	return seconds, seconds-left*scheduler.pace.fastest(now) >= moveGain.Seconds()
+	return seconds, left*scheduler.pace.fastest(now) <= mostAfterMove(seconds)
+}
+
+// mostAfterMove returns how many seconds the rest of an item may take elsewhere for a move to gain enough.
+func mostAfterMove(seconds float64) float64 {
+	return min(seconds-moveGain.Seconds(), seconds*(1-moveShare))
 }
 
 // move has an item go on at the best replica that has room, if that saves enough. It must be called with mu held.
@@ -104,13 +120,13 @@
 	left := scheduler.remaining(started.task, started.made.Load())
 	here := left * scheduler.pace.expected(started.replica.ID, room.now)
 	var best *catalog.Replica
-	bestSeconds := here - moveGain.Seconds()
+	bestSeconds := mostAfterMove(here)
 	for _, replica := range room.candidates(started.task, replicas.Service(started.task.service)) {
 		pace := scheduler.pace.expected(replica.ID, room.now)
 		if pace <= 0 || replica.ID == started.replica.ID || !room.hasRoom(replica) || room.scheduler.refusals[replica.ID] != nil {
 			continue
 		}
-		if seconds := left * pace; seconds < bestSeconds {
+		if seconds := left * pace; seconds <= bestSeconds {
 			best, bestSeconds = replica, seconds
 		}
 	}
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -74,10 +74,11 @@
 	return page, served, err
 }
 
-// readHere answers from what this node owns or remembers.
+// readHere answers from what this node owns or remembers. Whoever reads an open job waits for its results and gets a whole page; of an
+// ended one, texts of up to limit bytes are answered.
 func (runner *Runner) readHere(ctx context.Context, id string, from int, wait time.Duration, limit int) (Page, bool) {
 	if owned := runner.find(id); owned != nil && owned.isAccepted() {
-		return owned.read(ctx, from, wait, limit), true
+		return owned.read(ctx, from, wait), true
 	}
 	if ended := runner.ended.get(id); ended != nil {
 		return cutPage(ended.total, ended.results, from, limit), true
@@ -85,7 +86,7 @@
 	return Page{}, false
 }
 
-func (owned *job) read(ctx context.Context, from int, wait time.Duration, limit int) Page {
+func (owned *job) read(ctx context.Context, from int, wait time.Duration) Page {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -93,7 +94,7 @@
 		listed, changed, over := owned.listed, owned.changed, owned.ending
 		owned.mu.Unlock()
 		if len(listed) > from || len(listed) == len(owned.items) || wait <= 0 || over {
-			return cutPage(len(owned.items), listed, from, limit)
+			return cutPage(len(owned.items), listed, from, pageLimit)
 		}
 		select {
 		case <-changed:
--- a/internal/batchrun/room.go
+++ b/internal/batchrun/room.go
@@ -73,6 +73,8 @@
 	ownZone  = 0.01
 	// paceCost keeps items of usual length from replicas that usually take longer; those of longer items it grows with.
 	paceCost = 0.5
+	// refusedCost keeps items from replicas that refused work lately, which may be loading, while others have room.
+	refusedCost = 1.0
 	// mostLength bounds how many times the usual length an item counts.
 	mostLength = 4.0
 )
@@ -132,6 +134,9 @@
 	cost := float64(room.flying(replica.ID)) / float64(max(replica.Slots, 1))
 	cost += slowCost * (room.slowdown(replica.ID) - 1)
 	cost += paceCost * length * (room.paceOf(replica.ID) - 1)
+	if room.scheduler.refusals[replica.ID] != nil {
+		cost += refusedCost
+	}
 	if replica.ID == home {
 		cost -= homeBonus
 	}
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -61,7 +61,8 @@
 	pace      *paceTable
 	lengths   lengthTable
 	running   map[*attempt]struct{}
-	// lookedForMoves is when items to move were last searched for.
+	// movers are the attempts that a move may gain the most, as of lookedForMoves.
+	movers         []*attempt
 	lookedForMoves time.Time
 }
 
