Have one front of each zone read for the others while no publisher is heard

Change: the reader of a zone reads and publishes to its zone; the others follow it, and read themselves 0.9 s later if it is silent too. Test: TestZonesHaveOneReader.

--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -248,6 +248,19 @@
 	return list
 }
 
+// Neighbours returns the records of the other nodes of this node's zone.
+func (registry *Registry) Neighbours() []*clusterv1.NodeRecord {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	var list []*clusterv1.NodeRecord
+	for name, record := range registry.nodes {
+		if name != registry.self.GetName() && record.GetZone() == registry.self.GetZone() {
+			list = append(list, record)
+		}
+	}
+	return list
+}
+
 // Nearest returns the names of the node's successors that were heard of lately or are not watched, the nearest first.
 func (registry *Registry) Nearest() []string {
 	registry.mu.Lock()
--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -26,9 +26,13 @@
 
 // Publisher pushes a catalog's replicas and sends beacons.
 type Publisher struct {
-	Node      string
-	Catalog   *catalog.Table
-	Registry  *cluster.Registry
+	Node     string
+	Catalog  *catalog.Table
+	Registry *cluster.Registry
+	// Nodes returns the nodes to publish to; nil for all others.
+	Nodes func() []*clusterv1.NodeRecord
+	// Relay says that this node stands in for the publisher, and orders no replicas.
+	Relay     bool
 	Datagrams *cluster.Datagrams
 	Health    *metadata.Health
 	Logger    *log.Logger
@@ -73,19 +77,26 @@
 	publisher.mu.Lock()
 	publisher.changes.advance(replicas)
 	publisher.mu.Unlock()
-	nodes := publisher.Registry.Others()
+	nodes := publisher.nodes()
 	for _, node := range nodes {
 		if publisher.claim(node.GetName(), replicas.Revision) {
 			go publisher.push(ctx, node.GetName())
 		}
 	}
-	beacon := &clusterv1.Beacon{Name: publisher.Node, ReplicaRevision: replicas.Revision}
+	beacon := &clusterv1.Beacon{Name: publisher.Node, ReplicaRevision: replicas.Revision, Relay: publisher.Relay}
 	if configuration := publisher.Catalog.Configuration(); configuration != nil {
 		beacon.ConfigurationVersion = configuration.Version
 	}
 	publisher.Datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Beacon{Beacon: beacon}}, nodes)
 }
 
+func (publisher *Publisher) nodes() []*clusterv1.NodeRecord {
+	if publisher.Nodes != nil {
+		return publisher.Nodes()
+	}
+	return publisher.Registry.Others()
+}
+
 // claim reports whether a push to a node is to begin.
 func (publisher *Publisher) claim(node string, revision int64) bool {
 	publisher.mu.Lock()
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// silenceLimit is how long beacons may be missing before this node reads the store itself.
+	// silenceLimit is how long beacons may be missing before the reader of a zone reads the store itself, and relays what it reads to
+	// the nodes of its zone; relayLimit is how much longer these wait for it before they read the store as well.
 	silenceLimit = 1100 * time.Millisecond
+	relayLimit   = 900 * time.Millisecond
 	// behindLimit is how long this node may be behind a beacon before it does.
 	behindLimit = 350 * time.Millisecond
 	checkPeriod = 100 * time.Millisecond
@@ -36,9 +38,14 @@
 	Logger  *log.Logger
 	// FollowReplicas reads the replicas from the store until its context ends.
 	FollowReplicas func(context.Context)
+	// IsReader reports whether this node is the one of its zone that relays what it reads while no publisher is heard, and
+	// Relay does so until its context ends; nil for a node that waits for no reader.
+	IsReader func() bool
+	Relay    func(context.Context)
 
 	mu      sync.Mutex
-	heard   time.Time
+	heard   time.Time // a beacon of anybody
+	led     time.Time // a beacon of the publisher itself
 	told    *clusterv1.Beacon
 	from    net.Addr
 	behind  time.Time // since when every check found something lacking; zero when the last did not
@@ -68,20 +75,20 @@
 func (subscriber *Subscriber) Publisher() net.Addr {
 	subscriber.mu.Lock()
 	defer subscriber.mu.Unlock()
-	if time.Since(subscriber.heard) > silenceLimit {
+	if time.Since(subscriber.led) > silenceLimit {
 		return nil
 	}
 	return subscriber.from
 }
 
-// Silent returns how long no beacon has come, counted from the start of this process at most.
+// Silent returns how long no beacon of a publisher has come, counted from the start of this process at most.
 func (subscriber *Subscriber) Silent(now time.Time) time.Duration {
 	subscriber.mu.Lock()
 	defer subscriber.mu.Unlock()
 	if subscriber.begun.IsZero() {
 		return 0
 	}
-	return now.Sub(later(subscriber.heard, subscriber.begun))
+	return now.Sub(later(subscriber.led, subscriber.begun))
 }
 
 func later(a, b time.Time) time.Time {
@@ -97,7 +104,10 @@
 	defer subscriber.mu.Unlock()
 	subscriber.heard = time.Now()
 	subscriber.told = beacon
-	subscriber.from = from
+	if !beacon.GetRelay() {
+		subscriber.led = subscriber.heard
+		subscriber.from = from
+	}
 }
 
 // lacking reports whether the last beacon told of something that the catalog has not. It must be called with mu held.
@@ -143,6 +153,10 @@
 			followCtx, cancel := context.WithCancel(ctx)
 			stop = cancel
 			go subscriber.FollowReplicas(followCtx)
+			if subscriber.isReader() {
+				subscriber.Logger.Info("relay begun", "node", subscriber.Node)
+				go subscriber.Relay(followCtx)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -153,6 +167,24 @@
 	}
 }
 
+func (subscriber *Subscriber) isReader() bool {
+	return subscriber.IsReader != nil && subscriber.IsReader()
+}
+
+// silent reports whether beacons have been missing for too long: those of the publisher for the reader of a zone, any others for the
+// rest, which wait for the reader unless they have just begun. It must be called with mu held.
+func (subscriber *Subscriber) silent(now time.Time) bool {
+	switch {
+	case subscriber.heard.IsZero():
+		return true
+	case subscriber.IsReader == nil:
+		return now.Sub(subscriber.heard) > silenceLimit
+	case subscriber.IsReader():
+		return now.Sub(subscriber.led) > silenceLimit
+	}
+	return now.Sub(subscriber.heard) > silenceLimit+relayLimit
+}
+
 // check decides whether this node relies on beacons.
 func (subscriber *Subscriber) check(now time.Time) (relying, changed bool) {
 	subscriber.mu.Lock()
@@ -163,7 +195,7 @@
 	case subscriber.behind.IsZero():
 		subscriber.behind = now
 	}
-	missing := now.Sub(subscriber.heard) > silenceLimit || (!subscriber.behind.IsZero() && now.Sub(subscriber.behind) > behindLimit)
+	missing := subscriber.silent(now) || (!subscriber.behind.IsZero() && now.Sub(subscriber.behind) > behindLimit)
 	stoodStill := now.Sub(subscriber.checked) > pauseLimit
 	subscriber.checked = now
 	if missing || stoodStill {
--- a/internal/dissemination/subscriber_test.go
+++ b/internal/dissemination/subscriber_test.go
@@ -96,3 +96,41 @@
 	must.NoError(t, err)
 	must.Eq(t, 1, len(subscriber.Catalog.Replicas().All))
 }
+
+// While no publisher is heard, the reader of a zone reads the store and relays; the others rely on it, and read themselves if it
+// relays nothing either.
+func TestZonesHaveOneReader(t *testing.T) {
+	for _, reader := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			subscriber := newFixture()
+			relaying := atomic.Int32{}
+			subscriber.IsReader = func() bool { return reader }
+			subscriber.Relay = func(ctx context.Context) {
+				relaying.Add(1)
+				<-ctx.Done()
+				relaying.Add(-1)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			go subscriber.Run(ctx)
+			_, err := subscriber.Publish(ctx, publish(5))
+			must.NoError(t, err)
+			subscriber.beacons(8, 5)
+			must.Eq(t, 0, subscriber.reading.Load())
+			for range 10 {
+				subscriber.Heard(&clusterv1.Beacon{ReplicaRevision: 5, Relay: true}, nil)
+				time.Sleep(400 * time.Millisecond)
+			}
+			must.Eq(t, reader, subscriber.reading.Load() == 1)
+			must.Eq(t, reader, relaying.Load() == 1)
+			must.Nil(t, subscriber.Publisher())
+			must.Greater(t, 3*time.Second, subscriber.Silent(time.Now()))
+			time.Sleep(2 * time.Second)
+			must.Eq(t, 1, subscriber.reading.Load())
+			subscriber.beacons(8, 5)
+			must.Eq(t, 0, subscriber.reading.Load())
+			must.Eq(t, 0, relaying.Load())
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -104,6 +104,7 @@
 	front.datagrams = &cluster.Datagrams{Conn: packets}
 	subscriber := &dissemination.Subscriber{
 		Node: front.Node, Life: front.Life, Catalog: front.Catalog, Health: front.health, Logger: front.Logger, FollowReplicas: front.followReplicas,
+		IsReader: func() bool { return front.Registry.Preferred(readerKey) == front.Node }, Relay: front.relay,
 	}
 	front.subscriber = subscriber
 	front.servePeers(listener, subscriber)
@@ -157,6 +158,18 @@
 	front.follower(front.ReplicaPrefix, front.ReplicaHandler, replicaPace, front.subscriber.Wait).Run(ctx)
 }
 
+// readerKey ranks the fronts of a zone for reading the replicas while no publisher is heard.
+const readerKey = "reader"
+
+// relay publishes what this front reads to the fronts of its zone.
+func (front *Front) relay(ctx context.Context) {
+	publisher := &dissemination.Publisher{
+		Node: front.Node, Catalog: front.Catalog, Registry: front.Registry, Nodes: front.Registry.Neighbours, Relay: true,
+		Datagrams: front.datagrams, Health: front.health, Logger: front.Logger,
+	}
+	publisher.Run(ctx)
+}
+
 // peers is the registry as the runner of batch jobs sees it.
 type peers struct{ front *Front }
 
