Ask beyond the nearest nodes for one that the store answers, and bound first looks again

Looks at open jobs took whole pages between zones again. Change: up to eight candidates are asked at once; a read of an open job from its first position takes 64 KB, one that goes on a page. Test: TestCandidatesGoBeyondSuccessors.

--- a/internal/batchrun/copies.go
+++ b/internal/batchrun/copies.go
@@ -9,8 +9,8 @@
 const (
 	// copiesBytes bounds the copies of results that a node keeps of jobs which others own.
 	copiesBytes = 6 << 20
-	// firstAllowance is how many bytes of texts a read of an ended job takes from another zone at first. It doubles, up to a whole
-	// page, as long as a reader goes on where it stopped: bytes between zones are dear, and most readers look at such a job once.
+	// firstAllowance is how many bytes of texts a read takes from another zone at first. It doubles, up to a whole page, as long as a
+	// reader goes on where it stopped: bytes between zones are dear, and most readers look at a job once.
 	firstAllowance = 64 << 10
 	allowanceStep  = 2
 )
--- a/internal/batchrun/evacuate.go
+++ b/internal/batchrun/evacuate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
@@ -44,16 +46,22 @@
 	}
 }
 
-// servedPeer returns the nearest node that the metadata store answers; empty for none.
+// servedPeer returns the first of the candidates that the metadata store answers; empty for none. All are asked at once.
 func (runner *Runner) servedPeer(ctx context.Context) string {
-	for _, name := range runner.Peers.Nearest() {
-		served := runner.callPeer(ctx, name, servedCall, func(ctx context.Context, client batchv1.Batches) (bool, error) {
-			response, err := client.Served(ctx, &batchv1.ServedRequest{})
-			return response.GetServed(), err
+	names := runner.Peers.Candidates()
+	served := make([]bool, len(names))
+	var calls sync.WaitGroup
+	for index, name := range names {
+		calls.Go(func() {
+			served[index] = runner.callPeer(ctx, name, servedCall, func(ctx context.Context, client batchv1.Batches) (bool, error) {
+				response, err := client.Served(ctx, &batchv1.ServedRequest{})
+				return response.GetServed(), err
+			})
 		})
-		if served {
-			return name
-		}
+	}
+	calls.Wait()
+	if index := slices.Index(served, true); index >= 0 {
+		return names[index]
 	}
 	return ""
 }
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -74,11 +74,14 @@
 	return page, served, err
 }
 
-// readHere answers from what this node owns or remembers. Whoever reads an open job waits for its results and gets a whole page; of an
-// ended one, texts of up to limit bytes are answered.
+// readHere answers texts of up to limit bytes from what this node owns or remembers. Whoever goes on reading an open job waits for its
+// results, and gets a whole page.
 func (runner *Runner) readHere(ctx context.Context, id string, from int, wait time.Duration, limit int) (Page, bool) {
 	if owned := runner.find(id); owned != nil && owned.isAccepted() {
-		return owned.read(ctx, from, wait), true
+		if from > 0 {
+			limit = pageLimit
+		}
+		return owned.read(ctx, from, wait, limit), true
 	}
 	if ended := runner.ended.get(id); ended != nil {
 		return cutPage(ended.total, ended.results, from, limit), true
@@ -86,7 +89,7 @@
 	return Page{}, false
 }
 
-func (owned *job) read(ctx context.Context, from int, wait time.Duration) Page {
+func (owned *job) read(ctx context.Context, from int, wait time.Duration, limit int) Page {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -94,7 +97,7 @@
 		listed, changed, over := owned.listed, owned.changed, owned.ending
 		owned.mu.Unlock()
 		if len(listed) > from || len(listed) == len(owned.items) || wait <= 0 || over {
-			return cutPage(len(owned.items), listed, from, pageLimit)
+			return cutPage(len(owned.items), listed, from, limit)
 		}
 		select {
 		case <-changed:
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -52,6 +52,9 @@
 	Client(node string) batchv1.Batches
 	// Nearest returns the names of live nodes that could run jobs for this one, best first.
 	Nearest() []string
+	// Candidates returns the names of some nodes that could run jobs for this one, the nearest first, beyond those of Nearest: many
+	// machines may be cut from the metadata store at once.
+	Candidates() []string
 	// Preferred returns the name of the node that runs jobs of a model for this node's zone; empty for none.
 	Preferred(model string) string
 	// Isolated reports whether none of the nodes that this one watches was heard of lately.
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -42,7 +42,7 @@
 		if runner.relayToPreferred(ctx, definition) {
 			return nil
 		}
-		if !runner.Log.Health.Good() && runner.relay(ctx, definition) == nil {
+		if !runner.Log.Health.Good() && runner.relayToServed(ctx, definition) {
 			return nil
 		}
 	}
@@ -111,18 +111,28 @@
 	return accepted
 }
 
+// relayToServed has a node that the metadata store answers accept the job, and reports whether one has.
+func (runner *Runner) relayToServed(ctx context.Context, definition *batchv1.Job) bool {
+	name := runner.servedPeer(ctx)
+	return name != "" && runner.relayTo(ctx, name, definition)
+}
+
+// relayTo has a node accept the job, and reports whether it has.
+func (runner *Runner) relayTo(ctx context.Context, name string, definition *batchv1.Job) bool {
+	accepted := runner.callPeer(ctx, name, relayTimeout, func(ctx context.Context, client batchv1.Batches) (bool, error) {
+		_, err := client.Submit(ctx, &batchv1.SubmitRequest{Job: definition})
+		return err == nil, err
+	})
+	if accepted {
+		runner.RememberOwner(definition.GetId(), name)
+	}
+	return accepted
+}
+
 // relay has another node accept the job. Only when no node was reached has the job surely not been accepted.
 func (runner *Runner) relay(ctx context.Context, definition *batchv1.Job) error {
 	for _, name := range runner.Peers.Nearest() {
-		client := runner.Peers.Client(name)
-		if client == nil {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
-		_, err := client.Submit(callCtx, &batchv1.SubmitRequest{Job: definition})
-		cancel()
-		if err == nil {
-			runner.RememberOwner(definition.GetId(), name)
+		if runner.relayTo(ctx, name, definition) {
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -139,7 +149,7 @@
 	go runner.beginEarly(owned)
 	for tries := 1; owned.ctx.Err() == nil && time.Since(started) < acceptLimit; tries++ {
 		if !runner.Log.Health.Good() {
-			if runner.relay(owned.ctx, owned.definition) == nil {
+			if runner.relayToServed(owned.ctx, owned.definition) {
 				runner.settleAccept(owned, nil, started, tries)
 				return
 			}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -348,6 +348,9 @@
 	return names
 }
 
+// Candidates implements batchrun.Peers.
+func (peers *worldPeers) Candidates() []string { return peers.Nearest() }
+
 // Preferred implements batchrun.Peers.
 func (peers *worldPeers) Preferred(string) string { return peers.world.preferred }
 
--- a/internal/cluster/monitor_test.go
+++ b/internal/cluster/monitor_test.go
@@ -71,3 +71,16 @@
 	registry.forgiveSilence(now)
 	must.SliceContains(t, registry.silent(later), last, must.Sprint("the successors before this one are silent"))
 }
+
+// Candidates are the successors of a node and some others, each once, without the node itself.
+func TestCandidatesGoBeyondSuccessors(t *testing.T) {
+	registry, _ := ringOf(t, 20)
+	candidates := registry.Candidates()
+	must.Len(t, candidatesMost, candidates)
+	must.Eq(t, registry.Nearest(), candidates[:monitorsOfNode])
+	must.SliceNotContains(t, candidates, "node-0")
+	slices.Sort(candidates)
+	must.Len(t, candidatesMost, slices.Compact(candidates))
+	registry, _ = ringOf(t, 3)
+	must.Len(t, 2, registry.Candidates())
+}
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -261,6 +263,32 @@
 	return list
 }
 
+// candidatesMost bounds the nodes that Candidates returns.
+const candidatesMost = 8
+
+// Candidates returns the names of nodes of this node's role: its successors, then others that are drawn, those of its zone first.
+func (registry *Registry) Candidates() []string {
+	names := registry.Nearest()
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	var near, far []string
+	for name, record := range registry.nodes {
+		switch {
+		case name == registry.self.GetName() || record.GetRole() != registry.self.GetRole() || slices.Contains(names, name):
+		case record.GetZone() == registry.self.GetZone():
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	drawn := func(list []string) []string {
+		rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+		return list
+	}
+	others := slices.Concat(drawn(near), drawn(far))
+	return append(names, others[:min(len(others), max(0, candidatesMost-len(names)))]...)
+}
+
 // Nearest returns the names of the node's successors that were heard of lately or are not watched, the nearest first.
 func (registry *Registry) Nearest() []string {
 	registry.mu.Lock()
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -179,6 +179,9 @@
 // Nearest implements batchrun.Peers.
 func (peers peers) Nearest() []string { return peers.front.Registry.Nearest() }
 
+// Candidates implements batchrun.Peers.
+func (peers peers) Candidates() []string { return peers.front.Registry.Candidates() }
+
 // Preferred implements batchrun.Peers.
 func (peers peers) Preferred(model string) string { return peers.front.Registry.Preferred(model) }
 
