Tell at a job's end how long it took beside the least that its items allow

Cause: what bound a step could only be worked out from all lines of its items. Change: `job ended` gives here_ms, enough_ms, bound_ms, longest and events; a line when another node ends a job for its owner. Test: TestEndTellsTheTimeBesideItsBound.

--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -39,6 +39,7 @@
 	ctx, cancel := context.WithTimeout(ctx, endLimit)
 	defer cancel()
 	err = runner.Log.End(ctx, id)
+	runner.Logger.Info("job ended for its owner", "job", id, "error", err)
 	if err == nil || errors.Is(err, batchlog.ErrNotFound) {
 		return err
 	}
@@ -69,7 +70,10 @@
 		runner.remember(owned)
 	}
 	runner.Metrics.Job("ended")
-	runner.Logger.Info("job ended", "job", owned.id(), "listed", len(owned.listed), "items", len(owned.items), "error", err)
+	spent := runner.spent(owned)
+	runner.Logger.Info("job ended", "job", owned.id(), "listed", len(owned.listed), "items", len(owned.items), "step", owned.definition.GetStep(),
+		"here_ms", spent.here.Milliseconds(), "enough_ms", spent.enough.Milliseconds(), "bound_ms", spent.bound.Milliseconds(),
+		"longest", spent.longest, "events", spent.events, "error", err)
 	runner.remove(owned)
 	if err != nil {
 		return errors.Mark(err, ErrUnsure)
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -35,6 +35,8 @@
 	since      time.Time // when the oldest pending result was finished
 	written    time.Time // when results were last made durable
 	begun      bool
+	started    time.Time // when the items were put in line
+	enough     time.Time // when as many groups were whole as the trainer waits for; zero before
 	ending     bool
 	changed    chan struct{} // closed at each change that a reader may wait for
 	flush      chan struct{}
@@ -99,6 +101,9 @@
 	if len(owned.pending) == 0 {
 		owned.since = time.Now()
 	}
+	if owned.enough.IsZero() && owned.progress.Enough() {
+		owned.enough = time.Now()
+	}
 	owned.pending = append(owned.pending, result)
 	delete(owned.tasks, result.GetItemId())
 	select {
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -408,3 +408,19 @@
 		world.refuse("a", false)
 	})
 }
+
+// The line of a job's end tells the time until enough was whole beside the least that its items allow.
+func TestEndTellsTheTimeBesideItsBound(t *testing.T) {
+	inWorld(t, 18, func(t *testing.T, world *world) {
+		definition := newDefinition(longJob, 4, 1)
+		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
+		await(t, world.node("a"), longJob, 4, 5*time.Second)
+		must.NoError(t, world.node("a").End(t.Context(), longJob))
+		line := world.lineOf("job ended")
+		bound, enough := numberIn(t, line, "bound_ms"), numberIn(t, line, "enough_ms")
+		must.Between(t, longEvents*30-100, bound, longEvents*30+100)
+		must.Between(t, bound, enough, bound+300)
+		must.Eq(t, longEvents, numberIn(t, line, "longest"))
+		must.Eq(t, 4*longEvents, numberIn(t, line, "events"))
+	})
+}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -264,6 +264,7 @@
 		return
 	}
 	owned.begun = true
+	owned.started = time.Now()
 	var tasks []*task
 	var whole []*task
 	for _, item := range owned.definition.GetItems() {
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -190,6 +190,47 @@
 	stops     map[string]context.CancelFunc
 	isolated  map[string]bool // nodes that hear of no other
 	refused   map[string]bool // nodes that the store refuses
+	lines     logLines
+}
+
+// logLines are what the nodes log.
+type logLines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (lines *logLines) Write(line []byte) (int, error) {
+	lines.mu.Lock()
+	defer lines.mu.Unlock()
+	return lines.text.Write(line)
+}
+
+// lineOf returns the last line with a message; empty for none.
+func (world *world) lineOf(message string) string {
+	world.lines.mu.Lock()
+	defer world.lines.mu.Unlock()
+	found := ""
+	for line := range strings.Lines(world.lines.text.String()) {
+		if strings.Contains(line, message) {
+			found = line
+		}
+	}
+	return found
+}
+
+// numberIn returns the number that a line gives for a key.
+func numberIn(t *testing.T, line, key string) int {
+	t.Helper()
+	_, rest, found := strings.Cut(line, " "+key+"=")
+	if !found {
+		t.Fatalf("no %s in %q", key, line)
+	}
+	number, err := strconv.Atoi(strings.Fields(rest)[0])
+	if err != nil {
+		t.Fatalf("%s of %q: %v", key, line, err)
+	}
+	return number
 }
 
 // nodeStore is the store as one node reaches it.
@@ -281,7 +322,7 @@
 	health := metadata.NewHealth(store, log.New(io.Discard))
 	runner := batchrun.New(batchrun.Options{
 		Node: name, Life: world.lives, Catalog: world.catalog, Loads: backend.NewLoads(), Sender: world.engines, Decoder: lines{},
-		Log: &batchlog.Log{Store: store, Health: health, Node: name, Life: world.lives}, Peers: &worldPeers{world, name}, Logger: log.New(io.Discard),
+		Log: &batchlog.Log{Store: store, Health: health, Node: name, Life: world.lives}, Peers: &worldPeers{world, name}, Logger: log.New(&world.lines),
 		Flush: batch.FlushPolicy{Spacing: 50 * time.Millisecond, Longest: 200 * time.Millisecond},
 	})
 	world.nodes[name] = runner
