Look at changes of replicas once a second where nobody publishes

Change: a second between two such watches in place of 0.4 s; pushes of a publisher reach these fronts meanwhile.

--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -65,7 +65,7 @@
 
 // Times of a front.
 const (
-	replicaPace  = 400 * time.Millisecond
+	replicaPace  = time.Second
 	registryPace = 800 * time.Millisecond
 	flushSpacing = 250 * time.Millisecond
 	flushLongest = 800 * time.Millisecond
