Draw stores that refuse single nodes in the histories of jobs

Cause: jobs leave nodes that the store refuses; the drawn histories knew outages for all nodes only. Change: two kinds of events, a refusal of 2.5 s and one that lasts until it is taken back or the history ends.

--- a/internal/batchrun/history_test.go
+++ b/internal/batchrun/history_test.go
@@ -86,9 +86,19 @@
 		time.Sleep(time.Second)
 	case 8:
 		history.end(name)
+	case 9:
+		history.world.refuse(name, true)
+		time.Sleep(2500 * time.Millisecond)
+		history.world.refuse(name, false)
+	case 10:
+		history.world.refuse(name, !history.world.isRefused(name))
+		time.Sleep(400 * time.Millisecond)
 	}
 }
 
+// historyEvents is how many kinds of events play knows.
+const historyEvents = 11
+
 // end ends the newest job; it need not become whole any more, and what was listed stays.
 func (history *history) end(name string) {
 	runner, id := history.world.node(name), fmt.Sprint("job-", history.jobs-1)
@@ -168,6 +178,9 @@
 // finish waits until every accepted job is whole.
 func (history *history) finish() {
 	history.world.store.SetFaults(memstore.Faults{})
+	for _, name := range []string{"a", "b", "c"} {
+		history.world.refuse(name, false)
+	}
 	for range 40 {
 		time.Sleep(500 * time.Millisecond)
 		history.look()
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -268,7 +268,7 @@
 // node that answers, and every accepted job is whole in the end.
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(drawn *rapid.T) {
-		events := rapid.SliceOfN(rapid.IntRange(0, 8), 4, 16).Draw(drawn, "events")
+		events := rapid.SliceOfN(rapid.IntRange(0, historyEvents-1), 4, 16).Draw(drawn, "events")
 		picks := rapid.SliceOfN(rapid.IntRange(0, 2), len(events), len(events)).Draw(drawn, "nodes")
 		seed := rapid.Uint64().Draw(drawn, "seed")
 		if failure := runHistory(t, seed, events, picks); failure != "" {
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -289,6 +289,12 @@
 	return store.Store.Probe(ctx)
 }
 
+func (world *world) isRefused(name string) bool {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	return world.refused[name]
+}
+
 // refuse has the store refuse a node, or serve it again.
 func (world *world) refuse(name string, refused bool) {
 	world.mu.Lock()
