Do not answer from a job that is being given away

Change: a job that is being given away is not read here; one claim of a job at a time. Tests: TestLeavingJobIsNotReadFromItsFormerOwner (failed first), the history in TestFailedHistories.

--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -38,6 +38,7 @@
 	started    time.Time // when the items were put in line
 	enough     time.Time // when as many groups were whole as the trainer waits for; zero before
 	ending     bool
+	leaving    bool          // given to another node, which may have listed more already
 	changed    chan struct{} // closed at each change that a reader may wait for
 	flush      chan struct{}
 	flushed    chan struct{} // closed when the flush loop is over
@@ -85,6 +86,19 @@
 	}
 }
 
+// leave notes that the job is being given to another node.
+func (owned *job) leave() {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	owned.leaving = true
+}
+
+func (owned *job) isLeaving() bool {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	return owned.leaving
+}
+
 // announce must be called with mu held.
 func (owned *job) announce() {
 	close(owned.changed)
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -77,7 +77,7 @@
 // readHere answers texts of up to limit bytes from what this node owns or remembers. Whoever goes on reading an open job waits for its
 // results, and gets a whole page.
 func (runner *Runner) readHere(ctx context.Context, id string, from int, wait time.Duration, limit int) (Page, bool) {
-	if owned := runner.find(id); owned != nil && owned.isAccepted() {
+	if owned := runner.find(id); owned != nil && owned.isAccepted() && !owned.isLeaving() {
 		if from > 0 {
 			limit = pageLimit
 		}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -100,6 +100,7 @@
 	owners   map[string]string // owner by job, as last seen; a hint only
 	kept     *keptItems
 	copies   *copies
+	claiming map[string]bool // jobs that this node is taking up
 	stopping bool
 }
 
@@ -113,7 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	runner := &Runner{
 		Options: options, ctx: ctx, cancel: cancel, scoring: make(chan struct{}, scoringInFlight),
-		jobs: make(map[string]*job), ended: newEndedCache(), owners: make(map[string]string), kept: newKeptItems(), copies: newCopies(),
+		jobs: make(map[string]*job), ended: newEndedCache(), owners: make(map[string]string), kept: newKeptItems(), copies: newCopies(), claiming: make(map[string]bool),
 	}
 	runner.scheduler = newScheduler(runner)
 	return runner
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -290,6 +290,8 @@
 			[]int{1, 3, 6, 4, 6, 3, 2}, []int{0, 0, 0, 1, 0, 2, 0}},
 		{"a job ended just as an item was to try a replica that had refused: the replica stayed closed at that node for good", 0x47407f,
 			[]int{0, 8, 1, 0, 6}, []int{0, 0, 2, 0, 0}},
+		{"a node that was giving a job away answered with what it had listed, and the next owner had listed more", 0xffffffffffffffff,
+			[]int{3, 1, 0, 2, 6, 5, 3, 0, 5, 7, 10, 3, 2, 9, 3, 0}, []int{1, 1, 1, 0, 1, 1, 2, 1, 0, 1, 0, 2, 0, 2, 0, 1}},
 	}
 	for _, c := range cases {
 		for range 5 {
@@ -379,6 +381,27 @@
 	})
 }
 
+// A node that is giving a job away does not answer with what it had listed: the next owner may have listed more.
+func TestLeavingJobIsNotReadFromItsFormerOwner(t *testing.T) {
+	inWorld(t, 19, func(t *testing.T, world *world) {
+		world.takeOverDelay = 2 * time.Second
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("middle", 6, 1), jobRoute))
+		time.Sleep(400 * time.Millisecond)
+		world.refuse("a", true)
+		seen := 0
+		for range 60 {
+			time.Sleep(50 * time.Millisecond)
+			results, err := readAll(t.Context(), world.node("a"), "middle")
+			must.True(t, err != nil || len(results) >= seen, must.Sprint(len(results), " results of ", seen))
+			if results, err := readAll(t.Context(), world.node("b"), "middle"); err == nil {
+				seen = max(seen, len(results))
+			}
+		}
+		must.Eq(t, 6, seen)
+		world.refuse("a", false)
+	})
+}
+
 // A job stays where it runs when the store answers nobody.
 func TestJobsStayInAnOutage(t *testing.T) {
 	inWorld(t, 16, func(t *testing.T, world *world) {
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -43,6 +43,10 @@
 	if runner.find(id) != nil {
 		return nil
 	}
+	if !runner.beginClaim(id) {
+		return errClaiming
+	}
+	defer runner.endClaim(id)
 	ctx, cancel := context.WithTimeout(runner.ctx, takeOverLimit)
 	defer cancel()
 	held, err := runner.Log.Claim(ctx, id, from.node, from.life)
@@ -65,6 +69,27 @@
 	return nil
 }
 
+// errClaiming says that this node is about to take the job up already.
+var errClaiming = errors.New("the job is being claimed by this node")
+
+// beginClaim reports whether no claim of a job is under way here: of two, the first to be made would be void and the last to be made
+// might be dropped.
+func (runner *Runner) beginClaim(id string) bool {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	if runner.claiming[id] {
+		return false
+	}
+	runner.claiming[id] = true
+	return true
+}
+
+func (runner *Runner) endClaim(id string) {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	delete(runner.claiming, id)
+}
+
 // resume runs a job that this node has claimed.
 func (runner *Runner) resume(held *batchlog.Hold, record *batchlog.Record) {
 	objective := time.Duration(0)
@@ -172,6 +197,7 @@
 
 // handOver gives a job to the first of some nodes that takes it.
 func (runner *Runner) handOver(ctx context.Context, owned *job, names []string) (taken bool) {
+	owned.leave()
 	owned.cancel()
 	<-owned.flushed
 	runner.scheduler.drop(owned)
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -191,6 +191,21 @@
 	isolated  map[string]bool // nodes that hear of no other
 	refused   map[string]bool // nodes that the store refuses
 	lines     logLines
+	// takeOverDelay is how long the answer to a take-over is on its way.
+	takeOverDelay time.Duration
+}
+
+// slowClient is a node whose answers to take-overs come late.
+type slowClient struct {
+	batchv1.Batches
+	delay time.Duration
+}
+
+// TakeOver implements batchv1.Batches.
+func (client slowClient) TakeOver(ctx context.Context, request *batchv1.TakeOverRequest) (*batchv1.TakeOverResponse, error) {
+	response, err := client.Batches.TakeOver(ctx, request)
+	time.Sleep(client.delay)
+	return response, err
 }
 
 // logLines are what the nodes log.
@@ -377,7 +392,7 @@
 // Client implements batchrun.Peers.
 func (peers *worldPeers) Client(node string) batchv1.Batches {
 	if runner := peers.world.node(node); runner != nil {
-		return batchrun.Service{Runner: runner}
+		return slowClient{batchrun.Service{Runner: runner}, peers.world.takeOverDelay}
 	}
 	return nil
 }
