Begin a job before other nodes are asked for one that the store answers

Change: the acceptance that runs in the background asks; nothing else waits for it. That the caller's choice of nodes, two of three of which are frozen, plays a part is seen in the lines; that it is all of it isn't shown.

--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -42,9 +42,6 @@
 		if runner.relayToPreferred(ctx, definition) {
 			return nil
 		}
-		if !runner.Log.Health.Good() && runner.relayToServed(ctx, definition) {
-			return nil
-		}
 	}
 	runner.mu.Lock()
 	if runner.stopping {
