Say unsure where an owner cannot know that there are no more results

Change: while the job is being ended, or the store has been lost for a second, an owner that has nothing to answer says that it can't tell; a node that the store does not answer says so at once in place of a look-up of 2 s. In the histories, an end that was not sure and is found in the log counts as an end; the job must still be whole otherwise. Tests: three histories in TestFailedHistories.

--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -99,6 +99,12 @@
 	return owned.leaving
 }
 
+func (owned *job) isEnding() bool {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	return owned.ending
+}
+
 // announce must be called with mu held.
 func (owned *job) announce() {
 	close(owned.changed)
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -17,6 +17,8 @@
 	peerMargin  = 600 * time.Millisecond
 	storeReads  = 2 * time.Second
 	mostWaiting = 5 * time.Second
+	// unsureAfter is how long the metadata store is lost before the owner of a job can't tell that there are no more results.
+	unsureAfter = time.Second
 )
 
 // Page is a part of a job's results.
@@ -75,13 +77,16 @@
 }
 
 // readHere answers texts of up to limit bytes from what this node owns or remembers. Whoever goes on reading an open job waits for its
-// results, and gets a whole page.
+// results, and gets a whole page. While the job is being ended, or the metadata store is lost, this node does not know whether more is
+// listed by now: what it answers stays true, that there is no more can't be told.
 func (runner *Runner) readHere(ctx context.Context, id string, from int, wait time.Duration, limit int) (Page, bool) {
 	if owned := runner.find(id); owned != nil && owned.isAccepted() && !owned.isLeaving() {
 		if from > 0 {
 			limit = pageLimit
 		}
-		return owned.read(ctx, from, wait, limit), true
+		page := owned.read(ctx, from, wait, limit)
+		unsure := owned.isEnding() || runner.Log.Health.LostFor() >= unsureAfter
+		return page, len(page.Results) > 0 || from >= page.Total || !unsure
 	}
 	if ended := runner.ended.get(id); ended != nil {
 		return cutPage(ended.total, ended.results, from, limit), true
@@ -147,6 +152,9 @@
 		return true, nil
 	}
 	runner.forgetOwner(id)
+	if !runner.Log.Health.Good() {
+		return false, errors.Mark(errNotServed, ErrUnsure)
+	}
 	lookup, cancel := context.WithTimeout(ctx, storeReads)
 	defer cancel()
 	owner, _, err := runner.Log.Owner(lookup, id)
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -292,6 +292,11 @@
 			[]int{0, 8, 1, 0, 6}, []int{0, 0, 2, 0, 0}},
 		{"a node that was giving a job away answered with what it had listed, and the next owner had listed more", 0xffffffffffffffff,
 			[]int{3, 1, 0, 2, 6, 5, 3, 0, 5, 7, 10, 3, 2, 9, 3, 0}, []int{1, 1, 1, 0, 1, 1, 2, 1, 0, 1, 0, 2, 0, 2, 0, 1}},
+		{"an owner that the store refused said that there were no results, after another node had ended the job and read a late page", 0,
+			[]int{2, 7, 8, 2, 5, 10, 8, 3, 4, 7, 0, 0, 3, 2, 9}, []int{1, 2, 0, 2, 1, 2, 1, 2, 2, 2, 1, 0, 0, 0, 1}},
+		{"the same, before the owner knew that the store was lost", 0x1f9, []int{2, 0, 5, 4, 10, 8, 2}, []int{0, 0, 0, 1, 0, 2, 1}},
+		{"no failure of the system: an end that was not sure was done once the store was back", 0x5,
+			[]int{10, 0, 5, 10, 7, 4, 5, 1, 10, 8}, []int{0, 0, 1, 1, 1, 0, 1, 0, 2, 0}},
 	}
 	for _, c := range cases {
 		for range 5 {
