Take jobs up side by side after a restart

Change: one goroutine a job, as take-overs of dead nodes have it. Test: TestJobsAreTakenUpSideBySide (failed first).

--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -425,6 +425,20 @@
 	})
 }
 
+// A node that starts again takes its jobs up side by side: each waits for nodes that may keep texts.
+func TestJobsAreTakenUpSideBySide(t *testing.T) {
+	inWorld(t, 21, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition(longJob, 4, 1), jobRoute))
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition(longJob+"-other", 4, 1), jobRoute))
+		time.Sleep(300 * time.Millisecond)
+		world.kill("a")
+		world.keptDelay = 400 * time.Millisecond
+		restarted := world.start("a")
+		time.Sleep(600 * time.Millisecond)
+		must.Eq(t, 2, restarted.OpenJobs())
+	})
+}
+
 // A job stays where it runs when the store answers nobody.
 func TestJobsStayInAnOutage(t *testing.T) {
 	inWorld(t, 16, func(t *testing.T, world *world) {
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -132,12 +133,16 @@
 			pause(ctx, acceptPause*4)
 			continue
 		}
+		var claims sync.WaitGroup
 		for _, id := range ids {
 			if !runner.isStopping() && runner.find(id) == nil && !runner.ended.has(id) {
-				err := runner.takeOver(id, origin{runner.Node, batchlog.AnyLife}, nil)
-				runner.Logger.Info("job taken up", "job", id, "error", err)
+				claims.Go(func() {
+					err := runner.takeOver(id, origin{runner.Node, batchlog.AnyLife}, nil)
+					runner.Logger.Info("job taken up", "job", id, "error", err)
+				})
 			}
 		}
+		claims.Wait()
 		stale = true
 		pause(ctx, sweepInterval)
 	}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -191,23 +191,29 @@
 	isolated  map[string]bool // nodes that hear of no other
 	refused   map[string]bool // nodes that the store refuses
 	lines     logLines
-	// takeOverDelay is how long the answer to a take-over is on its way.
-	takeOverDelay time.Duration
+	// takeOverDelay is how long the answer to a take-over is on its way, keptDelay that to a question for kept texts.
+	takeOverDelay, keptDelay time.Duration
 }
 
-// slowClient is a node whose answers to take-overs come late.
+// slowClient is a node whose answers come late.
 type slowClient struct {
 	batchv1.Batches
-	delay time.Duration
+	world *world
 }
 
 // TakeOver implements batchv1.Batches.
 func (client slowClient) TakeOver(ctx context.Context, request *batchv1.TakeOverRequest) (*batchv1.TakeOverResponse, error) {
 	response, err := client.Batches.TakeOver(ctx, request)
-	time.Sleep(client.delay)
+	time.Sleep(client.world.takeOverDelay)
 	return response, err
 }
 
+// Kept implements batchv1.Batches.
+func (client slowClient) Kept(ctx context.Context, request *batchv1.KeptRequest) (*batchv1.KeptResponse, error) {
+	time.Sleep(client.world.keptDelay)
+	return client.Batches.Kept(ctx, request)
+}
+
 // logLines are what the nodes log.
 type logLines struct {
 	mu   sync.Mutex
@@ -392,7 +398,7 @@
 // Client implements batchrun.Peers.
 func (peers *worldPeers) Client(node string) batchv1.Batches {
 	if runner := peers.world.node(node); runner != nil {
-		return slowClient{batchrun.Service{Runner: runner}, peers.world.takeOverDelay}
+		return slowClient{batchrun.Service{Runner: runner}, peers.world}
 	}
 	return nil
 }
