Bound a page that copies and the owner fill together

Cause: found by reading the diff: copies (up to 900 KB) and what the owner answered beyond them (up to 900 KB) went into one answer; callers may get 1 MB. Change: the page is cut as any other. Test: TestExtendedPageIsBounded.

--- a/internal/batchrun/copies_test.go
+++ b/internal/batchrun/copies_test.go
@@ -72,3 +72,13 @@
 	must.NotNil(t, copies.jobs[fmt.Sprint("job-", jobs-1)])
 	must.Nil(t, copies.jobs["job-1"])
 }
+
+// Copies and what the owner answers beyond them fill one page together.
+func TestExtendedPageIsBounded(t *testing.T) {
+	known := Page{Total: 9, Results: copiedResults(0, 3, pageLimit/4)}
+	must.Len(t, 4, known.extend(9, copiedResults(3, 1, 10)).Results)
+	extended := known.extend(12, copiedResults(3, 4, pageLimit/4))
+	must.Len(t, 3, extended.Results)
+	must.Eq(t, 12, extended.Total)
+	must.Len(t, 2, Page{}.extend(2, copiedResults(0, 2, 10)).Results)
+}
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -27,6 +27,11 @@
 	Results []*batchv1.Result
 }
 
+// extend returns a page with the results that follow it, as far as one page may hold them.
+func (page Page) extend(total int, results []*batchv1.Result) Page {
+	return cutPage(total, slices.Concat(page.Results, results), 0, pageLimit)
+}
+
 // Read returns the results at position from and after. If there is none it waits for one, up to wait. ErrNotFound says that
 // no such job exists, ErrUnsure that this can't be told now.
 func (runner *Runner) Read(ctx context.Context, id string, from int, wait time.Duration) (Page, error) {
@@ -63,7 +68,7 @@
 		if err != nil || !response.GetOwned() {
 			return false, err
 		}
-		page = Page{Total: int(response.GetTotal()), Results: slices.Concat(known.Results, response.GetResults())}
+		page = known.extend(int(response.GetTotal()), response.GetResults())
 		runner.copies.put(id, page.Total, next, response.GetResults())
 		return true, nil
 	})
