--- /dev/null
+++ b/internal/batchrun/move_test.go
@@ -0,0 +1,49 @@
+package batchrun_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Items that run at a slow replica go on at a faster one once that has room, from where they were.
+func TestItemsMoveToFasterReplicas(t *testing.T) {
+	inWorld(t, 14, func(t *testing.T, world *world) {
+		definition := newDefinition("first", 8, 1)
+		for _, item := range definition.GetItems() {
+			item.LengthHint = 10 * eventsOf(item.GetId())
+		}
+		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
+		await(t, world.node("a"), "first", 8, 3*time.Second)
+		const slowGap = 6 * usualGap
+		world.engines.mu.Lock()
+		world.engines.gaps["e1"] = slowGap
+		world.engines.mu.Unlock()
+		definition = newDefinition("middle", 6, 1)
+		for _, item := range definition.GetItems() {
+			item.LengthHint = 10 * middleEvents
+		}
+		began := time.Now()
+		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
+		results := await(t, world.node("a"), "middle", 6, 10*time.Second)
+		must.Less(t, middleEvents*slowGap*2/3, time.Since(began))
+		checkResults(t, results, 1)
+	})
+}
+
+// The line of a job's end tells the time until enough was whole beside the least that its items allow.
+func TestEndTellsTheTimeBesideItsBound(t *testing.T) {
+	inWorld(t, 18, func(t *testing.T, world *world) {
+		definition := newDefinition(longJob, 4, 1)
+		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
+		await(t, world.node("a"), longJob, 4, 5*time.Second)
+		must.NoError(t, world.node("a").End(t.Context(), longJob))
+		line := world.lineOf("job ended")
+		bound, enough := numberIn(t, line, "bound_ms"), numberIn(t, line, "enough_ms")
+		must.Between(t, longEvents*30-100, bound, longEvents*30+100)
+		must.Between(t, bound, enough, bound+300)
+		must.Eq(t, longEvents, numberIn(t, line, "longest"))
+		must.Eq(t, 4*longEvents, numberIn(t, line, "events"))
+	})
+}
--- a/internal/batchrun/pace.go
+++ b/internal/batchrun/pace.go
@@ -164,11 +164,6 @@
 	return known
 }
 
-// isSlow reports whether a replica is clearly slow.
-func (table *paceTable) isSlow(replica string, now time.Time) bool {
-	return table.slowdowns(now)[replica] > 1
-}
-
 // expected returns the seconds that the next events of a replica are expected to take each: what they usually take, unless the
 // replica is clearly slow now; zero when nothing is known.
 func (table *paceTable) expected(replica string, now time.Time) float64 {
--- a/internal/batchrun/pace_test.go
+++ b/internal/batchrun/pace_test.go
@@ -8,6 +8,10 @@
 	"github.com/shoenig/test/must"
 )
 
+func isSlow(table *paceTable, replica string, now time.Time) bool {
+	return table.slowdowns(now)[replica] > 1
+}
+
 // A replica counts as slow against the others, as long as its events are fresh, and only if enough are known.
 func TestSlowReplicas(t *testing.T) {
 	now := time.Unix(100, 0)
@@ -19,14 +23,14 @@
 	}
 	observe("slow", 150*time.Millisecond)
 	observe("r0", 30*time.Millisecond)
-	must.False(t, table.isSlow("slow", now), must.Sprint("two replicas are known"))
+	must.False(t, isSlow(table, "slow", now), must.Sprint("two replicas are known"))
 	for index := range 3 {
 		observe(fmt.Sprint("r", index), 30*time.Millisecond)
 	}
-	must.True(t, table.isSlow("slow", now))
-	must.False(t, table.isSlow("r1", now))
+	must.True(t, isSlow(table, "slow", now))
+	must.False(t, isSlow(table, "r1", now))
 	must.InDelta(t, 5, table.slowdowns(now)["slow"], 0.01)
-	must.False(t, table.isSlow("slow", now.Add(paceLife+time.Second)))
+	must.False(t, isSlow(table, "slow", now.Add(paceLife+time.Second)))
 	must.MapEmpty(t, table.slowdowns(now.Add(time.Hour)))
 }
 
@@ -43,3 +47,29 @@
 	must.InDelta(t, 1.3, table.relative(now)["other"], 0.001)
 	must.MapEmpty(t, table.relative(now.Add(usualLife)))
 }
+
+// A moment's pause makes one gap of each stream long, and slows no replica; what it usually takes counts until it is clearly slow.
+func TestPauseIsNotSlow(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := newPaceTable()
+	observe := func(replica string, gap time.Duration, count int) {
+		for range count {
+			now = now.Add(time.Millisecond)
+			table.observe(replica, gap, now)
+		}
+	}
+	for _, replica := range []string{"a", "b", "c", "d"} {
+		observe(replica, 40*time.Millisecond, 60)
+	}
+	observe("a", 400*time.Millisecond, 4)
+	must.False(t, isSlow(table, "a", now))
+	usual := table.expected("a", now)
+	must.Between(t, 0.04, usual, 0.1)
+	now = now.Add(paceWindow + time.Millisecond)
+	for _, replica := range []string{"b", "c", "d"} {
+		observe(replica, 40*time.Millisecond, 60)
+	}
+	observe("a", 120*time.Millisecond, 12)
+	must.True(t, isSlow(table, "a", now))
+	must.Between(t, 0.115, table.expected("a", now), 0.13)
+}
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -307,105 +306,6 @@
 	}
 }
 
-// A node that reaches neither the store nor other nodes refuses jobs at once, so that their callers go to nodes that do, and begins
-// nothing that it had not begun.
-func TestCutOffNodeTakesNoJobs(t *testing.T) {
-	inWorld(t, 13, func(t *testing.T, world *world) {
-		time.Sleep(100 * time.Millisecond) // the first probe has succeeded
-		world.mu.Lock()
-		world.isolated["a"] = true
-		world.mu.Unlock()
-		world.store.SetFaults(memstore.Faults{Down: true})
-		early := make(chan error, 1)
-		go func() { early <- world.node("a").Submit(context.Background(), newDefinition("early", 8, 1), jobRoute) }()
-		time.Sleep(4 * time.Second)
-		sent := time.Now()
-		err := world.node("a").Submit(t.Context(), newDefinition("late", 8, 1), jobRoute)
-		must.True(t, errors.Is(err, batchrun.ErrUnsure), must.Sprint(err))
-		must.Less(t, 10*time.Millisecond, time.Since(sent))
-		must.Eq(t, 0, world.engines.started(), must.Sprint("items began at a node that is cut off"))
-		world.mu.Lock()
-		world.isolated["a"] = false
-		world.mu.Unlock()
-		world.store.SetFaults(memstore.Faults{})
-		must.NoError(t, <-early)
-		await(t, world.node("a"), "early", 8, 8*time.Second)
-	})
-}
-
-// Items that run at a slow replica go on at a faster one once that has room, from where they were.
-func TestItemsMoveToFasterReplicas(t *testing.T) {
-	inWorld(t, 14, func(t *testing.T, world *world) {
-		definition := newDefinition("first", 8, 1)
-		for _, item := range definition.GetItems() {
-			item.LengthHint = 10 * eventsOf(item.GetId())
-		}
-		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
-		await(t, world.node("a"), "first", 8, 3*time.Second)
-		const slowGap = 6 * usualGap
-		world.engines.mu.Lock()
-		world.engines.gaps["e1"] = slowGap
-		world.engines.mu.Unlock()
-		definition = newDefinition("middle", 6, 1)
-		for _, item := range definition.GetItems() {
-			item.LengthHint = 10 * middleEvents
-		}
-		began := time.Now()
-		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
-		results := await(t, world.node("a"), "middle", 6, 10*time.Second)
-		must.Less(t, middleEvents*slowGap*2/3, time.Since(began))
-		checkResults(t, results, 1)
-	})
-}
-
-// A job goes on at a node that the store answers when it refuses the job's owner: results are listed and the job can be ended.
-func TestJobsLeaveANodeThatTheStoreRefuses(t *testing.T) {
-	inWorld(t, 15, func(t *testing.T, world *world) {
-		world.engines.mu.Lock()
-		world.engines.gaps["e1"], world.engines.gaps["e2"] = 2*usualGap, 2*usualGap
-		world.engines.mu.Unlock()
-		definition := newDefinition(longJob, 4, 1)
-		definition.Items = append(definition.Items, newDefinition(middleItem, 2, 1).GetItems()...)
-		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
-		time.Sleep(900 * time.Millisecond)
-		world.refuse("a", true)
-		results := await(t, world.node("c"), longJob, 6, 5*time.Second)
-		checkResults(t, results, 1)
-		must.Eq(t, 0, world.node("a").OpenJobs())
-		for item, event := range world.engines.resumed {
-			if strings.HasPrefix(item, longJob) {
-				must.Positive(t, event, must.Sprint(item, " began anew"))
-			} else {
-				must.Eq(t, 1, world.engines.starts[item], must.Sprint(item, " was whole, and was made again"))
-			}
-		}
-		must.NoError(t, world.node("c").End(t.Context(), longJob))
-		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("other", 4, 1), jobRoute))
-		await(t, world.node("b"), "other", 4, 3*time.Second)
-		world.refuse("a", false)
-	})
-}
-
-// A node that is giving a job away does not answer with what it had listed: the next owner may have listed more.
-func TestLeavingJobIsNotReadFromItsFormerOwner(t *testing.T) {
-	inWorld(t, 19, func(t *testing.T, world *world) {
-		world.takeOverDelay = 2 * time.Second
-		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition(middleItem, 6, 1), jobRoute))
-		time.Sleep(400 * time.Millisecond)
-		go world.node("a").HandOver(context.Background())
-		seen := 0
-		for range 60 {
-			time.Sleep(50 * time.Millisecond)
-			if results, err := readAll(t.Context(), world.node("b"), middleItem); err == nil {
-				seen = max(seen, len(results))
-			}
-			results, err := readAll(t.Context(), world.node("a"), middleItem)
-			must.True(t, err != nil || len(results) >= seen, must.Sprint(len(results), " results of ", seen))
-		}
-		must.Eq(t, 6, seen)
-	})
-}
-
 // Texts are saved again as they grow, also while no results are listed.
 func TestGrowingTextsAreSavedEachSecond(t *testing.T) {
 	inWorld(t, 20, func(t *testing.T, world *world) {
@@ -438,49 +338,3 @@
 		must.Eq(t, 2, restarted.OpenJobs())
 	})
 }
-
-// A job stays where it runs when the store answers nobody.
-func TestJobsStayInAnOutage(t *testing.T) {
-	inWorld(t, 16, func(t *testing.T, world *world) {
-		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition(longJob, 6, 1), jobRoute))
-		time.Sleep(300 * time.Millisecond)
-		world.store.SetFaults(memstore.Faults{Down: true})
-		time.Sleep(4 * time.Second)
-		must.Eq(t, 1, world.node("a").OpenJobs())
-		must.Eq(t, 6, world.engines.started())
-		world.store.SetFaults(memstore.Faults{})
-		checkResults(t, await(t, world.node("a"), longJob, 6, time.Second), 1)
-	})
-}
-
-// The end of a job is made durable by the node that was asked for it when the store refuses the owner.
-func TestEndDoesNotWaitForAnOwnerThatTheStoreRefuses(t *testing.T) {
-	inWorld(t, 17, func(t *testing.T, world *world) {
-		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition(longJob, 6, 1), jobRoute))
-		time.Sleep(300 * time.Millisecond)
-		world.refuse("a", true)
-		sent := time.Now()
-		must.NoError(t, world.node("b").End(t.Context(), longJob))
-		must.Less(t, 1500*time.Millisecond, time.Since(sent))
-		started := world.engines.started()
-		time.Sleep(4 * time.Second)
-		must.Eq(t, started, world.engines.started(), must.Sprint("items began after the end"))
-		world.refuse("a", false)
-	})
-}
-
-// The line of a job's end tells the time until enough was whole beside the least that its items allow.
-func TestEndTellsTheTimeBesideItsBound(t *testing.T) {
-	inWorld(t, 18, func(t *testing.T, world *world) {
-		definition := newDefinition(longJob, 4, 1)
-		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
-		await(t, world.node("a"), longJob, 4, 5*time.Second)
-		must.NoError(t, world.node("a").End(t.Context(), longJob))
-		line := world.lineOf("job ended")
-		bound, enough := numberIn(t, line, "bound_ms"), numberIn(t, line, "enough_ms")
-		must.Between(t, longEvents*30-100, bound, longEvents*30+100)
-		must.Between(t, bound, enough, bound+300)
-		must.Eq(t, longEvents, numberIn(t, line, "longest"))
-		must.Eq(t, 4*longEvents, numberIn(t, line, "events"))
-	})
-}
