Accept a job once at a node, however many nodes submit it there

Change: a submission by another node waits for the acceptance that is under way or done. Test: TestOneAcceptanceOfAJob (failed first).

--- a/internal/batchrun/evacuate_test.go
+++ b/internal/batchrun/evacuate_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/batchrun"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 )
@@ -116,3 +117,22 @@
 		world.refuse("a", false)
 	})
 }
+
+// A job that other nodes submit again to the node that runs it, or is about to accept it, is accepted once: a second acceptance would
+// void the first.
+func TestOneAcceptanceOfAJob(t *testing.T) {
+	inWorld(t, 22, func(t *testing.T, world *world) {
+		definition := newDefinition(middleItem, 6, 1)
+		caller := make(chan error, 1)
+		go func() { caller <- world.node("a").Submit(context.Background(), definition, jobRoute) }()
+		service := batchrun.Service{Runner: world.node("a")}
+		for range 3 {
+			_, err := service.Submit(context.Background(), &batchv1.SubmitRequest{Job: definition})
+			must.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+		}
+		must.NoError(t, <-caller)
+		checkResults(t, await(t, world.node("a"), middleItem, 6, 3*time.Second), 1)
+		must.Eq(t, "", world.lineOf("ownership lost"))
+	})
+}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -29,22 +29,40 @@
 			owned.due = time.Now().Add(route.JobObjective)
 		}
 	}
+	if other := runner.addUnlessKnown(owned); other != nil {
+		owned.cancel()
+		return other.awaitAccepted(ctx)
+	}
 	started := time.Now()
 	held, settled, err := runner.tryAccept(owned)
 	if !settled {
-		owned.cancel()
+		runner.remove(owned)
 		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "not accepted"), err)
 	}
+	runner.settleAccept(owned, held, started, 1)
+	return &batchv1.SubmitResponse{}, nil
+}
+
+// addUnlessKnown adds a job that is to be accepted here, or returns the one that is accepted here already or about to be: two
+// acceptances of a job at one node would claim it from each other.
+func (runner *Runner) addUnlessKnown(owned *job) (known *job) {
 	runner.mu.Lock()
-	if runner.jobs[owned.id()] != nil {
-		runner.mu.Unlock()
-		owned.cancel()
+	defer runner.mu.Unlock()
+	if known = runner.jobs[owned.id()]; known == nil {
+		runner.jobs[owned.id()] = owned
+	}
+	return known
+}
+
+// awaitAccepted answers another node once the job is accepted.
+func (owned *job) awaitAccepted(ctx context.Context) (*batchv1.SubmitResponse, error) {
+	select {
+	case <-owned.accepted:
 		return &batchv1.SubmitResponse{}, nil
+	case <-owned.ctx.Done():
+	case <-ctx.Done():
 	}
-	runner.jobs[owned.id()] = owned
-	runner.mu.Unlock()
-	runner.settleAccept(owned, held, started, 1)
-	return &batchv1.SubmitResponse{}, nil
+	return nil, twirp.NewError(twirp.Unavailable, "not accepted")
 }
 
 // Read answers from a job that this node owns.
