Take dead nodes over as soon as the store answers

Change: a take-over waits for the store's answer itself, is begun at that moment, and is dropped if the node is heard again meanwhile. Test: TestTakeOverWaitsForStore.

--- a/internal/cluster/monitor.go
+++ b/internal/cluster/monitor.go
@@ -22,7 +22,7 @@
 	isolationDelay = 2 * time.Second
 	checkPeriod    = 200 * time.Millisecond
 	// takeOverPause is the time before a take-over that failed is tried again; each try costs a call at least.
-	takeOverPause = 400 * time.Millisecond
+	takeOverPause = 100 * time.Millisecond
 )
 
 // Monitor sends this node's heartbeats and watches those of its predecessors on the ring.
@@ -32,6 +32,8 @@
 	Logger    *log.Logger
 	// OnDead takes over what a dead node owned; an error has it tried again.
 	OnDead func(ctx context.Context, name string, life int64) error
+	// AwaitStore waits until the metadata store answers, without which nothing can be taken over; nil for no wait.
+	AwaitStore func(ctx context.Context)
 
 	mu      sync.Mutex
 	looking map[string]bool // silent nodes that are being looked at
@@ -117,6 +119,12 @@
 		return
 	}
 	monitor.Logger.Warn("node dead", "node", silent, "silent_ms", monitor.Registry.silence(silent, time.Now()).Milliseconds())
+	if monitor.AwaitStore != nil {
+		monitor.AwaitStore(ctx)
+	}
+	if monitor.Registry.silence(silent, time.Now()) < silenceLimit {
+		return // it was heard again meanwhile
+	}
 	if err := monitor.OnDead(ctx, silent, monitor.Registry.life(silent)); err != nil {
 		monitor.Logger.Warn("take-over failed", "node", silent, "error", err)
 		pause(ctx, takeOverPause)
--- a/internal/cluster/monitor_test.go
+++ b/internal/cluster/monitor_test.go
@@ -1,14 +1,17 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 	"google.golang.org/protobuf/proto"
 
@@ -85,3 +88,42 @@
 	registry, _ = ringOf(t, 3)
 	must.Len(t, 2, registry.Candidates())
 }
+
+// A take-over begins as soon as the metadata store answers, and not at all if the node is heard again meanwhile: many may be frozen
+// while the store is lost.
+func TestTakeOverWaitsForStore(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			registry, watched := ringOf(t, 9)
+			lost, dead := make(chan struct{}), make(chan string, 1)
+			monitor := &Monitor{
+				Registry: registry, Logger: log.New(io.Discard), AwaitStore: func(context.Context) { <-lost },
+				OnDead: func(_ context.Context, name string, _ int64) error {
+					dead <- name
+					return errors.New("the test ends here")
+				},
+			}
+			registry.http = &http.Client{Transport: refusing{}}
+			registry.forgiveSilence(time.Now())
+			time.Sleep(silenceLimit)
+			for _, name := range watched[1:] {
+				registry.hear(name, time.Now())
+			}
+			monitor.check(t.Context(), time.Now())
+			time.Sleep(3 * time.Second)
+			must.Eq(t, 0, len(dead))
+			if back {
+				registry.hear(watched[0], time.Now())
+			}
+			close(lost)
+			synctest.Wait()
+			must.Eq(t, !back, len(dead) == 1)
+			time.Sleep(takeOverPause)
+		})
+	}
+}
+
+// refusing is a transport that reaches nobody.
+type refusing struct{}
+
+func (refusing) RoundTrip(*http.Request) (*http.Response, error) { return nil, errors.New("refused") }
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -62,7 +62,9 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	stopping   atomic.Bool
-	calls      atomic.Int64
+	// waiting is how many take-overs wait for the metadata store.
+	waiting atomic.Int64
+	calls   atomic.Int64
 }
 
 // Times of a front.
@@ -100,7 +102,7 @@
 		IsReader: func() bool { return front.Registry.Preferred(readerKey) == front.Node },
 	}
 	front.health.Needed = front.needsStore
-	front.health.Urgent = func() bool { return front.Runner.Busy(time.Now()) || front.subscriber.IsReader() }
+	front.health.Urgent = func() bool { return front.hasWork() || front.subscriber.IsReader() }
 	front.Registry.LeftKey = batchlog.LeftKey
 	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
 	return front
@@ -121,7 +123,7 @@
 	front.servePeers(listener, subscriber)
 	go front.health.Run(front.ctx)
 	go front.join()
-	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.Runner.TakeOverNode}
+	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.Runner.TakeOverNode, AwaitStore: front.awaitStore}
 	go front.datagrams.Receive(front.ctx, cluster.Handlers{
 		Any:       func() { front.Registry.HeardAny(time.Now()) },
 		Heartbeat: monitor.Heard, Beacon: subscriber.Heard, Loads: front.heardLoads,
@@ -165,8 +167,19 @@
 
 // needsStore reports whether this front has to know soon when the store is lost: it has jobs to write, or no publisher tells it.
 func (front *Front) needsStore() bool {
-	now := time.Now()
-	return front.Runner.Busy(now) || front.subscriber.Doubts(now)
+	return front.hasWork() || front.subscriber.Doubts(time.Now())
+}
+
+// hasWork reports whether something waits for the store while that is lost.
+func (front *Front) hasWork() bool {
+	return front.waiting.Load() > 0 || front.Runner.Busy(time.Now())
+}
+
+// awaitStore waits until the store answers, before a dead node is taken over.
+func (front *Front) awaitStore(ctx context.Context) {
+	front.waiting.Add(1)
+	defer front.waiting.Add(-1)
+	front.health.AwaitGood(ctx)
 }
 
 // follow reads all topics from the store, while no publisher does for this front.
