--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -52,11 +52,17 @@
 	// excused is until when missing beacons mean nothing: this process stood still, or the store did not answer.
 	excused time.Time
 	checked time.Time
-	behind  map[string]time.Time // by prefix, since when every check found something lacking
-	missed  time.Time            // when something was missing last; zero for never
+	behind  map[string]lag // by prefix
+	missed  time.Time      // when something was missing last; zero for never
 	reading bool
 }
 
+// lag is a revision of a topic that a beacon told of, and since when this node has not reached it.
+type lag struct {
+	revision metadata.Revision
+	since    time.Time
+}
+
 // Publish takes updates, and tells what this node knows then.
 func (subscriber *Subscriber) Publish(_ context.Context, request *clusterv1.PublishRequest) (*clusterv1.PublishResponse, error) {
 	for _, update := range request.GetUpdates() {
@@ -133,7 +139,7 @@
 	subscriber.mu.Lock()
 	subscriber.begun = time.Now()
 	subscriber.checked = subscriber.begun
-	subscriber.behind = make(map[string]time.Time)
+	subscriber.behind = make(map[string]lag)
 	subscriber.mu.Unlock()
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
@@ -220,16 +226,7 @@
 		return "no beacon"
 	}
 	for _, topic := range subscriber.Topics {
-		if !subscriber.lacks(topic) {
-			delete(subscriber.behind, topic.Prefix())
-			continue
-		}
-		since, known := subscriber.behind[topic.Prefix()]
-		if !known {
-			since = now
-			subscriber.behind[topic.Prefix()] = now
-		}
-		if now.Sub(since) > subscriber.Limits.Behind+topic.Pace {
+		if since, lacks := subscriber.lacks(topic, now); lacks && now.Sub(since) > subscriber.Limits.Behind+topic.Pace {
 			return "behind on " + topic.Prefix()
 		}
 	}
@@ -251,12 +248,20 @@
 	return now.Sub(later(subscriber.heard, since)) > subscriber.Limits.Silence+subscriber.Limits.Relay
 }
 
-// lacks reports whether the last beacon told of changes of a topic that this node has not. It must be called with mu held.
-func (subscriber *Subscriber) lacks(topic Topic) bool {
+// lacks reports whether beacons told of a revision of a topic that this node has not reached, and since when. While changes go on, it
+// always lacks the last ones: what counts is how long it lacks any one. It must be called with mu held.
+func (subscriber *Subscriber) lacks(topic Topic, now time.Time) (since time.Time, lacks bool) {
+	known := topic.Revision()
+	lagging, lacks := subscriber.behind[topic.Prefix()]
+	if lacks && known < lagging.revision {
+		return lagging.since, true
+	}
+	delete(subscriber.behind, topic.Prefix())
 	for _, told := range subscriber.told.GetKnown() {
-		if told.GetPrefix() == topic.Prefix() {
-			return metadata.Revision(told.GetRevision()) > topic.Revision()
+		if told.GetPrefix() == topic.Prefix() && metadata.Revision(told.GetRevision()) > known {
+			subscriber.behind[topic.Prefix()] = lag{metadata.Revision(told.GetRevision()), now}
+			return now, true
 		}
 	}
-	return false
+	return time.Time{}, false
 }
--- a/internal/metadata/follow.go
+++ b/internal/metadata/follow.go
@@ -89,6 +89,7 @@
 			follower.Logger.Warn("metadata lost", "prefix", follower.Prefix, "revision", int64(revision), "error", err)
 		}
 		lost = true
+		follower.Health.Doubt()
 		sleep(ctx, retry.NextBackOff())
 		follower.Health.AwaitGood(ctx) // calls that a lost store refuses are paid for all the same
 	}
--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -19,8 +19,8 @@
 	// long: refused calls are paid for as others are.
 	probeAgain     = 30 * time.Millisecond
 	probeAgainMost = time.Second
-	// probeAgainSeldom is the time between two probes of a lost store by a node that does not wait for it, should what others tell be
-	// lost: half of an outage of usual length.
+	// probeAgainSeldom takes its place for a node that does not wait for the store, should what others tell be lost: half of an outage
+	// of usual length.
 	probeAgainSeldom = 3 * time.Second
 	// probeAgainAlone is the time between two probes of a lost store by a node that shares them with nobody.
 	probeAgainAlone = 120 * time.Millisecond
@@ -37,13 +37,13 @@
 	// Needed reports whether this node has to know soon when the store is lost. While it need not, a store that answered last is not
 	// probed. Nil for always. It must be set before Run.
 	Needed func() bool
-	// Urgent reports whether this node has work that waits for a lost store. One that has none probes it seldom and leaves it to the
-	// others to find out when it answers. Nil for always. It must be set before Run.
+	// Urgent reports whether this node has work that waits for a lost store, or hears of no other node. One for which neither holds
+	// probes it seldom among many nodes: others tell it when the store answers. Nil for always. It must be set before Run.
 	Urgent func() bool
 	// OnRegained is called when a probe of this node's own found that the store answers again; nil for nothing.
 	OnRegained func()
 
-	wake chan struct{} // a lost store is to be probed now
+	wake chan struct{} // the store is to be probed now
 
 	mu       sync.Mutex
 	cut      chan struct{} // closed when watches are to begin anew
@@ -60,10 +60,10 @@
 
 // Run probes the store until the context ends.
 func (health *Health) Run(ctx context.Context) {
-	told := false // whether another node said that the store answers
+	told := false // whether the next probe was asked for
 	for ctx.Err() == nil {
-		if health.Good() && !health.needed() {
-			health.await(ctx, neededCheck)
+		if health.Good() && !told && !health.needed() {
+			told = health.await(ctx, neededCheck)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, probeLimit)
@@ -84,13 +84,14 @@
 
 // again returns how long to wait before a lost store is probed again, spread so that nodes do not do so at the same moment.
 func (health *Health) again() time.Duration {
-	if health.Urgent != nil && !health.Urgent() {
-		return probeAgainSeldom/2 + rand.N(probeAgainSeldom)
-	}
 	if health.Nodes == nil {
 		return probeAgainAlone
 	}
-	interval := min(probeAgainMost, max(probeAgainAlone, time.Duration(health.Nodes())*probeAgain))
+	most := probeAgainMost
+	if health.Urgent != nil && !health.Urgent() {
+		most = probeAgainSeldom
+	}
+	interval := min(most, max(probeAgainAlone, time.Duration(health.Nodes())*probeAgain))
 	return interval/2 + rand.N(interval)
 }
 
@@ -118,6 +119,17 @@
 	}
 }
 
+// Doubt has a store that answered last be probed at once, because a call failed that it should have answered.
+func (health *Health) Doubt() {
+	if health == nil || !health.Good() {
+		return
+	}
+	select {
+	case health.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Observe takes the outcome of a call that the store must answer at once, and reports whether the store answers again by it.
 func (health *Health) Observe(err error) (again bool) {
 	health.mu.Lock()
--- a/internal/metadata/mirror.go
+++ b/internal/metadata/mirror.go
@@ -35,7 +35,8 @@
 	next   Handler
 
 	mu sync.Mutex
-	// revision up to which every change of the keys is known; zero while nothing is.
+	// known says that the keys have been read, and revision up to which every change of them is known.
+	known    bool
 	revision Revision
 	// since is the revision from which on all removals are remembered.
 	since   Revision
@@ -53,7 +54,7 @@
 // Prefix returns the prefix of the mirrored keys.
 func (mirror *Mirror) Prefix() string { return mirror.prefix }
 
-// Revision returns the revision up to which every change is known; zero while nothing is.
+// Revision returns the revision up to which every change is known; zero while nothing is, or nothing was ever written.
 func (mirror *Mirror) Revision() Revision {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
@@ -76,7 +77,7 @@
 
 // replace must be called with mu held.
 func (mirror *Mirror) replace(items []Item, revision Revision) {
-	if mirror.revision > 0 && revision <= mirror.revision {
+	if mirror.known && revision <= mirror.revision {
 		return
 	}
 	before := mirror.items
@@ -92,8 +93,8 @@
 			mirror.removed[key] = revision
 		}
 	}
-	if mirror.revision == 0 {
-		mirror.since = revision
+	if !mirror.known {
+		mirror.known, mirror.since = true, revision
 	}
 	mirror.advance(revision)
 	mirror.next.Reset(slices.Collect(maps.Values(mirror.items)), revision)
@@ -108,7 +109,7 @@
 
 // apply must be called with mu held.
 func (mirror *Mirror) apply(events []Event, revision Revision) {
-	if mirror.revision == 0 {
+	if !mirror.known {
 		return
 	}
 	var fresh []Event
@@ -178,12 +179,12 @@
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
 	switch {
-	case difference.Revision <= mirror.revision:
+	case mirror.known && difference.Revision <= mirror.revision:
 		return mirror.revision
 	case difference.Whole:
 		mirror.replace(difference.Items, difference.Revision)
 		return mirror.revision
-	case mirror.revision == 0 || mirror.revision < difference.Base:
+	case !mirror.known || mirror.revision < difference.Base:
 		return mirror.revision
 	}
 	events := make([]Event, 0, len(difference.Items)+len(difference.Removals))
--- a/internal/metadata/mirror_test.go
+++ b/internal/metadata/mirror_test.go
@@ -170,3 +170,13 @@
 	must.Eq(t, 3, mirror.Revision())
 	must.Len(t, 1, mirror.Difference(0).Items)
 }
+
+// A mirror of a store that nothing was written to yet takes the first change.
+func TestMirrorOfEmptyStore(t *testing.T) {
+	mirror := metadata.NewMirror("a/", ignoringHandler{})
+	mirror.Apply([]metadata.Event{{Item: metadata.Item{Key: "a/1", Revision: 1}}}, 1)
+	must.Eq(t, 0, mirror.Revision(), must.Sprint("nothing was read yet"))
+	mirror.Reset(nil, 0)
+	mirror.Apply([]metadata.Event{{Item: metadata.Item{Key: "a/1", Revision: 1}}}, 1)
+	must.Eq(t, 1, mirror.Revision())
+}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -102,7 +102,9 @@
 		IsReader: func() bool { return front.Registry.Preferred(readerKey) == front.Node },
 	}
 	front.health.Needed = front.needsStore
-	front.health.Urgent = func() bool { return front.hasWork() || front.subscriber.IsReader() }
+	front.health.Urgent = func() bool {
+		return front.hasWork() || front.subscriber.IsReader() || front.Registry.Isolated(time.Now())
+	}
 	front.Registry.LeftKey = batchlog.LeftKey
 	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
 	return front
