Register without asking a lost store again and again; give each part of a front a file

Cause: a start in an outage tried to register each 0.2 s, and a refused call is paid for: 250 nodes that restart in an outage of 6 s would make 7,500. Reading the front's file as a newcomer: it held the wiring, the peers and what is known of the deployment.

Tests: TestRegistrationTellsOfAnEarlierProcess, TestRefusalsAreFewBeforeNodesAreKnown.

--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -34,6 +34,8 @@
 	logger *log.Logger
 	// OnExpelled is called when others have removed this node, because they held it for dead.
 	OnExpelled func()
+	// Health is that of the metadata store; nil for unknown.
+	Health *metadata.Health
 	// LeftKey names the key that exists while a process of a node may have left something behind: it is removed with the node's record,
 	// which whoever takes a dead node over does last. Nil for the record itself.
 	LeftKey func(node string) string
@@ -96,7 +98,9 @@
 			earlier = true
 			continue
 		}
+		registry.Health.Doubt()
 		pause(ctx, registerPause)
+		registry.Health.AwaitGood(ctx) // calls that a lost store refuses are paid for all the same
 	}
 	return earlier
 }
--- a/internal/cluster/registry_test.go
+++ b/internal/cluster/registry_test.go
@@ -1,6 +1,7 @@
 package cluster_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
@@ -62,3 +63,42 @@
 	}
 	must.Eq(t, -1, ring.Rank("a", "a"))
 }
+
+// A process learns at its registration whether an earlier one may have left something behind, and registers without asking a lost store
+// again and again.
+func TestRegistrationTellsOfAnEarlierProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		left := func(node string) string { return "left/" + node }
+		start := func() *cluster.Registry {
+			registry := newRegistry(store, "a")
+			registry.LeftKey = left
+			return registry
+		}
+		must.False(t, start().Register(t.Context()))
+		must.False(t, start().Register(t.Context()), must.Sprint("the one before has left nothing"))
+		_, err := store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: left("a")}}})
+		must.NoError(t, err)
+		last := start()
+		must.True(t, last.Register(t.Context()))
+		last.Leave(t.Context())
+		listing, err := store.List(t.Context(), "")
+		must.NoError(t, err)
+		must.SliceEmpty(t, listing.Items)
+
+		store.SetFaults(memstore.Faults{Down: true})
+		waiting := start()
+		waiting.Health = metadata.NewHealth(store, log.New(io.Discard))
+		waiting.Health.Nodes = func() int { return 0 }
+		ctx, cancel := context.WithCancel(t.Context())
+		go waiting.Health.Run(ctx)
+		before, registered := store.Calls(), make(chan bool, 1)
+		go func() { registered <- waiting.Register(ctx) }()
+		time.Sleep(10 * time.Second)
+		must.Between(t, 13, store.Calls()-before, 45)
+		store.SetFaults(memstore.Faults{})
+		must.False(t, <-registered)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/metadata/follow_test.go
+++ b/internal/metadata/follow_test.go
@@ -233,3 +233,22 @@
 		synctest.Wait()
 	})
 }
+
+// A node that does not know yet how many others there are probes a lost store now and then, and finds out soon that it answers.
+func TestRefusalsAreFewBeforeNodesAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &refusingStore{lost: true}
+		health := metadata.NewHealth(store, log.New(io.Discard))
+		health.Nodes = func() int { return 0 }
+		go health.Run(ctx)
+		time.Sleep(10 * time.Second)
+		probes, _ := store.counts()
+		must.Between(t, 13, probes, 40)
+		store.lose(false)
+		time.Sleep(800 * time.Millisecond)
+		must.True(t, health.Good())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -22,6 +22,9 @@
 	// probeAgainSeldom takes its place for a node that does not wait for the store, should what others tell be lost: half of an outage
 	// of usual length.
 	probeAgainSeldom = 3 * time.Second
+	// probeAgainUnknown is the time between two probes by a node that does not know yet how many others there are, and so can neither
+	// tell them nor be told: all of a large fleet may have been restarted while the store is lost.
+	probeAgainUnknown = 500 * time.Millisecond
 	// probeAgainAlone is the time between two probes of a lost store by a node that shares them with nobody.
 	probeAgainAlone = 120 * time.Millisecond
 )
@@ -91,7 +94,10 @@
 	if health.Urgent != nil && !health.Urgent() {
 		most = probeAgainSeldom
 	}
-	interval := min(most, max(probeAgainAlone, time.Duration(health.Nodes())*probeAgain))
+	interval := probeAgainUnknown
+	if nodes := health.Nodes(); nodes > 0 {
+		interval = min(most, max(probeAgainAlone, time.Duration(nodes)*probeAgain))
+	}
 	return interval/2 + rand.N(interval)
 }
 
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -69,8 +68,6 @@
 
 // Times of a front.
 const (
-	replicaPace  = time.Second
-	registryPace = 800 * time.Millisecond
 	flushSpacing = 250 * time.Millisecond
 	flushLongest = 800 * time.Millisecond
 	flushFinal   = 60 * time.Millisecond
@@ -91,21 +88,10 @@
 	})
 	front.health.Nodes = front.Registry.Count
 	front.health.OnRegained = front.tellStoreAnswers
-	front.topics = topics{
-		configuration: metadata.NewMirror(options.ConfigurationPrefix, options.ConfigurationHandler),
-		replicas:      metadata.NewMirror(options.ReplicaPrefix, options.ReplicaHandler),
-		nodes:         metadata.NewMirror(cluster.Prefix, front.Registry),
-	}
-	front.subscriber = &dissemination.Subscriber{
-		Node: options.Node, Life: options.Life, Topics: front.topics.published(), Limits: options.Limits, Health: front.health,
-		Logger: options.Logger, Metrics: options.Metrics, Follow: front.follow, Relay: front.relay,
-		IsReader: func() bool { return front.Registry.Preferred(readerKey) == front.Node },
-	}
-	front.health.Needed = front.needsStore
-	front.health.Urgent = func() bool {
-		return front.hasWork() || front.subscriber.IsReader() || front.Registry.Isolated(time.Now())
-	}
-	front.Registry.LeftKey = batchlog.LeftKey
+	front.topics = newTopics(options.ConfigurationPrefix, options.ConfigurationHandler, options.ReplicaPrefix, options.ReplicaHandler, front.Registry)
+	front.subscriber = front.newSubscriber()
+	front.health.Needed, front.health.Urgent = front.needsStore, front.waitsForStore
+	front.Registry.LeftKey, front.Registry.Health = batchlog.LeftKey, front.health
 	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
 	return front
 }
@@ -141,12 +127,6 @@
 	return nil
 }
 
-// tellStoreAnswers tells all other nodes that the metadata store answers again.
-func (front *Front) tellStoreAnswers() {
-	told := &clusterv1.StoreAnswers{Node: front.Node}
-	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_StoreAnswers{StoreAnswers: told}}, front.Registry.Others())
-}
-
 // servePeers answers other nodes until the process ends.
 func (front *Front) servePeers(listener net.Listener, subscriber *dissemination.Subscriber) {
 	batches := batchv1.NewBatchesServer(batchrun.Service{Runner: front.Runner})
@@ -160,111 +140,6 @@
 	}()
 }
 
-// join registers this front, and has the jobs of an earlier process taken up if there was one.
-func (front *Front) join() {
-	if front.Registry.Register(front.ctx) {
-		front.Runner.Sweep()
-	}
-}
-
-// needsStore reports whether this front has to know soon when the store is lost: it has jobs to write, or no publisher tells it.
-func (front *Front) needsStore() bool {
-	return front.hasWork() || front.subscriber.Doubts(time.Now())
-}
-
-// hasWork reports whether something waits for the store while that is lost.
-func (front *Front) hasWork() bool {
-	return front.waiting.Load() > 0 || front.Runner.Busy(time.Now())
-}
-
-// awaitStore waits until the store answers, before a dead node is taken over.
-func (front *Front) awaitStore(ctx context.Context) {
-	front.waiting.Add(1)
-	defer front.waiting.Add(-1)
-	front.health.AwaitGood(ctx)
-}
-
-// follow reads all topics from the store, while no publisher does for this front.
-func (front *Front) follow(ctx context.Context) {
-	read := func(mirror *metadata.Mirror, pace, wait time.Duration) {
-		follower := &metadata.Follower{
-			Store: front.Store, Prefix: mirror.Prefix(), Handler: mirror, From: mirror.Revision, Logger: front.Logger, Pace: pace,
-			Health: front.health, Wait: func() time.Duration { return wait },
-		}
-		go follower.Run(ctx)
-	}
-	read(front.topics.configuration, 0, metadata.ShortWait)
-	read(front.topics.replicas, replicaPace, metadata.ShortWait)
-	read(front.topics.nodes, registryPace, metadata.LongWait)
-}
-
-// readerKey ranks the fronts of a zone for reading the replicas while no publisher is heard.
-const readerKey = "reader"
-
-// relay publishes what this front reads to the fronts of its zone.
-func (front *Front) relay(ctx context.Context) {
-	publisher := &dissemination.Publisher{
-		Node: front.Node, Topics: front.topics.published(), Registry: front.Registry, Nodes: front.Registry.Neighbours, Relay: true,
-		Datagrams: front.datagrams, Health: front.health, Logger: front.Logger, Metrics: front.Metrics,
-	}
-	publisher.Run(ctx)
-}
-
-// peers is the registry as the runner of batch jobs sees it.
-type peers struct{ front *Front }
-
-// Client implements batchrun.Peers.
-func (peers peers) Client(node string) batchv1.Batches { return peers.front.Registry.Client(node) }
-
-// Nearest implements batchrun.Peers.
-func (peers peers) Nearest() []string { return peers.front.Registry.Nearest() }
-
-// Candidates implements batchrun.Peers.
-func (peers peers) Candidates() []string { return peers.front.Registry.Candidates() }
-
-// Preferred implements batchrun.Peers.
-func (peers peers) Preferred(model string) string { return peers.front.Registry.Preferred(model) }
-
-// Directory implements batchrun.Peers.
-func (peers peers) Directory(job string) string { return peers.front.Registry.PreferredAnywhere(job) }
-
-// Isolated implements batchrun.Peers.
-func (peers peers) Isolated() bool { return peers.front.Registry.Isolated(time.Now()) }
-
-// SameZone implements batchrun.Peers.
-func (peers peers) SameZone(node string) bool { return peers.front.Registry.SameZone(node) }
-
-// AnnounceJob implements batchrun.Peers.
-func (peers peers) AnnounceJob(job *batchv1.Job) {
-	front := peers.front
-	owner := &clusterv1.JobOwner{JobId: job.GetId(), Node: front.Node}
-	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_JobOwner{JobOwner: owner}}, front.Registry.Others())
-}
-
-// AnnounceDemand implements batchrun.Peers.
-func (peers peers) AnnounceDemand(job *batchv1.Job) {
-	front := peers.front
-	if publisher := front.subscriber.Publisher(); publisher != nil {
-		demand := &clusterv1.Demand{Model: job.GetModel(), MinimumVersion: job.GetMinimumVersion(), Work: batch.ExpectedOutput(job)}
-		front.datagrams.SendTo(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Demand{Demand: demand}}, publisher)
-	}
-}
-
-// ShareLoads implements batchrun.Peers.
-func (peers peers) ShareLoads(inFlight map[string]int, all bool) {
-	front := peers.front
-	loads := &clusterv1.Loads{Node: front.Node}
-	for id, count := range inFlight {
-		loads.Replicas = append(loads.Replicas, &clusterv1.ReplicaLoad{Id: id, InFlight: int32(count)})
-	}
-	nodes := front.Registry.Others()
-	if !all {
-		telling := front.loads.Telling(time.Now())
-		nodes = slices.DeleteFunc(nodes, func(node *clusterv1.NodeRecord) bool { return !telling[node.GetName()] })
-	}
-	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Loads{Loads: loads}}, nodes)
-}
-
 // heardLoads takes what another node has in flight.
 func (front *Front) heardLoads(told *clusterv1.Loads) {
 	inFlight := make(map[string]int, len(told.GetReplicas()))
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -82,11 +82,7 @@
 	registry := cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	return &Orderer{
 		OrdererOptions: options, ctx: ctx, cancel: cancel, Weights: orders, registry: registry,
-		topics: topics{
-			configuration: metadata.NewMirror(options.ConfigurationPrefix, metadata.Handlers{}),
-			replicas:      metadata.NewMirror(options.ReplicaPrefix, options.ReplicaHandler),
-			nodes:         metadata.NewMirror(cluster.Prefix, registry),
-		},
+		topics: newTopics(options.ConfigurationPrefix, metadata.Handlers{}, options.ReplicaPrefix, options.ReplicaHandler, registry),
 	}
 }
 
--- /dev/null
+++ b/internal/role/peers.go
@@ -0,0 +1,65 @@
+package role
+
+import (
+	"slices"
+	"time"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
+)
+
+// peers is the registry as the runner of batch jobs sees it.
+type peers struct{ front *Front }
+
+// Client implements batchrun.Peers.
+func (peers peers) Client(node string) batchv1.Batches { return peers.front.Registry.Client(node) }
+
+// Nearest implements batchrun.Peers.
+func (peers peers) Nearest() []string { return peers.front.Registry.Nearest() }
+
+// Candidates implements batchrun.Peers.
+func (peers peers) Candidates() []string { return peers.front.Registry.Candidates() }
+
+// Preferred implements batchrun.Peers.
+func (peers peers) Preferred(model string) string { return peers.front.Registry.Preferred(model) }
+
+// Directory implements batchrun.Peers.
+func (peers peers) Directory(job string) string { return peers.front.Registry.PreferredAnywhere(job) }
+
+// Isolated implements batchrun.Peers.
+func (peers peers) Isolated() bool { return peers.front.Registry.Isolated(time.Now()) }
+
+// SameZone implements batchrun.Peers.
+func (peers peers) SameZone(node string) bool { return peers.front.Registry.SameZone(node) }
+
+// AnnounceJob implements batchrun.Peers.
+func (peers peers) AnnounceJob(job *batchv1.Job) {
+	front := peers.front
+	owner := &clusterv1.JobOwner{JobId: job.GetId(), Node: front.Node}
+	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_JobOwner{JobOwner: owner}}, front.Registry.Others())
+}
+
+// AnnounceDemand implements batchrun.Peers.
+func (peers peers) AnnounceDemand(job *batchv1.Job) {
+	front := peers.front
+	if publisher := front.subscriber.Publisher(); publisher != nil {
+		demand := &clusterv1.Demand{Model: job.GetModel(), MinimumVersion: job.GetMinimumVersion(), Work: batch.ExpectedOutput(job)}
+		front.datagrams.SendTo(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Demand{Demand: demand}}, publisher)
+	}
+}
+
+// ShareLoads implements batchrun.Peers.
+func (peers peers) ShareLoads(inFlight map[string]int, all bool) {
+	front := peers.front
+	loads := &clusterv1.Loads{Node: front.Node}
+	for id, count := range inFlight {
+		loads.Replicas = append(loads.Replicas, &clusterv1.ReplicaLoad{Id: id, InFlight: int32(count)})
+	}
+	nodes := front.Registry.Others()
+	if !all {
+		telling := front.loads.Telling(time.Now())
+		nodes = slices.DeleteFunc(nodes, func(node *clusterv1.NodeRecord) bool { return !telling[node.GetName()] })
+	}
+	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Loads{Loads: loads}}, nodes)
+}
--- a/internal/role/topics.go
+++ b/internal/role/topics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
@@ -12,6 +13,15 @@
 	configuration, replicas, nodes *metadata.Mirror
 }
 
+// newTopics returns mirrors that know nothing yet, and pass what they learn to the handlers.
+func newTopics(configurationPrefix string, configuration metadata.Handler, replicaPrefix string, replicas, nodes metadata.Handler) topics {
+	return topics{
+		configuration: metadata.NewMirror(configurationPrefix, configuration),
+		replicas:      metadata.NewMirror(replicaPrefix, replicas),
+		nodes:         metadata.NewMirror(cluster.Prefix, nodes),
+	}
+}
+
 // nodesPace is how often a front is told of other fronts that come and go. None is needed at once: whoever finds a node dead asks it
 // directly first, and a fleet that is rolled makes 20 changes a second.
 const nodesPace = time.Second
