Give jobs to strong machines

Which front runs a model's jobs was drawn by a hash of its name among all of its zone.

Change: a node's record says how much processor time it may use; of a zone's fronts those with three quarters of the strongest's at least are drawn among. Deployments with machines of one kind are as before. Test: TestStrongNodesArePreferred.

--- a/internal/cluster/monitor_test.go
+++ b/internal/cluster/monitor_test.go
@@ -127,3 +127,32 @@
 type refusing struct{}
 
 func (refusing) RoundTrip(*http.Request) (*http.Response, error) { return nil, errors.New("refused") }
+
+// Work that any node could do goes to the strong ones, and to all where they are alike or do not say how strong they are.
+func TestStrongNodesArePreferred(t *testing.T) {
+	preferred := func(cores func(index int) float64) map[string]bool {
+		self := &clusterv1.NodeRecord{Name: "node-0", Role: "front", Zone: "z"}
+		registry := NewRegistry(self, nil, http.DefaultClient, log.New(io.Discard))
+		var items []metadata.Item
+		for index := range 12 {
+			record := &clusterv1.NodeRecord{Name: fmt.Sprint("node-", index), Role: "front", Zone: "z", Cores: cores(index)}
+			value, err := proto.Marshal(record)
+			must.NoError(t, err)
+			items = append(items, metadata.Item{Key: Prefix + record.GetName(), Value: value})
+		}
+		registry.Reset(items, 1)
+		names := make(map[string]bool)
+		for key := range 300 {
+			names[registry.Preferred(fmt.Sprint(key))] = true
+			must.Eq(t, registry.Preferred(fmt.Sprint(key)), registry.PreferredAnywhere(fmt.Sprint(key)))
+		}
+		return names
+	}
+	strong := preferred(func(index int) float64 { return []float64{0.2, 0.8, 0.78, 0.4}[index%4] })
+	must.MapLen(t, 6, strong)
+	for name := range strong {
+		must.SliceContains(t, []string{"node-1", "node-2", "node-5", "node-6", "node-9", "node-10"}, name)
+	}
+	must.MapLen(t, 12, preferred(func(int) float64 { return 0.4 }))
+	must.MapLen(t, 12, preferred(func(int) float64 { return 0 }))
+}
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -257,7 +257,8 @@
 	return made, true
 }
 
-// Preferred returns the name of the node of this node's zone and role that ranks first for a key; the same at all of these.
+// Preferred returns the name of the node of this node's zone and role that ranks first for a key, of the strong ones; the same at all of
+// these.
 func (registry *Registry) Preferred(key string) string {
 	return registry.first(key, func(record *clusterv1.NodeRecord) bool { return record.GetZone() == registry.self.GetZone() })
 }
@@ -267,13 +268,27 @@
 	return registry.first(key, func(*clusterv1.NodeRecord) bool { return true })
 }
 
-// first returns the name of the node of this node's role that ranks first for a key, of those that are eligible; empty for none.
+// strongShare is the share of the processor time of the strongest node that a node must have to be given work that any could do. Machines
+// of one kind differ by a few hundredths; on deployments with several kinds the weakest have a quarter of the strongest.
+const strongShare = 0.75
+
+// first returns the name of the node of this node's role that ranks first for a key, of the strong ones among those that are eligible;
+// empty for none.
 func (registry *Registry) first(key string, eligible func(*clusterv1.NodeRecord) bool) string {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
+	belongs := func(record *clusterv1.NodeRecord) bool {
+		return record.GetRole() == registry.self.GetRole() && eligible(record)
+	}
+	most := 0.0
+	for _, record := range registry.nodes {
+		if belongs(record) {
+			most = max(most, record.GetCores())
+		}
+	}
 	name, best := "", uint64(0)
 	for _, record := range registry.nodes {
-		if record.GetRole() != registry.self.GetRole() || !eligible(record) {
+		if !belongs(record) || record.GetCores() < strongShare*most {
 			continue
 		}
 		if rank := xxhash.Sum64String(record.GetName() + "/" + key); name == "" || rank > best {
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -28,6 +28,8 @@
 type FrontOptions struct {
 	Node, Zone, Role string
 	Life             int64
+	// Cores is the processor time that the machine's processes may use together; zero if that is not known.
+	Cores float64
 	// PeerAddress is where other nodes reach this one, by TCP and UDP.
 	PeerAddress string
 	Store       metadata.Store
@@ -77,7 +79,7 @@
 func NewFront(options FrontOptions) *Front {
 	ctx, cancel := context.WithCancel(context.Background())
 	loads := backend.NewLoads()
-	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life}
+	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life, Cores: options.Cores}
 	front := &Front{FrontOptions: options, loads: loads, health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics}
