Tell a reading from a change, let only readers that the store answers relay, and drop two mechanisms

Change: a mirror knows the revision of its newest change apart from that up to which it is complete, and a watch without events makes it more complete; beacons tell the former, nodes compare the latter. A reader relays once a probe was answered after the publisher's last beacon. Tests: TestReadingAgainIsNoChange, TestFormerPublisherLeavesNobodyBehind, TestFailedFleetHistories, TestIdleConnectionsAreUsedFirst.

--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -48,13 +48,8 @@
 	// connectionLife; used is when the last request began or ended.
 	connections int
 	used        time.Time
-	slowUntil   time.Time // until when an answer that took too long counts
 }
 
-// slowLife is how long a replica counts as slow after an answer that took too long, unless one comes in time before: half of what a
-// slow-down of a replica lasts on the deployments seen, so that one call in that time finds out whether it is over.
-const slowLife = 4 * time.Second
-
 // connectionLife is how long an idle connection is taken to be open. On the deployments measured hardly any was opened anew within a day.
 const connectionLife = 15 * time.Second
 
@@ -117,21 +112,6 @@
 	maps.DeleteFunc(shard.replicas, func(_ string, entry *load) bool { return entry.forgettable(now) })
 }
 
-// NotePace takes whether a replica's answer took longer than it should.
-func (loads *Loads) NotePace(id string, slow bool, now time.Time) {
-	shard := loads.shard(id)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	entry := shard.replicas[id]
-	switch {
-	case entry == nil:
-	case slow:
-		entry.slowUntil = now.Add(slowLife)
-	default:
-		entry.slowUntil = time.Time{}
-	}
-}
-
 // Outcome is what a finished request tells of its replica.
 type Outcome int
 
@@ -239,8 +219,8 @@
 	Own      int
 	InFlight int
 	Ejected  bool
-	// Idle says that there is likely an open connection to the replica that no request uses, and Slow that its last answer was slow.
-	Idle, Slow bool
+	// Idle says that there is likely an open connection to the replica that no request uses.
+	Idle bool
 }
 
 // Read returns the reading of a replica.
@@ -257,7 +237,7 @@
 		return Reading{InFlight: others}
 	}
 	return Reading{
-		Own: entry.inFlight, InFlight: entry.inFlight + others, Ejected: now.Before(entry.ejected), Idle: entry.idle(now), Slow: now.Before(entry.slowUntil),
+		Own: entry.inFlight, InFlight: entry.inFlight + others, Ejected: now.Before(entry.ejected), Idle: entry.idle(now),
 	}
 }
 
@@ -292,8 +272,6 @@
 	// idleBonus has a request use an open connection before a new one is made, where that costs no balance: it is more than the tie
 	// break and less than one slot of 16.
 	idleBonus = 0.045
-	// slowCost keeps requests from a replica whose last answer was slow, by as much as if a third of its slots were taken.
-	slowCost = 0.3
 )
 
 // cost grows with the share of the replica's slots that this node uses.
@@ -303,10 +281,7 @@
 	if reading.Ejected {
 		cost += ejectedCost
 	}
-	switch {
-	case reading.Slow:
-		cost += slowCost
-	case reading.Idle:
+	if reading.Idle {
 		cost -= idleBonus
 	}
 	if replica.Zone != choice.Zone {
--- /dev/null
+++ b/internal/backend/load_test.go
@@ -0,0 +1,49 @@
+package backend_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+)
+
+func replicas(count int) []*catalog.Replica {
+	list := make([]*catalog.Replica, 0, count)
+	for index := range count {
+		list = append(list, &catalog.Replica{ID: fmt.Sprint("replica-", index), Slots: 6, Zone: "z"})
+	}
+	return list
+}
+
+// A node that has a request now and then stays with a replica to which it has a connection, as long as the connection is taken to be open
+// and the replica has not failed; requests at one time go to different replicas all the same.
+func TestIdleConnectionsAreUsedFirst(t *testing.T) {
+	loads, now, list := backend.NewLoads(), time.Now(), replicas(15)
+	choice := backend.Choice{Loads: loads, Zone: "z"}
+	call := func(outcome backend.Outcome) string {
+		chosen := choice.Pick(list, nil, now)
+		loads.Begin(chosen.ID, now)
+		now = now.Add(50 * time.Millisecond)
+		loads.End(chosen.ID, outcome, now)
+		return chosen.ID
+	}
+	first := call(backend.Served)
+	for range 50 {
+		now = now.Add(10 * time.Second)
+		must.Eq(t, first, call(backend.Served))
+	}
+	loads.Begin(first, now)
+	must.NotEq(t, first, choice.Pick(list, nil, now).ID, must.Sprint("its connection is in use"))
+	loads.End(first, backend.Failed, now)
+	must.False(t, loads.Read(first, now).Idle, must.Sprint("its connection is closed"))
+	later := now.Add(time.Minute)
+	chosen := make(map[string]bool)
+	for range 200 {
+		chosen[choice.Pick(list, nil, later).ID] = true
+	}
+	must.Greater(t, 10, len(chosen), must.Sprint("idle connections are closed after a time"))
+}
--- a/internal/batchrun/room.go
+++ b/internal/batchrun/room.go
@@ -75,8 +75,6 @@
 	paceCost = 0.5
 	// refusedCost keeps items from replicas that refused work lately, which may be loading, while others have room.
 	refusedCost = 1.0
-	// idleBonus has an item use an open connection to a replica before a new one is made, where that costs less than a slot of balance.
-	idleBonus = 0.08
 	// mostLength bounds how many times the usual length an item counts.
 	mostLength = 4.0
 )
@@ -142,9 +140,6 @@
 	if replica.ID == home {
 		cost -= homeBonus
 	}
-	if room.loads.Read(replica.ID).Idle {
-		cost -= idleBonus
-	}
 	if replica.Zone == room.scheduler.runner.Zone {
 		cost -= ownZone
 	}
--- a/internal/batchrun/score.go
+++ b/internal/batchrun/score.go
@@ -97,16 +97,9 @@
 	}
 	ctx, cancel := context.WithTimeout(done.job.ctx, limit)
 	defer cancel()
-	begun := time.Now()
-	runner.Loads.Begin(replica.ID, begun)
+	runner.Loads.Begin(replica.ID, time.Now())
 	ended := backend.Failed
-	defer func() {
-		now := time.Now()
-		runner.Loads.End(replica.ID, ended, now)
-		if slow := now.Sub(begun) >= forwarding.HedgeWait(route); slow || ended == backend.Served {
-			runner.Loads.NotePace(replica.ID, slow, now)
-		}
-	}()
+	defer func() { runner.Loads.End(replica.ID, ended, time.Now()) }()
 	answer, err := runner.Sender.Send(ctx, replica, &backend.Request{
 		ID: scorer.GetId(), Method: http.MethodPost, Host: scorer.GetHost(), Target: scorer.GetPath(), Header: http.Header{},
 		Body: scorer.GetBody(), Deadline: limit, Priority: -1,
--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -97,8 +97,8 @@
 	revision := metadata.Revision(0)
 	for {
 		changed := topic.Changed()
-		if known := topic.Revision(); known > revision {
-			revision = known
+		if newest := topic.ChangedAt(); newest > revision {
+			revision = newest
 			select {
 			case wake <- struct{}{}:
 			default:
@@ -128,7 +128,7 @@
 	for _, node := range publisher.due(nodes, time.Now()) {
 		go publisher.push(ctx, node)
 	}
-	beacon := &clusterv1.Beacon{Name: publisher.Node, Relay: publisher.Relay, Known: known(publisher.Topics)}
+	beacon := &clusterv1.Beacon{Name: publisher.Node, Relay: publisher.Relay, Changed: changedAt(publisher.Topics)}
 	publisher.Datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Beacon{Beacon: beacon}}, nodes)
 }
 
@@ -167,7 +167,7 @@
 		return true
 	}
 	for _, topic := range publisher.Topics {
-		if state.known[topic.Prefix()] < topic.Revision() && now.Sub(state.pushed) >= topic.Pace {
+		if state.known[topic.Prefix()] < topic.ChangedAt() && now.Sub(state.pushed) >= topic.Pace {
 			return true
 		}
 	}
@@ -233,7 +233,7 @@
 	}
 	for _, topic := range publisher.Topics {
 		base := state.known[topic.Prefix()]
-		if base >= topic.Revision() {
+		if base >= topic.ChangedAt() {
 			continue
 		}
 		difference := topic.Difference(base)
@@ -251,7 +251,7 @@
 		state.known[revision.GetPrefix()] = metadata.Revision(revision.GetRevision())
 	}
 	for _, topic := range publisher.Topics {
-		if state.known[topic.Prefix()] < topic.Revision() {
+		if state.known[topic.Prefix()] < topic.ChangedAt() {
 			return false
 		}
 	}
--- a/internal/dissemination/spread_test.go
+++ b/internal/dissemination/spread_test.go
@@ -437,5 +437,62 @@
 	}
 }
 
+// Histories that failed once.
+func TestFailedFleetHistories(t *testing.T) {
+	cases := []struct {
+		cause string
+		nodes int
+		steps []step
+	}{
+		{"the reader of a zone, which the store refused without its knowing, sent one beacon as a relay, and its neighbours waited for more", 7,
+			[]step{{1, 0, true, true, 1}, {7, 1, false, true, 12}, {8, 5, false, true, 39}, {8, 5, true, false, 27}, {2, 6, false, false, 23},
+				{4, 4, false, false, 15}, {5, 1, false, true, 2}, {2, 1, true, true, 23}}},
+		{"a node that hears nobody found out late that the store answers", 10,
+			[]step{{7, 0, true, false, 39}, {10, 8, true, false, 15}, {2, 6, true, true, 24}}},
+	}
+	for _, c := range cases {
+		for range 20 {
+			if failure := runFleet(t, func(fleet *fleet) { fleet.play(c.nodes, c.steps) }); failure != "" {
+				t.Fatalf("%s: %s", c.cause, failure)
+			}
+		}
+	}
+}
+
+// A publisher that was cut from the store, and superseded, comes back for a moment after it has read all again: nobody lacks anything
+// because of that, and nobody reads the store for ever after.
+func TestFormerPublisherLeavesNobodyBehind(t *testing.T) {
+	failure := runFleet(t, func(fleet *fleet) {
+		former := fleet.startPublisher()
+		fleet.configure()
+		_, _ = fleet.store.CommitDirectly(metadata.Txn{Puts: []metadata.Put{{Key: "servers/1"}}})
+		for index := range 12 {
+			fleet.start(index, true)
+		}
+		time.Sleep(3 * time.Second)
+		former.set(true, true)
+		fleet.mu.Lock()
+		fleet.nodes[address(publisherAt+1)] = former // its successor takes its address in the fleet
+		fleet.mu.Unlock()
+		fleet.startPublisher()
+		fleet.configure()
+		time.Sleep(4 * time.Second)
+		fleet.store.Compact()
+		_, _ = fleet.store.CommitDirectly(metadata.Txn{Puts: []metadata.Put{{Key: "unrelated"}}})
+		former.set(false, false)
+		time.Sleep(150 * time.Millisecond)
+		former.stop()
+		time.Sleep(3 * time.Second)
+		for index := range 12 {
+			if subscriber := fleet.at(address(index)).subscriber; subscriber.Doubts(time.Now()) {
+				fleet.fail("front %d reads the store", index)
+			}
+		}
+	})
+	if failure != "" {
+		t.Fatal(failure)
+	}
+}
+
 // callsOfPhase is how many more calls the publisher's own watches and probes make in ten seconds that begin at another moment.
 const callsOfPhase = 5
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -183,9 +183,10 @@
 	return &ownReading{subscriber: subscriber, ctx: readCtx, stop: stop}
 }
 
-// relayAsReader relays what is read once this node is the reader of its zone: it may learn of its zone late.
+// relayAsReader relays what is read once this node is the reader of its zone, of which it may learn late, and knows that the store answers
+// it: others would wait for a relay that has nothing to say.
 func (own *ownReading) relayAsReader() {
-	if own.relaying || !own.subscriber.isReader() {
+	if own.relaying || !own.subscriber.isReader() || !own.subscriber.Health.AnsweredAfter(own.subscriber.lastLed()) {
 		return
 	}
 	own.relaying = true
@@ -193,6 +194,13 @@
 	go own.subscriber.Relay(own.ctx)
 }
 
+// lastLed returns when the last beacon of a publisher came; zero for never.
+func (subscriber *Subscriber) lastLed() time.Time {
+	subscriber.mu.Lock()
+	defer subscriber.mu.Unlock()
+	return subscriber.led
+}
+
 func (subscriber *Subscriber) isReader() bool {
 	return subscriber.IsReader != nil && subscriber.IsReader()
 }
@@ -262,7 +270,7 @@
 		return lagging.since, true
 	}
 	delete(subscriber.behind, topic.Prefix())
-	for _, told := range subscriber.told.GetKnown() {
+	for _, told := range subscriber.told.GetChanged() {
 		if told.GetPrefix() == topic.Prefix() && metadata.Revision(told.GetRevision()) > known {
 			subscriber.behind[topic.Prefix()] = lag{metadata.Revision(told.GetRevision()), now}
 			return now, true
--- a/internal/dissemination/topic.go
+++ b/internal/dissemination/topic.go
@@ -15,6 +15,15 @@
 	Pace time.Duration
 }
 
+// changedAt returns up to which revisions another node has to know topics in order to lack nothing that this one has.
+func changedAt(topics []Topic) []*clusterv1.PrefixRevision {
+	list := make([]*clusterv1.PrefixRevision, 0, len(topics))
+	for _, topic := range topics {
+		list = append(list, &clusterv1.PrefixRevision{Prefix: topic.Prefix(), Revision: int64(topic.ChangedAt())})
+	}
+	return list
+}
+
 // known returns up to which revisions topics are known.
 func known(topics []Topic) []*clusterv1.PrefixRevision {
 	list := make([]*clusterv1.PrefixRevision, 0, len(topics))
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -165,17 +165,13 @@
 	}
 }
 
-// HedgeWait returns how long a replica may take for an answer of a route before it counts as slow.
-func HedgeWait(route *catalog.Route) time.Duration {
-	return max(hedgeLeast, time.Duration(hedgeShare*float64(route.Objective)))
-}
-
 // hedgeTimer fires when another replica is to be asked beside the one that is slow.
 func (run *run) hedgeTimer() (<-chan time.Time, func()) {
 	if run.route.Kind != catalog.Safe || run.pending != 1 || run.attempts >= run.route.MaxAttempts {
 		return nil, func() {}
 	}
-	timer := time.NewTimer(HedgeWait(run.route))
+	wait := max(hedgeLeast, time.Duration(hedgeShare*float64(run.route.Objective)))
+	timer := time.NewTimer(wait)
 	return timer.C, func() { timer.Stop() }
 }
 
@@ -205,8 +201,7 @@
 // attempt sends the request once and reads the answer, or its beginning when it is long.
 func (run *run) attempt(ctx context.Context, replica *catalog.Replica, request *backend.Request) {
 	loads := run.forwarder.Loads
-	begun := time.Now()
-	loads.Begin(replica.ID, begun)
+	loads.Begin(replica.ID, time.Now())
 	result := attemptResult{replica: replica.ID}
 	result.answer, result.err = run.forwarder.Sender.Send(ctx, replica, request)
 	if result.err == nil {
@@ -219,11 +214,7 @@
 	case result.err != nil:
 		outcome = backend.Failed
 	}
-	ended := time.Now()
-	loads.End(replica.ID, outcome, ended)
-	if slow := ended.Sub(begun) >= HedgeWait(run.route); slow || outcome == backend.Served {
-		loads.NotePace(replica.ID, slow, ended)
-	}
+	loads.End(replica.ID, outcome, time.Now())
 	run.results <- result
 }
 
--- a/internal/metadata/follow.go
+++ b/internal/metadata/follow.go
@@ -23,7 +23,7 @@
 type Handler interface {
 	// Reset replaces all that is known of the prefix.
 	Reset(items []Item, revision Revision)
-	// Apply takes changes in their order.
+	// Apply takes changes in their order. Without events, it tells that there was none up to the revision.
 	Apply(events []Event, revision Revision)
 }
 
@@ -115,8 +115,10 @@
 	if err != nil {
 		return 0, err
 	}
-	if len(changes.Events) > 0 {
+	if len(changes.Events) > 0 || changes.Revision > revision {
 		follower.Handler.Apply(changes.Events, changes.Revision)
+	}
+	if len(changes.Events) > 0 {
 		sleep(ctx, follower.Pace)
 	}
 	return max(changes.Revision, revision), nil
--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -51,6 +51,7 @@
 	mu       sync.Mutex
 	cut      chan struct{} // closed when watches are to begin anew
 	answered time.Time
+	proved   time.Time // when a probe was last answered; zero before the first
 	lost     bool
 	lostAt   time.Time // when a probe first failed
 	regained time.Time // when it answered again; zero if it was never lost
@@ -150,6 +151,7 @@
 		return false
 	}
 	health.answered = time.Now()
+	health.proved = health.answered
 	if !health.lost {
 		return false
 	}
@@ -183,6 +185,14 @@
 	return !health.lost
 }
 
+// AnsweredAfter reports whether the store was asked and has answered since a moment. A store that is good may not have been asked for
+// long.
+func (health *Health) AnsweredAfter(moment time.Time) bool {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	return !health.lost && health.proved.After(moment)
+}
+
 // LostFor returns how long the store has been lost; zero if it answers.
 func (health *Health) LostFor() time.Duration {
 	if health == nil {
--- a/internal/metadata/mirror.go
+++ b/internal/metadata/mirror.go
@@ -35,9 +35,11 @@
 	next   Handler
 
 	mu sync.Mutex
-	// known says that the keys have been read, and revision up to which every change of them is known.
-	known    bool
-	revision Revision
+	// known says that the keys have been read, and revision up to which every change of them is known. It grows also while nothing
+	// changes, at each mirror in its own way; changedAt does not: it is the revision of the newest change.
+	known     bool
+	revision  Revision
+	changedAt Revision
 	// since is the revision from which on all removals are remembered.
 	since   Revision
 	items   map[string]Item
@@ -61,6 +63,14 @@
 	return mirror.revision
 }
 
+// ChangedAt returns a revision up to which a mirror has to know every change in order to hold what this one does: that of the newest
+// change, or of the first reading, before which keys may have been removed.
+func (mirror *Mirror) ChangedAt() Revision {
+	mirror.mu.Lock()
+	defer mirror.mu.Unlock()
+	return mirror.changedAt
+}
+
 // Changed returns a channel that is closed at the next change.
 func (mirror *Mirror) Changed() <-chan struct{} {
 	mirror.mu.Lock()
@@ -82,25 +92,37 @@
 	}
 	before := mirror.items
 	mirror.items = make(map[string]Item, len(items))
+	newest := Revision(0)
 	for _, item := range items {
-		if strings.HasPrefix(item.Key, mirror.prefix) {
-			mirror.items[item.Key] = item
-			delete(mirror.removed, item.Key)
+		if !strings.HasPrefix(item.Key, mirror.prefix) {
+			continue
+		}
+		mirror.items[item.Key] = item
+		delete(mirror.removed, item.Key)
+		if item.Revision != before[item.Key].Revision {
+			newest = max(newest, item.Revision)
 		}
 	}
 	for key := range before {
 		if _, kept := mirror.items[key]; !kept {
 			mirror.removed[key] = revision
+			newest = revision
 		}
 	}
-	if !mirror.known {
-		mirror.known, mirror.since = true, revision
+	first := !mirror.known
+	if first {
+		mirror.known, mirror.since, newest = true, revision, revision
 	}
-	mirror.advance(revision)
+	mirror.revision = revision
+	if newest == 0 && !first {
+		return
+	}
+	mirror.advance(newest)
 	mirror.next.Reset(slices.Collect(maps.Values(mirror.items)), revision)
 }
 
-// Apply implements Handler. Events that are known already, and those of keys outside the prefix, are passed over.
+// Apply implements Handler. Events that are known already, and those of keys outside the prefix, are passed over; without others, every
+// change up to the revision is known all the same.
 func (mirror *Mirror) Apply(events []Event, revision Revision) {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
@@ -113,16 +135,19 @@
 		return
 	}
 	var fresh []Event
+	newest := Revision(0)
 	for _, event := range events {
 		if strings.HasPrefix(event.Key, mirror.prefix) && event.Revision > mirror.seen(event.Key) {
 			mirror.put(event)
+			newest = max(newest, event.Revision)
 			fresh = append(fresh, event)
 		}
 	}
+	mirror.revision = max(revision, mirror.revision)
 	if len(fresh) == 0 {
 		return
 	}
-	mirror.advance(max(revision, mirror.revision))
+	mirror.advance(newest)
 	mirror.next.Apply(fresh, mirror.revision)
 }
 
@@ -142,11 +167,11 @@
 	delete(mirror.removed, event.Key)
 }
 
-// advance must be called with mu held, after a change.
-func (mirror *Mirror) advance(revision Revision) {
-	mirror.revision = revision
+// advance notes that the newest change was at a revision. It must be called with mu held.
+func (mirror *Mirror) advance(newest Revision) {
+	mirror.changedAt = max(mirror.changedAt, newest)
 	if len(mirror.removed) > removalsKept {
-		mirror.since = revision
+		mirror.since = mirror.revision
 		clear(mirror.removed)
 	}
 	close(mirror.changed)
@@ -196,6 +221,5 @@
 		events = append(events, Event{Item: Item{Key: removal.Key, Revision: removal.Revision}, Deleted: true})
 	}
 	mirror.apply(events, difference.Revision)
-	mirror.revision = max(mirror.revision, difference.Revision)
 	return mirror.revision
 }
