--- /dev/null
+++ b/internal/dissemination/fleet_test.go
@@ -0,0 +1,389 @@
+package dissemination_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/cluster"
+	"github.com/thistlewalk/thistlewalk/internal/dissemination"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+)
+
+// inForce is the time in which a change has to be in force in these histories.
+const inForce = 2 * time.Second
+
+// fleet is nodes with a publisher over one store, in modelled time.
+type fleet struct {
+	store *memstore.Store
+	ctx   context.Context
+
+	mu       sync.Mutex
+	nodes    map[string]*node // by address
+	failure  string
+	versions []version // that the operator wrote
+	lives    int64
+}
+
+type version struct {
+	number int64
+	at     time.Time
+}
+
+// node is one process of a machine.
+type node struct {
+	fleet      *fleet
+	name       string
+	stop       context.CancelFunc
+	handler    http.Handler
+	subscriber *dissemination.Subscriber
+
+	mu      sync.Mutex
+	version int64 // of the configuration in force
+	// Faults. deaf: nothing reaches it from other nodes; refused: the store refuses it.
+	deaf, refused bool
+	calm          time.Time // since when it has had no fault
+}
+
+func (fleet *fleet) fail(format string, arguments ...any) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if fleet.failure == "" {
+		fleet.failure = fmt.Sprintf(format, arguments...)
+	}
+}
+
+// Reset implements metadata.Handler for the configuration.
+func (node *node) Reset(items []metadata.Item, _ metadata.Revision) {
+	for _, item := range items {
+		node.take(item)
+	}
+}
+
+// Apply implements metadata.Handler.
+func (node *node) Apply(events []metadata.Event, _ metadata.Revision) {
+	for _, event := range events {
+		node.take(event.Item)
+	}
+}
+
+func (node *node) take(item metadata.Item) {
+	number, _ := strconv.ParseInt(string(item.Value), 10, 64)
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	if number < node.version {
+		node.fleet.fail("%s goes back from version %d to %d", node.name, node.version, number)
+	}
+	node.version = number
+}
+
+func (node *node) set(deaf, refused bool) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	if node.deaf || node.refused || deaf || refused {
+		node.calm = time.Now()
+	}
+	node.deaf, node.refused = deaf, refused
+}
+
+func (node *node) isDeaf() bool {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return node.deaf
+}
+
+// nodeStore refuses its node what the node's faults say.
+type nodeStore struct {
+	*memstore.Store
+	node *node
+}
+
+func (store nodeStore) refused() error {
+	store.node.mu.Lock()
+	defer store.node.mu.Unlock()
+	if store.node.refused {
+		return metadata.ErrUnavailable
+	}
+	return nil
+}
+
+func (store nodeStore) Probe(ctx context.Context) error {
+	return errors.CombineErrors(store.refused(), store.Store.Probe(ctx))
+}
+
+func (store nodeStore) List(ctx context.Context, prefix string) (metadata.Listing, error) {
+	if err := store.refused(); err != nil {
+		return metadata.Listing{}, err
+	}
+	return store.Store.List(ctx, prefix)
+}
+
+func (store nodeStore) Watch(ctx context.Context, prefix string, after metadata.Revision, wait time.Duration) (metadata.Changes, error) {
+	if err := store.refused(); err != nil {
+		return metadata.Changes{}, err
+	}
+	return store.Store.Watch(ctx, prefix, after, wait)
+}
+
+func (store nodeStore) Commit(ctx context.Context, txn metadata.Txn) (metadata.Revision, error) {
+	if err := store.refused(); err != nil {
+		return 0, err
+	}
+	return store.Store.Commit(ctx, txn)
+}
+
+// link carries what one node sends to others, by datagrams and calls, unless either is deaf.
+type link struct {
+	net.PacketConn
+	from *node
+}
+
+func (link link) WriteTo(payload []byte, address net.Addr) (int, error) {
+	to := link.from.fleet.at(address.String())
+	if to == nil || to.isDeaf() || link.from.isDeaf() {
+		return len(payload), nil
+	}
+	datagram := &clusterv1.Datagram{}
+	if err := proto.Unmarshal(payload, datagram); err != nil {
+		return 0, err
+	}
+	if beacon := datagram.GetBeacon(); beacon != nil && to.subscriber != nil {
+		to.subscriber.Heard(beacon, nil)
+	}
+	return len(payload), nil
+}
+
+func (link link) RoundTrip(request *http.Request) (*http.Response, error) {
+	to := link.from.fleet.at(request.URL.Host)
+	if to == nil || to.handler == nil {
+		return nil, errors.New("refused")
+	}
+	if to.isDeaf() || link.from.isDeaf() {
+		<-request.Context().Done()
+		return nil, request.Context().Err()
+	}
+	recorder := httptest.NewRecorder()
+	to.handler.ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+func (fleet *fleet) at(address string) *node {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return fleet.nodes[address]
+}
+
+func (fleet *fleet) newNode(name string, address string) (*node, *cluster.Registry, nodeStore, context.Context) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	fleet.lives++
+	created := &node{fleet: fleet, name: name, calm: time.Now()}
+	store := nodeStore{fleet.store, created}
+	record := &clusterv1.NodeRecord{Name: name, Address: address, Zone: "z" + name[len(name)-1:], Role: "front", Life: fleet.lives}
+	registry := cluster.NewRegistry(record, store, &http.Client{Transport: link{from: created}}, log.New(io.Discard))
+	ctx, stop := context.WithCancel(fleet.ctx)
+	created.stop = stop
+	fleet.nodes[address] = created
+	return created, registry, store, ctx
+}
+
+func address(index int) string { return fmt.Sprint("127.0.0.1:", 1000+index) }
+
+// start begins a process of a node, as the role of fronts does.
+func (fleet *fleet) start(index int, first bool) {
+	created, registry, store, ctx := fleet.newNode(fmt.Sprint("front-", index, "-", index%3), address(index))
+	logger := log.New(io.Discard)
+	health := metadata.NewHealth(store, logger)
+	topics := []dissemination.Topic{
+		{Mirror: metadata.NewMirror("op/config", created)},
+		{Mirror: metadata.NewMirror("servers/", &keys{})},
+		{Mirror: metadata.NewMirror(cluster.Prefix, registry), Pace: time.Second},
+	}
+	subscriber := &dissemination.Subscriber{
+		Node: created.name, Topics: topics, Limits: dissemination.LimitsFor(inForce, first), Health: health, Logger: logger,
+		IsReader: func() bool { return registry.Preferred("reader") == created.name },
+		Follow:   func(ctx context.Context) { follow(ctx, store, health, topics) },
+		Relay: func(ctx context.Context) {
+			publish(ctx, created, registry, health, topics, registry.Neighbours)
+		},
+	}
+	health.Needed = func() bool { return subscriber.Doubts(time.Now()) }
+	health.Urgent = func() bool { return subscriber.IsReader() }
+	health.Nodes = registry.Count
+	created.subscriber = subscriber
+	created.handler = clusterv1.NewNodesServer(subscriber)
+	go health.Run(ctx)
+	go subscriber.Run(ctx)
+	go registry.Register(ctx)
+}
+
+func follow(ctx context.Context, store metadata.Store, health *metadata.Health, topics []dissemination.Topic) {
+	for _, topic := range topics {
+		follower := &metadata.Follower{
+			Store: store, Prefix: topic.Prefix(), Handler: topic.Mirror, From: topic.Revision, Logger: log.New(io.Discard), Health: health,
+			Wait: func() time.Duration { return metadata.ShortWait },
+		}
+		go follower.Run(ctx)
+	}
+}
+
+func publish(ctx context.Context, from *node, registry *cluster.Registry, health *metadata.Health, topics []dissemination.Topic, to func() []*clusterv1.NodeRecord) {
+	publisher := &dissemination.Publisher{
+		Node: from.name, Topics: topics, Registry: registry, Nodes: to, Relay: to != nil, Datagrams: &cluster.Datagrams{Conn: link{from: from}},
+		Health: health, Logger: log.New(io.Discard),
+	}
+	publisher.Run(ctx)
+}
+
+// publisherAt is the index of the address of the publisher.
+const publisherAt = 900
+
+// startPublisher begins a process that publishes, as the holder of the lease does.
+func (fleet *fleet) startPublisher() *node {
+	created, registry, store, ctx := fleet.newNode("orderer-9", address(publisherAt))
+	health := metadata.NewHealth(store, log.New(io.Discard))
+	topics := []dissemination.Topic{
+		{Mirror: metadata.NewMirror("op/config", created)},
+		{Mirror: metadata.NewMirror("servers/", &keys{})},
+		{Mirror: metadata.NewMirror(cluster.Prefix, registry), Pace: time.Second},
+	}
+	go health.Run(ctx)
+	follow(ctx, store, health, topics)
+	go publish(ctx, created, registry, health, topics, nil)
+	return created
+}
+
+// configure writes a version as the operator does.
+func (fleet *fleet) configure() {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	number := int64(len(fleet.versions) + 1)
+	fleet.versions = append(fleet.versions, version{number, time.Now()})
+	_, _ = fleet.store.CommitDirectly(metadata.Txn{Puts: []metadata.Put{{Key: "op/config", Value: []byte(fmt.Sprint(number))}}})
+}
+
+// due returns the newest version that has to be in force.
+func (fleet *fleet) due(now time.Time) int64 {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	number := int64(0)
+	for _, written := range fleet.versions {
+		if now.Sub(written.at) > inForce {
+			number = written.number
+		}
+	}
+	return number
+}
+
+// check reports nodes that lack a version: those that the store has answered for a while, whatever became of the publisher.
+func (fleet *fleet) check(nodes int, storeCalm time.Time) {
+	now := time.Now()
+	due := fleet.due(now)
+	for index := range nodes {
+		node := fleet.at(address(index))
+		node.mu.Lock()
+		inTouch := !node.refused && now.Sub(node.calm) > inForce+time.Second && now.Sub(storeCalm) > inForce+time.Second
+		known := node.version
+		node.mu.Unlock()
+		if inTouch && known < due {
+			fleet.fail("%s is at version %d, %d is due", node.name, known, due)
+		}
+	}
+}
+
+// step is one event of a history, with the tenths of a second after it.
+type step struct {
+	event, node   int
+	deaf, refused bool
+	tenths        int
+}
+
+// stepEvents is how many kinds of events play knows.
+const stepEvents = 11
+
+func drawSteps(t *rapid.T, nodes int) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			event: rapid.IntRange(0, stepEvents-1).Draw(t, "event"), node: rapid.IntRange(0, nodes-1).Draw(t, "node"),
+			deaf: rapid.Bool().Draw(t, "deaf"), refused: rapid.Bool().Draw(t, "refused"), tenths: rapid.IntRange(1, 40).Draw(t, "tenths"),
+		}
+	}), 3, 14).Draw(t, "steps")
+}
+
+// play plays a history on a fleet, and checks it each tenth of a second.
+func (fleet *fleet) play(nodes int, steps []step) {
+	publisher, storeCalm := fleet.startPublisher(), time.Now()
+	fleet.configure()
+	_, _ = fleet.store.CommitDirectly(metadata.Txn{Puts: []metadata.Put{{Key: "servers/1"}}})
+	for index := range nodes {
+		fleet.start(index, true)
+	}
+	time.Sleep(3 * time.Second)
+	for _, step := range steps {
+		switch step.event {
+		case 0, 1, 2:
+			fleet.configure()
+		case 3:
+			publisher.stop()
+		case 4:
+			publisher.stop()
+			publisher = fleet.startPublisher()
+		case 5, 6:
+			publisher.set(step.deaf, step.refused)
+		case 7:
+			fleet.at(address(step.node)).set(step.deaf, step.refused)
+		case 8: // a restart, planned or not
+			fleet.at(address(step.node)).stop()
+			fleet.start(step.node, false)
+		case 9:
+			fleet.store.Compact()
+		case 10:
+			fleet.store.SetFaults(memstore.Faults{Down: true})
+			time.Sleep(time.Second)
+			fleet.store.SetFaults(memstore.Faults{})
+			storeCalm = time.Now()
+		}
+		for range step.tenths {
+			time.Sleep(100 * time.Millisecond)
+			fleet.check(nodes, storeCalm)
+		}
+	}
+	for index := range nodes {
+		fleet.at(address(index)).set(false, false)
+	}
+	fleet.configure()
+	time.Sleep(2*inForce + time.Second)
+	fleet.check(nodes, storeCalm)
+}
+
+// run plays a history in modelled time and returns what was wrong.
+func runFleet(t *testing.T, play func(fleet *fleet)) string {
+	var failure string
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		created := &fleet{store: memstore.New(), ctx: ctx, nodes: make(map[string]*node)}
+		defer func() {
+			stop()
+			time.Sleep(5 * time.Second)
+			synctest.Wait()
+		}()
+		play(created)
+		failure = created.failure
+	})
+	return failure
+}
--- a/internal/dissemination/subscriber_test.go
+++ b/internal/dissemination/subscriber_test.go
@@ -200,7 +200,7 @@
 	})
 }
 
-// A node that the store does not answer reads nothing of it, and gives a publisher the time to speak up when it answers again.
+// A node that the store does not answer reads nothing of it, and waits for a beacon when it answers again before it does.
 func TestLostStoreIsNotRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		subscriber := newFixture()
