Identify callers by the keys of tenants, and keep tenants apart

Change: the configuration's tenants are typed parts of the catalog, keys held as digests. internal/tenancy decides who a call is made for before its body is read. Replicas get the tenant's name, whatever the caller wrote, and never a key; a key that is taken away begins no further attempt. A batch job lies in the scope of its tenant (its identifier at nodes and in the store), and texts that are kept of items do too, so that another tenant can name neither. An unknown key or route is denied only by a node that lacks nothing of the configuration; one that may be behind says when to come back. Tests: a front denies nothing before it knows that it is up to date, so tests of the whole site wait for that too. One of them failed once beside load (the metadata store did nothing): the stand-in of a replica wrote its entry with the context of a test that had ended; it writes with one of its own now, and a failure to write is an error still.

--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -53,7 +53,7 @@
 	})
 	ingress := &platform.Ingress{
 		Catalog: table, Forwarder: front.Forwarder, Runner: front.Runner, Bodies: forwarding.NewBodies(), Logger: process.logger,
-		Stopping: front.Stopping,
+		Stopping: front.Stopping, UpToDate: front.UpToDate,
 	}
 	if err := front.Start(); err != nil {
 		return nil, nil, err
--- a/cmd/thistlewalk-rollout/site_test.go
+++ b/cmd/thistlewalk-rollout/site_test.go
@@ -1,16 +1,19 @@
 package main
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,6 +32,27 @@
 	server   *httptest.Server
 	replicas map[string]*site.Replica
 	fronts   []*runningFront
+	// logs are the lines of all nodes.
+	logs lockedBuffer
+}
+
+// lockedBuffer is a buffer that several nodes write to.
+type lockedBuffer struct {
+	mu      sync.Mutex
+	content strings.Builder
+}
+
+// Write implements io.Writer.
+func (buffer *lockedBuffer) Write(content []byte) (int, error) {
+	buffer.mu.Lock()
+	defer buffer.mu.Unlock()
+	return buffer.content.Write(content)
+}
+
+func (buffer *lockedBuffer) String() string {
+	buffer.mu.Lock()
+	defer buffer.mu.Unlock()
+	return buffer.content.String()
 }
 
 type runningFront struct {
@@ -62,9 +86,9 @@
 	return created
 }
 
-// put writes as the operator and the replicas do.
+// put writes as the operator and the replicas do. A replica may write while the test ends, whose context is over then.
 func (deployment *deployment) put(key string, value []byte) {
-	_, err := deployment.store.Commit(deployment.t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: key, Value: value}}})
+	_, err := deployment.store.Commit(context.Background(), metadata.Txn{Puts: []metadata.Put{{Key: key, Value: value}}})
 	must.NoError(deployment.t, err)
 }
 
@@ -103,7 +127,7 @@
 
 func (deployment *deployment) startFront(name string) *runningFront {
 	path, listen := deployment.settings(name)
-	process, err := newProcess(path, io.Discard, "info")
+	process, err := newProcess(path, &deployment.logs, "info")
 	must.NoError(deployment.t, err)
 	front, callers, err := startFront(process)
 	must.NoError(deployment.t, err)
@@ -114,7 +138,7 @@
 
 func (deployment *deployment) startOrderer(name string) {
 	path, _ := deployment.settings(name)
-	process, err := newProcess(path, io.Discard, "info")
+	process, err := newProcess(path, &deployment.logs, "info")
 	must.NoError(deployment.t, err)
 	orderer, err := startOrderer(process, 0)
 	must.NoError(deployment.t, err)
@@ -123,9 +147,15 @@
 
 // call makes a call to a front and returns the status and the body.
 func (deployment *deployment) call(front *runningFront, method, target, id, body string) (int, string, http.Header) {
+	return deployment.callWith(front, method, target, id, body, nil)
+}
+
+// callWith is call with further headers.
+func (deployment *deployment) callWith(front *runningFront, method, target, id, body string, header http.Header) (int, string, http.Header) {
 	request, err := http.NewRequestWithContext(deployment.t.Context(), method, "http://"+front.address+target, strings.NewReader(body))
 	must.NoError(deployment.t, err)
 	request.Host = "a.example"
+	maps.Copy(request.Header, header)
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", "1500")
 	response, err := http.DefaultClient.Do(request)
@@ -146,6 +176,11 @@
 	t.Fatalf("not within %s: %s", limit, what)
 }
 
+// isSettled reports whether callers are sent to a front, and it knows that it lacks nothing of the configuration.
+func (deployment *deployment) isSettled(front *runningFront) bool {
+	return deployment.isReady(front) && front.front.UpToDate()
+}
+
 func (deployment *deployment) isReady(front *runningFront) bool {
 	response, err := http.Get("http://" + front.ready + "/thistlewalk/ready")
 	if err != nil {
@@ -201,7 +236,7 @@
 	second := deployment.startFront("front-2")
 	deployment.startOrderer("orderer-1")
 	deployment.startOrderer("orderer-2")
-	eventually(t, 3*time.Second, "fronts are ready", func() bool { return deployment.isReady(first) && deployment.isReady(second) })
+	eventually(t, 3*time.Second, "fronts are ready", func() bool { return deployment.isSettled(first) && deployment.isSettled(second) })
 
 	status, body, header := deployment.call(first, http.MethodPost, "/book/1?a=b", "q1", "x")
 	must.Eq(t, http.StatusOK, status)
@@ -311,7 +346,7 @@
 	deployment := newDeployment(t)
 	deployment.put("op/config", fmt.Appendf(nil, configurationDocument, 3))
 	front := deployment.startFront("front-1")
-	eventually(t, 3*time.Second, "the front is ready", func() bool { return deployment.isReady(front) })
+	eventually(t, 3*time.Second, "the front is ready", func() bool { return deployment.isSettled(front) })
 	head := "POST /book/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
 	for name, c := range map[string]struct{ content, status string }{
 		"no protocol":            {"nonsense\r\n\r\n", "HTTP/1.1 400 Bad Request"},
@@ -347,7 +382,7 @@
 	deployment.put("op/config", fmt.Appendf(nil, configurationDocument, 3))
 	first := deployment.startFront("front-1")
 	second := deployment.startFront("front-2")
-	eventually(t, 3*time.Second, "fronts are ready", func() bool { return deployment.isReady(first) && deployment.isReady(second) })
+	eventually(t, 3*time.Second, "fronts are ready", func() bool { return deployment.isSettled(first) && deployment.isSettled(second) })
 	deployment.put("op/version/m", []byte(`{"model":"m","version":2}`))
 	status, _, _ := deployment.call(first, http.MethodPost, "/jobs/j1", "job1", jobBody(6, 2))
 	must.Eq(t, http.StatusAccepted, status)
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -35,6 +35,8 @@
 	ResumeAfter int64
 	// Priority ranks the request at an engine, 0 first; negative leaves it to the engine.
 	Priority int
+	// Tenant is the name of the tenant that the request is made for; empty for none. Its key never leaves this node.
+	Tenant string
 }
 
 // Answer is a replica's answer. Its body must be closed.
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -3,6 +3,7 @@
 package batch
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,8 +24,8 @@
 	if len(job.GetItems()) == 0 || len(job.GetItems()) > maximumItems {
 		return invalid("a job has 1 to %d items, not %d", maximumItems, len(job.GetItems()))
 	}
-	if !validName(job.GetId()) {
-		return invalid("the job's identifier is empty, too long or has a slash")
+	if !validName(job.GetId()) || strings.Contains(job.GetId(), ScopeSeparator) {
+		return invalid("the job's identifier is empty, too long or has a slash or %q", ScopeSeparator)
 	}
 	seen := make(map[string]bool, len(job.GetItems()))
 	for _, item := range job.GetItems() {
--- a/internal/batchrun/directory_test.go
+++ b/internal/batchrun/directory_test.go
@@ -15,7 +15,7 @@
 	inWorld(t, 21, func(t *testing.T, world *world) {
 		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job-1", 6, 1), jobRoute))
 		await(t, world.node("a"), "job-1", 6, 4*time.Second)
-		must.NoError(t, world.node("a").End(t.Context(), "job-1"))
+		must.NoError(t, world.node("a").End(t.Context(), noTenant, "job-1"))
 		for _, name := range []string{"a", "b", "c"} {
 			world.kill(name)
 			world.start(name)
@@ -46,7 +46,7 @@
 		world.start("a")
 		time.Sleep(6 * time.Second)
 		must.Eq(t, 0, world.node("a").OpenJobs())
-		_, err := world.node("b").Read(t.Context(), "job-1", 0, 0)
+		_, err := world.node("b").Read(t.Context(), noTenant, "job-1", 0, 0)
 		must.NoError(t, err)
 		checkResults(t, await(t, world.node("b"), "job-1", 6, 8*time.Second), 1)
 	})
--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -16,8 +16,12 @@
 	ownerEndLimit = 900 * time.Millisecond
 )
 
-// End ends a job. It returns once the end is durable.
-func (runner *Runner) End(ctx context.Context, id string) error {
+// End ends a job of a tenant, empty for none. It returns once the end is durable.
+func (runner *Runner) End(ctx context.Context, tenant, job string) error {
+	return inScope(tenant, job, func(id string) error { return runner.end(ctx, id) })
+}
+
+func (runner *Runner) end(ctx context.Context, id string) error {
 	if runner.ended.has(id) {
 		return nil
 	}
--- a/internal/batchrun/evacuate_test.go
+++ b/internal/batchrun/evacuate_test.go
@@ -61,7 +61,7 @@
 				must.Eq(t, 1, world.engines.starts[item], must.Sprint(item, " was whole, and was made again"))
 			}
 		}
-		must.NoError(t, world.node("c").End(t.Context(), longJob))
+		must.NoError(t, world.node("c").End(t.Context(), noTenant, longJob))
 		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("other", 4, 1), jobRoute))
 		await(t, world.node("b"), "other", 4, 3*time.Second)
 		world.refuse("a", false)
@@ -109,7 +109,7 @@
 		time.Sleep(300 * time.Millisecond)
 		world.refuse("a", true)
 		sent := time.Now()
-		must.NoError(t, world.node("b").End(t.Context(), longJob))
+		must.NoError(t, world.node("b").End(t.Context(), noTenant, longJob))
 		must.Less(t, 1500*time.Millisecond, time.Since(sent))
 		started := world.engines.started()
 		time.Sleep(4 * time.Second)
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -182,6 +182,7 @@
 	return &backend.Request{
 		ID: running.item.GetId(), Method: http.MethodPost, Host: running.job.definition.GetHost(), Target: running.item.GetPath(),
 		Header: header, Body: running.item.GetBody(), Deadline: route.MaxQueue, ResumeAfter: running.lastEvent, Priority: -1,
+		Tenant: running.job.definition.GetTenant(),
 	}
 }
 
--- a/internal/batchrun/history_test.go
+++ b/internal/batchrun/history_test.go
@@ -107,7 +107,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	if runner.End(ctx, id) == nil {
+	if runner.End(ctx, noTenant, id) == nil {
 		history.ended[id] = true
 	}
 }
--- a/internal/batchrun/kept.go
+++ b/internal/batchrun/kept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
 )
 
 const (
@@ -26,7 +27,8 @@
 
 // keptItems holds texts by item. It is safe for concurrent use.
 type keptItems struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// items are in the scope of their job's tenant: another tenant may use the same identifiers.
 	items map[string]*keptText
 	// ofJob are the items that other nodes had kept here, by job.
 	ofJob map[string]map[string]bool
@@ -61,7 +63,7 @@
 	defer kept.mu.Unlock()
 	var list []*batchv1.Partial
 	for id := range kept.ofJob[job] {
-		if text := kept.items[id]; text != nil {
+		if text := kept.items[batch.InScopeOf(job, id)]; text != nil {
 			list = append(list, text.partial(id))
 		}
 	}
@@ -81,6 +83,7 @@
 func (kept *keptItems) put(id string, text *keptText) {
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
+	id = batch.InScopeOf(text.job, id)
 	present := kept.items[id]
 	if present == nil && len(kept.items) >= keptMost {
 		kept.expire(text.at)
@@ -115,10 +118,11 @@
 	}
 }
 
-// take returns and forgets the text of an item; nil without one.
-func (kept *keptItems) take(id string) *keptText {
+// take returns and forgets the text of an item of a job, whichever job of its tenant made it; nil without one.
+func (kept *keptItems) take(job, id string) *keptText {
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
+	id = batch.InScopeOf(job, id)
 	text := kept.items[id]
 	delete(kept.items, id)
 	return text
--- a/internal/batchrun/move_test.go
+++ b/internal/batchrun/move_test.go
@@ -38,7 +38,7 @@
 		definition := newDefinition(longJob, 4, 1)
 		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
 		await(t, world.node("a"), longJob, 4, 5*time.Second)
-		must.NoError(t, world.node("a").End(t.Context(), longJob))
+		must.NoError(t, world.node("a").End(t.Context(), noTenant, longJob))
 		line := world.lineOf("job ended")
 		bound, enough := numberIn(t, line, "bound_ms"), numberIn(t, line, "enough_ms")
 		must.Between(t, longEvents*30-100, bound, longEvents*30+100)
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -32,9 +32,17 @@
 	return cutPage(total, slices.Concat(page.Results, results), 0, pageLimit)
 }
 
-// Read returns the results at position from and after. If there is none it waits for one, up to wait. ErrNotFound says that
-// no such job exists, ErrUnsure that this can't be told now.
-func (runner *Runner) Read(ctx context.Context, id string, from int, wait time.Duration) (Page, error) {
+// Read returns the results at position from and after of a job of a tenant, empty for none. If there is none it waits for one, up to
+// wait. ErrNotFound says that the tenant has no such job, ErrUnsure that this can't be told now.
+func (runner *Runner) Read(ctx context.Context, tenant, job string, from int, wait time.Duration) (page Page, err error) {
+	err = inScope(tenant, job, func(id string) error {
+		page, err = runner.read(ctx, id, from, wait)
+		return err
+	})
+	return page, err
+}
+
+func (runner *Runner) read(ctx context.Context, id string, from int, wait time.Duration) (Page, error) {
 	wait = min(wait, mostWaiting)
 	if page, ok := runner.readHere(ctx, id, from, wait, pageLimit); ok {
 		return page, nil
@@ -209,8 +217,16 @@
 	return record, nil
 }
 
-// Body returns the body of an item that is not listed yet.
-func (runner *Runner) Body(ctx context.Context, id, itemID string) ([]byte, error) {
+// Body returns the body of an item that is not listed yet, of a job of a tenant, empty for none.
+func (runner *Runner) Body(ctx context.Context, tenant, job, itemID string) (body []byte, err error) {
+	err = inScope(tenant, job, func(id string) error {
+		body, err = runner.readBody(ctx, id, itemID)
+		return err
+	})
+	return body, err
+}
+
+func (runner *Runner) readBody(ctx context.Context, id, itemID string) ([]byte, error) {
 	if owned := runner.find(id); owned != nil && owned.isAccepted() {
 		return owned.body(itemID)
 	}
--- /dev/null
+++ b/internal/batchrun/scope_test.go
@@ -0,0 +1,76 @@
+package batchrun_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
+	"github.com/thistlewalk/thistlewalk/internal/batchrun"
+)
+
+func definitionOf(tenant, id string, items int) *batchv1.Job {
+	definition := newDefinition(id, items, 1)
+	definition.Id, definition.Tenant = batch.ScopedID(tenant, id), tenant
+	return definition
+}
+
+// A job is its tenant's at every node: read by its owner, from copies, through other nodes and from the log after its end. Another tenant
+// and a caller without one learn not even that it exists, whatever they name it.
+func TestJobsOfTenants(t *testing.T) {
+	inWorld(t, 31, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), definitionOf("harbour", "job", 6), jobRoute))
+		time.Sleep(4 * time.Second)
+		item := newDefinition("job", 6, 1).GetItems()[0].GetId()
+		askAll := func(when string) {
+			for _, name := range []string{"a", "b", "c"} {
+				page, err := world.node(name).Read(t.Context(), "harbour", "job", 0, 0)
+				must.NoError(t, err, must.Sprint(when, name))
+				must.Eq(t, 6, len(page.Results), must.Sprint(when, name))
+				for _, other := range []string{"airport", noTenant} {
+					for _, named := range []string{"job", batch.ScopedID("harbour", "job")} {
+						_, err = world.node(name).Read(t.Context(), other, named, 0, 0)
+						must.True(t, errors.Is(err, batchrun.ErrNotFound), must.Sprint(when, name, other, named, err))
+						_, err = world.node(name).Body(t.Context(), other, named, item)
+						must.True(t, errors.Is(err, batchrun.ErrNotFound), must.Sprint(when, name, other, named, err))
+						err = world.node(name).End(t.Context(), other, named)
+						must.True(t, errors.Is(err, batchrun.ErrNotFound), must.Sprint(when, name, other, named, err))
+					}
+				}
+			}
+		}
+		askAll("open")
+		must.NoError(t, world.node("b").End(t.Context(), "harbour", "job"))
+		askAll("ended")
+	})
+}
+
+// Two tenants may use the same identifiers for jobs and items: neither gets what was made for the other.
+func TestTenantsWithTheSameIdentifiers(t *testing.T) {
+	inWorld(t, 32, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), definitionOf("harbour", "job", 4), jobRoute))
+		must.NoError(t, world.node("a").Submit(t.Context(), definitionOf("airport", "job", 8), jobRoute))
+		time.Sleep(4 * time.Second)
+		for tenant, total := range map[string]int{"harbour": 4, "airport": 8} {
+			page, err := world.node("c").Read(t.Context(), tenant, "job", 0, 0)
+			must.NoError(t, err)
+			must.Eq(t, total, page.Total, must.Sprint(tenant))
+			must.Eq(t, total, len(page.Results), must.Sprint(tenant))
+		}
+	})
+}
+
+// Jobs that were accepted before the deployment had tenants are read and ended by any of them.
+func TestJobsFromBeforeTenants(t *testing.T) {
+	inWorld(t, 33, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 4, 1), jobRoute))
+		time.Sleep(3 * time.Second)
+		page, err := world.node("b").Read(t.Context(), "harbour", "job", 0, 0)
+		must.NoError(t, err)
+		must.Eq(t, 4, len(page.Results))
+		must.NoError(t, world.node("c").End(t.Context(), "airport", "job"))
+	})
+}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -236,7 +236,7 @@
 	close(owned.accepted)
 	runner.Metrics.Job("accepted")
 	runner.Logger.Info("job accepted", "job", owned.id(), "step", owned.definition.GetStep(), "model", owned.definition.GetModel(),
-		"minimum", owned.definition.GetMinimumVersion(), "items", len(owned.definition.GetItems()), "here", held != nil, "tries", tries,
+		"tenant", owned.definition.GetTenant(), "minimum", owned.definition.GetMinimumVersion(), "items", len(owned.definition.GetItems()), "here", held != nil, "tries", tries,
 		"took_ms", time.Since(started).Milliseconds())
 	if held == nil {
 		runner.remove(owned)
@@ -274,7 +274,7 @@
 		}
 		created := &task{job: owned, item: item}
 		owned.tasks[item.GetId()] = created
-		if kept := runner.kept.take(item.GetId()); kept != nil && created.useKept(kept) {
+		if kept := runner.kept.take(owned.id(), item.GetId()); kept != nil && created.useKept(kept) {
 			whole = append(whole, created)
 			continue
 		}
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -220,7 +220,7 @@
 func (runner *Runner) partials(owned *job) []*batchv1.Partial {
 	list := owned.unlisted()
 	for _, item := range owned.definition.GetItems() {
-		kept := runner.kept.take(item.GetId())
+		kept := runner.kept.take(owned.id(), item.GetId())
 		if kept == nil || kept.lastEvent == 0 {
 			continue
 		}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -26,6 +26,9 @@
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 )
 
+// noTenant stands for callers of a deployment without tenants.
+const noTenant = ""
+
 // engines stand for all replicas: each item has a fixed number of events, and each replica a version and faults.
 type engines struct {
 	mu sync.Mutex
@@ -370,7 +373,7 @@
 func readAll(ctx context.Context, runner *batchrun.Runner, id string) ([]*batchv1.Result, error) {
 	var results []*batchv1.Result
 	for {
-		page, err := runner.Read(ctx, id, len(results), 0)
+		page, err := runner.Read(ctx, noTenant, id, len(results), 0)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -45,6 +45,8 @@
 	Priority      int
 	Resumable     bool
 	SingleVersion bool
+	// Public routes serve callers without a key, and do so for no tenant.
+	Public bool
 	// JobObjective is the time after a batch job's submission at which all its results are due; MaxQueue is the time after
 	// which an item may be given up.
 	JobObjective time.Duration
@@ -79,10 +81,16 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Multitenant says that callers identify themselves by keys, even if Tenants is empty.
+	Multitenant bool
+	Tenants     []Tenant
+
 	byHost   map[string][]*Route
+	byKey    map[KeyDigest]*Tenant
+	byTenant map[string]*Tenant
 }
 
-// Index prepares the configuration for FindRoute. It must be called once, before the configuration is shared.
+// Index prepares the configuration for FindRoute, TenantOf and FindTenant. It must be called once, before the configuration is shared.
 func (configuration *Configuration) Index() {
 	configuration.byHost = make(map[string][]*Route)
 	for index := range configuration.Routes {
@@ -90,6 +98,7 @@
 		host := strings.ToLower(route.Host)
 		configuration.byHost[host] = append(configuration.byHost[host], route)
 	}
+	configuration.indexTenants()
 }
 
 // FindRoute returns the route of a host whose prefix is the longest that begins the path; nil without one.
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -26,6 +26,9 @@
 	startDoubt = 100 * time.Millisecond
 	// wakeWait is how long a process that stood still waits for a beacon: one comes every 400 ms.
 	wakeWait = 500 * time.Millisecond
+	// firstReading is how long a node that has begun to read the store may lack something: a call that the store answers within its usual
+	// 4 ms, or fifty times as late, and as much again for a call that fails first.
+	firstReading = 500 * time.Millisecond
 )
 
 // Subscriber takes what a publisher spreads, and reads the metadata store itself while that is not enough. It implements
@@ -58,6 +61,8 @@
 	behind  map[string]lag // by prefix
 	missed  time.Time      // when something was missing last; zero for never
 	reading bool
+	// readingSince is when this node last began to read the store.
+	readingSince time.Time
 }
 
 // lag is a revision of a topic that a beacon told of, and since when this node has not reached it.
@@ -118,6 +123,25 @@
 	return now.Sub(subscriber.heard) > doubtAfter
 }
 
+// UpToDate reports whether this node knows of nothing that it lacks of a topic: it has read the store for some time, which answers, or a
+// beacon came lately that told of nothing newer.
+func (subscriber *Subscriber) UpToDate(prefix string, now time.Time) bool {
+	subscriber.mu.Lock()
+	defer subscriber.mu.Unlock()
+	if subscriber.reading {
+		return subscriber.Health.Good() && now.Sub(subscriber.readingSince) > firstReading
+	}
+	if subscriber.heard.IsZero() || now.Sub(subscriber.heard) > subscriber.Limits.Silence {
+		return false
+	}
+	for _, topic := range subscriber.Topics {
+		if _, lacks := subscriber.lacks(topic, now); lacks && topic.Prefix() == prefix {
+			return false
+		}
+	}
+	return true
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -224,6 +248,9 @@
 	}
 	before := subscriber.reading
 	subscriber.reading = answers && !subscriber.missed.IsZero() && now.Sub(subscriber.missed) <= calmTime
+	if subscriber.reading && !before {
+		subscriber.readingSince = now
+	}
 	return subscriber.reading, subscriber.reading != before, reason
 }
 
--- a/internal/dissemination/subscriber_test.go
+++ b/internal/dissemination/subscriber_test.go
@@ -286,3 +286,30 @@
 		must.Less(t, due/3, limits.Behind)
 	}
 }
+
+// A node is up to date on a topic while beacons come that tell of nothing newer; not before the first, not once they stop, and not while
+// it lacks what one told of. What it lacks of other topics does not matter.
+func TestUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go fixture.Run(ctx)
+		synctest.Wait()
+		upToDate := func() bool { return fixture.UpToDate(prefixConfiguration, time.Now()) }
+		must.False(t, upToDate(), must.Sprint("before any beacon"))
+		fixture.take(t, prefixConfiguration, 5)
+		fixture.Heard(beacon(prefixConfiguration, 5), nil)
+		must.True(t, upToDate())
+		fixture.Heard(beacon(prefixConfiguration, 9), nil)
+		must.False(t, upToDate(), must.Sprint("a newer revision told of"))
+		fixture.take(t, prefixConfiguration, 9)
+		must.True(t, upToDate())
+		fixture.Heard(beacon(prefixReplicas, 12), nil)
+		must.True(t, upToDate(), must.Sprint("another topic"))
+		time.Sleep(limits().Silence + 10*time.Millisecond)
+		must.False(t, upToDate(), must.Sprint("beacons stopped, nothing read yet"))
+		time.Sleep(time.Second)
+		must.True(t, upToDate(), must.Sprint("it reads the store itself"))
+	})
+}
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -37,6 +37,8 @@
 	Request backend.Request
 	// Deadline is the time that the caller waits; zero when it did not say.
 	Deadline time.Duration
+	// StillAdmitted reports whether the caller's key is in force still; nil where callers need none.
+	StillAdmitted func() bool
 }
 
 // Result is the final answer of a call. Rest, if not nil, is the part of a long body that is still to come.
@@ -145,6 +147,9 @@
 
 func (run *run) loop(ctx context.Context) Result {
 	if !run.start(ctx) {
+		if run.revoked() {
+			return run.unauthorized()
+		}
 		return run.refuse("no_replica")
 	}
 	for {
@@ -175,9 +180,20 @@
 	return timer.C, func() { timer.Stop() }
 }
 
+// revoked reports whether the caller's key was taken away since the request came: no further attempt begins with it.
+func (run *run) revoked() bool { return run.call.StillAdmitted != nil && !run.call.StillAdmitted() }
+
+// unauthorized refuses a request that has not run, whose key was taken away while it was held.
+func (run *run) unauthorized() Result {
+	return Result{Status: http.StatusUnauthorized, Own: true, Reason: "key_revoked"}
+}
+
 // start sends the request to a replica that has not had it, and reports whether there was one.
 func (run *run) start(ctx context.Context) bool {
 	left := time.Until(run.end)
+	if run.revoked() {
+		return false
+	}
 	if run.attempts >= max(run.route.MaxAttempts, 1) || left < leastAttempt {
 		return false
 	}
@@ -301,6 +317,9 @@
 	if run.mayHaveRun {
 		return Result{Status: http.StatusBadGateway, Own: true, Reason: "outcome_unknown"}
 	}
+	if run.revoked() {
+		return run.unauthorized()
+	}
 	return run.refuse("not_executed")
 }
 
--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -129,3 +129,40 @@
 	must.Eq(t, 0, counts["c"])
 	must.Eq(t, "", forwarding.PickPart(nil))
 }
+
+// A key that is taken away while a request is held begins no further attempt; what has not run is refused as having none.
+func TestRevokedWhileHeld(t *testing.T) {
+	refused := behaviour{after: 20 * time.Millisecond, status: http.StatusServiceUnavailable, notExecuted: true}
+	broken := behaviour{after: 20 * time.Millisecond, broken: true}
+	slow := behaviour{after: 400 * time.Millisecond, status: http.StatusOK}
+	for _, check := range []struct {
+		name   string
+		first  behaviour
+		after  time.Duration
+		sent   int
+		status int
+	}{
+		{"before the first attempt", refused, 0, 0, http.StatusUnauthorized},
+		{"before a retry of what has not run", refused, 10 * time.Millisecond, 1, http.StatusUnauthorized},
+		{"before a retry of what may have run", broken, 10 * time.Millisecond, 1, http.StatusBadGateway},
+		{"before a hedge: what runs may end", slow, 30 * time.Millisecond, 1, http.StatusOK},
+		{"not in time to matter", refused, time.Second, 3, http.StatusServiceUnavailable},
+	} {
+		sender := &scripted{script: []behaviour{check.first}}
+		var result forwarding.Result
+		synctest.Test(t, func(t *testing.T) {
+			table := catalog.NewTable()
+			table.SetReplicas([]catalog.Replica{{ID: "r1", Service: "s", Slots: 6}, {ID: "r2", Service: "s", Slots: 6}, {ID: "r3", Service: "s", Slots: 6}}, 1)
+			forwarder := &forwarding.Forwarder{Catalog: table, Loads: backend.NewLoads(), Sender: sender, Logger: log.New(io.Discard)}
+			route := &catalog.Route{Kind: catalog.Safe, Parts: []catalog.Part{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: 3}
+			started := time.Now()
+			result = forwarder.Forward(t.Context(), route, &forwarding.Call{
+				Request: backend.Request{ID: "q"}, Deadline: 900 * time.Millisecond,
+				StillAdmitted: func() bool { return time.Since(started) < check.after },
+			})
+			synctest.Wait()
+		})
+		must.Eq(t, check.status, result.Status, must.Sprint(check.name))
+		must.Eq(t, check.sent, len(sender.sent), must.Sprint(check.name))
+	}
+}
--- a/internal/lab/platform/site/replica.go
+++ b/internal/lab/platform/site/replica.go
@@ -29,6 +29,7 @@
 	faults  ReplicaFaults
 	ran     map[string]int
 	bodies  map[string]string
+	callers map[string]Caller
 	refused int
 	holders []string
 	// OnChange is called after the replica's registered state changed.
@@ -54,7 +55,7 @@
 func NewReplica(id, service, model string) *Replica {
 	return &Replica{
 		ID: id, Service: service, Model: model, Slots: 8, EventTime: 5 * time.Millisecond, LoadTime: 50 * time.Millisecond,
-		version: 1, ran: make(map[string]int), bodies: make(map[string]string), OnChange: func() {},
+		version: 1, ran: make(map[string]int), bodies: make(map[string]string), callers: make(map[string]Caller), OnChange: func() {},
 	}
 }
 
@@ -163,6 +164,7 @@
 	} else {
 		replica.ran[id]++
 		replica.bodies[id] = request.Method + " " + request.RequestURI + " " + string(body)
+		replica.callers[id] = Caller{Tenant: request.Header.Get("Tenant"), Authorization: request.Header.Get("Authorization")}
 	}
 	replica.mu.Unlock()
 	if refuse {
@@ -203,6 +205,16 @@
 	return replica.bodies[id]
 }
 
+// Caller is what a replica was told of who makes a request.
+type Caller struct{ Tenant, Authorization string }
+
+// CallerOf returns what this replica was told of the caller of a request that ran here.
+func (replica *Replica) CallerOf(id string) Caller {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	return replica.callers[id]
+}
+
 // stream writes the events of an item from where the caller asks.
 func (replica *Replica) stream(writer http.ResponseWriter, request *http.Request, execution *Execution, id string, faults ReplicaFaults) {
 	after, _ := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -156,6 +156,11 @@
 	return !front.stopping.Load() && front.Catalog.Configuration() != nil && len(front.Catalog.Replicas().All) > 0
 }
 
+// UpToDate reports whether this front may say of a route or a key that the operator has none such.
+func (front *Front) UpToDate() bool {
+	return front.subscriber.UpToDate(front.ConfigurationPrefix, time.Now())
+}
+
 // Stopping reports whether a planned stop has begun.
 func (front *Front) Stopping() bool { return front.stopping.Load() }
 
