Have a holder's acquisition that lapsed unused not count as the last to order

Cause: a drawn history of the reports of use (a write whose answer is lost, then a holder that is cut off) had two holders act 2.9 s apart, where 3 s have to lie between them. The node that acquires the lease wrote itself down as the last holder at once. If that acquisition lapsed before the node knew of it, or its process ended before its first order, it took itself for the last holder at its next acquisition and gave orders without the wait. An old fault: it could meet orders to replicas as well. Change: a holder that has to wait writes itself down when the wait is over, on the condition that its term is the last that began, and gives no order before that write is acknowledged. One more write for each change of the holder.

--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -14,7 +14,8 @@
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
 
-// Keys of the election: who holds the lease, and who held it last.
+// Keys of the election: who holds the lease, and who gave orders last. A holder writes the latter before its first order, and not when it
+// acquires the lease: an acquisition may lapse, or its process end, before any order is given.
 const (
 	electionPrefix = "cluster/orderer"
 	holderKey      = "cluster/orderer/holder"
@@ -66,7 +67,8 @@
 
 	mu    sync.Mutex
 	until time.Time // by the steady clock, counted from before the renewal was sent
-	from  time.Time // no order before
+	// begun says that this node is written down as the one that gives orders; none is given before.
+	begun bool
 }
 
 // Valid reports whether the lease is in force, and will be for the margin.
@@ -74,7 +76,18 @@
 	term.mu.Lock()
 	defer term.mu.Unlock()
 	now := time.Now()
-	return now.After(term.from) && now.Add(margin).Before(term.until)
+	return term.begun && now.Add(margin).Before(term.until)
+}
+
+func (term *Term) begin() {
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	term.begun = true
+}
+
+// Condition holds in the metadata store as long as this term is the last that has begun.
+func (term *Term) Condition() metadata.Condition {
+	return metadata.Condition{Key: holderKey, Revision: metadata.Revision(term.Fence)}
 }
 
 func (term *Term) extend(sent time.Time) {
@@ -230,10 +243,15 @@
 		return nil, errors.Wrap(err, "grant")
 	}
 	holder := election.Node + " " + uuid.NewString()
-	revision, err := election.Store.Commit(ctx, metadata.Txn{
+	txn := metadata.Txn{
 		Conditions: []metadata.Condition{{Key: holderKey}, {Key: lastKey, Revision: lastAt}},
-		Puts:       []metadata.Put{{Key: holderKey, Value: []byte(holder), Lease: lease}, {Key: lastKey, Value: []byte(election.Node)}},
-	})
+		Puts:       []metadata.Put{{Key: holderKey, Value: []byte(holder), Lease: lease}},
+	}
+	waits := last != "" && last != election.Node
+	if last == "" {
+		txn.Puts = append(txn.Puts, metadata.Put{Key: lastKey, Value: []byte(election.Node)})
+	}
+	revision, err := election.Store.Commit(ctx, txn)
 	var conflict *metadata.ConflictError
 	switch {
 	case errors.As(err, &conflict):
@@ -244,15 +262,34 @@
 			return nil, errors.Wrap(err, "commit") // if it was done all the same, the lease runs out
 		}
 	}
-	term := &Term{Fence: int64(revision), lease: lease, life: election.Settings.Lease, from: sent}
-	if last != "" && last != election.Node {
-		term.from = time.Now().Add(election.Settings.HandoverWait)
-	}
+	term := &Term{Fence: int64(revision), lease: lease, life: election.Settings.Lease, begun: !waits}
 	term.extend(sent)
-	election.Logger.Info("orderer lease acquired", "fence", term.Fence, "last", last, "orders_from_ms", time.Until(term.from).Milliseconds())
+	election.Logger.Info("orderer lease acquired", "fence", term.Fence, "last", last, "waits", waits)
 	return term, nil
 }
 
+// beginOrders waits until the last holder gives no more orders, and writes this node down as the one that does, as long as its term lasts.
+func (election *Election) beginOrders(ctx context.Context, term *Term) {
+	pause(ctx, election.Settings.HandoverWait)
+	for ctx.Err() == nil {
+		callCtx, stop := context.WithTimeout(ctx, electionCall)
+		_, err := election.Store.Commit(callCtx, metadata.Txn{
+			Conditions: []metadata.Condition{term.Condition()}, Puts: []metadata.Put{{Key: lastKey, Value: []byte(election.Node)}},
+		})
+		stop()
+		election.Logger.Info("orders begun", "fence", term.Fence, "error", err)
+		var conflict *metadata.ConflictError
+		if errors.As(err, &conflict) {
+			return // another term has begun; the renewal of the lease will say so
+		}
+		if err == nil {
+			term.begin()
+			return
+		}
+		pause(ctx, election.Settings.Renew)
+	}
+}
+
 // readBack settles an acquisition whose answer was lost.
 func (election *Election) readBack(holder string) (metadata.Revision, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), electionCall)
@@ -295,6 +332,9 @@
 		defer close(done)
 		lead(termCtx, term)
 	}()
+	if !term.begun {
+		go election.beginOrders(termCtx, term)
+	}
 	wait := election.Settings.Renew
 	for ctx.Err() == nil {
 		pause(ctx, wait)
--- a/internal/weights/election_test.go
+++ b/internal/weights/election_test.go
@@ -213,3 +213,50 @@
 		synctest.Wait()
 	})
 }
+
+// A node whose acquisition was done without an answer, and lapsed before it knew, gave no order by it: it waits before its first as every
+// other successor does. It used to take itself for the last holder.
+func TestElectionAfterVoidAcquisition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner, recorded := memstore.New(), &duties{}
+		first := &nodeStore{Store: inner}
+		settings := electionSettings
+		settings.Lease = 1300 * time.Millisecond
+		candidatesWith(ctx, first, recorded, settings, "a")
+		time.Sleep(3 * time.Second)
+		candidatesWith(ctx, inner, recorded, settings, "b")
+		time.Sleep(time.Second)
+		first.cut.Store(true)
+		inner.SetFaults(memstore.Faults{LoseAnswers: 1})
+		time.Sleep(12 * time.Second)
+		must.Eq(t, "b", recorded.last().node)
+		recorded.check(t)
+		cancel()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+	})
+}
+
+// A node that is started again before it has given its first order waits as well.
+func TestElectionAfterRestartBeforeTheFirstOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		inner, recorded := memstore.New(), &duties{}
+		first := &nodeStore{Store: inner}
+		candidates(ctx, first, recorded, "a")
+		time.Sleep(3 * time.Second)
+		stops := candidates(ctx, inner, recorded, "b")
+		first.cut.Store(true)
+		time.Sleep(2900 * time.Millisecond)
+		must.Eq(t, "a", recorded.last().node)
+		stops["b"]()
+		candidates(ctx, inner, recorded, "b")
+		time.Sleep(9 * time.Second)
+		must.Eq(t, "b", recorded.last().node)
+		recorded.check(t)
+		cancel()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+	})
+}
