Count the requests of tenants, and report them once a window

Change: internal/metering. A front tallies each request that it sends for a tenant, takes back what turned out not to have run, and tells its tallies at once to the node that holds the orderer's lease and to a front of another zone, which passes them on if the teller is gone. Tallies are states, not messages: the newest of a process and window counts, so that they may come twice, late and out of order. The holder stores the report of a window 2.5 s after its end, on the condition that its term is the last, and only then sends it; whoever succeeds sends what is stored. Windows follow the steady clock when the time of day jumps. One holder for orders and reports: the load of a report is one write and one call in 5 s, and a second election would cost more than that. What counts as begun: each run of a request that carries a tenant, counted at the time it is sent; runs that a replica refused are taken back.

--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -50,6 +50,7 @@
 		ReplicaHandler:       &platform.ReplicaHandler{Logger: process.logger, Catalog: table},
 		Limits:               patience,
 		StartOrderer:         process.standby(),
+		UsageWindow:          settings.UsageWindow(),
 	})
 	ingress := &platform.Ingress{
 		Catalog: table, Forwarder: front.Forwarder, Runner: front.Runner, Bodies: forwarding.NewBodies(), Logger: process.logger,
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -298,6 +298,34 @@
 	return name
 }
 
+// Runs reports whether a process of a node is registered.
+func (registry *Registry) Runs(node string, life int64) bool {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	record := registry.nodes[node]
+	return record != nil && record.GetLife() == life
+}
+
+// Elsewhere returns the record of the node of this node's role in another zone that ranks first for this node, or in its own zone where
+// there is no other; nil for none. Few nodes change theirs when one comes or goes.
+func (registry *Registry) Elsewhere() *clusterv1.NodeRecord {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	var best *clusterv1.NodeRecord
+	var bestRank uint64
+	for name, record := range registry.nodes {
+		if name == registry.self.GetName() || record.GetRole() != registry.self.GetRole() {
+			continue
+		}
+		rank := xxhash.Sum64String(registry.self.GetName() + "/" + name)
+		far, bestFar := record.GetZone() != registry.self.GetZone(), best != nil && best.GetZone() != registry.self.GetZone()
+		if best == nil || (far && !bestFar) || (far == bestFar && rank > bestRank) {
+			best, bestRank = record, rank
+		}
+	}
+	return best
+}
+
 // SameZone reports whether a node is registered in this node's zone.
 func (registry *Registry) SameZone(name string) bool {
 	registry.mu.Lock()
--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -39,7 +39,9 @@
 	// Nodes returns the nodes to publish to; nil for all others.
 	Nodes func() []*clusterv1.NodeRecord
 	// Relay says that this node stands in for the publisher, and orders no replicas.
-	Relay     bool
+	Relay bool
+	// Term is the fence of the term in which this node orders replicas and collects tallies of usage; zero for a relay.
+	Term      int64
 	Datagrams *cluster.Datagrams
 	Health    *metadata.Health
 	Logger    *log.Logger
@@ -128,7 +130,7 @@
 	for _, node := range publisher.due(nodes, time.Now()) {
 		go publisher.push(ctx, node)
 	}
-	beacon := &clusterv1.Beacon{Name: publisher.Node, Relay: publisher.Relay, Changed: changedAt(publisher.Topics)}
+	beacon := &clusterv1.Beacon{Name: publisher.Node, Relay: publisher.Relay, Term: publisher.Term, Changed: changedAt(publisher.Topics)}
 	publisher.Datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Beacon{Beacon: beacon}}, nodes)
 }
 
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -55,6 +55,9 @@
 	led   time.Time // a beacon of the publisher itself
 	told  *clusterv1.Beacon
 	from  net.Addr
+	// publisher is the name of the node that sent the last beacon of a publisher, term the fence that it told; zero for none.
+	publisher string
+	term      int64
 	// excused is until when missing beacons mean nothing: this process stood still, or the store did not answer.
 	excused time.Time
 	checked time.Time
@@ -98,6 +101,22 @@
 	return subscriber.from
 }
 
+// Collector is the node that collects tallies of usage, with the fence of its term.
+type Collector struct {
+	Node, Address string
+	Term          int64
+}
+
+// Collector returns the collector whose beacon came last; nil when none has come lately.
+func (subscriber *Subscriber) Collector() *Collector {
+	subscriber.mu.Lock()
+	defer subscriber.mu.Unlock()
+	if subscriber.term == 0 || subscriber.from == nil || time.Since(subscriber.led) > subscriber.Limits.Silence {
+		return nil
+	}
+	return &Collector{Node: subscriber.publisher, Address: subscriber.from.String(), Term: subscriber.term}
+}
+
 // Silent returns how long no beacon of a publisher has come, counted from the start of this process at most.
 func (subscriber *Subscriber) Silent(now time.Time) time.Duration {
 	subscriber.mu.Lock()
@@ -158,6 +177,7 @@
 	if !beacon.GetRelay() {
 		subscriber.led = subscriber.heard
 		subscriber.from = from
+		subscriber.publisher, subscriber.term = beacon.GetName(), beacon.GetTerm()
 	}
 }
 
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -57,6 +57,12 @@
 	Unfinished bool
 }
 
+// Meter counts requests of tenants that begin to run.
+type Meter interface {
+	// Began counts a request that is sent now; withdraw takes it back, once, if it has not run.
+	Began(tenant string) (withdraw func())
+}
+
 // Forwarder passes requests on. It is safe for concurrent use.
 type Forwarder struct {
 	Catalog *catalog.Table
@@ -65,6 +71,8 @@
 	Zone    string
 	Logger  *log.Logger
 	Metrics *telemetry.Metrics
+	// Meter may be nil.
+	Meter Meter
 }
 
 // PickPart draws a part of a route by weight.
@@ -145,6 +153,22 @@
 	err     error
 }
 
+// hasNotRun reports whether it is known that the replica did not begin the request.
+func (result *attemptResult) hasNotRun() bool {
+	if result.err != nil {
+		return errors.Is(result.err, backend.ErrNotSent)
+	}
+	return result.answer.NotExecuted
+}
+
+// count counts a request of a tenant, empty for none, that is sent to a replica now.
+func (forwarder *Forwarder) count(tenant string) (withdraw func()) {
+	if forwarder.Meter == nil || tenant == "" {
+		return func() {}
+	}
+	return forwarder.Meter.Began(tenant)
+}
+
 func (run *run) loop(ctx context.Context) Result {
 	if !run.start(ctx) {
 		if run.revoked() {
@@ -218,8 +242,12 @@
 func (run *run) attempt(ctx context.Context, replica *catalog.Replica, request *backend.Request) {
 	loads := run.forwarder.Loads
 	loads.Begin(replica.ID, time.Now())
+	withdraw := run.forwarder.count(request.Tenant)
 	result := attemptResult{replica: replica.ID}
 	result.answer, result.err = run.forwarder.Sender.Send(ctx, replica, request)
+	if result.hasNotRun() {
+		withdraw()
+	}
 	if result.err == nil {
 		result.body, result.rest, result.err = readBody(result.answer, run.route.Kind == catalog.Stream)
 	}
--- /dev/null
+++ b/internal/metering/ledger_test.go
@@ -0,0 +1,70 @@
+package metering
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	meteringv1 "github.com/thistlewalk/thistlewalk/api/metering/v1"
+)
+
+var testWindows = Windows{Length: 5 * time.Second}
+
+func tally(node string, life, window, sequence, count int64) *meteringv1.Tally {
+	return &meteringv1.Tally{
+		Node: node, Life: life, Window: window, Sequence: sequence, Counts: []*meteringv1.TenantCount{{Tenant: "harbour", Count: count}},
+	}
+}
+
+// Tallies may come twice, late and out of order: the newest of each process counts, once.
+func TestLedgerTakesTheNewest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := NewLedger(testWindows, NewClock())
+		present := testWindows.At(time.Now())
+		counted := func(window int64) int64 { report, _ := ledger.Report(window); return total(report) }
+		ledger.Merge(tally("a", 1, present, 2, 7))
+		ledger.Merge(tally("a", 1, present, 2, 7), tally("a", 1, present, 1, 3))
+		must.Eq(t, 7, counted(present))
+		ledger.Merge(tally("a", 1, present, 3, 6))
+		must.Eq(t, 6, counted(present), must.Sprint("what turned out not to have run is taken back"))
+		ledger.Merge(tally("a", 2, present, 1, 1), tally("b", 1, present, 9, 10), tally("b", 1, present-1, 8, 5))
+		must.Eq(t, 17, counted(present), must.Sprint("another life and another node"))
+		must.Eq(t, 5, counted(present-1))
+		_, processes := ledger.Report(present)
+		must.Eq(t, 3, processes)
+
+		ledger.Merge(tally("c", 1, present+1, 1, 4), tally("c", 1, present+2, 1, 4), tally("c", 1, present-windowsKept, 1, 4))
+		must.Eq(t, 4, counted(present+1), must.Sprint("a clock that is a little ahead"))
+		must.Eq(t, 0, counted(present+2), must.Sprint("a clock that is wrong"))
+		must.Eq(t, 0, counted(present-windowsKept), must.Sprint("over for long"))
+
+		time.Sleep((windowsKept + 2) * testWindows.Length)
+		ledger.Merge()
+		must.Eq(t, 0, counted(present))
+		must.MapEmpty(t, ledger.tallies)
+	})
+}
+
+// A request that has not run is taken back in the window in which it was counted.
+func TestMeter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := NewClock()
+		ledger := NewLedger(testWindows, clock)
+		meter := NewMeter("a", 1, testWindows, clock, ledger)
+		first := testWindows.At(time.Now())
+		meter.Began("harbour")
+		withdraw := meter.Began("harbour")
+		meter.Began("airport")
+		time.Sleep(testWindows.Length)
+		meter.Began("harbour")
+		report, _ := ledger.Report(first)
+		must.Eq(t, "airport:1 harbour:2", describe(report))
+		withdraw()
+		report, _ = ledger.Report(first)
+		must.Eq(t, "airport:1 harbour:1", describe(report))
+		report, _ = ledger.Report(first + 1)
+		must.Eq(t, "harbour:1", describe(report))
+	})
+}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -47,6 +47,8 @@
 	Limits dissemination.Limits
 	// StartOrderer starts a candidate for giving orders in this process; nil for none.
 	StartOrderer func() (*Orderer, error)
+	// UsageWindow is the length of the windows of which usage is reported; zero for no reports.
+	UsageWindow time.Duration
 }
 
 // Front serves callers and runs batch jobs.
@@ -66,6 +68,8 @@
 	// waiting is how many take-overs wait for the metadata store.
 	waiting atomic.Int64
 	calls   atomic.Int64
+	// usage is nil where none is reported.
+	usage *usage
 }
 
 // Times of a front.
@@ -94,6 +98,10 @@
 	front.subscriber = front.newSubscriber()
 	front.health.Needed, front.health.Urgent = front.needsStore, front.waitsForStore
 	front.Registry.LeftKey, front.Registry.Health = batchlog.LeftKey, front.health
+	if options.UsageWindow > 0 {
+		front.usage = front.newUsage(options.UsageWindow)
+		front.Forwarder.Meter = front.usage.meter
+	}
 	front.Registry.OnExpelled = func() { go front.Runner.Recheck(ctx) }
 	return front
 }
@@ -125,6 +133,9 @@
 	if front.StartOrderer != nil {
 		go front.standBy(front.ctx)
 	}
+	if front.usage != nil {
+		go front.usage.teller.Run(front.ctx)
+	}
 	front.Runner.Start()
 	return nil
 }
@@ -136,6 +147,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(batches.PathPrefix(), batches)
 	mux.Handle(nodes.PathPrefix(), nodes)
+	if front.usage != nil {
+		mux.Handle(collectorHandler(front.usage.ledger))
+	}
 	go func() {
 		err := http.Serve(listener, mux)
 		front.Logger.Warn("server ended", "server", "peers", "error", err)
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -15,6 +15,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/metering"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 	"github.com/thistlewalk/thistlewalk/internal/weights"
 )
@@ -43,6 +44,9 @@
 	Election                                           weights.ElectionSettings
 	// Retention is how long ended jobs are kept.
 	Retention time.Duration
+	// UsageWindow is the length of the windows of which usage is reported to UsageSink; zero for no reports.
+	UsageWindow time.Duration
+	UsageSink   metering.Sink
 }
 
 // Orderer is a candidate for bringing replicas to the versions that trainers name, and for spreading to the fronts what it
@@ -55,9 +59,11 @@
 	// topics outlive a term, so that a later one tells fronts only what has changed.
 	topics    topics
 	datagrams *cluster.Datagrams
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	// reporter reports usage while this node holds the lease; nil where none is reported.
+	reporter *metering.Reporter
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 }
 
 // loadShare is the share of a service's replicas that load weights at the same time without slowing each other.
@@ -80,10 +86,18 @@
 	orders := weights.NewOrderer(options.Node, options.Catalog, options.Replicas, loadShare, options.Logger)
 	orders.Metrics = options.Metrics
 	registry := cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
-	return &Orderer{
+	orderer := &Orderer{
 		OrdererOptions: options, ctx: ctx, cancel: cancel, Weights: orders, registry: registry,
 		topics: newTopics(options.ConfigurationPrefix, metadata.Handlers{}, options.ReplicaPrefix, options.ReplicaHandler, registry),
 	}
+	if options.UsageWindow > 0 {
+		windows, clock := metering.Windows{Length: options.UsageWindow}, metering.NewClock()
+		orderer.reporter = &metering.Reporter{
+			Node: options.Node, Windows: windows, Clock: clock, Ledger: metering.NewLedger(windows, clock), Store: options.Store,
+			Sink: options.UsageSink, Logger: options.Logger, Metrics: options.Metrics,
+		}
+	}
+	return orderer
 }
 
 // Start begins to stand for election. The operator's keys go to the handler while this node holds the lease.
@@ -92,6 +106,9 @@
 	if err != nil {
 		return err
 	}
+	if err := orderer.servePeers(); err != nil {
+		return err
+	}
 	orderer.datagrams = &cluster.Datagrams{Conn: packets}
 	go orderer.datagrams.Receive(orderer.ctx, cluster.Handlers{
 		Demand: func(demand *clusterv1.Demand) {
@@ -109,10 +126,35 @@
 	return nil
 }
 
+// servePeers takes the tallies of usage that other nodes tell, until this candidate stops.
+func (orderer *Orderer) servePeers() error {
+	if orderer.reporter == nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", orderer.PeerAddress)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(collectorHandler(orderer.reporter.Ledger))
+	server := &http.Server{Handler: mux}
+	context.AfterFunc(orderer.ctx, func() {
+		_ = server.Close() // whoever tells is told of another collector
+	})
+	go func() {
+		err := server.Serve(listener)
+		orderer.Logger.Warn("server ended", "server", "peers", "error", err)
+	}()
+	return nil
+}
+
 // lead works while this node holds the lease.
 func (orderer *Orderer) lead(ctx context.Context, term *weights.Term) {
-	orderer.publish(ctx, false)
+	orderer.publish(ctx, term.Fence)
 	go orderer.collect(ctx)
+	if orderer.reporter != nil {
+		go orderer.reporter.Run(ctx, term.Fence, term)
+	}
 	orderer.Weights.Lead(ctx, term)
 }
 
@@ -120,11 +162,14 @@
 // for that to be told of the deployment.
 func (orderer *Orderer) standIn(ctx context.Context) {
 	orderer.Logger.Info("publishing ahead of the lease", "node", orderer.Node)
-	orderer.publish(ctx, true)
+	orderer.publish(ctx, noTerm)
 }
 
-// publish reads the store and tells the fronts what it reads, until the context ends.
-func (orderer *Orderer) publish(ctx context.Context, relay bool) {
+// noTerm stands for the fence of a node that holds no lease.
+const noTerm = 0
+
+// publish reads the store and tells the fronts what it reads, until the context ends. The fence is that of this node's term.
+func (orderer *Orderer) publish(ctx context.Context, fence int64) {
 	health := metadata.NewHealth(orderer.Store, orderer.Logger)
 	follow := func(follower metadata.Follower, wait time.Duration) {
 		follower.Store, follower.Logger, follower.Health = orderer.Store, orderer.Logger, health
@@ -137,7 +182,7 @@
 	follow(metadata.Follower{Prefix: topics.replicas.Prefix(), Handler: topics.replicas, From: topics.replicas.Revision, Pace: ordererReplicaPace}, replicaWait)
 	follow(metadata.Follower{Prefix: topics.nodes.Prefix(), Handler: topics.nodes, From: topics.nodes.Revision, Pace: ordererRegistryPace}, nodesWait)
 	publisher := &dissemination.Publisher{
-		Node: orderer.Node, Topics: topics.published(), Registry: orderer.registry, Relay: relay, Datagrams: orderer.datagrams, Health: health,
+		Node: orderer.Node, Topics: topics.published(), Registry: orderer.registry, Relay: fence == noTerm, Term: fence, Datagrams: orderer.datagrams, Health: health,
 		Logger: orderer.Logger, Metrics: orderer.Metrics,
 	}
 	go publisher.Run(ctx)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -20,6 +20,8 @@
 	orders    *prometheus.CounterVec
 	published *prometheus.HistogramVec
 	readings  *prometheus.CounterVec
+	told      *prometheus.CounterVec
+	reported  *prometheus.HistogramVec
 }
 
 // latencyBuckets are upper bounds in seconds, from a call to the store to the longest item.
@@ -43,10 +45,12 @@
 		published: histogram("publish_seconds", "Time of calls that bring another node up to date, by result.", "result"),
 		readings:  counter("store_readings_total", "Times at which this node began to read the metadata store itself, by reason.", "reason"),
 	}
+	metrics.told = counter("usage_told_total", "Calls that tell tallies of usage to another node, by its role and result.", "role", "result")
+	metrics.reported = histogram("usage_report_seconds", "Time of calls that report usage, by result.", "result")
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.store, metrics.orders, metrics.published, metrics.readings, lines)
+	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.store, metrics.orders, metrics.published, metrics.readings, metrics.told, metrics.reported, lines)
 	return metrics
 }
 
@@ -103,3 +107,24 @@
 		metrics.readings.WithLabelValues(reason).Inc()
 	}
 }
+
+// UsageTold counts a call that tells tallies of usage to a node in a role.
+func (metrics *Metrics) UsageTold(role string, ok bool) {
+	if metrics != nil {
+		metrics.told.WithLabelValues(role, outcomeOf(ok)).Inc()
+	}
+}
+
+// UsageReported counts a call that reports usage.
+func (metrics *Metrics) UsageReported(ok bool, took time.Duration) {
+	if metrics != nil {
+		metrics.reported.WithLabelValues(outcomeOf(ok)).Observe(took.Seconds())
+	}
+}
+
+func outcomeOf(ok bool) string {
+	if ok {
+		return "ok"
+	}
+	return "failed"
+}
