Have one node of a zone run a job whose acceptance an outage delays

Cause: while the store does not answer, a caller tries one node after the other, and each ran all items of the job beside the others. Change: a node whose acceptance takes more than 150 ms leaves the job to the one that runs the model's jobs in its zone, and asks it each 0.3 s whether the job is accepted; two calls that fail, and it runs the job itself. Nothing is listed that is not accepted, as before.

Tests: TestOneNodeRunsAJobInAnOutage failed first; the preferred node gone before and while it has the job; a node that the store refuses. Results that are made in an outage are still read only after it (the issue on readable results).

--- /dev/null
+++ b/internal/batchrun/defer.go
@@ -0,0 +1,102 @@
+package batchrun
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+)
+
+const (
+	// takeAgain is how often the node that has a job is asked whether it is accepted by now. Callers ask their node again each second.
+	takeAgain = 300 * time.Millisecond
+	// takeFailures is how many calls in a row fail before the job is run here: one call may meet a connection that has just been closed.
+	takeFailures = 2
+)
+
+// deferral is what another node does about a job that is not accepted yet.
+type deferral struct {
+	// taken says that the other node runs the items and has the job accepted, done that it was.
+	taken, done atomic.Bool
+	// failures are the calls in a row that failed. It belongs to the goroutine that makes the calls.
+	failures int
+}
+
+// deferToPreferred has the node that runs the model's jobs in this zone run a job whose acceptance takes long, and reports whether that
+// node can be relied upon. In an outage of the metadata store a caller tries one node after the other: each would run all items otherwise,
+// and the first to be served by the store would own the job, whichever has run most of it.
+func (runner *Runner) deferToPreferred(owned *job) bool {
+	name := runner.Peers.Preferred(owned.definition.GetModel())
+	if name == "" || name == runner.Node {
+		return false
+	}
+	accepted := false
+	reached := runner.callPeer(owned.ctx, name, preferredLimit, func(ctx context.Context, client batchv1.Batches) (bool, error) {
+		response, err := client.Take(ctx, &batchv1.TakeRequest{Job: owned.definition})
+		accepted = response.GetAccepted()
+		return err == nil, err
+	})
+	if !reached {
+		owned.deferral.failures++
+		return owned.deferral.taken.Load() && owned.deferral.failures < takeFailures
+	}
+	owned.deferral.failures = 0
+	if accepted {
+		runner.RememberOwner(owned.id(), name)
+		owned.deferral.done.Store(true)
+	}
+	if !owned.deferral.taken.Swap(true) {
+		runner.Logger.Info("job deferred", "job", owned.id(), "to", name, "accepted", accepted)
+	}
+	return true
+}
+
+// beginEarly begins the items of a job whose acceptance takes long, unless the preferred node does, or this node is cut off: another may
+// have accepted the job by now, and items that run twice take the replicas' slots from each other.
+func (runner *Runner) beginEarly(owned *job) {
+	for wait := beginAfter; ; wait = takeAgain {
+		timer := time.NewTimer(wait)
+		select {
+		case <-owned.accepted:
+			timer.Stop()
+			return
+		case <-owned.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		if runner.Peers.Isolated() || runner.deferToPreferred(owned) {
+			continue
+		}
+		if owned.deferral.taken.Swap(false) {
+			runner.Logger.Warn("job no longer deferred", "job", owned.id())
+		}
+		runner.begin(owned)
+		return
+	}
+}
+
+// Take runs a job for a node whose acceptance takes long, and tells whether it is accepted by now.
+func (service Service) Take(ctx context.Context, request *batchv1.TakeRequest) (*batchv1.TakeResponse, error) {
+	runner := service.Runner
+	id := request.GetJob().GetId()
+	if runner.ended.has(id) || runner.knownElsewhere(ctx, id) {
+		return &batchv1.TakeResponse{Accepted: true}, nil
+	}
+	if runner.isCutOff() {
+		return nil, twirp.NewError(twirp.Unavailable, errNotServed.Error())
+	}
+	owned := runner.acceptOnce(request.GetJob(), runner.objectiveOf(request.GetJob()))
+	if owned == nil {
+		return nil, twirp.NewError(twirp.Unavailable, ErrStopping.Error())
+	}
+	select {
+	case <-owned.accepted:
+		return &batchv1.TakeResponse{Accepted: true}, nil
+	default:
+		return &batchv1.TakeResponse{}, nil
+	}
+}
--- /dev/null
+++ b/internal/batchrun/defer_test.go
@@ -0,0 +1,85 @@
+package batchrun_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/batchrun"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+)
+
+// callAgain submits a job as a caller does in an outage: at one node after the other, each for a second, until one has accepted it.
+func callAgain(world *world, id string, items int, names ...string) <-chan error {
+	accepted := make(chan error, 1)
+	go func() {
+		for turn := 0; ; turn++ {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			err := batchrun.ErrUnsure
+			if runner := world.node(names[turn%len(names)]); runner != nil {
+				err = runner.Submit(ctx, newDefinition(id, items, 1), jobRoute)
+			}
+			cancel()
+			if err == nil {
+				accepted <- nil
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	return accepted
+}
+
+// In an outage a caller meets one node after the other. The items run at one of them, the one that runs the model's jobs; each used to run
+// them all.
+func TestOneNodeRunsAJobInAnOutage(t *testing.T) {
+	inWorld(t, 41, func(t *testing.T, world *world) {
+		world.preferred = "b"
+		world.store.SetFaults(memstore.Faults{Down: true})
+		time.Sleep(1500 * time.Millisecond)
+		accepted := callAgain(world, "job", 8, "a", "c", "b", "a")
+		time.Sleep(5 * time.Second)
+		world.store.SetFaults(memstore.Faults{})
+		must.NoError(t, <-accepted)
+		checkResults(t, await(t, world.node("c"), "job", 8, time.Second), 1)
+		must.Eq(t, 8, total(world.engines), must.Sprint("items ran twice"))
+	})
+}
+
+// The node that was asked runs the job itself when the preferred one is gone, or goes while it has the job.
+func TestJobInAnOutageOutlivesThePreferredNode(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		inWorld(t, 42, func(t *testing.T, world *world) {
+			world.preferred = "b"
+			world.store.SetFaults(memstore.Faults{Down: true})
+			time.Sleep(1500 * time.Millisecond)
+			if before {
+				world.kill("b")
+			}
+			accepted := callAgain(world, "job", 8, "a", "c")
+			time.Sleep(1200 * time.Millisecond)
+			world.kill("b")
+			time.Sleep(4 * time.Second)
+			world.store.SetFaults(memstore.Faults{})
+			must.NoError(t, <-accepted)
+			checkResults(t, await(t, world.node("c"), "job", 8, 2*time.Second), 1)
+		})
+	}
+}
+
+// A node that the store refuses leaves a job to the preferred one, which the store answers and which accepts it at once.
+func TestRefusedNodeLeavesJobsToThePreferredOne(t *testing.T) {
+	inWorld(t, 43, func(t *testing.T, world *world) {
+		world.preferred = "b"
+		world.refuse("a", true)
+		time.Sleep(2 * time.Second)
+		started := time.Now()
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 8, 1), jobRoute))
+		must.Less(t, 600*time.Millisecond, time.Since(started))
+		must.Eq(t, 1, world.node("b").OpenJobs())
+		checkResults(t, await(t, world.node("c"), "job", 8, 4*time.Second), 1)
+		must.Eq(t, 8, total(world.engines))
+	})
+}
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -20,6 +20,8 @@
 	cancel     context.CancelFunc
 	// accepted is closed once the job is durable, or known to be owned elsewhere.
 	accepted chan struct{}
+	// deferral is what another node does about the job until then.
+	deferral deferral
 
 	mu        sync.Mutex
 	held      *batchlog.Hold // nil until accepted; used by the flush loop only afterwards
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -23,12 +23,7 @@
 		return nil, twirp.NewError(twirp.Unavailable, errNotServed.Error())
 	}
 	definition := request.GetJob()
-	owned := newJob(runner.ctx, definition, defaultObjective)
-	if configuration := runner.Catalog.Configuration(); configuration != nil {
-		if route := configuration.FindRoute(definition.GetHost(), definition.GetPath()); route != nil && route.JobObjective > 0 {
-			owned.due = time.Now().Add(route.JobObjective)
-		}
-	}
+	owned := newJob(runner.ctx, definition, runner.objectiveOf(definition))
 	if other := runner.addUnlessKnown(owned); other != nil {
 		owned.cancel()
 		return other.awaitAccepted(ctx)
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -43,22 +43,13 @@
 			return nil
 		}
 	}
-	runner.mu.Lock()
-	if runner.stopping {
-		runner.mu.Unlock()
-		return runner.relay(ctx, definition)
-	}
 	if runner.ended.has(definition.GetId()) {
-		runner.mu.Unlock()
 		return nil
 	}
-	owned := runner.jobs[definition.GetId()]
+	owned := runner.acceptOnce(definition, route.JobObjective)
 	if owned == nil {
-		owned = newJob(runner.ctx, definition, route.JobObjective)
-		runner.jobs[definition.GetId()] = owned
-		go runner.accept(owned)
+		return runner.relay(ctx, definition)
 	}
-	runner.mu.Unlock()
 	select {
 	case <-owned.accepted:
 		return nil
@@ -145,6 +136,14 @@
 	started := time.Now()
 	go runner.beginEarly(owned)
 	for tries := 1; owned.ctx.Err() == nil && time.Since(started) < acceptLimit; tries++ {
+		if owned.deferral.done.Load() {
+			runner.settleAccept(owned, nil, started, tries)
+			return
+		}
+		if owned.deferral.taken.Load() {
+			pause(owned.ctx, acceptPause)
+			continue
+		}
 		if !runner.Log.Health.Good() {
 			if runner.relayToServed(owned.ctx, owned.definition) {
 				runner.settleAccept(owned, nil, started, tries)
@@ -178,24 +177,33 @@
 	runner.Log.Health.AwaitGood(ctx)
 }
 
-// beginEarly begins the items of a job whose acceptance takes long, unless this node is cut off: another may have accepted the job
-// by now, and items that run twice take the replicas' slots from each other.
-func (runner *Runner) beginEarly(owned *job) {
-	ticker := time.NewTicker(beginAfter)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-owned.accepted:
-			return
-		case <-owned.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if !runner.Peers.Isolated() {
-			runner.begin(owned)
-			return
-		}
+// acceptOnce returns a job that is accepted here or about to be, and begins to accept it if it is not; nil while this node stops.
+func (runner *Runner) acceptOnce(definition *batchv1.Job, objective time.Duration) *job {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	if runner.stopping {
+		return nil
+	}
+	owned := runner.jobs[definition.GetId()]
+	if owned == nil {
+		owned = newJob(runner.ctx, definition, objective)
+		runner.jobs[definition.GetId()] = owned
+		go runner.accept(owned)
+	}
+	return owned
+}
+
+// objectiveOf returns the time in which the results of a job are due, by the route of its host and path; zero if there is none.
+func (runner *Runner) objectiveOf(definition *batchv1.Job) time.Duration {
+	configuration := runner.Catalog.Configuration()
+	if configuration == nil {
+		return 0
+	}
+	route := configuration.FindRoute(definition.GetHost(), definition.GetPath())
+	if route == nil {
+		return 0
 	}
+	return route.JobObjective
 }
 
 // tryAccept makes one try. settled says that the job is durable; held is nil when another node owns it or it has ended.
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -101,12 +101,7 @@
 
 // resume runs a job that this node has claimed.
 func (runner *Runner) resume(held *batchlog.Hold, record *batchlog.Record) {
-	objective := time.Duration(0)
-	if configuration := runner.Catalog.Configuration(); configuration != nil {
-		if route := configuration.FindRoute(record.Job.GetHost(), record.Job.GetPath()); route != nil {
-			objective = route.JobObjective
-		}
-	}
+	objective := runner.objectiveOf(record.Job)
 	owned := newJob(runner.ctx, record.Job, objective)
 	owned.due = owned.due.Add(-min(objective, max(0, time.Since(time.UnixMilli(record.Job.GetSubmittedUnixMs())))))
 	owned.held = held
