Report after an outage what was told before it, and defer jobs to a second node

Change: a holder that collected until 0.6 s after the end of a window reports that window at once when it holds the lease again. Nodes leave a job to the alternate of the preferred node when that one is gone.

--- a/internal/batchrun/defer.go
+++ b/internal/batchrun/defer.go
@@ -21,18 +21,46 @@
 type deferral struct {
 	// taken says that the other node runs the items and has the job accepted, done that it was.
 	taken, done atomic.Bool
-	// failures are the calls in a row that failed. It belongs to the goroutine that makes the calls.
+	// to is the name of the other node, failures the calls to it in a row that failed, second whether it takes the place of another. They
+	// belong to the goroutine that makes the calls.
+	to       string
 	failures int
+	second   bool
 }
 
-// deferToPreferred has the node that runs the model's jobs in this zone run a job whose acceptance takes long, and reports whether that
-// node can be relied upon. In an outage of the metadata store a caller tries one node after the other: each would run all items otherwise,
-// and the first to be served by the store would own the job, whichever has run most of it.
-func (runner *Runner) deferToPreferred(owned *job) bool {
-	name := runner.Peers.Preferred(owned.definition.GetModel())
-	if name == "" || name == runner.Node {
+// deferJob has the node that runs the model's jobs in this zone, or the one that does so without it, run a job whose acceptance takes long,
+// and reports whether that node can be relied upon. In an outage of the metadata store a caller tries one node after the other: each would
+// run all items otherwise, and the first to be served by the store would own the job, whichever has run most of it.
+func (runner *Runner) deferJob(owned *job) bool {
+	deferral := &owned.deferral
+	if deferral.to == "" {
+		deferral.to = runner.Peers.Preferred(owned.definition.GetModel())
+	}
+	if !runner.mayDefer(owned) {
+		return false
+	}
+	if runner.callTake(owned, deferral.to) {
+		deferral.failures = 0
+		return true
+	}
+	deferral.failures++
+	if deferral.taken.Load() && deferral.failures < takeFailures {
+		return true
+	}
+	if deferral.second {
 		return false
 	}
+	deferral.to, deferral.second, deferral.failures = runner.Peers.Alternate(owned.definition.GetModel()), true, 0
+	return runner.mayDefer(owned) && runner.callTake(owned, deferral.to)
+}
+
+// mayDefer reports whether there is another node to leave the job to.
+func (runner *Runner) mayDefer(owned *job) bool {
+	return owned.deferral.to != "" && owned.deferral.to != runner.Node
+}
+
+// callTake asks a node to run a job, or whether it has been accepted there by now, and reports whether it was reached and does.
+func (runner *Runner) callTake(owned *job, name string) bool {
 	accepted := false
 	reached := runner.callPeer(owned.ctx, name, preferredLimit, func(ctx context.Context, client batchv1.Batches) (bool, error) {
 		response, err := client.Take(ctx, &batchv1.TakeRequest{Job: owned.definition})
@@ -40,10 +68,8 @@
 		return err == nil, err
 	})
 	if !reached {
-		owned.deferral.failures++
-		return owned.deferral.taken.Load() && owned.deferral.failures < takeFailures
+		return false
 	}
-	owned.deferral.failures = 0
 	if accepted {
 		runner.RememberOwner(owned.id(), name)
 		owned.deferral.done.Store(true)
@@ -68,7 +94,7 @@
 			return
 		case <-timer.C:
 		}
-		if runner.Peers.Isolated() || runner.deferToPreferred(owned) {
+		if runner.Peers.Isolated() || runner.deferJob(owned) {
 			continue
 		}
 		if owned.deferral.taken.Swap(false) {
--- a/internal/batchrun/defer_test.go
+++ b/internal/batchrun/defer_test.go
@@ -69,6 +69,25 @@
 	}
 }
 
+// All nodes leave a job to the same one also when the preferred one goes while it has the job.
+func TestAlternateRunsAJobInAnOutage(t *testing.T) {
+	inWorld(t, 44, func(t *testing.T, world *world) {
+		world.preferred, world.alternate = "b", "c"
+		world.store.SetFaults(memstore.Faults{Down: true})
+		time.Sleep(1500 * time.Millisecond)
+		accepted := callAgain(world, "job", 8, "a", "c")
+		time.Sleep(300 * time.Millisecond)
+		world.kill("b")
+		time.Sleep(time.Second)
+		started := total(world.engines)
+		time.Sleep(4 * time.Second)
+		must.LessEq(t, started+8, total(world.engines), must.Sprint("items ran at both nodes that are left"))
+		world.store.SetFaults(memstore.Faults{})
+		must.NoError(t, <-accepted)
+		checkResults(t, await(t, world.node("a"), "job", 8, time.Second), 1)
+	})
+}
+
 // A node that the store refuses leaves a job to the preferred one, which the store answers and which accepts it at once.
 func TestRefusedNodeLeavesJobsToThePreferredOne(t *testing.T) {
 	inWorld(t, 43, func(t *testing.T, world *world) {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -58,6 +58,8 @@
 	Candidates() []string
 	// Preferred returns the name of the node that runs jobs of a model for this node's zone; empty for none.
 	Preferred(model string) string
+	// Alternate returns the name of the node that does so should the preferred one be gone; empty for none.
+	Alternate(model string) string
 	// Directory returns the name of the node that looks a job up for all others; empty for none.
 	Directory(job string) string
 	// Isolated reports whether none of the nodes that this one watches was heard of lately.
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -189,7 +189,7 @@
 	nodes map[string]*batchrun.Runner
 	lives int64
 	// preferred is the node that runs all jobs; empty for whichever is asked. It is set before the first job.
-	preferred string
+	preferred, alternate string
 	stops     map[string]context.CancelFunc
 	isolated  map[string]bool // nodes that hear of no other
 	refused   map[string]bool // nodes that the store refuses
@@ -333,6 +333,9 @@
 // Preferred implements batchrun.Peers.
 func (peers *worldPeers) Preferred(string) string { return peers.world.preferred }
 
+// Alternate implements batchrun.Peers.
+func (peers *worldPeers) Alternate(string) string { return peers.world.alternate }
+
 // Directory implements batchrun.Peers: one of the three nodes, whether it runs or not.
 func (peers *worldPeers) Directory(job string) string {
 	return string("abc"[len(job)%2+int(job[len(job)-1])%2])
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -263,6 +263,14 @@
 	return registry.first(key, func(record *clusterv1.NodeRecord) bool { return record.GetZone() == registry.self.GetZone() })
 }
 
+// Alternate returns the name of the node that Preferred would return without the one that it does.
+func (registry *Registry) Alternate(key string) string {
+	preferred := registry.Preferred(key)
+	return registry.first(key, func(record *clusterv1.NodeRecord) bool {
+		return record.GetZone() == registry.self.GetZone() && record.GetName() != preferred
+	})
+}
+
 // PreferredAnywhere returns the name of the node of this node's role, in any zone, that ranks first for a key; the same at all of these.
 func (registry *Registry) PreferredAnywhere(key string) string {
 	return registry.first(key, func(*clusterv1.NodeRecord) bool { return true })
--- a/internal/metering/history_test.go
+++ b/internal/metering/history_test.go
@@ -446,6 +446,32 @@
 	}
 }
 
+// An outage of the store that lasts from before a window's report to just before it is due: the holder that acquires the lease again still
+// knows what it was told of that window, and reports it in time.
+func TestReportAfterAnOutageIsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const due = 10 * time.Second
+		history := newHistory()
+		history.killCandidate("orderer-2")
+		time.Sleep(8 * time.Second)
+		windows := metering.Windows{Length: windowLength}
+		window := windows.At(time.Now()) + 1
+		setCut := func(cut bool) {
+			history.mu.Lock()
+			defer history.mu.Unlock()
+			history.cut["orderer-1"] = cut
+		}
+		history.traffic(time.Until(windows.End(window).Add(2200 * time.Millisecond)))
+		setCut(true)
+		history.traffic(time.Until(windows.End(window).Add(due - time.Second)))
+		setCut(false)
+		time.Sleep(time.Until(windows.End(window).Add(due)))
+		_, taken := history.reported(window)
+		must.True(t, taken)
+		history.end()
+	})
+}
+
 // supersededTerm is one that its holder takes to be in force, while another has begun.
 type supersededTerm struct{ holder string }
 
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -28,6 +28,8 @@
 	// collectTime is how long after the begin of its term a collector waits for the tallies of the windows that are due: two beacons, by
 	// which nodes learn of it, and a call.
 	collectTime = 1200 * time.Millisecond
+	// tellTime is how long after the end of a window all that began in it was told: some calls, should one fail.
+	tellTime = 600 * time.Millisecond
 	// reportMargin is kept of the lease for the call of a report and for a pause of this process, reportLimit bounds the call.
 	reportMargin = 450 * time.Millisecond
 	reportLimit  = 350 * time.Millisecond
@@ -61,6 +63,10 @@
 	Sink    Sink
 	Logger  *log.Logger
 	Metrics *telemetry.Metrics
+
+	// collected is when this process was last known to collect: windows that were told by then need not be told again. It belongs to the
+	// goroutine of Run.
+	collected time.Time
 }
 
 // duty is the work of one term. Its fields belong to one goroutine.
@@ -129,6 +135,9 @@
 // round stores the reports that are due, and sends what is stored. While the term is not in force, it does neither: a store that does not
 // renew the lease would not take a report.
 func (work *duty) round(ctx context.Context) {
+	if work.term.Valid(reportMargin) && work.isTold() {
+		work.collected = work.Clock.Now()
+	}
 	for work.term.Valid(reportMargin) && work.isDue() && work.store(ctx) {
 		work.next++
 	}
@@ -137,8 +146,13 @@
 	}
 }
 
+// isTold reports whether nodes have had the time to tell their tallies in this term.
+func (work *duty) isTold() bool { return time.Since(work.begun) > collectTime }
+
+// isDue reports whether the next window has settled, and this process knows all that was told of it.
 func (work *duty) isDue() bool {
-	return time.Since(work.begun) > collectTime && work.Clock.Now().Sub(work.Windows.End(work.next)) >= settleTime
+	end := work.Windows.End(work.next)
+	return !work.Clock.Now().Before(end.Add(settleTime)) && (work.isTold() || !work.collected.Before(end.Add(tellTime)))
 }
 
 // store makes the report of the next window durable, and reports whether one is. If another holder has stored one, that stands; a former
--- a/internal/role/peers.go
+++ b/internal/role/peers.go
@@ -24,6 +24,9 @@
 // Preferred implements batchrun.Peers.
 func (peers peers) Preferred(model string) string { return peers.front.Registry.Preferred(model) }
 
+// Alternate implements batchrun.Peers.
+func (peers peers) Alternate(model string) string { return peers.front.Registry.Alternate(model) }
+
 // Directory implements batchrun.Peers.
 func (peers peers) Directory(job string) string { return peers.front.Registry.PreferredAnywhere(job) }
 
