Format a test of jobs

Cause: a field of the modelled world was added by a substitution that broke its alignment. Change: gofmt on one test file. Result: gofmt -l prints nothing.

--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -190,10 +190,10 @@
 	lives int64
 	// preferred is the node that runs all jobs; empty for whichever is asked. It is set before the first job.
 	preferred, alternate string
-	stops     map[string]context.CancelFunc
-	isolated  map[string]bool // nodes that hear of no other
-	refused   map[string]bool // nodes that the store refuses
-	lines     logLines
+	stops                map[string]context.CancelFunc
+	isolated             map[string]bool // nodes that hear of no other
+	refused              map[string]bool // nodes that the store refuses
+	lines                logLines
 	// takeOverDelay is how long the answer to a take-over is on its way, keptDelay that to a question for kept texts.
 	takeOverDelay, keptDelay time.Duration
 }
