Soak with tenants, keys and reports of usage; let calls of reports outlast a slow platform

Change: the soak's operator names three tenants with keys that last and keys that each version replaces; callers forge tenants, try keys that were taken away and such that never were; trainers look at each other's jobs; the stand-in of the platform takes reports, refuses them or loses its answers. Checked from what replicas and platform see: the right tenant, no key, one content a window, fences, turns of holders; while nothing fails each report is exactly what ran. Calls of reports may last 2 s, as long as no successor calls by then (its wait less one second). Plans drawn before stay as they were: the new faults come from a stream of chance of their own.

--- a/internal/lab/platform/site/executions.go
+++ b/internal/lab/platform/site/executions.go
@@ -9,6 +9,7 @@
 type Execution struct {
 	Request, Replica string
 	Started          time.Time
+	Caller           Caller
 	// Resumed is the event after which the run went on; zero for a run from the start.
 	Resumed int64
 	// Events are the versions under which the run made its events, and when, by event.
@@ -39,11 +40,11 @@
 func NewExecutions() *Executions { return &Executions{byID: make(map[string][]*Execution)} }
 
 // begin notes that a replica has begun work on a request.
-func (log *Executions) begin(request, replica string, resumed int64) *Execution {
+func (log *Executions) begin(request, replica string, caller Caller, resumed int64) *Execution {
 	if log == nil {
 		return nil
 	}
-	execution := &Execution{Request: request, Replica: replica, Started: time.Now(), Resumed: resumed, Events: make(map[int64]EventMade)}
+	execution := &Execution{Request: request, Replica: replica, Caller: caller, Started: time.Now(), Resumed: resumed, Events: make(map[int64]EventMade)}
 	log.mu.Lock()
 	defer log.mu.Unlock()
 	log.byID[request] = append(log.byID[request], execution)
@@ -87,6 +88,21 @@
 	return list
 }
 
+// All returns copies of all runs, without their events.
+func (log *Executions) All() []Execution {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	var list []Execution
+	for _, executions := range log.byID {
+		for _, execution := range executions {
+			copied := *execution
+			copied.Events = nil
+			list = append(list, copied)
+		}
+	}
+	return list
+}
+
 // Orders returns the orders in the sequence in which they were taken.
 func (log *Executions) Orders() []OrderTaken {
 	log.mu.Lock()
--- a/internal/lab/platform/site/replica.go
+++ b/internal/lab/platform/site/replica.go
@@ -156,6 +156,7 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	caller := Caller{Tenant: request.Header.Get("Tenant"), Authorization: request.Header.Get("Authorization")}
 	replica.mu.Lock()
 	faults, loading := replica.faults, replica.loading
 	refuse := faults.Full || (loading && replica.Model != "")
@@ -164,7 +165,7 @@
 	} else {
 		replica.ran[id]++
 		replica.bodies[id] = request.Method + " " + request.RequestURI + " " + string(body)
-		replica.callers[id] = Caller{Tenant: request.Header.Get("Tenant"), Authorization: request.Header.Get("Authorization")}
+		replica.callers[id] = caller
 	}
 	replica.mu.Unlock()
 	if refuse {
@@ -173,7 +174,7 @@
 		return
 	}
 	after, _ := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
-	execution := replica.Log.begin(id, replica.ID, after)
+	execution := replica.Log.begin(id, replica.ID, caller, after)
 	time.Sleep(replica.workTime(request))
 	if faults.CloseSilently {
 		panic(http.ErrAbortHandler)
--- a/internal/lab/platform/soak/callers.go
+++ b/internal/lab/platform/soak/callers.go
@@ -138,8 +138,9 @@
 
 	mu      sync.Mutex
 	next    int
-	once    []string // identifiers of requests that may run once
-	refused []string // identifiers that were refused as not run
+	once    []string          // identifiers of requests that may run once
+	refused []string          // identifiers that were refused as not run
+	tenants map[string]string // by identifier
 	served  int
 	failed  int
 }
@@ -149,6 +150,8 @@
 	// longEvery is how many calls go by for each that takes longWork, so that some are in progress at every fault.
 	longEvery = 4
 	longWork  = 600 * time.Millisecond
+	// forgedEvery is how many calls go by for each that names another tenant than that of its key.
+	forgedEvery = 5
 )
 
 func (calls *calls) run(ctx context.Context) {
@@ -173,11 +176,17 @@
 	if calls.next%longEvery == 0 {
 		target += fmt.Sprint("&work-ms=", longWork.Milliseconds())
 	}
+	tenant := tenantOf(calls.next)
+	calls.tenants[id] = tenant
+	headers := authorization(keyOf(tenant))
+	if calls.next%forgedEvery == 0 {
+		headers = append(headers, "Tenant", tenantOf(calls.next+1))
+	}
 	calls.mu.Unlock()
 	node := calls.ingress.pick()
 	life := node.Life()
 	sent := time.Now()
-	got := call(ctx, node, http.MethodPost, target, id, "body of "+id, callTime)
+	got := call(ctx, node, http.MethodPost, target, id, "body of "+id, callTime, headers...)
 	if ctx.Err() != nil {
 		return
 	}
@@ -202,6 +211,9 @@
 
 // judge checks that a success is the whole answer of a replica to this very request.
 func (calls *calls) judge(id string, got answer) {
+	if got.status == http.StatusUnauthorized {
+		calls.report(Violation{Promise: PromiseTenant, Subject: id, Detail: "its key is in every configuration, and was refused"})
+	}
 	if got.broken != nil || got.status >= http.StatusMultipleChoices {
 		return
 	}
@@ -232,6 +244,11 @@
 			calls.report(Violation{Promise: PromiseOnce, Subject: id, Detail: fmt.Sprintf("%d runs, at %s and %s", len(runs), runs[0].Replica, runs[1].Replica)})
 		}
 	}
+	for id, tenant := range calls.tenants {
+		for _, violation := range judgeCallers(calls.world.Executions, id, tenant) {
+			calls.report(violation)
+		}
+	}
 	for _, id := range calls.refused {
 		if runs := calls.world.Executions.Of(id); len(runs) > 0 {
 			calls.report(Violation{Promise: PromiseNotRun, Subject: id, Detail: "ran at " + runs[0].Replica})
--- a/internal/lab/platform/soak/checks_test.go
+++ b/internal/lab/platform/soak/checks_test.go
@@ -159,6 +159,23 @@
 	must.Len(t, 1, judgeOrders([]site.OrderTaken{order("a", 2, 0), order("b", 2, 2*leaseTime)}))
 }
 
+// The checks of tenants and of usage find the faults that they are for.
+func TestTenantChecksCanFail(t *testing.T) {
+	executions := site.NewExecutions()
+	run(t, executions, "r", "", "call")
+	must.SliceEmpty(t, judgeCallers(executions, "call", ""))
+	must.Len(t, 1, judgeCallers(executions, "call", "harbour"))
+
+	report := func(holder string, fence, window, count int64, after time.Duration) site.UsageReport {
+		return site.UsageReport{Holder: holder, Fence: fence, Window: window, Counts: map[string]int64{"harbour": count}, At: time.Unix(0, 0).Add(after)}
+	}
+	must.SliceEmpty(t, judgeUsage([]site.UsageReport{report("a", 1, 7, 3, 0), report("a", 1, 7, 3, 1), report("b", 2, 7, 3, 2*leaseTime), report("b", 2, 8, 4, 2*leaseTime)}))
+	must.Len(t, 1, judgeUsage([]site.UsageReport{report("a", 1, 7, 3, 0), report("a", 1, 7, 4, 1)}))
+	must.Len(t, 1, judgeUsage([]site.UsageReport{report("a", 2, 7, 3, 0), report("b", 1, 8, 4, 2*leaseTime)}))
+	must.Len(t, 1, judgeUsage([]site.UsageReport{report("a", 2, 7, 3, 0), report("b", 2, 8, 4, 2*leaseTime)}))
+	must.Len(t, 1, judgeUsage([]site.UsageReport{report("a", 1, 7, 3, 0), report("b", 2, 8, 4, leaseTime/2)}))
+}
+
 // echo answers each connection with what it reads.
 func echo(t *testing.T) string {
 	t.Helper()
--- a/internal/lab/platform/soak/configurations.go
+++ b/internal/lab/platform/soak/configurations.go
@@ -55,6 +55,7 @@
 		configurations.saw(node, inForce{life: life, version: newest, at: time.Now()})
 	}
 	configurations.late(node, newest, got)
+	configurations.tryOldKey(ctx, node, newest)
 	if before.life != life || before.version < newest || sent.Sub(before.at) <= rollbackTime {
 		return
 	}
@@ -69,6 +70,30 @@
 	}
 }
 
+// tryOldKey calls a front with a key that was taken away two versions ago, and with one that no configuration had. The former may open a
+// route while faults last, which may hide the newer version from the front; the latter never.
+func (configurations *configurations) tryOldKey(ctx context.Context, node *Node, newest int64) {
+	configurations.mu.Lock()
+	configurations.next++
+	number := configurations.next
+	configurations.mu.Unlock()
+	tenant := tenantOf(number)
+	try := func(id, key string) answer {
+		return call(ctx, node, http.MethodPost, "/call/"+id, id, "x", callTime, authorization(key)...)
+	}
+	unknown := fmt.Sprint("unknown-", number)
+	if got := try(unknown, "no-key-of-"+tenant); got.status == http.StatusOK || len(configurations.world.Executions.Of(unknown)) > 0 {
+		configurations.report(Violation{Promise: PromiseTenant, Subject: node.Name, Detail: "a key that no configuration had opens a route"})
+	}
+	sent := time.Now()
+	calm, quiet := configurations.calm.since()
+	got := try(fmt.Sprint("revoked-", number), versionKeyOf(tenant, newest-2))
+	if got.status == http.StatusOK && quiet && sent.Sub(calm) > contactTime+applyTime && sent.Sub(configurations.world.ConfiguredAt()) > applyTime {
+		configurations.report(Violation{Promise: PromiseTenant, Subject: node.Name, Detail: fmt.Sprintf(
+			"a key that version %d took away opens a route %s later", newest, sent.Sub(configurations.world.ConfiguredAt()))})
+	}
+}
+
 func (configurations *configurations) callMark(ctx context.Context, node *Node, version int64) answer {
 	configurations.mu.Lock()
 	configurations.next++
--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -88,6 +88,10 @@
 		injector.onMember(event, member)
 	case KindConfigure:
 		world.Configure()
+	case KindCloudDown, KindCloudLost:
+		world.Cloud.SetFaults(site.CloudFaults{Down: event.Kind == KindCloudDown, Lost: event.Kind == KindCloudLost})
+		time.Sleep(event.For)
+		world.Cloud.SetFaults(site.CloudFaults{})
 	default:
 		injector.onStore(event)
 	}
--- a/internal/lab/platform/soak/plan.go
+++ b/internal/lab/platform/soak/plan.go
@@ -34,6 +34,8 @@
 	KindDrain       Kind = "drain"        // a replica drains, leaves, and returns
 	KindSettings    Kind = "settings"     // a settings file is damaged, and made right again
 	KindConfigure   Kind = "configure"    // the operator changes the configuration
+	KindCloudDown   Kind = "cloud-down"   // the platform refuses reports of usage
+	KindCloudLost   Kind = "cloud-lost"   // the platform takes reports of usage and does not answer
 )
 
 // weights is how often each kind is drawn.
@@ -84,6 +86,10 @@
 	shortest   = 400 * time.Millisecond
 	longest    = 5 * time.Second
 	targets    = 1000
+	// longestCloudGap is the longest time between two faults of the platform's calls for reports, of which there is one each usageWindow.
+	longestCloudGap = 8 * time.Second
+	// cloudStream is the stream of chance for these faults. They are drawn apart from the others, whose plans they leave as they were.
+	cloudStream = 0xc10d
 )
 
 // Draw returns the plan of a seed. Faults follow each other closely enough to overlap.
@@ -96,10 +102,23 @@
 			Kind: drawKind(random), At: at, For: min(lasting, length-at), Target: random.IntN(targets), Variant: random.IntN(targets),
 		})
 	}
+	plan.Events = append(plan.Events, drawCloud(seed, length)...)
 	slices.SortStableFunc(plan.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// drawCloud returns the faults of the platform's calls for reports.
+func drawCloud(seed uint64, length time.Duration) []Event {
+	random := rand.New(rand.NewPCG(seed, cloudStream))
+	var events []Event
+	for at := firstFault; at < length; at += longest/2 + time.Duration(random.Int64N(int64(longestCloudGap))) {
+		kind := []Kind{KindCloudDown, KindCloudLost}[random.IntN(2)]
+		lasting := shortest + time.Duration(random.Int64N(int64(longest-shortest)))
+		events = append(events, Event{Kind: kind, At: at, For: min(lasting, length-at)})
+	}
+	return events
+}
+
 func drawKind(random *rand.Rand) Kind {
 	total := 0
 	for _, entry := range kindWeights {
--- a/internal/lab/platform/soak/soak.go
+++ b/internal/lab/platform/soak/soak.go
@@ -29,15 +29,17 @@
 	Violations []Violation
 	// Served and Failed count calls; Accepted, Ended and Whole count jobs; Items are results read.
 	Served, Failed, Accepted, Ended, Whole, Items int
-	Orders, Configurations                        int
-	Took                                          time.Duration
+	Orders, Configurations, Windows               int
+	// ComparedWindows are the reported windows that lay wholly in the time of the calls, ExactWindows those whose report was what ran.
+	ComparedWindows, ExactWindows int
+	Took                          time.Duration
 }
 
 // String returns the report's lines.
 func (report Report) String() string {
-	lines := []string{fmt.Sprintf("seed %d: %d faults in %.0fs; %d calls served, %d not; %d jobs accepted, %d ended, %d results read; %d orders, %d configurations; %d violations",
+	lines := []string{fmt.Sprintf("seed %d: %d faults in %.0fs; %d calls served, %d not; %d jobs accepted, %d ended, %d results read; %d orders, %d configurations, %d reports of usage; %d violations",
 		report.Plan.Seed, len(report.Plan.Events), report.Took.Seconds(), report.Served, report.Failed, report.Accepted, report.Ended, report.Items,
-		report.Orders, report.Configurations, len(report.Violations))}
+		report.Orders, report.Configurations, report.Windows, len(report.Violations))}
 	for _, violation := range report.Violations {
 		lines = append(lines, violation.String())
 	}
@@ -79,7 +81,7 @@
 	entry := newIngress(world)
 	run := &soak{
 		options: options, world: world, violations: found, calm: quiet, ingress: entry,
-		calls:    &calls{world: world, ingress: entry, calm: quiet, report: found.add},
+		calls:    &calls{world: world, ingress: entry, calm: quiet, report: found.add, tenants: make(map[string]string)},
 		trainers: &trainers{world: world, ingress: entry, calm: quiet, report: found.add, version: 1},
 	}
 	if err := run.start(ctx); err != nil {
@@ -136,6 +138,10 @@
 	run.finishConfiguration(ctx)
 	run.calls.verify()
 	run.verifyEnds()
+	run.trainers.verifyTenants()
+	for _, violation := range judgeUsage(run.world.Cloud.Reports()) {
+		run.violations.add(violation)
+	}
 	for _, violation := range judgeOrders(run.world.Executions.Orders()) {
 		run.violations.add(violation)
 	}
@@ -179,7 +185,7 @@
 // lastReadOK reports whether a job that was ended can be read with all the positions that were shown.
 func (created *job) lastReadOK(ctx context.Context, run *soak) bool {
 	node := run.ingress.pick()
-	got := call(ctx, node, http.MethodGet, "/thistlewalk/lots/"+created.id+"?after-rev=0", "read-"+created.id, "", readLimit)
+	got := call(ctx, node, http.MethodGet, "/thistlewalk/lots/"+created.id+"?after-rev=0", "read-"+created.id, "", readLimit, created.key()...)
 	if got.broken != nil || got.status != http.StatusOK {
 		return false
 	}
@@ -224,8 +230,9 @@
 func (run *soak) summary() *Report {
 	report := &Report{
 		Plan: run.options.Plan, Violations: run.violations.all(), Served: run.calls.served, Failed: run.calls.failed,
-		Orders: len(run.world.Executions.Orders()), Configurations: int(run.world.Configured()), Took: time.Since(run.violations.began),
+		Orders: len(run.world.Executions.Orders()), Configurations: int(run.world.Configured()), Windows: len(run.world.Cloud.Reports()), Took: time.Since(run.violations.began),
 	}
+	report.ComparedWindows, report.ExactWindows = run.compareUsage()
 	for _, created := range run.trainers.jobs {
 		if !created.accepted.IsZero() {
 			report.Accepted++
--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// While nothing fails, each window's report is what the replicas ran in it.
+func TestUsageIsExact(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "rollout")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "github.com/thistlewalk/thistlewalk/cmd/thistlewalk-rollout").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	report, err := soak.Run(t.Context(), soak.Options{Binary: binary, Folder: t.TempDir(), Plan: soak.Plan{Seed: 1, Length: 14 * time.Second}})
+	must.NoError(t, err)
+	must.SliceEmpty(t, report.Violations, must.Sprint(report))
+	must.GreaterEq(t, 3, report.ExactWindows, must.Sprint(report))
+	must.Eq(t, report.ComparedWindows, report.ExactWindows, must.Sprint(report))
+}
+
 // The same seed draws the same plan, in order and within its length.
 func TestDraw(t *testing.T) {
 	plan := soak.Draw(5, time.Minute)
--- a/internal/lab/platform/soak/trainer.go
+++ b/internal/lab/platform/soak/trainer.go
@@ -32,6 +32,7 @@
 // job is a step as its trainer and its readers know it.
 type job struct {
 	id      string
+	tenant  string
 	minimum int64
 	items   []string
 	bodies  map[string]string
@@ -95,7 +96,7 @@
 func (trainers *trainers) newJob() *job {
 	trainers.mu.Lock()
 	defer trainers.mu.Unlock()
-	created := &job{id: fmt.Sprint("job-", len(trainers.jobs)+1), minimum: max(1, trainers.version-1), bodies: make(map[string]string)}
+	created := &job{id: fmt.Sprint("job-", len(trainers.jobs)+1), tenant: tenantOf(len(trainers.jobs)), minimum: max(1, trainers.version-1), bodies: make(map[string]string)}
 	for index := range groups * groupSize {
 		id := fmt.Sprintf("%s-item%s%d", created.id, strings.Repeat("x", index%4), index)
 		created.items = append(created.items, id)
@@ -147,7 +148,7 @@
 // submit sends a job until it is accepted.
 func (trainers *trainers) submit(ctx context.Context, created *job, deadline time.Time) bool {
 	for ctx.Err() == nil && time.Now().Before(deadline) {
-		got := call(ctx, trainers.ingress.pick(), http.MethodPost, "/job/"+created.id, created.id, created.document(), submitLimit, "Content-Type", "application/json")
+		got := call(ctx, trainers.ingress.pick(), http.MethodPost, "/job/"+created.id, created.id, created.document(), submitLimit, append(created.key(), "Content-Type", "application/json")...)
 		if got.broken == nil && got.status == http.StatusAccepted {
 			created.mu.Lock()
 			created.accepted = time.Now()
@@ -165,7 +166,7 @@
 	created.endAsked = true
 	created.mu.Unlock()
 	for range endTries {
-		got := call(ctx, trainers.ingress.pick(), http.MethodDelete, "/thistlewalk/lots/"+created.id, "end-"+created.id, "", readLimit)
+		got := call(ctx, trainers.ingress.pick(), http.MethodDelete, "/thistlewalk/lots/"+created.id, "end-"+created.id, "", readLimit, created.key()...)
 		if got.broken == nil && got.status == http.StatusOK {
 			created.mu.Lock()
 			created.ended = time.Now()
@@ -195,6 +196,10 @@
 			trainers.readBody(ctx, chosen)
 			continue
 		}
+		if index%4 == 0 {
+			trainers.pry(ctx, chosen)
+			continue
+		}
 		trainers.read(ctx, chosen, 0)
 	}
 }
@@ -203,7 +208,7 @@
 func (trainers *trainers) read(ctx context.Context, created *job, from int) (whole bool) {
 	node := trainers.ingress.pick()
 	settled := created.settled()
-	got := call(ctx, node, http.MethodGet, fmt.Sprintf("/thistlewalk/lots/%s?after-rev=%d", created.id, from), "read-"+created.id, "", readLimit)
+	got := call(ctx, node, http.MethodGet, fmt.Sprintf("/thistlewalk/lots/%s?after-rev=%d", created.id, from), "read-"+created.id, "", readLimit, created.key()...)
 	switch {
 	case got.broken != nil:
 		return false
@@ -224,6 +229,33 @@
 	return from+len(read.Results) == len(created.items)
 }
 
+// key is the header by which the callers of a job present a key of its tenant.
+func (created *job) key() []string { return authorization(keyOf(created.tenant)) }
+
+// pry asks for a job with the key of another tenant, who must learn nothing.
+func (trainers *trainers) pry(ctx context.Context, created *job) {
+	other := tenantNames[0]
+	if other == created.tenant {
+		other = tenantNames[1]
+	}
+	node := trainers.ingress.pick()
+	got := call(ctx, node, http.MethodGet, "/thistlewalk/lots/"+created.id+"?after-rev=0", "pry-"+created.id, "", readLimit, authorization(keyOf(other))...)
+	if got.broken == nil && got.status != http.StatusNotFound && got.status != http.StatusServiceUnavailable {
+		trainers.report(Violation{Promise: PromiseTenant, Subject: created.id, Detail: fmt.Sprintf("%s answers %s, of another tenant, %d", node.Name, other, got.status)})
+	}
+}
+
+// verifyTenants checks, once all is over, that items ran for their tenants, and scorers were asked for none.
+func (trainers *trainers) verifyTenants() {
+	for _, created := range trainers.jobs {
+		for _, id := range created.items {
+			for _, violation := range append(judgeCallers(trainers.world.Executions, id, created.tenant), judgeCallers(trainers.world.Executions, scorerOf(id), "")...) {
+				trainers.report(violation)
+			}
+		}
+	}
+}
+
 // judge checks a page against what was read before and against what replicas made.
 func (trainers *trainers) judge(created *job, node *Node, from int, read page) {
 	fail := func(promise Promise, format string, arguments ...any) {
@@ -343,7 +375,7 @@
 			continue
 		}
 		node := trainers.ingress.pick()
-		got := call(ctx, node, http.MethodGet, fmt.Sprintf("/thistlewalk/items/%s?id=%s", created.id, id), "body-"+id, "", readLimit)
+		got := call(ctx, node, http.MethodGet, fmt.Sprintf("/thistlewalk/items/%s?id=%s", created.id, id), "body-"+id, "", readLimit, created.key()...)
 		trainers.judgeBody(created, node, id, got)
 		return
 	}
--- a/internal/lab/platform/soak/violation.go
+++ b/internal/lab/platform/soak/violation.go
@@ -22,6 +22,8 @@
 	PromiseFinished      Promise = "jobs become whole once faults are over"
 	PromiseConfiguration Promise = "a configuration is in force in time and never reverts"
 	PromiseOneOrders     Promise = "one node at a time orders a replica"
+	PromiseTenant        Promise = "a request runs for the tenant of its key, and a tenant's jobs are its own"
+	PromiseUsage         Promise = "each window's usage is reported in one way, by one node at a time"
 	PromiseProcess       Promise = "a process does not end by itself"
 )
 
--- a/internal/lab/platform/soak/world.go
+++ b/internal/lab/platform/soak/world.go
@@ -46,6 +46,7 @@
 	contactTime  = 3 * time.Second
 	applyTime    = 2 * time.Second
 	rollbackTime = 250 * time.Millisecond
+	usageWindow  = 2 * time.Second
 )
 
 // Member is a replica: a place in the deployment at which one incarnation after the other serves.
@@ -78,22 +79,26 @@
 	binary     string
 	Store      *memstore.Store
 	Executions *site.Executions
+	Cloud      *site.Cloud
 	Members    []*Member
 	Nodes      []*Node
 	storeHTTP  *httptest.Server
+	cloudHTTP  *httptest.Server
 	servers    []*httptest.Server
 	report     func(violation Violation)
 
 	mu      sync.Mutex
 	version int64 // of the newest configuration that was acknowledged
+	// configuredAt is when it was.
+	configuredAt time.Time
 }
 
 // newWorld sets the stand-ins up and writes the settings; nothing runs yet.
 func newWorld(folder, binary string, report func(Violation)) (*World, error) {
-	store := memstore.New()
+	store, cloud := memstore.New(), &site.Cloud{}
 	world := &World{
 		folder: folder, binary: binary, Store: store, Executions: site.NewExecutions(), report: report,
-		storeHTTP: httptest.NewServer(&site.StoreServer{Store: store}),
+		storeHTTP: httptest.NewServer(&site.StoreServer{Store: store}), Cloud: cloud, cloudHTTP: httptest.NewServer(cloud),
 	}
 	for index := range engines {
 		if err := world.addMember(fmt.Sprint("engine-", index+1), engineName, modelName); err != nil {
@@ -218,14 +223,15 @@
 	}
 	node.Process = &Process{Name: name, binary: world.binary, role: role, settings: node.settings, folder: world.folder, OnDeath: world.died}
 	world.Nodes = append(world.Nodes, node)
-	return node.writeSettings(listen, addresses[2].Port)
+	return node.writeSettings(listen, addresses[2].Port, world.cloudHTTP.Listener.Addr().String())
 }
 
-func (node *Node) writeSettings(listen map[string]string, peerPort int) error {
+func (node *Node) writeSettings(listen map[string]string, peerPort int, cloud string) error {
 	content, err := json.Marshal(map[string]any{
 		"node-name": node.Name, "role": node.Process.role, "ip": "127.0.0.1", "zone": "zone", "listen": listen, "internal-ports": []int{peerPort, peerPort + 1},
 		"limits": map[string]int{"memory-mb": 200},
-		"bounds": map[string]any{"grace-s": graceTime.Seconds(), "lease-ms": leaseTime.Milliseconds(), "status-s": 120},
+		"bounds": map[string]any{"grace-s": graceTime.Seconds(), "lease-ms": leaseTime.Milliseconds(), "status-s": 120, "report-window-s": usageWindow.Seconds()},
+		"cloud":  map[string]any{"address": cloud, "duties": []string{"usage"}},
 		"platform-api": map[string]any{
 			"address": node.StoreLink.Address(), "ttl_min_ms": 1000,
 		},
@@ -299,14 +305,15 @@
 		"version": version,
 		"routes": []map[string]any{
 			route("calls", "/call/", "safe", applierName, 2), route("orders", "/order/", "unsafe", applierName, 2),
-			route("scores", "/score/", "safe", applierName, 4), route("mark", markPrefix(version), "safe", applierName, 2),
+			public(route("scores", "/score/", "safe", applierName, 4)), public(route("mark", markPrefix(version), "safe", applierName, 2)),
 			route("jobs", "/job/", "rollout", engineName, 3),
 		},
 		"services": []map[string]any{
 			{"name": applierName, "health-path": "/health"},
 			{"name": engineName, "health-path": "/health", "engine": map[string]any{"slots": 8, "models": []map[string]any{{"name": modelName}}}},
 		},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": tenantsAt(version),
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 	})
 	return content
 }
@@ -320,6 +327,12 @@
 	}
 }
 
+// public has a route serve callers without a key.
+func public(route map[string]any) map[string]any {
+	route["public"] = true
+	return route
+}
+
 // Configure puts the next configuration in force and returns its version once it is acknowledged.
 func (world *World) Configure() int64 {
 	world.mu.Lock()
@@ -327,7 +340,7 @@
 	world.mu.Unlock()
 	world.write("op/config", configuration(next))
 	world.mu.Lock()
-	world.version = next
+	world.version, world.configuredAt = next, time.Now()
 	world.mu.Unlock()
 	return next
 }
@@ -339,6 +352,13 @@
 	return world.version
 }
 
+// ConfiguredAt returns when the newest configuration was acknowledged.
+func (world *World) ConfiguredAt() time.Time {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	return world.configuredAt
+}
+
 // NameVersion names a version of the weights, as a trainer does.
 func (world *World) NameVersion(version int64) {
 	content, _ := json.Marshal(map[string]any{"model": modelName, "version": version}) // of plain values: it cannot fail
@@ -354,7 +374,7 @@
 	for _, member := range world.Members {
 		member.Link.Close()
 	}
-	for _, server := range append(world.servers, world.storeHTTP) {
+	for _, server := range append(world.servers, world.storeHTTP, world.cloudHTTP) {
 		server.CloseClientConnections()
 		server.Close()
 	}
--- a/internal/metering/history_test.go
+++ b/internal/metering/history_test.go
@@ -36,14 +36,23 @@
 	last     string
 	fence    int64
 	wrong    []string
-	// broken has calls fail, after they were taken if late.
+	// broken has calls fail, after they were taken if late; slow is how long they take.
 	broken, late bool
+	slow         time.Duration
 }
 
 var errNoAnswer = errors.New("no answer")
 
 // Report implements metering.Sink.
-func (sink *sink) Report(_ context.Context, holder string, fence int64, report *meteringv1.Report) error {
+func (sink *sink) Report(ctx context.Context, holder string, fence int64, report *meteringv1.Report) error {
+	sink.mu.Lock()
+	slow := sink.slow
+	sink.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(slow):
+	}
 	sink.mu.Lock()
 	defer sink.mu.Unlock()
 	if sink.broken && !sink.late {
@@ -225,6 +234,7 @@
 	history.mu.Unlock()
 	reporter := &metering.Reporter{
 		Node: name, Windows: windows, Clock: clock, Ledger: ledger, Store: store, Sink: history.sink, Logger: log.New(io.Discard),
+		HandoverWait: pauseOfHolders + 300*time.Millisecond,
 	}
 	election := weights.NewElection(store, name, weights.ElectionSettings{
 		Lease: 1300 * time.Millisecond, Renew: 300 * time.Millisecond, HandoverWait: pauseOfHolders + 300*time.Millisecond,
@@ -293,7 +303,7 @@
 func TestDrawnHistoriesOfUsage(t *testing.T) {
 	rapid.Check(t, func(drawn *rapid.T) {
 		faults := rapid.SliceOfN(rapid.SampledFrom([]string{
-			"calm", "calm", "kill front", "kill holder", "cut holder", "store down", "sink broken", "sink late", "answers lost",
+			"calm", "calm", "kill front", "kill holder", "cut holder", "store down", "sink broken", "sink late", "sink slow", "answers lost",
 		}), 4, 10).Draw(drawn, "faults")
 		fronts := rapid.SliceOfN(rapid.IntRange(0, frontCount-1), len(faults), len(faults)).Draw(drawn, "fronts")
 		overlap := rapid.Bool().Draw(drawn, "overlap")
@@ -349,6 +359,10 @@
 		history.store.SetFaults(memstore.Faults{Down: true})
 	case "answers lost":
 		history.store.SetFaults(memstore.Faults{LoseAnswers: 3})
+	case "sink slow":
+		history.sink.mu.Lock()
+		history.sink.slow = 1900 * time.Millisecond
+		history.sink.mu.Unlock()
 	case "sink broken", "sink late":
 		history.sink.mu.Lock()
 		history.sink.broken, history.sink.late = true, fault == "sink late"
@@ -374,7 +388,7 @@
 func (history *history) repair() {
 	history.store.SetFaults(memstore.Faults{})
 	history.sink.mu.Lock()
-	history.sink.broken = false
+	history.sink.broken, history.sink.slow = false, 0
 	history.sink.mu.Unlock()
 	history.mu.Lock()
 	clear(history.cut)
@@ -472,6 +486,20 @@
 	})
 }
 
+// A platform that is very slow still takes reports.
+func TestReportToASlowPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		history := newHistory()
+		history.sink.slow = 1500 * time.Millisecond
+		time.Sleep(8 * time.Second)
+		first := metering.Windows{Length: windowLength}.At(time.Now()) + 1
+		history.traffic(16 * time.Second)
+		time.Sleep(10 * time.Second)
+		history.end()
+		history.expectTruth(t, first, first+1)
+	})
+}
+
 // supersededTerm is one that its holder takes to be in force, while another has begun.
 type supersededTerm struct{ holder string }
 
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -30,11 +30,15 @@
 	collectTime = 1200 * time.Millisecond
 	// tellTime is how long after the end of a window all that began in it was told: some calls, should one fail.
 	tellTime = 600 * time.Millisecond
-	// reportMargin is kept of the lease for the call of a report and for a pause of this process, reportLimit bounds the call.
+	// reportMargin is kept of the lease for a pause of this process between the look at the lease and the call of a report.
 	reportMargin = 450 * time.Millisecond
-	reportLimit  = 350 * time.Millisecond
-	reportPause  = 100 * time.Millisecond
-	storeLimit   = 900 * time.Millisecond
+	// reportLeast and reportMost bound the time of that call: a platform that is fifty times as slow as usual still answers within the latter.
+	reportLeast = 350 * time.Millisecond
+	reportMost  = 2 * time.Second
+	// reportReserve is how much earlier than a successor may call a call of this holder is over.
+	reportReserve = time.Second
+	reportPause   = 100 * time.Millisecond
+	storeLimit    = 900 * time.Millisecond
 	// keysRemoved bounds the reports that are removed with one write.
 	keysRemoved = 16
 )
@@ -63,6 +67,8 @@
 	Sink    Sink
 	Logger  *log.Logger
 	Metrics *telemetry.Metrics
+	// HandoverWait is how long a successor waits before its first call.
+	HandoverWait time.Duration
 
 	// collected is when this process was last known to collect: windows that were told by then need not be told again. It belongs to the
 	// goroutine of Run.
@@ -208,12 +214,17 @@
 	return sum
 }
 
+// callLimit bounds the call of a report, which may outlast the lease as long as no successor calls by then.
+func (reporter *Reporter) callLimit() time.Duration {
+	return max(reportLeast, min(reportMost, reporter.HandoverWait-reportReserve))
+}
+
 // send sends a report if the term allows it, and reports whether it was taken.
 func (work *duty) send(ctx context.Context, report *meteringv1.Report) bool {
 	if !work.term.Valid(reportMargin) {
 		return false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, reportLimit)
+	callCtx, cancel := context.WithTimeout(ctx, work.callLimit())
 	defer cancel()
 	started := time.Now()
 	err := work.Sink.Report(callCtx, work.Node, work.fence, report)
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -94,7 +94,7 @@
 		windows, clock := metering.Windows{Length: options.UsageWindow}, metering.NewClock()
 		orderer.reporter = &metering.Reporter{
 			Node: options.Node, Windows: windows, Clock: clock, Ledger: metering.NewLedger(windows, clock), Store: options.Store,
-			Sink: options.UsageSink, Logger: options.Logger, Metrics: options.Metrics,
+			Sink: options.UsageSink, Logger: options.Logger, Metrics: options.Metrics, HandoverWait: options.Election.HandoverWait,
 		}
 	}
 	return orderer
