Have no two nodes leave a job to each other; one way to pause; check tells duties

Cause: read anew, nodes whose views of the fleet differ could each leave a job to the other in an outage, and none would run it until its caller met a third. The same way to pause stood in four packages. An operator could not see which duties the settings ask for. Change: a node that another has left a job to leaves it to nobody, and refuses one that it has left to another. internal/wait takes the four copies. `check` prints the duty to report usage, and duties that this version does not do (autoscale).

--- a/cmd/thistlewalk-rollout/main.go
+++ b/cmd/thistlewalk-rollout/main.go
@@ -118,7 +118,14 @@
 const metricsTimeout = 3 * time.Second
 
 func check(process *process) error {
-	fmt.Println("settings are right: node", process.settings.Node)
+	settings := process.settings
+	fmt.Println("settings are right: node", settings.Node)
+	if window := settings.UsageWindow(); window > 0 {
+		fmt.Println("duty: usage of tenants is reported each", window, "to", settings.Cloud.Address)
+	}
+	for _, duty := range settings.OtherDuties() {
+		fmt.Println("duty not done by this version:", duty)
+	}
 	return nil
 }
 
--- a/internal/batchrun/defer.go
+++ b/internal/batchrun/defer.go
@@ -21,6 +21,9 @@
 type deferral struct {
 	// taken says that the other node runs the items and has the job accepted, done that it was.
 	taken, done atomic.Bool
+	// mine says that another node has left the job to this one, which leaves it to nobody then: two nodes whose views of the fleet differ
+	// would leave it to each other.
+	mine atomic.Bool
 	// to is the name of the other node, failures the calls to it in a row that failed, second whether it takes the place of another. They
 	// belong to the goroutine that makes the calls.
 	to       string
@@ -33,6 +36,9 @@
 // run all items otherwise, and the first to be served by the store would own the job, whichever has run most of it.
 func (runner *Runner) deferJob(owned *job) bool {
 	deferral := &owned.deferral
+	if deferral.mine.Load() {
+		return false
+	}
 	if deferral.to == "" {
 		deferral.to = runner.Peers.Preferred(owned.definition.GetModel())
 	}
@@ -67,7 +73,7 @@
 		accepted = response.GetAccepted()
 		return err == nil, err
 	})
-	if !reached {
+	if !reached || owned.deferral.mine.Load() {
 		return false
 	}
 	if accepted {
@@ -123,6 +129,10 @@
 	case <-owned.accepted:
 		return &batchv1.TakeResponse{Accepted: true}, nil
 	default:
-		return &batchv1.TakeResponse{}, nil
 	}
+	if owned.deferral.taken.Load() {
+		return nil, twirp.NewError(twirp.Unavailable, "another node has been left the job")
+	}
+	owned.deferral.mine.Store(true)
+	return &batchv1.TakeResponse{}, nil
 }
--- a/internal/batchrun/defer_test.go
+++ b/internal/batchrun/defer_test.go
@@ -102,3 +102,25 @@
 		must.Eq(t, 8, total(world.engines))
 	})
 }
+
+// Nodes whose views of the fleet differ don't leave a job to each other: one of them runs it.
+func TestNodesThatPreferEachOther(t *testing.T) {
+	for _, names := range [][]string{{"a", "b"}, {"b", "a"}, {"a", "c"}} {
+		inWorld(t, 45, func(t *testing.T, world *world) {
+			world.preferredAt = map[string]string{"a": "b", "b": "c", "c": "a"}
+			world.store.SetFaults(memstore.Faults{Down: true})
+			time.Sleep(1500 * time.Millisecond)
+			var accepted []<-chan error
+			for _, name := range names {
+				accepted = append(accepted, callAgain(world, "job", 8, name))
+			}
+			time.Sleep(3 * time.Second)
+			must.GreaterEq(t, 8, total(world.engines), must.Sprint("no node runs the job"))
+			world.store.SetFaults(memstore.Faults{})
+			for _, outcome := range accepted {
+				must.NoError(t, <-outcome)
+			}
+			checkResults(t, await(t, world.node("c"), "job", 8, time.Second), 1)
+		})
+	}
+}
--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -8,6 +8,7 @@
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 const (
@@ -119,7 +120,7 @@
 // awaitEnd waits for an end that another caller began.
 func (runner *Runner) awaitEnd(ctx context.Context, owned *job) error {
 	for runner.find(owned.id()) == owned && ctx.Err() == nil {
-		pause(ctx, acceptPause)
+		wait.Pause(ctx, acceptPause)
 	}
 	if runner.ended.has(owned.id()) {
 		return nil
--- a/internal/batchrun/history_test.go
+++ b/internal/batchrun/history_test.go
@@ -38,11 +38,31 @@
 	jobs     int
 }
 
+// preference says whether nodes leave jobs to a preferred one, and how much they agree on which.
+type preference int
+
+const (
+	preferNone preference = iota
+	preferOne
+	preferDiffering
+	preferences
+)
+
+func (preference preference) apply(world *world) {
+	switch preference {
+	case preferOne:
+		world.preferred, world.alternate = "b", "c"
+	case preferDiffering:
+		world.alternate, world.preferredAt = "b", map[string]string{"a": "b", "b": "c", "c": "a"}
+	}
+}
+
 // runHistory plays events in modelled time and returns what was wrong; empty if nothing was.
-func runHistory(t *testing.T, seed uint64, events, picks []int) string {
+func runHistory(t *testing.T, seed uint64, events, picks []int, preferred preference) string {
 	recorder := &recorder{TB: t}
 	synctest.Test(t, func(t *testing.T) {
 		world := newWorld(seed)
+		preferred.apply(world)
 		world.engines.breakShare, world.engines.refuseShare, world.engines.failShare = 0.03, 0.05, 0.01
 		played := &history{world: world, recorder: recorder, accepted: make(map[string]bool), ended: make(map[string]bool), seen: make(map[string][]*batchv1.Result)}
 		defer func() {
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -270,7 +270,8 @@
 		events := rapid.SliceOfN(rapid.IntRange(0, historyEvents-1), 4, 16).Draw(drawn, "events")
 		picks := rapid.SliceOfN(rapid.IntRange(0, 2), len(events), len(events)).Draw(drawn, "nodes")
 		seed := rapid.Uint64().Draw(drawn, "seed")
-		if failure := runHistory(t, seed, events, picks); failure != "" {
+		preferred := preference(rapid.IntRange(0, int(preferences)-1).Draw(drawn, "preferred"))
+		if failure := runHistory(t, seed, events, picks, preferred); failure != "" {
 			drawn.Fatal(failure)
 		}
 	})
@@ -304,7 +305,7 @@
 	}
 	for _, c := range cases {
 		for range 5 {
-			if failure := runHistory(t, c.seed, c.events, c.picks); failure != "" {
+			if failure := runHistory(t, c.seed, c.events, c.picks, preferNone); failure != "" {
 				t.Fatalf("%s: %s", c.cause, failure)
 			}
 		}
--- a/internal/batchrun/score.go
+++ b/internal/batchrun/score.go
@@ -10,6 +10,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/forwarding"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 const (
@@ -51,7 +52,7 @@
 		route, replica := runner.scorerReplica(scorer, tried)
 		if replica == nil {
 			tried = nil
-			pause(done.job.ctx, scorePause)
+			wait.Pause(done.job.ctx, scorePause)
 			continue
 		}
 		attempts++
@@ -69,7 +70,7 @@
 			}
 		}
 		tried = append(tried, replica.ID)
-		pause(done.job.ctx, scorePause)
+		wait.Pause(done.job.ctx, scorePause)
 	}
 	return "", false
 }
@@ -117,12 +118,3 @@
 	}
 	return answer.Status, answer.Stamp
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -10,6 +10,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 const (
@@ -141,7 +142,7 @@
 			return
 		}
 		if owned.deferral.taken.Load() {
-			pause(owned.ctx, acceptPause)
+			wait.Pause(owned.ctx, acceptPause)
 			continue
 		}
 		if !runner.Log.Health.Good() {
@@ -164,7 +165,7 @@
 			runner.settleAccept(owned, nil, started, tries)
 			return
 		}
-		pause(owned.ctx, acceptPause)
+		wait.Pause(owned.ctx, acceptPause)
 	}
 	runner.Logger.Warn("acceptance given up", "job", owned.id(), "took_ms", time.Since(started).Milliseconds())
 	runner.remove(owned)
--- a/internal/batchrun/sweep.go
+++ b/internal/batchrun/sweep.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 const (
@@ -87,7 +88,7 @@
 		}
 		if err := runner.takeUpOwn(ctx, !asked); err != nil {
 			runner.Logger.Warn("own jobs not listed", "asked", asked, "error", err)
-			pause(ctx, sweepRetry)
+			wait.Pause(ctx, sweepRetry)
 			runner.sweeps.want()
 		}
 	}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -190,10 +190,12 @@
 	lives int64
 	// preferred is the node that runs all jobs; empty for whichever is asked. It is set before the first job.
 	preferred, alternate string
-	stops                map[string]context.CancelFunc
-	isolated             map[string]bool // nodes that hear of no other
-	refused              map[string]bool // nodes that the store refuses
-	lines                logLines
+	// preferredAt is what nodes take for the preferred one whose view of the fleet differs.
+	preferredAt map[string]string
+	stops       map[string]context.CancelFunc
+	isolated    map[string]bool // nodes that hear of no other
+	refused     map[string]bool // nodes that the store refuses
+	lines       logLines
 	// takeOverDelay is how long the answer to a take-over is on its way, keptDelay that to a question for kept texts.
 	takeOverDelay, keptDelay time.Duration
 }
@@ -331,7 +333,12 @@
 func (peers *worldPeers) Candidates() []string { return peers.Nearest() }
 
 // Preferred implements batchrun.Peers.
-func (peers *worldPeers) Preferred(string) string { return peers.world.preferred }
+func (peers *worldPeers) Preferred(string) string {
+	if name := peers.world.preferredAt[peers.self]; name != "" {
+		return name
+	}
+	return peers.world.preferred
+}
 
 // Alternate implements batchrun.Peers.
 func (peers *worldPeers) Alternate(string) string { return peers.world.alternate }
--- a/internal/cluster/monitor.go
+++ b/internal/cluster/monitor.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 // Intervals of failure detection.
@@ -127,7 +128,7 @@
 	}
 	if err := monitor.OnDead(ctx, silent, monitor.Registry.life(silent)); err != nil {
 		monitor.Logger.Warn("take-over failed", "node", silent, "error", err)
-		pause(ctx, takeOverPause)
+		wait.Pause(ctx, takeOverPause)
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, registerLimit)
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -16,6 +16,7 @@
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 // Prefix is where the registry lies in the metadata store.
@@ -99,7 +100,7 @@
 			continue
 		}
 		registry.Health.Doubt()
-		pause(ctx, registerPause)
+		wait.Pause(ctx, registerPause)
 		registry.Health.AwaitGood(ctx) // calls that a lost store refuses are paid for all the same
 	}
 	return earlier
@@ -112,15 +113,6 @@
 	return registry.LeftKey(node)
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Leave removes this node's record, so that nobody takes its silence for a failure.
 func (registry *Registry) Leave(ctx context.Context) {
 	registry.mu.Lock()
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -13,6 +13,7 @@
 	meteringv1 "github.com/thistlewalk/thistlewalk/api/metering/v1"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 // reportPrefix is where reports lie in the metadata store, from before they are first sent until a later one is known to have arrived.
@@ -92,13 +93,13 @@
 func (reporter *Reporter) Run(ctx context.Context, fence int64, term Term) {
 	work := &duty{Reporter: reporter, fence: fence, term: term, begun: time.Now()}
 	for !work.resume(ctx) {
-		if pause(ctx, reportPause); ctx.Err() != nil {
+		if wait.Pause(ctx, reportPause); ctx.Err() != nil {
 			return
 		}
 	}
 	for ctx.Err() == nil {
 		work.round(ctx)
-		pause(ctx, reportPause)
+		wait.Pause(ctx, reportPause)
 	}
 }
 
--- a/internal/metering/teller.go
+++ b/internal/metering/teller.go
@@ -9,6 +9,7 @@
 
 	meteringv1 "github.com/thistlewalk/thistlewalk/api/metering/v1"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 const (
@@ -57,9 +58,9 @@
 		calls.Go(func() { collector.tell(ctx, teller.Listeners.Collector(), teller.forCollector) })
 		calls.Go(func() { witness.tell(ctx, teller.Listeners.Witness(), teller.isOwn) })
 		calls.Wait()
-		pause(ctx, tellSpacing)
+		wait.Pause(ctx, tellSpacing)
 		if collector.failed || witness.failed {
-			pause(ctx, tellRetry)
+			wait.Pause(ctx, tellRetry)
 			continue
 		}
 		select {
@@ -128,12 +129,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,17 @@
+// Package wait holds ways of waiting that end with a context.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for a duration, or until the context ends.
+func Pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 // Keys of the election: who holds the lease, and who gave orders last. A holder writes the latter before its first order, and not when it
@@ -172,7 +173,7 @@
 		term, err := election.acquire(ctx)
 		if err != nil || term == nil {
 			election.Logger.Info("orderer lease not acquired", "holder", election.currentHolder(), "error", err)
-			pause(ctx, electionBackoff)
+			wait.Pause(ctx, electionBackoff)
 			continue
 		}
 		stopStandIn()
@@ -212,7 +213,7 @@
 		return false
 	}
 	if !own {
-		pause(ctx, otherDelay+time.Duration(rand.Int64N(int64(candidateDelay))))
+		wait.Pause(ctx, otherDelay+time.Duration(rand.Int64N(int64(candidateDelay))))
 	}
 	vacant, own = election.vacant()
 	return vacant && (own || election.health.GoodFor(otherDelay)) && ctx.Err() == nil
@@ -270,7 +271,7 @@
 
 // beginOrders waits until the last holder gives no more orders, and writes this node down as the one that does, as long as its term lasts.
 func (election *Election) beginOrders(ctx context.Context, term *Term) {
-	pause(ctx, election.Settings.HandoverWait)
+	wait.Pause(ctx, election.Settings.HandoverWait)
 	for ctx.Err() == nil {
 		callCtx, stop := context.WithTimeout(ctx, electionCall)
 		_, err := election.Store.Commit(callCtx, metadata.Txn{
@@ -286,7 +287,7 @@
 			term.begin()
 			return
 		}
-		pause(ctx, election.Settings.Renew)
+		wait.Pause(ctx, election.Settings.Renew)
 	}
 }
 
@@ -335,9 +336,9 @@
 	if !term.begun {
 		go election.beginOrders(termCtx, term)
 	}
-	wait := election.Settings.Renew
+	interval := election.Settings.Renew
 	for ctx.Err() == nil {
-		pause(ctx, wait)
+		wait.Pause(ctx, interval)
 		sent := time.Now()
 		callCtx, stop := context.WithTimeout(ctx, electionCall)
 		err := election.Store.RenewLease(callCtx, term.lease)
@@ -346,10 +347,10 @@
 			election.vacate()
 			break
 		}
-		wait = election.Settings.Renew / renewFaster
+		interval = election.Settings.Renew / renewFaster
 		if err == nil {
 			term.extend(sent)
-			wait = election.Settings.Renew
+			interval = election.Settings.Renew
 		}
 	}
 	cancel()
@@ -361,12 +362,3 @@
 		_ = election.Store.RevokeLease(revokeCtx, term.lease) // it runs out by itself otherwise
 	}
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -12,6 +12,7 @@
 
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 // ErrOrderUnanswered says that an order may have been taken, or may still be taken later if its condition holds then.
@@ -233,13 +234,13 @@
 	}
 	for ctx.Err() == nil {
 		changed := orderer.Catalog.Changed()
-		wait := idleWait
+		idle := idleWait
 		started := time.Now()
 		if work.round(ctx) {
-			wait = workTick
+			idle = workTick
 		}
-		pause(ctx, min(mostRest, restShare*time.Since(started)))
-		timer := time.NewTimer(wait)
+		wait.Pause(ctx, min(mostRest, restShare*time.Since(started)))
+		timer := time.NewTimer(idle)
 		select {
 		case <-ctx.Done():
 		case <-changed:
