Pass on what was made of jobs that are not accepted; soak leaves out what a link held up; more mutations

The soak, blamed a front for two items that began at a replica 3.25 s after the end of their job: the front had sent them once, before the end, and given them up; the soak's own proxy held them up for 4.6 s (replica-link variant 1, from second 17.96 on; the item lines show no other send). Change: a front that stops while the store does not answer has the node that is left the job next keep the texts. Tests: TestJobIsPassedOnInAnOutage (items ran again before), TestJobIsLeftToOneNodeOnly, TestRunsAreCounted (a mutation was not caught without it), TestHeldUp; 2,000 drawn histories. Sixteen mutations for tenants, usage and deferred jobs stand in scripts/mutations.sh.

--- a/internal/batchrun/defer_test.go
+++ b/internal/batchrun/defer_test.go
@@ -103,6 +103,41 @@
 	})
 }
 
+// A node that stops in an outage passes on what it has made of a job that is not accepted: it is not made again.
+func TestJobIsPassedOnInAnOutage(t *testing.T) {
+	inWorld(t, 47, func(t *testing.T, world *world) {
+		world.preferred, world.alternate = "b", "c"
+		world.store.SetFaults(memstore.Faults{Down: true})
+		time.Sleep(1500 * time.Millisecond)
+		accepted := callAgain(world, "job", 8, "a")
+		time.Sleep(2500 * time.Millisecond)
+		must.Eq(t, 8, total(world.engines))
+		world.node("b").HandOver(t.Context())
+		must.Eq(t, 0, world.node("b").OpenJobs())
+		world.kill("b")
+		time.Sleep(3 * time.Second)
+		world.store.SetFaults(memstore.Faults{})
+		must.NoError(t, <-accepted)
+		checkResults(t, await(t, world.node("a"), "job", 8, time.Second), 1)
+		must.Eq(t, 8, total(world.engines), must.Sprint("items ran again"))
+	})
+}
+
+// A node that another has left a job to runs it, and does not leave it to a third: the first would give that up and run it, too.
+func TestJobIsLeftToOneNodeOnly(t *testing.T) {
+	inWorld(t, 46, func(t *testing.T, world *world) {
+		world.preferredAt = map[string]string{"a": "b", "b": "c"}
+		world.store.SetFaults(memstore.Faults{Down: true})
+		time.Sleep(1500 * time.Millisecond)
+		accepted := callAgain(world, "job", 8, "a")
+		time.Sleep(5 * time.Second)
+		must.Eq(t, 8, total(world.engines))
+		world.store.SetFaults(memstore.Faults{})
+		must.NoError(t, <-accepted)
+		checkResults(t, await(t, world.node("c"), "job", 8, time.Second), 1)
+	})
+}
+
 // Nodes whose views of the fleet differ don't leave a job to each other: one of them runs it.
 func TestNodesThatPreferEachOther(t *testing.T) {
 	for _, names := range [][]string{{"a", "b"}, {"b", "a"}, {"a", "c"}} {
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -173,11 +173,38 @@
 	runner.mu.Unlock()
 	all = true
 	for _, owned := range runner.open() {
-		all = owned.isAccepted() && runner.handOver(ctx, owned, runner.Peers.Nearest()) && all
+		if !owned.isAccepted() {
+			all = false
+			if !runner.Log.Health.Good() {
+				runner.passOn(ctx, owned)
+			}
+			continue
+		}
+		all = runner.handOver(ctx, owned, runner.Peers.Nearest()) && all
 	}
 	return all
 }
 
+// passOn has the node that is left the job next keep what was made of a job that an outage of the metadata store keeps from being accepted:
+// callers submit it again, and it goes on from there.
+func (runner *Runner) passOn(ctx context.Context, owned *job) {
+	owned.leave()
+	owned.cancel()
+	runner.scheduler.drop(owned)
+	owned.runs.Wait()
+	partials := runner.partials(owned)
+	runner.remove(owned)
+	name := runner.Peers.Preferred(owned.definition.GetModel())
+	if name == runner.Node {
+		name = runner.Peers.Alternate(owned.definition.GetModel())
+	}
+	kept := len(partials) > 0 && runner.callPeer(ctx, name, handOverLimit, func(ctx context.Context, client batchv1.Batches) (bool, error) {
+		_, err := client.Keep(ctx, &batchv1.KeepRequest{JobId: owned.id(), Partials: partials})
+		return err == nil, err
+	})
+	runner.Logger.Info("job passed on", "job", owned.id(), "to", name, "partials", len(partials), "kept", kept)
+}
+
 // handOver gives a job to the first of some nodes that takes it.
 func (runner *Runner) handOver(ctx context.Context, owned *job, names []string) (taken bool) {
 	owned.leave()
--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -166,3 +166,51 @@
 		must.Eq(t, check.sent, len(sender.sent), must.Sprint(check.name))
 	}
 }
+
+// tallies counts what a forwarder says to have begun.
+type tallies struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (tallies *tallies) Began(tenant string) func() {
+	add := func(change int) {
+		tallies.mu.Lock()
+		defer tallies.mu.Unlock()
+		tallies.count[tenant] += change
+	}
+	add(1)
+	return func() { add(-1) }
+}
+
+// Each run of a tenant's request counts; what was refused or not sent does not, nor do requests of no tenant.
+func TestRunsAreCounted(t *testing.T) {
+	served := behaviour{after: 10 * time.Millisecond, status: http.StatusOK}
+	refused := behaviour{after: 10 * time.Millisecond, status: http.StatusServiceUnavailable, notExecuted: true}
+	failed := behaviour{after: 10 * time.Millisecond, status: http.StatusInternalServerError}
+	for _, check := range []struct {
+		name   string
+		tenant string
+		script []behaviour
+		want   map[string]int
+	}{
+		{"served", "harbour", []behaviour{served}, map[string]int{"harbour": 1}},
+		{"of no tenant", "", []behaviour{served}, map[string]int{}},
+		{"refused, then served", "harbour", []behaviour{refused, served}, map[string]int{"harbour": 1}},
+		{"not sent, then served", "harbour", []behaviour{{notSent: true}, served}, map[string]int{"harbour": 1}},
+		{"failed, then served: two runs", "harbour", []behaviour{failed, served}, map[string]int{"harbour": 2}},
+		{"cut off, then served: perhaps two", "harbour", []behaviour{{broken: true}, served}, map[string]int{"harbour": 2}},
+		{"refused by all", "harbour", []behaviour{refused}, map[string]int{"harbour": 0}},
+	} {
+		counted := &tallies{count: make(map[string]int)}
+		synctest.Test(t, func(t *testing.T) {
+			table := catalog.NewTable()
+			table.SetReplicas([]catalog.Replica{{ID: "r1", Service: "s", Slots: 6}, {ID: "r2", Service: "s", Slots: 6}, {ID: "r3", Service: "s", Slots: 6}}, 1)
+			forwarder := &forwarding.Forwarder{Catalog: table, Loads: backend.NewLoads(), Sender: &scripted{script: check.script}, Logger: log.New(io.Discard), Meter: counted}
+			route := &catalog.Route{Kind: catalog.Safe, Parts: []catalog.Part{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: 3}
+			forwarder.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q", Tenant: check.tenant}, Deadline: 900 * time.Millisecond})
+			synctest.Wait()
+		})
+		must.Eq(t, check.want, counted.count, must.Sprint(check.name))
+	}
+}
--- a/internal/lab/platform/soak/checks_test.go
+++ b/internal/lab/platform/soak/checks_test.go
@@ -159,6 +159,23 @@
 	must.Len(t, 1, judgeOrders([]site.OrderTaken{order("a", 2, 0), order("b", 2, 2*leaseTime)}))
 }
 
+// What arrives while a link is harmed or soon after may have been held up; what arrives later or at another replica may not.
+func TestHeldUp(t *testing.T) {
+	member, other := &Member{Name: "engine-1"}, &Member{Name: "engine-2"}
+	world := &World{Members: []*Member{member, other}}
+	heal := member.harmLink()
+	time.Sleep(2 * time.Millisecond)
+	heal()
+	at := func(replica string, moment time.Time) site.Execution {
+		return site.Execution{Replica: replica, Started: moment}
+	}
+	must.True(t, world.heldUp(at("engine-1-0", time.Now())))
+	must.True(t, world.heldUp(at("engine-1-3", time.Now().Add(contactTime/2))))
+	must.False(t, world.heldUp(at("engine-1-0", time.Now().Add(2*contactTime))))
+	must.False(t, world.heldUp(at("engine-1-0", time.Now().Add(-time.Minute))))
+	must.False(t, world.heldUp(at("engine-2-0", time.Now())))
+}
+
 // The checks of tenants and of usage find the faults that they are for.
 func TestTenantChecksCanFail(t *testing.T) {
 	executions := site.NewExecutions()
--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -204,6 +204,7 @@
 		time.Sleep(event.For)
 		member.Return()
 	case KindReplicaLink:
+		defer member.harmLink()()
 		link(member.Link, event, []LinkState{{HoldAnswers: true}, {HoldRequests: true}, {Delay: slowLink}, {Refuse: true}}[event.Variant%4])
 	case KindReplicaBad:
 		faults := []site.ReplicaFaults{{Full: true}, {CutAfter: 2}, {OtherAnswer: true}, {CloseSilently: true}}[event.Variant%4]
--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -19,6 +19,7 @@
 }{
 	{seed: 7, length: 14 * time.Second, cause: "none: a plan with kills, a freeze, a cut and an outage of the store"},
 	{seed: 1796211571, length: time.Minute, cause: "the soak itself: it asked for the newest configuration 0.4 s after a silent store came back"},
+	{seed: 1796233452, length: time.Minute, cause: "the soak itself: it blamed a front for items that a link had held up for 4.6 s, and brought to the replica 3.25 s after the end of their job"},
 }
 
 // The real programs keep their promises under the faults of fixed plans.
--- a/internal/lab/platform/soak/world.go
+++ b/internal/lab/platform/soak/world.go
@@ -9,6 +9,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,8 +61,12 @@
 	replica *site.Replica
 	number  int
 	gone    bool
+	harmed  []interval // when the link to the replica was harmed
 }
 
+// interval is a span of time.
+type interval struct{ from, until time.Time }
+
 // Node is one process with its links.
 type Node struct {
 	*Process
@@ -169,6 +175,23 @@
 	}
 }
 
+// harmLink notes that the link to the replica is harmed from now until the returned function is called.
+func (member *Member) harmLink() (heal func()) {
+	from := time.Now()
+	return func() {
+		member.mu.Lock()
+		defer member.mu.Unlock()
+		member.harmed = append(member.harmed, interval{from, time.Now()})
+	}
+}
+
+// heldUp reports whether what arrived at a moment may have been held up: the link was harmed within a time before.
+func (member *Member) heldUp(at time.Time, within time.Duration) bool {
+	member.mu.Lock()
+	defer member.mu.Unlock()
+	return slices.ContainsFunc(member.harmed, func(harm interval) bool { return harm.from.Before(at) && at.Sub(harm.until) < within })
+}
+
 // Present returns the present incarnation.
 func (member *Member) Present() *site.Replica {
 	member.mu.Lock()
@@ -197,6 +220,16 @@
 	member.install(next)
 }
 
+// heldUp reports whether a request that began at a replica may have been held up on its way.
+func (world *World) heldUp(execution site.Execution) bool {
+	for _, member := range world.Members {
+		if strings.HasPrefix(execution.Replica, member.Name+"-") {
+			return member.heldUp(execution.Started, contactTime)
+		}
+	}
+	return false
+}
+
 // write puts a key as the platform itself does, which the store's faults do not meet.
 func (world *World) write(key string, value []byte) {
 	_, _ = world.Store.CommitDirectly(metadata.Txn{Puts: []metadata.Put{{Key: key, Value: value}}}) // without conditions: it cannot fail
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -47,4 +47,20 @@
 mutate 'refutation skipped' internal/membership/table.go 'own.member.Incarnation = news.Incarnation + 1' 'own.member.Incarnation = news.Incarnation' ./internal/membership/...
 mutate 'claims skipped' internal/gateway/completion.go 'if prepared.repeatable {' 'if prepared.requestID != "" {' ./internal/lab/simulation -rapid.shrinktime=1s
 mutate 'engine fence not checked' internal/lab/platform/orders.go 'return next.Holder == present.Holder && next.Revision >= present.Revision' 'return true' ./internal/home/...
+mutate 'report sent before it is stored' internal/metering/reporter.go '_, err = work.Store.Commit(callCtx, txn)' '_, err = work.Store.Commit(callCtx, metadata.Txn{Deletes: txn.Deletes})' ./internal/metering
+mutate 'report stored by a former holder' internal/metering/reporter.go 'Conditions: []metadata.Condition{work.term.Condition(), {Key: reportKey(work.next)}},' 'Conditions: []metadata.Condition{{Key: reportKey(work.next)}},' ./internal/metering
+mutate 'older tally wins' internal/metering/ledger.go 'known.GetSequence() < tally.GetSequence()' 'known.GetSequence() != tally.GetSequence()' ./internal/metering
+mutate 'run that was refused is counted' internal/forwarding/forwarding.go 'return result.answer.NotExecuted' 'return false' ./internal/forwarding
+mutate 'successor does not wait' internal/weights/election.go 'wait.Pause(ctx, election.Settings.HandoverWait)' '_ = election.Settings.HandoverWait' ./internal/weights
+mutate 'waiting holder counts as the last' internal/weights/election.go 'if last == "" {' 'if last != election.Node {' ./internal/weights
+mutate 'no witness' internal/metering/teller.go 'witness.tell(ctx, teller.Listeners.Witness(), teller.isOwn)' '_ = witness' ./internal/metering
+mutate 'revoked key in a retry' internal/forwarding/forwarding.go 'return run.call.StillAdmitted != nil && !run.call.StillAdmitted()' 'return run.call.StillAdmitted != nil && run.attempts == 0 && !run.call.StillAdmitted()' ./internal/forwarding
+mutate "another tenant's job read" internal/batchrun/scope.go 'if strings.Contains(named, batch.ScopeSeparator) {' 'if strings.Contains(named, batch.ScopeSeparator) && named == "" {' ./internal/batchrun
+mutate "another tenant's text used" internal/batchrun/kept.go 'id = batch.InScopeOf(text.job, id)' '_ = batch.InScopeOf(text.job, id)' ./internal/batchrun
+mutate 'key denied by a node that is behind' platform/ingress.go 'if !ingress.UpToDate() {' 'if ingress.UpToDate == nil {' ./platform
+mutate 'behind though told of a newer version' internal/dissemination/subscriber.go 'if _, lacks := subscriber.lacks(topic, now); lacks && topic.Prefix() == prefix {' 'if topic.Prefix() == "" {' ./internal/dissemination
+mutate 'key passed on' platform/ingress.go 'maps.DeleteFunc(header, func(name string, _ []string) bool { return identifiesCaller(name) })' '_ = maps.DeleteFunc[http.Header]' ./cmd/thistlewalk-rollout
+mutate 'all nodes run a job in an outage' internal/batchrun/defer.go 'if deferral.mine.Load() {' 'if deferral.to == "" {' ./internal/batchrun
+mutate 'jobs left to each other' internal/batchrun/defer.go 'owned.deferral.mine.Store(true)' '_ = owned' ./internal/batchrun
+mutate 'holder waits to be told what it knows' internal/metering/reporter.go ' || !work.collected.Before(end.Add(tellTime)))' ')' ./internal/metering
 exit "$missed"
