Let a term's reports end before the next term begins; bound reports that nobody takes

Cause: read anew: the goroutine that reports could outlast its term by the time of a call and run beside that of the next (both note when the process last collected); reports that the platform takes none of were kept without a bound; a failed reading of stored reports had no line. Change: a term waits for its reports to end; at most 720 unsent reports are kept (an hour), the oldest is given up with a line and removed; the line. A private type of the teller has a plainer name. Tests: TestUnsentReportsAreBounded; go test -race of metering and weights.

--- a/internal/metering/history_test.go
+++ b/internal/metering/history_test.go
@@ -41,6 +41,13 @@
 	slow         time.Duration
 }
 
+// set changes the faults.
+func (sink *sink) set(change func(*sink)) {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	change(sink)
+}
+
 var errNoAnswer = errors.New("no answer")
 
 // Report implements metering.Sink.
@@ -360,13 +367,9 @@
 	case "answers lost":
 		history.store.SetFaults(memstore.Faults{LoseAnswers: 3})
 	case "sink slow":
-		history.sink.mu.Lock()
-		history.sink.slow = 1900 * time.Millisecond
-		history.sink.mu.Unlock()
+		history.sink.set(func(sink *sink) { sink.slow = 1900 * time.Millisecond })
 	case "sink broken", "sink late":
-		history.sink.mu.Lock()
-		history.sink.broken, history.sink.late = true, fault == "sink late"
-		history.sink.mu.Unlock()
+		history.sink.set(func(sink *sink) { sink.broken, sink.late = true, fault == "sink late" })
 	}
 	history.traffic(2 * time.Second)
 }
@@ -387,9 +390,7 @@
 // repair ends all faults.
 func (history *history) repair() {
 	history.store.SetFaults(memstore.Faults{})
-	history.sink.mu.Lock()
-	history.sink.broken, history.sink.slow = false, 0
-	history.sink.mu.Unlock()
+	history.sink.set(func(sink *sink) { sink.broken, sink.slow = false, 0 })
 	history.mu.Lock()
 	clear(history.cut)
 	var dead []string
@@ -490,7 +491,7 @@
 func TestReportToASlowPlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		history := newHistory()
-		history.sink.slow = 1500 * time.Millisecond
+		history.sink.set(func(sink *sink) { sink.slow = 1500 * time.Millisecond })
 		time.Sleep(8 * time.Second)
 		first := metering.Windows{Length: windowLength}.At(time.Now()) + 1
 		history.traffic(16 * time.Second)
@@ -500,6 +501,27 @@
 	})
 }
 
+// A platform that takes nothing for long does not fill the store; the newest reports are sent once it is back.
+func TestUnsentReportsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const kept = 720
+		history := newHistory()
+		history.killCandidate("orderer-2")
+		history.sink.set(func(sink *sink) { sink.broken = true })
+		time.Sleep((kept + 60) * windowLength)
+		listing, err := history.store.List(t.Context(), "usage/")
+		must.NoError(t, err)
+		must.LessEq(t, kept+2, len(listing.Items))
+		history.repair()
+		time.Sleep(20 * time.Second)
+		history.sink.mu.Lock()
+		taken := len(history.sink.contents)
+		history.sink.mu.Unlock()
+		must.Between(t, kept, taken, kept+8)
+		history.end()
+	})
+}
+
 // supersededTerm is one that its holder takes to be in force, while another has begun.
 type supersededTerm struct{ holder string }
 
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -42,6 +42,9 @@
 	storeLimit    = 900 * time.Millisecond
 	// keysRemoved bounds the reports that are removed with one write.
 	keysRemoved = 16
+	// unsentMost bounds the reports that are kept while the platform takes none: with windows of five seconds those of an hour. A platform
+	// that has been away for so long has closed its books on older ones.
+	unsentMost = 720
 )
 
 // Sink takes reports.
@@ -109,6 +112,7 @@
 	defer cancel()
 	listing, err := work.Store.List(callCtx, reportPrefix)
 	if err != nil {
+		work.Logger.Warn("usage reports not read", "fence", work.fence, "error", err)
 		return false
 	}
 	present := work.Windows.At(work.Clock.Now())
@@ -148,6 +152,11 @@
 	for work.term.Valid(reportMargin) && work.isDue() && work.store(ctx) {
 		work.next++
 	}
+	for len(work.unsent) > unsentMost {
+		work.Logger.Error("usage report given up", "window", work.unsent[0].GetWindow(), "fence", work.fence, "unsent", len(work.unsent))
+		work.sent = append(work.sent, work.unsent[0].GetWindow()) // so that it is removed
+		work.unsent = work.unsent[1:]
+	}
 	for len(work.unsent) > 0 && work.send(ctx, work.unsent[0]) {
 		work.unsent = work.unsent[1:]
 	}
--- a/internal/metering/teller.go
+++ b/internal/metering/teller.go
@@ -52,7 +52,7 @@
 
 // Run tells until the context ends.
 func (teller *Teller) Run(ctx context.Context) {
-	collector, witness := &audience{teller: teller, role: "collector"}, &audience{teller: teller, role: "witness"}
+	collector, witness := &recipient{teller: teller, role: "collector"}, &recipient{teller: teller, role: "witness"}
 	for ctx.Err() == nil {
 		var calls sync.WaitGroup
 		calls.Go(func() { collector.tell(ctx, teller.Listeners.Collector(), teller.forCollector) })
@@ -80,8 +80,8 @@
 	return teller.isOwn(tally) || !teller.Listeners.Runs(tally.GetNode(), tally.GetLife())
 }
 
-// audience is what one listener was told.
-type audience struct {
+// recipient is a listener with what it was told.
+type recipient struct {
 	teller *Teller
 	role   string
 	name   string
@@ -91,41 +91,41 @@
 }
 
 // tell brings a listener up to date.
-func (audience *audience) tell(ctx context.Context, listener *Listener, wanted func(*meteringv1.Tally) bool) {
-	audience.failed = false
+func (recipient *recipient) tell(ctx context.Context, listener *Listener, wanted func(*meteringv1.Tally) bool) {
+	recipient.failed = false
 	if listener == nil {
 		return
 	}
-	if audience.told == nil || listener.Name != audience.name || listener.Epoch != audience.epoch {
-		audience.name, audience.epoch, audience.told = listener.Name, listener.Epoch, make(map[tallyKey]int64)
-		audience.teller.Logger.Info("usage told to another node", "role", audience.role, "to", listener.Name, "epoch", listener.Epoch)
+	if recipient.told == nil || listener.Name != recipient.name || listener.Epoch != recipient.epoch {
+		recipient.name, recipient.epoch, recipient.told = listener.Name, listener.Epoch, make(map[tallyKey]int64)
+		recipient.teller.Logger.Info("usage told to another node", "role", recipient.role, "to", listener.Name, "epoch", listener.Epoch)
 	}
-	tallies := audience.teller.Meter.ledger.Untold(audience.told, wanted)
+	tallies := recipient.teller.Meter.ledger.Untold(recipient.told, wanted)
 	if len(tallies) == 0 {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, tellLimit)
 	defer cancel()
 	_, err := listener.Client.Tell(callCtx, &meteringv1.TellRequest{Tallies: tallies})
-	audience.teller.Metrics.UsageTold(audience.role, err == nil)
+	recipient.teller.Metrics.UsageTold(recipient.role, err == nil)
 	if err != nil {
-		audience.failed = true
-		audience.teller.Logger.Warn("usage not told", "role", audience.role, "to", listener.Name, "tallies", len(tallies), "error", err)
+		recipient.failed = true
+		recipient.teller.Logger.Warn("usage not told", "role", recipient.role, "to", listener.Name, "tallies", len(tallies), "error", err)
 		return
 	}
-	audience.heard(tallies)
+	recipient.heard(tallies)
 }
 
 // heard notes what the listener has, and forgets windows that no ledger keeps.
-func (audience *audience) heard(tallies []*meteringv1.Tally) {
+func (recipient *recipient) heard(tallies []*meteringv1.Tally) {
 	newest := int64(0)
 	for _, tally := range tallies {
-		audience.told[keyOf(tally)] = tally.GetSequence()
+		recipient.told[keyOf(tally)] = tally.GetSequence()
 		newest = max(newest, tally.GetWindow())
 	}
-	for key := range audience.told {
+	for key := range recipient.told {
 		if key.window <= newest-windowsKept {
-			delete(audience.told, key)
+			delete(recipient.told, key)
 		}
 	}
 }
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -152,10 +152,12 @@
 func (orderer *Orderer) lead(ctx context.Context, term *weights.Term) {
 	orderer.publish(ctx, term.Fence)
 	go orderer.collect(ctx)
+	var reporting sync.WaitGroup
 	if orderer.reporter != nil {
-		go orderer.reporter.Run(ctx, term.Fence, term)
+		reporting.Go(func() { orderer.reporter.Run(ctx, term.Fence, term) })
 	}
 	orderer.Weights.Lead(ctx, term)
+	reporting.Wait() // before the next term begins
 }
 
 // standIn publishes while the lease of this node's former process has not lapsed: after a restart of all machines, nobody has to wait
--- a/internal/weights/election_test.go
+++ b/internal/weights/election_test.go
@@ -54,6 +54,8 @@
 // check reports holders that share a fence, fences that fall, and turns without the pause between them.
 func (duties *duties) check(t *testing.T) {
 	t.Helper()
+	duties.mu.Lock()
+	defer duties.mu.Unlock()
 	for index := 1; index < len(duties.list); index++ {
 		before, after := duties.list[index-1], duties.list[index]
 		must.LessEq(t, after.fence, before.fence, must.Sprint("a fence falls"))
@@ -107,7 +109,7 @@
 		settings.Lease = 6 * time.Second
 		candidatesWith(ctx, store, recorded, settings, "a")
 		time.Sleep(4 * time.Second)
-		must.SliceNotEmpty(t, recorded.list)
+		must.Eq(t, "a", recorded.last().node)
 		cancel()
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
