Let a call of a usage report last as long as its lease; free ports of tests below the system's

A limit that is fixed when the call begins is either too long or misses windows on a slow platform. Change: the call goes on as long as the lease is renewed, 2 s at most, and ends 0.2 s after the lease (a successor waits 0.3 s more than the pause that the platform wants). Term.Remaining says how long.

Three copies of such a search are one package now, lab/freeport: pairs below that range, TCP and UDP, none given twice.

--- a/cmd/thistlewalk-rollout/orderer.go
+++ b/cmd/thistlewalk-rollout/orderer.go
@@ -14,6 +14,8 @@
 	ordererLease  = 1300 * time.Millisecond
 	ordererRenew  = 300 * time.Millisecond
 	handoverSlack = 300 * time.Millisecond
+	// callOverhang is less than that by what a call may still be under way after it was given up.
+	callOverhang = 200 * time.Millisecond
 	// retentionSlack covers clocks that differ between machines.
 	retentionSlack = time.Minute
 )
@@ -38,7 +40,7 @@
 		OperatorPrefix: platform.PrefixOperator, ConfigurationPrefix: platform.KeyConfiguration, ReplicaPrefix: platform.PrefixReplicas,
 		ReplicaHandler: &platform.ReplicaHandler{Logger: process.logger, Catalog: table},
 		Retention:      settings.Retention() + retentionSlack,
-		UsageWindow:    settings.UsageWindow(), UsageSink: platform.NewCloud(settings.Cloud.Address, dialer()),
+		UsageWindow:    settings.UsageWindow(), UsageSink: platform.NewCloud(settings.Cloud.Address, dialer()), CallOverhang: callOverhang,
 		Election: weights.ElectionSettings{
 			Lease: max(ordererLease, settings.LeastLease()), Renew: ordererRenew, HandoverWait: settings.HolderPause() + handoverSlack,
 		},
--- a/cmd/thistlewalk-rollout/site_test.go
+++ b/cmd/thistlewalk-rollout/site_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/thistlewalk/thistlewalk/internal/lab/freeport"
 	"github.com/thistlewalk/thistlewalk/internal/lab/platform/site"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
@@ -118,11 +119,11 @@
 	return path, listen
 }
 
+// freePort returns a port that is free together with the next one.
 func freePort(t *testing.T) int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pairs, err := freeport.Pairs(1)
 	must.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	return pairs[0].Port
 }
 
 func (deployment *deployment) startFront(name string) *runningFront {
--- a/internal/lab/platform/soak/world.go
+++ b/internal/lab/platform/soak/world.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,8 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/thistlewalk/thistlewalk/internal/lab/freeport"
 	"github.com/thistlewalk/thistlewalk/internal/lab/platform/site"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
@@ -244,7 +241,7 @@
 	if err != nil {
 		return err
 	}
-	addresses, err := freeAddresses(3)
+	addresses, err := freeport.Pairs(3)
 	if err != nil {
 		return err
 	}
@@ -275,41 +272,6 @@
 	return os.WriteFile(node.settings, content, 0o600)
 }
 
-// Ports of nodes lie below those that the system gives to callers' connections, which would take them between two lives of a
-// process.
-const (
-	firstPort = 15000
-	lastPort  = 32000
-)
-
-// freeAddresses returns loopback addresses at whose port and the next one nobody listens, by TCP or UDP.
-func freeAddresses(count int) ([]*net.TCPAddr, error) {
-	var list []*net.TCPAddr
-	for tries := 0; len(list) < count && tries < lastPort-firstPort; tries++ {
-		address := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: firstPort + rand.IntN(lastPort-firstPort)}
-		if isFree(address) && isFree(&net.TCPAddr{IP: address.IP, Port: address.Port + 1}) {
-			list = append(list, address)
-		}
-	}
-	if len(list) < count {
-		return nil, errors.New("no free ports")
-	}
-	return list, nil
-}
-
-func isFree(address *net.TCPAddr) bool {
-	listener, err := net.ListenTCP("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer listener.Close()
-	packets, err := net.ListenUDP("udp", &net.UDPAddr{IP: address.IP, Port: address.Port})
-	if err != nil {
-		return false
-	}
-	return packets.Close() == nil
-}
-
 // died reports a process that ended by itself, and starts it again as the platform does.
 func (world *World) died(process *Process, state string) {
 	world.report(Violation{Promise: PromiseProcess, Subject: process.Name, Detail: "ended by itself: " + state})
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -33,13 +33,10 @@
 	tellTime = 600 * time.Millisecond
 	// reportMargin is kept of the lease for a pause of this process between the look at the lease and the call of a report.
 	reportMargin = 450 * time.Millisecond
-	// reportLeast and reportMost bound the time of that call: a platform that is fifty times as slow as usual still answers within the latter.
-	reportLeast = 350 * time.Millisecond
+	// reportMost bounds the time of that call: a platform that is fifty times as slow as usual still answers within it.
 	reportMost  = 2 * time.Second
-	// reportReserve is how much earlier than a successor may call a call of this holder is over.
-	reportReserve = time.Second
-	reportPause   = 100 * time.Millisecond
-	storeLimit    = 900 * time.Millisecond
+	reportPause = 100 * time.Millisecond
+	storeLimit  = 900 * time.Millisecond
 	// keysRemoved bounds the reports that are removed with one write.
 	keysRemoved = 16
 	// unsentMost bounds the reports that are kept while the platform takes none: with windows of five seconds those of an hour. A platform
@@ -57,6 +54,8 @@
 type Term interface {
 	// Valid reports whether the term is in force, and will be for the margin.
 	Valid(margin time.Duration) bool
+	// Remaining is how long the term is in force from now on if it is not renewed.
+	Remaining() time.Duration
 	// Condition holds in the metadata store as long as no other term has begun.
 	Condition() metadata.Condition
 }
@@ -71,8 +70,9 @@
 	Sink    Sink
 	Logger  *log.Logger
 	Metrics *telemetry.Metrics
-	// HandoverWait is how long a successor waits before its first call.
-	HandoverWait time.Duration
+	// Overhang is how long after the end of a term a call that began in it may last: a successor waits for as long, and for the pause that
+	// the platform wants between two holders besides.
+	Overhang time.Duration
 
 	// collected is when this process was last known to collect: windows that were told by then need not be told again. It belongs to the
 	// goroutine of Run.
@@ -224,9 +224,21 @@
 	return sum
 }
 
-// callLimit bounds the call of a report, which may outlast the lease as long as no successor calls by then.
-func (reporter *Reporter) callLimit() time.Duration {
-	return max(reportLeast, min(reportMost, reporter.HandoverWait-reportReserve))
+// callContext bounds the call of a report. A call of two seconds outlasts the lease as it stands when it is sent: it goes on as long as the
+// lease is renewed, and ends soon after one that is not.
+func (work *duty) callContext(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(parent, reportMost)
+	go func() {
+		for ctx.Err() == nil {
+			left := work.term.Remaining() + work.Overhang
+			if left <= 0 {
+				cancel()
+				return
+			}
+			wait.Pause(ctx, left)
+		}
+	}()
+	return ctx, cancel
 }
 
 // send sends a report if the term allows it, and reports whether it was taken.
@@ -234,7 +246,7 @@
 	if !work.term.Valid(reportMargin) {
 		return false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, work.callLimit())
+	callCtx, cancel := work.callContext(ctx)
 	defer cancel()
 	started := time.Now()
 	err := work.Sink.Report(callCtx, work.Node, work.fence, report)
--- a/internal/role/front_test.go
+++ b/internal/role/front_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/lab/freeport"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 	"github.com/thistlewalk/thistlewalk/internal/role"
@@ -81,8 +82,7 @@
 }
 
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pairs, err := freeport.Pairs(1)
 	must.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return pairs[0].String()
 }
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -47,6 +47,8 @@
 	// UsageWindow is the length of the windows of which usage is reported to UsageSink; zero for no reports.
 	UsageWindow time.Duration
 	UsageSink   metering.Sink
+	// CallOverhang is how long after the end of a term a call of the cloud may last.
+	CallOverhang time.Duration
 }
 
 // Orderer is a candidate for bringing replicas to the versions that trainers name, and for spreading to the fronts what it
@@ -94,7 +96,7 @@
 		windows, clock := metering.Windows{Length: options.UsageWindow}, metering.NewClock()
 		orderer.reporter = &metering.Reporter{
 			Node: options.Node, Windows: windows, Clock: clock, Ledger: metering.NewLedger(windows, clock), Store: options.Store,
-			Sink: options.UsageSink, Logger: options.Logger, Metrics: options.Metrics, HandoverWait: options.Election.HandoverWait,
+			Sink: options.UsageSink, Logger: options.Logger, Metrics: options.Metrics, Overhang: options.CallOverhang,
 		}
 	}
 	return orderer
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -73,11 +73,16 @@
 }
 
 // Valid reports whether the lease is in force, and will be for the margin.
-func (term *Term) Valid(margin time.Duration) bool {
+func (term *Term) Valid(margin time.Duration) bool { return term.Remaining() > margin }
+
+// Remaining is how long the lease is in force from now on if it is not renewed; zero or less when it is not, or this node gives no orders yet.
+func (term *Term) Remaining() time.Duration {
 	term.mu.Lock()
 	defer term.mu.Unlock()
-	now := time.Now()
-	return term.begun && now.Add(margin).Before(term.until)
+	if !term.begun {
+		return 0
+	}
+	return time.Until(term.until)
 }
 
 func (term *Term) begin() {
