Confirm by a quorum what an owner of steps refuses

Writes are fenced by the epoch, refusals from memory were not. Ruled out: a batch that is lost (the successor's log has it), a late fetch that empties it (none is under way). Change: a refusal that is final is answered only after a write quorum confirmed the epoch; otherwise the call can be repeated. Executors' samples likewise.

--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -181,13 +181,13 @@
 
 // Create implements the Twirp service.
 func (service *Service) Create(ctx context.Context, call *controlv1.StepCall) (*controlv1.StepAnswer, error) {
-	return answer(service, call, func(served *served, request CreateCall) (CreateAnswer, error) {
+	return answer(ctx, service, call, func(served *served, request CreateCall) (CreateAnswer, error) {
 		return served.create(ctx, request)
 	})
 }
 
 // answer decodes a call, finds its partition and encodes the result.
-func answer[Request, Answer any](service *Service, call *controlv1.StepCall, work func(*served, Request) (Answer, error)) (*controlv1.StepAnswer, error) {
+func answer[Request, Answer any](ctx context.Context, service *Service, call *controlv1.StepCall, work func(*served, Request) (Answer, error)) (*controlv1.StepAnswer, error) {
 	var request Request
 	if err := cbor.Unmarshal(call.GetBody(), &request); err != nil {
 		return &controlv1.StepAnswer{Outcome: result.ToMessage(result.New(result.InvalidBody, "%v", err))}, nil
@@ -198,12 +198,26 @@
 	}
 	value, err := work(served, request)
 	if err != nil {
-		return &controlv1.StepAnswer{Outcome: result.ToMessage(err)}, nil
+		return &controlv1.StepAnswer{Outcome: result.ToMessage(served.confirmed(ctx, err))}, nil
 	}
 	body, err := cbor.Marshal(value)
 	return &controlv1.StepAnswer{Outcome: result.ToMessage(err), Body: body}, nil
 }
 
+// confirmed returns a refusal once a write quorum has confirmed that this node still owns the partition. A former owner that does not know
+// that it is one would refuse what its successor has: a step that was created there, a batch that was delivered there. What tells that the
+// call can be made again needs no proof.
+func (served *served) confirmed(ctx context.Context, refusal error) error {
+	if result.CodeOf(refusal).Class() == result.ClassNotRun {
+		return refusal
+	}
+	if err := served.log.Append(ctx, nil, nil); err != nil {
+		served.service.logger.Info("refusal not confirmed", "partition", served.name, "refusal", refusal, "error", err)
+		return unavailable(err)
+	}
+	return refusal
+}
+
 func (served *served) create(ctx context.Context, request CreateCall) (CreateAnswer, error) {
 	definition := request.Definition
 	if err := definition.Check(); err != nil {
@@ -235,7 +249,7 @@
 
 // Fetch implements the Twirp service.
 func (service *Service) Fetch(ctx context.Context, call *controlv1.StepCall) (*controlv1.StepAnswer, error) {
-	return answer(service, call, func(served *served, request FetchCall) (FetchAnswer, error) {
+	return answer(ctx, service, call, func(served *served, request FetchCall) (FetchAnswer, error) {
 		return served.fetch(ctx, request)
 	})
 }
@@ -320,7 +334,7 @@
 
 // Acknowledge implements the Twirp service.
 func (service *Service) Acknowledge(ctx context.Context, call *controlv1.StepCall) (*controlv1.StepAnswer, error) {
-	return answer(service, call, func(served *served, request AcknowledgeCall) (Summary, error) {
+	return answer(ctx, service, call, func(served *served, request AcknowledgeCall) (Summary, error) {
 		return served.close(ctx, request.StepID, func(owned *owned) (step.Change, error) {
 			return owned.step.Acknowledge(request.Cursor, time.Now())
 		})
@@ -329,7 +343,7 @@
 
 // End implements the Twirp service.
 func (service *Service) End(ctx context.Context, call *controlv1.StepCall) (*controlv1.StepAnswer, error) {
-	return answer(service, call, func(served *served, request EndCall) (Summary, error) {
+	return answer(ctx, service, call, func(served *served, request EndCall) (Summary, error) {
 		return served.close(ctx, request.StepID, func(owned *owned) (step.Change, error) {
 			return owned.step.End(time.Now()), nil
 		})
--- a/internal/delivery/submissions.go
+++ b/internal/delivery/submissions.go
@@ -18,6 +18,9 @@
 	served, err := service.find(request.GetPartition())
 	if err == nil {
 		err = served.submit(ctx, request)
+		if err != nil {
+			err = served.confirmed(ctx, err)
+		}
 	}
 	return &controlv1.SubmitResponse{Outcome: result.ToMessage(err)}, nil
 }
