Leave a probe of the lost store that hangs once another node was answered

Cause: in an outage in which the store says nothing each probe hangs for 0.7 s. Change: the first telling ends a probe that was sent before it, and another is sent; one that was sent because of a telling is waited for, so that a slow store is not asked again and again.

--- a/internal/metadata/health.go
+++ b/internal/metadata/health.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -70,9 +71,11 @@
 			told = health.await(ctx, neededCheck)
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, probeLimit)
-		err := health.store.Probe(callCtx)
-		cancel()
+		err := health.probe(ctx, told)
+		if errors.Is(err, errToldMeanwhile) {
+			told = true
+			continue
+		}
 		if health.Observe(err) && !told && health.OnRegained != nil {
 			health.OnRegained()
 		}
@@ -84,6 +87,28 @@
 	}
 }
 
+// errToldMeanwhile says that a probe was left, since others have been answered after it was sent.
+var errToldMeanwhile = errors.New("others were answered meanwhile")
+
+// probe asks the store. A lost store that says nothing holds a probe until its limit, also when it answers others by then: the first telling
+// ends a probe that was sent before, and another is sent. One that was sent because of a telling is not left.
+func (health *Health) probe(parent context.Context, told bool) error {
+	ctx, cancel := context.WithTimeout(parent, probeLimit)
+	defer cancel()
+	answered := make(chan error, 1)
+	go func() { answered <- health.store.Probe(ctx) }()
+	wake := health.wake
+	if told || health.Good() {
+		wake = nil
+	}
+	select {
+	case err := <-answered:
+		return err
+	case <-wake:
+		return errToldMeanwhile
+	}
+}
+
 func (health *Health) needed() bool { return health.Needed == nil || health.Needed() }
 
 // again returns how long to wait before a lost store is probed again, spread so that nodes do not do so at the same moment.
