Tell callers of an acceptance at once, and have what was made go along with a job

Changes: a submission to another node carries the texts that are whole or were saved; a node that had left the job to the sender takes it back then. The node that has a job answers a call of 0.4 s once it is accepted (Take waits), and a node that waits for an acceptance looks at once when another announces it. TestWhatWasMadeGoesAlong and TestAcceptanceIsHeardOfAtOnce fail without it.

--- a/internal/batchrun/backup.go
+++ b/internal/batchrun/backup.go
@@ -105,6 +105,19 @@
 	return list
 }
 
+// growingTexts returns the texts of running items as they were last saved.
+func (owned *job) growingTexts() []*batchv1.Partial {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	var list []*batchv1.Partial
+	for id, partial := range owned.unfinished {
+		if !owned.progress.Finished(id) {
+			list = append(list, partial)
+		}
+	}
+	return list
+}
+
 // takeGrowing returns the texts that have grown since the last call, but for those of items that are finished.
 func (owned *job) takeGrowing() []*batchv1.Partial {
 	owned.mu.Lock()
--- a/internal/batchrun/defer.go
+++ b/internal/batchrun/defer.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// takeAgain is how often the node that has a job is asked whether it is accepted by now. Callers ask their node again each second.
-	takeAgain = 300 * time.Millisecond
+	// takeWait is how long the node that has a job waits for its acceptance before it answers that there is none yet: callers ask their node
+	// for a second, and may give up in the moment in which the job is accepted. A node without power holds a call up for as long.
+	takeWait = 400 * time.Millisecond
+	// takeAgain is the pause between two such calls.
+	takeAgain = 30 * time.Millisecond
 	// takeFailures is how many calls in a row fail before the job is run here: one call may meet a connection that has just been closed.
 	takeFailures = 2
 )
@@ -29,6 +32,38 @@
 	to       string
 	failures int
 	second   bool
+	// heard holds a value when a node has announced that it has accepted the job.
+	heard chan struct{}
+}
+
+// hear notes the announcement of a node that has accepted the job.
+func (deferral *deferral) hear() {
+	select {
+	case deferral.heard <- struct{}{}:
+	default:
+	}
+}
+
+// heed ends a job's acceptance here once another node confirms that it has accepted it: the caller may be about to give up.
+func (runner *Runner) heed(ctx context.Context, settled context.CancelFunc, owned *job) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-owned.deferral.heard:
+		}
+		if runner.knownElsewhere(ctx, owned.id()) {
+			owned.deferral.done.Store(true)
+			settled()
+			return
+		}
+	}
+}
+
+// takeBack has this node see to the job itself: the node that it was left to can't have it accepted, and has asked this one to.
+func (deferral *deferral) takeBack() {
+	deferral.mine.Store(true)
+	deferral.taken.Store(false)
 }
 
 // deferJob has the node that runs the model's jobs in this zone, or the one that does so without it, run a job whose acceptance takes long,
@@ -68,8 +103,12 @@
 // callTake asks a node to run a job, or whether it has been accepted there by now, and reports whether it was reached and does.
 func (runner *Runner) callTake(owned *job, name string) bool {
 	accepted := false
-	reached := runner.callPeer(owned.ctx, name, preferredLimit, func(ctx context.Context, client batchv1.Batches) (bool, error) {
-		response, err := client.Take(ctx, &batchv1.TakeRequest{Job: owned.definition})
+	wait := time.Duration(0)
+	if owned.deferral.taken.Load() {
+		wait = takeWait
+	}
+	reached := runner.callPeer(owned.ctx, name, wait+preferredLimit, func(ctx context.Context, client batchv1.Batches) (bool, error) {
+		response, err := client.Take(ctx, &batchv1.TakeRequest{Job: owned.definition, WaitMs: wait.Milliseconds()})
 		accepted = response.GetAccepted()
 		return err == nil, err
 	})
@@ -134,5 +173,14 @@
 		return nil, twirp.NewError(twirp.Unavailable, "another node has been left the job")
 	}
 	owned.deferral.mine.Store(true)
+	timer := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, takeWait))
+	defer timer.Stop()
+	select {
+	case <-owned.accepted:
+		return &batchv1.TakeResponse{Accepted: true}, nil
+	case <-timer.C:
+	case <-owned.ctx.Done():
+	case <-ctx.Done():
+	}
 	return &batchv1.TakeResponse{}, nil
 }
--- a/internal/batchrun/defer_test.go
+++ b/internal/batchrun/defer_test.go
@@ -159,3 +159,57 @@
 		})
 	}
 }
+
+// At the end of an outage the store answers another node first: that one accepts the job, with what was made of it here, also if it had left
+// the job to this node.
+func TestWhatWasMadeGoesAlong(t *testing.T) {
+	for _, asked := range []string{"a", "b", "c"} {
+		inWorld(t, 48, func(t *testing.T, world *world) {
+			world.preferred = "b"
+			world.store.SetFaults(memstore.Faults{Down: true})
+			time.Sleep(1500 * time.Millisecond)
+			accepted := callAgain(world, "job", 8, asked)
+			time.Sleep(2500 * time.Millisecond)
+			must.Eq(t, 8, total(world.engines))
+			world.refuse("b", true)
+			world.store.SetFaults(memstore.Faults{})
+			back := time.Now()
+			must.NoError(t, <-accepted)
+			must.Less(t, 1500*time.Millisecond, time.Since(back), must.Sprint("asked ", asked))
+			checkResults(t, await(t, world.node("a"), "job", 8, time.Second), 1)
+			must.Eq(t, 8, total(world.engines), must.Sprint("items ran again, asked ", asked))
+			time.Sleep(50 * time.Millisecond) // the answer that says so is on its way to b
+			must.Eq(t, 0, world.node("b").OpenJobs())
+		})
+	}
+}
+
+// Nodes that wait for a job's acceptance answer their callers as soon as another has accepted it: these may be about to give up. A node
+// that has just been started knows of no others, and announces it to nobody.
+func TestAcceptanceIsHeardOfAtOnce(t *testing.T) {
+	for after := time.Duration(0); after < 400*time.Millisecond; after += 20 * time.Millisecond {
+		inWorld(t, 49, func(t *testing.T, world *world) {
+			world.silent = after%(40*time.Millisecond) == 0
+			world.preferred = "b"
+			world.store.SetFaults(memstore.Faults{Down: true})
+			time.Sleep(1500 * time.Millisecond)
+			asked := make(chan time.Time, 2)
+			for _, name := range []string{"a", "c"} {
+				go func() {
+					err := world.node(name).Submit(t.Context(), newDefinition("job", 8, 1), jobRoute)
+					must.NoError(t, err)
+					asked <- time.Now()
+				}()
+			}
+			time.Sleep(3*time.Second + after)
+			world.store.SetFaults(memstore.Faults{})
+			for world.lineOf("here=true") == "" {
+				time.Sleep(time.Millisecond)
+			}
+			accepted := time.Now()
+			for range 2 {
+				must.LessEq(t, 50*time.Millisecond, (<-asked).Sub(accepted), must.Sprintf("the outage ends %s later", after))
+			}
+		})
+	}
+}
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -58,7 +58,7 @@
 	}
 	created := &job{
 		definition: definition, items: make(map[string]*batchv1.Item, len(definition.GetItems())), due: time.Now().Add(objective),
-		ctx: ctx, cancel: cancel, accepted: make(chan struct{}), progress: batch.NewProgress(definition), tasks: make(map[string]*task),
+		ctx: ctx, cancel: cancel, accepted: make(chan struct{}), deferral: deferral{heard: make(chan struct{}, 1)}, progress: batch.NewProgress(definition), tasks: make(map[string]*task),
 		growing: make(map[string]*batchv1.Partial), unfinished: make(map[string]*batchv1.Partial), changed: make(chan struct{}), flush: make(chan struct{}, 1), flushed: make(chan struct{}),
 	}
 	for _, item := range definition.GetItems() {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -146,7 +146,7 @@
 	return runner.jobs[id]
 }
 
-// RememberOwner keeps a hint of where a job is owned.
+// RememberOwner keeps a hint of where a job is owned. A node that waits for the job's acceptance looks at once whether it is true.
 func (runner *Runner) RememberOwner(id, node string) {
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
@@ -154,6 +154,9 @@
 		clear(runner.owners)
 	}
 	runner.owners[id] = node
+	if waiting := runner.jobs[id]; waiting != nil && node != runner.Node {
+		waiting.deferral.hear()
+	}
 }
 
 func (runner *Runner) forgetOwner(id string) {
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -23,13 +23,17 @@
 		return nil, twirp.NewError(twirp.Unavailable, errNotServed.Error())
 	}
 	definition := request.GetJob()
+	started := time.Now()
+	for _, partial := range request.GetPartials() {
+		runner.kept.put(partial.GetItemId(), textOf(definition.GetId(), partial, started))
+	}
 	owned := newJob(runner.ctx, definition, runner.objectiveOf(definition))
 	if other := runner.addUnlessKnown(owned); other != nil {
 		owned.cancel()
+		other.deferral.takeBack()
 		return other.awaitAccepted(ctx)
 	}
-	started := time.Now()
-	held, settled, err := runner.tryAccept(owned)
+	held, settled, err := runner.tryAccept(owned.ctx, owned)
 	if !settled {
 		runner.remove(owned)
 		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "not accepted"), err)
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -49,7 +49,7 @@
 	}
 	owned := runner.acceptOnce(definition, route.JobObjective)
 	if owned == nil {
-		return runner.relay(ctx, definition)
+		return runner.relay(ctx, &batchv1.SubmitRequest{Job: definition})
 	}
 	select {
 	case <-owned.accepted:
@@ -100,28 +100,35 @@
 	return accepted
 }
 
-// relayToServed has a node that the metadata store answers accept the job, and reports whether one has.
-func (runner *Runner) relayToServed(ctx context.Context, definition *batchv1.Job) bool {
+// relayToServed has a node that the metadata store answers accept a job that runs here, and reports whether one has.
+func (runner *Runner) relayToServed(ctx context.Context, owned *job) bool {
 	name := runner.servedPeer(ctx)
-	return name != "" && runner.relayTo(ctx, name, definition)
+	return name != "" && runner.relayTo(ctx, name, owned.submission())
 }
 
-// relayTo has a node accept the job, and reports whether it has.
-func (runner *Runner) relayTo(ctx context.Context, name string, definition *batchv1.Job) bool {
+// submission is the request to accept the job elsewhere, with what was made of it here: items would be made anew otherwise, and be late.
+// What running items made since they were last saved is not in it.
+func (owned *job) submission() *batchv1.SubmitRequest {
+	return &batchv1.SubmitRequest{Job: owned.definition, Partials: append(owned.unlisted(), owned.growingTexts()...)}
+}
+
+// relayTo has a node accept a job, and reports whether it has.
+func (runner *Runner) relayTo(ctx context.Context, name string, request *batchv1.SubmitRequest) bool {
 	accepted := runner.callPeer(ctx, name, relayTimeout, func(ctx context.Context, client batchv1.Batches) (bool, error) {
-		_, err := client.Submit(ctx, &batchv1.SubmitRequest{Job: definition})
+		_, err := client.Submit(ctx, request)
 		return err == nil, err
 	})
 	if accepted {
-		runner.RememberOwner(definition.GetId(), name)
+		runner.RememberOwner(request.GetJob().GetId(), name)
 	}
+	runner.Logger.Info("job relayed", "job", request.GetJob().GetId(), "to", name, "accepted", accepted, "partials", len(request.GetPartials()))
 	return accepted
 }
 
 // relay has another node accept the job. Only when no node was reached has the job surely not been accepted.
-func (runner *Runner) relay(ctx context.Context, definition *batchv1.Job) error {
+func (runner *Runner) relay(ctx context.Context, request *batchv1.SubmitRequest) error {
 	for _, name := range runner.Peers.Nearest() {
-		if runner.relayTo(ctx, name, definition) {
+		if runner.relayTo(ctx, name, request) {
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -136,24 +143,27 @@
 func (runner *Runner) accept(owned *job) {
 	started := time.Now()
 	go runner.beginEarly(owned)
+	ctx, settled := context.WithCancel(owned.ctx)
+	defer settled()
+	go runner.heed(ctx, settled, owned)
 	for tries := 1; owned.ctx.Err() == nil && time.Since(started) < acceptLimit; tries++ {
 		if owned.deferral.done.Load() {
 			runner.settleAccept(owned, nil, started, tries)
 			return
 		}
 		if owned.deferral.taken.Load() {
-			wait.Pause(owned.ctx, acceptPause)
+			wait.Pause(ctx, acceptPause)
 			continue
 		}
 		if !runner.Log.Health.Good() {
-			if runner.relayToServed(owned.ctx, owned.definition) {
+			if runner.relayToServed(ctx, owned) {
 				runner.settleAccept(owned, nil, started, tries)
 				return
 			}
-			runner.awaitGood(owned.ctx, relayAgain)
+			runner.awaitGood(ctx, relayAgain)
 			continue
 		}
-		held, settled, err := runner.tryAccept(owned)
+		held, settled, err := runner.tryAccept(ctx, owned)
 		if settled {
 			runner.settleAccept(owned, held, started, tries)
 			return
@@ -161,11 +171,11 @@
 		if tries == 1 {
 			runner.Logger.Warn("acceptance delayed", "job", owned.id(), "error", err)
 		}
-		if tries >= relayAfter && tries%relayAfter == 0 && errors.Is(err, metadata.ErrUnavailable) && runner.relay(owned.ctx, owned.definition) == nil {
+		if tries >= relayAfter && tries%relayAfter == 0 && errors.Is(err, metadata.ErrUnavailable) && runner.relay(ctx, owned.submission()) == nil {
 			runner.settleAccept(owned, nil, started, tries)
 			return
 		}
-		wait.Pause(owned.ctx, acceptPause)
+		wait.Pause(ctx, acceptPause)
 	}
 	runner.Logger.Warn("acceptance given up", "job", owned.id(), "took_ms", time.Since(started).Milliseconds())
 	runner.remove(owned)
@@ -208,8 +218,8 @@
 }
 
 // tryAccept makes one try. settled says that the job is durable; held is nil when another node owns it or it has ended.
-func (runner *Runner) tryAccept(owned *job) (held *batchlog.Hold, settled bool, err error) {
-	ctx, cancel := context.WithTimeout(owned.ctx, acceptCallLimit)
+func (runner *Runner) tryAccept(ctx context.Context, owned *job) (held *batchlog.Hold, settled bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptCallLimit)
 	defer cancel()
 	held, err = runner.Log.Accept(ctx, owned.definition)
 	if err != nil {
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -198,6 +198,8 @@
 	lines       logLines
 	// takeOverDelay is how long the answer to a take-over is on its way, keptDelay that to a question for kept texts.
 	takeOverDelay, keptDelay time.Duration
+	// silent has nodes announce no jobs.
+	silent bool
 }
 
 // slowClient is a node whose answers come late.
@@ -359,7 +361,16 @@
 func (peers *worldPeers) SameZone(string) bool { return false }
 
 // AnnounceJob implements batchrun.Peers.
-func (peers *worldPeers) AnnounceJob(*batchv1.Job) {}
+func (peers *worldPeers) AnnounceJob(job *batchv1.Job) {
+	if peers.world.silent {
+		return
+	}
+	for _, name := range peers.Nearest() {
+		if runner := peers.world.node(name); runner != nil {
+			runner.RememberOwner(job.GetId(), peers.self)
+		}
+	}
+}
 
 // AnnounceDemand implements batchrun.Peers.
 func (peers *worldPeers) AnnounceDemand(*batchv1.Job) {}
