--- a/internal/batchrun/defer_test.go
+++ b/internal/batchrun/defer_test.go
@@ -165,7 +165,7 @@
 func TestWhatWasMadeGoesAlong(t *testing.T) {
 	for _, asked := range []string{"a", "b", "c"} {
 		inWorld(t, 48, func(t *testing.T, world *world) {
-			world.preferred = "b"
+			world.preferred, world.alternate = "b", "c"
 			world.store.SetFaults(memstore.Faults{Down: true})
 			time.Sleep(1500 * time.Millisecond)
 			accepted := callAgain(world, "job", 8, asked)
