--- /dev/null
+++ b/internal/batchrun/failing_test.go
@@ -0,0 +1,39 @@
+package batchrun_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A replica that answers 500 at once is always free. It costs no item all its attempts, and gets few.
+func TestReplicaThatFailsAtOnce(t *testing.T) {
+	inWorld(t, 51, func(t *testing.T, world *world) {
+		world.engines.failing = map[string]bool{"e1": true}
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 40, 1), jobRoute))
+		results := await(t, world.node("a"), "job", 40, 10*time.Second)
+		checkResults(t, results, 1)
+		for _, result := range results {
+			must.False(t, result.GetTerminated(), must.Sprint(result.GetItemId(), " was given up"))
+		}
+		must.Less(t, 12, world.engines.failed)
+	})
+}
+
+// Once it makes items again, it gets as many as others.
+func TestReplicaThatFailsNoMore(t *testing.T) {
+	inWorld(t, 52, func(t *testing.T, world *world) {
+		world.engines.failing = map[string]bool{"e1": true}
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 20, 1), jobRoute))
+		await(t, world.node("a"), "job", 20, 10*time.Second)
+		world.engines.mu.Lock()
+		world.engines.failing = nil
+		world.engines.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("next", 40, 1), jobRoute))
+		checkResults(t, await(t, world.node("a"), "next", 40, 10*time.Second), 1)
+		must.Less(t, 2500*time.Millisecond, time.Since(began))
+	})
+}
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -38,6 +38,9 @@
 	pauseAfterFailure = 60 * time.Millisecond
 	pauseAfterRefusal = 15 * time.Millisecond
 	avoidFor          = 900 * time.Millisecond
+	// avoidFailed is how long an item avoids a replica that answered it with 500: whether the item or the replica is the cause is known only
+	// once another has tried.
+	avoidFailed = 2 * time.Second
 	// avoidStale is how long a replica is left alone that answers with older weights than it registered.
 	avoidStale = 250 * time.Millisecond
 )
@@ -88,6 +91,7 @@
 		runner.keep(running, false)
 		return
 	case outcomeWhole:
+		runner.scheduler.succeeded(replica.ID)
 		runner.scheduler.lengths.observe(running.item.GetLengthHint(), running.lastEvent)
 		runner.score(running)
 		return
@@ -100,6 +104,7 @@
 			return
 		}
 		running.notBefore = now.Add(pauseAfterFailure)
+		running.avoid, running.avoidUntil = replica.ID, now.Add(avoidFailed)
 	case outcomeRefused:
 		running.notBefore = now.Add(pauseAfterRefusal)
 	case outcomeStale, outcomeMixed:
@@ -154,6 +159,7 @@
 		return outcomeRejected, answer.Status
 	case answer.Status == http.StatusInternalServerError:
 		running.failures++
+		runner.scheduler.failed(replica.ID, time.Now())
 		return outcomeFailed, answer.Status
 	case answer.Status >= http.StatusMultipleChoices:
 		return outcomeBroken, answer.Status
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -57,6 +57,7 @@
 	// groupHome is the replica that ran the last item of a group, which keeps the group's prompt.
 	groupHome map[string]string
 	refusals  map[string]*refusal // replicas that refused work and have taken none since
+	failures  map[string]int      // answers of 500 in a row, by replica
 	versions  map[string]map[string]int64
 	pace      *paceTable
 	lengths   lengthTable
@@ -74,7 +75,7 @@
 
 func newScheduler(runner *Runner) *scheduler {
 	return &scheduler{
-		runner: runner, wake: make(chan struct{}, 1), groupHome: make(map[string]string), refusals: make(map[string]*refusal),
+		runner: runner, wake: make(chan struct{}, 1), groupHome: make(map[string]string), refusals: make(map[string]*refusal), failures: make(map[string]int),
 		versions: make(map[string]map[string]int64), pace: newPaceTable(), running: make(map[*attempt]struct{}),
 	}
 }
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -41,6 +41,19 @@
 	resumed                            map[string]int64 // the event after which the last run of an item began
 	// gaps is the time that a replica takes for an event, where it is not usualGap.
 	gaps map[string]time.Duration
+	// failing are replicas that answer 500 at once; failed counts their answers.
+	failing map[string]bool
+	failed  int
+}
+
+// fails reports whether a replica fails, and counts it.
+func (engines *engines) fails(replica string) bool {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	if engines.failing[replica] {
+		engines.failed++
+	}
+	return engines.failing[replica]
 }
 
 const usualGap = 30 * time.Millisecond
@@ -112,6 +125,8 @@
 	engines.resumed[request.ID] = request.ResumeAfter
 	engines.mu.Unlock()
 	switch {
+	case engines.fails(replica.ID):
+		return answer(http.StatusInternalServerError, "", strings.NewReader("")), nil
 	case engines.draw(engines.refuseShare):
 		refused := answer(http.StatusServiceUnavailable, "", strings.NewReader(""))
 		refused.NotExecuted = true
