--- a/internal/batchrun/failing_test.go
+++ b/internal/batchrun/failing_test.go
@@ -1,6 +1,7 @@
 package batchrun_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -10,7 +11,7 @@
 // A replica that answers 500 at once is always free. It costs no item all its attempts, and gets few.
 func TestReplicaThatFailsAtOnce(t *testing.T) {
 	inWorld(t, 51, func(t *testing.T, world *world) {
-		world.engines.failing = map[string]bool{"e1": true}
+		world.engines.failing = map[string]func(string) bool{"e1": failAll}
 		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 40, 1), jobRoute))
 		results := await(t, world.node("a"), "job", 40, 10*time.Second)
 		checkResults(t, results, 1)
@@ -24,7 +25,7 @@
 // Once it makes items again, it gets as many as others.
 func TestReplicaThatFailsNoMore(t *testing.T) {
 	inWorld(t, 52, func(t *testing.T, world *world) {
-		world.engines.failing = map[string]bool{"e1": true}
+		world.engines.failing = map[string]func(string) bool{"e1": failAll}
 		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 20, 1), jobRoute))
 		await(t, world.node("a"), "job", 20, 10*time.Second)
 		world.engines.mu.Lock()
@@ -37,3 +38,18 @@
 		must.Less(t, 2500*time.Millisecond, time.Since(began))
 	})
 }
+
+// A replica that fails some items again and again, and makes others, costs none all its attempts.
+func TestItemThatOneReplicaFails(t *testing.T) {
+	for seed := uint64(53); seed < 63; seed++ {
+		inWorld(t, seed, func(t *testing.T, world *world) {
+			world.engines.failing = map[string]func(string) bool{"e1": func(item string) bool { return strings.HasSuffix(item, "1") }}
+			must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 40, 1), jobRoute))
+			results := await(t, world.node("a"), "job", 40, 10*time.Second)
+			checkResults(t, results, 1)
+			for _, result := range results {
+				must.False(t, result.GetTerminated(), must.Sprint(result.GetItemId(), " was given up"))
+			}
+		})
+	}
+}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -41,21 +41,25 @@
 	resumed                            map[string]int64 // the event after which the last run of an item began
 	// gaps is the time that a replica takes for an event, where it is not usualGap.
 	gaps map[string]time.Duration
-	// failing are replicas that answer 500 at once; failed counts their answers.
-	failing map[string]bool
+	// failing tells of replicas which items they answer with 500 at once; failed counts these answers.
+	failing map[string]func(item string) bool
 	failed  int
 }
 
-// fails reports whether a replica fails, and counts it.
-func (engines *engines) fails(replica string) bool {
+// fails reports whether a replica fails an item, and counts it.
+func (engines *engines) fails(replica, item string) bool {
 	engines.mu.Lock()
 	defer engines.mu.Unlock()
-	if engines.failing[replica] {
-		engines.failed++
+	if isFailed := engines.failing[replica]; isFailed == nil || !isFailed(item) {
+		return false
 	}
-	return engines.failing[replica]
+	engines.failed++
+	return true
 }
 
+// failAll fails every item.
+func failAll(string) bool { return true }
+
 const usualGap = 30 * time.Millisecond
 
 // started returns how many runs of items were begun.
@@ -125,7 +129,7 @@
 	engines.resumed[request.ID] = request.ResumeAfter
 	engines.mu.Unlock()
 	switch {
-	case engines.fails(replica.ID):
+	case engines.fails(replica.ID, request.ID):
 		return answer(http.StatusInternalServerError, "", strings.NewReader("")), nil
 	case engines.draw(engines.refuseShare):
 		refused := answer(http.StatusServiceUnavailable, "", strings.NewReader(""))
