--- /dev/null
+++ b/internal/batchrun/engines_test.go
@@ -0,0 +1,188 @@
+package batchrun_test
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/batchrun"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+)
+
+// engines stand for all replicas: each item has a fixed number of events, and each replica a version and faults.
+type engines struct {
+	mu sync.Mutex
+	// breakShare is the share of events after which a stream breaks off, failShare that of answers of 500.
+	breakShare, failShare, refuseShare float64
+	random                             *rand.Rand
+	versions                           map[string]int64
+	running                            map[string]int // by item
+	starts                             map[string]int
+	resumed                            map[string]int64 // the event after which the last run of an item began
+	// gaps is the time that a replica takes for an event, where it is not usualGap.
+	gaps map[string]time.Duration
+	// failing tells of replicas which items they answer with 500 at once; failed counts these answers.
+	failing map[string]func(item string) bool
+	failed  int
+}
+
+// fails reports whether a replica fails an item, and counts it.
+func (engines *engines) fails(replica, item string) bool {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	if isFailed := engines.failing[replica]; isFailed == nil || !isFailed(item) {
+		return false
+	}
+	engines.failed++
+	return true
+}
+
+// failAll fails every item.
+func failAll(string) bool { return true }
+
+const usualGap = 30 * time.Millisecond
+
+// started returns how many runs of items were begun.
+func (engines *engines) started() int {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	count := 0
+	for _, starts := range engines.starts {
+		count += starts
+	}
+	return count
+}
+
+func (engines *engines) gap(replica string) time.Duration {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	return cmp.Or(engines.gaps[replica], usualGap)
+}
+
+func (engines *engines) draw(share float64) bool {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	return engines.random.Float64() < share
+}
+
+func (engines *engines) version(replica string) int64 {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	return engines.versions[replica]
+}
+
+// Items whose identifiers begin so have many events, or some.
+const (
+	longJob      = "long"
+	longEvents   = 60
+	middleItem   = "middle"
+	middleEvents = 30
+)
+
+func eventsOf(item string) int64 {
+	if strings.HasPrefix(item, longJob) {
+		return longEvents
+	}
+	if strings.HasPrefix(item, middleItem) {
+		return middleEvents
+	}
+	return int64(len(item))%5 + 3
+}
+
+func eventText(item string, event int64) string { return fmt.Sprint(item, " event ", event) }
+
+func wholeText(item string) string {
+	var parts []string
+	for event := int64(1); event <= eventsOf(item); event++ {
+		parts = append(parts, eventText(item, event))
+	}
+	return strings.Join(parts, "\n")
+}
+
+// Send implements backend.Sender.
+func (engines *engines) Send(ctx context.Context, replica *catalog.Replica, request *backend.Request) (*backend.Answer, error) {
+	if replica.Service == "scorer" {
+		return answer(http.StatusOK, "score of "+request.ID, strings.NewReader("")), nil
+	}
+	engines.mu.Lock()
+	engines.starts[request.ID]++
+	engines.resumed[request.ID] = request.ResumeAfter
+	engines.mu.Unlock()
+	switch {
+	case engines.fails(replica.ID, request.ID):
+		return answer(http.StatusInternalServerError, "", strings.NewReader("")), nil
+	case engines.draw(engines.refuseShare):
+		refused := answer(http.StatusServiceUnavailable, "", strings.NewReader(""))
+		refused.NotExecuted = true
+		return refused, nil
+	case engines.draw(engines.failShare):
+		return answer(http.StatusInternalServerError, "", strings.NewReader("")), nil
+	}
+	reader, writer := io.Pipe()
+	go engines.generate(ctx, replica.ID, request, writer)
+	made := answer(http.StatusOK, "", reader)
+	made.WeightVersion = engines.version(replica.ID)
+	return made, nil
+}
+
+func answer(status int, stamp string, body io.Reader) *backend.Answer {
+	return &backend.Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), Length: -1, Stamp: stamp}
+}
+
+// generate writes events as lines "ID VERSION TEXT".
+func (engines *engines) generate(ctx context.Context, replica string, request *backend.Request, writer *io.PipeWriter) {
+	for event := request.ResumeAfter + 1; event <= eventsOf(request.ID); event++ {
+		select {
+		case <-ctx.Done():
+			writer.CloseWithError(ctx.Err())
+			return
+		case <-time.After(engines.gap(replica)):
+		}
+		if engines.draw(engines.breakShare) {
+			writer.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+		if _, err := fmt.Fprintf(writer, "%d %d %s\n", event, engines.version(replica), eventText(request.ID, event)); err != nil {
+			return
+		}
+	}
+	writer.Close()
+}
+
+type lines struct{}
+
+// Events implements batchrun.Decoder.
+func (lines) Events(body io.Reader) batchrun.EventReader { return &lineReader{body: body} }
+
+type lineReader struct {
+	body io.Reader
+	rest []byte
+}
+
+// Next implements batchrun.EventReader.
+func (reader *lineReader) Next() (batchrun.Event, error) {
+	for {
+		if line, rest, found := bytes.Cut(reader.rest, []byte("\n")); found {
+			reader.rest = rest
+			parts := strings.SplitN(string(line), " ", 3)
+			id, _ := strconv.ParseInt(parts[0], 10, 64)
+			version, _ := strconv.ParseInt(parts[1], 10, 64)
+			return batchrun.Event{ID: id, Version: version, Data: []byte(parts[2])}, nil
+		}
+		buffer := make([]byte, 256)
+		count, err := reader.body.Read(buffer)
+		reader.rest = append(reader.rest, buffer[:count]...)
+		if err != nil {
+			return batchrun.Event{}, err
+		}
+	}
+}
