Have a process of tests claim the ports that it is given

Inferred, since the log of the process was not kept: another process of tests had its port. Change: a process claims blocks of 200 ports by a listener that it never closes, and gives out each once.

--- a/internal/lab/freeport/freeport.go
+++ b/internal/lab/freeport/freeport.go
@@ -14,35 +14,61 @@
 	// cannot take a port between its choice and its use.
 	first = 15000
 	last  = 32000
+	// blockPorts is how many ports a process claims at once, of which the first two stand for the claim: a soak takes some thirty.
+	blockPorts = 200
 )
 
-var (
-	mu sync.Mutex
-	// given are the ports that were returned to this process, which may not listen yet.
-	given = make(map[int]bool)
-)
+// allocator gives out the ports of blocks that it has claimed. A claim is a listener that is never closed, so that it ends with the process:
+// no other process is given a port of the block, also while nobody listens there yet.
+type allocator struct {
+	mu     sync.Mutex
+	claims []net.Listener
+	next   int // the next port of the last block
+	end    int // of the last block
+}
+
+var process allocator
 
-// Pairs returns loopback addresses at whose port and the next one nobody listens, by TCP or UDP. None is returned twice to a process.
-func Pairs(count int) ([]*net.TCPAddr, error) {
-	mu.Lock()
-	defer mu.Unlock()
+// Pairs returns loopback addresses at whose port and the next one nobody listens, by TCP or UDP. None is returned twice, to this process or
+// another that runs now.
+func Pairs(count int) ([]*net.TCPAddr, error) { return process.pairs(count) }
+
+func (allocator *allocator) pairs(count int) ([]*net.TCPAddr, error) {
+	allocator.mu.Lock()
+	defer allocator.mu.Unlock()
 	var list []*net.TCPAddr
-	for tries := 0; len(list) < count && tries < last-first; tries++ {
-		port := first + 2*rand.IntN((last-first)/2)
-		if given[port] || !isFree(port) || !isFree(port+1) {
-			continue
+	for len(list) < count {
+		if allocator.next >= allocator.end && !allocator.claim() {
+			return nil, errors.New("no free ports")
+		}
+		port := allocator.next
+		allocator.next += 2
+		if isFree(port) && isFree(port+1) {
+			list = append(list, address(port))
 		}
-		given[port] = true
-		list = append(list, &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
-	}
-	if len(list) < count {
-		return nil, errors.New("no free ports")
 	}
 	return list, nil
 }
 
+// claim takes a block that no process has. It must be called with mu held.
+func (allocator *allocator) claim() bool {
+	for _, block := range rand.Perm((last - first) / blockPorts) {
+		begin := first + block*blockPorts
+		listener, err := net.ListenTCP("tcp", address(begin))
+		if err != nil {
+			continue // another process has it
+		}
+		allocator.claims = append(allocator.claims, listener)
+		allocator.next, allocator.end = begin+2, begin+blockPorts
+		return true
+	}
+	return false
+}
+
+func address(port int) *net.TCPAddr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port} }
+
 func isFree(port int) bool {
-	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+	listener, err := net.ListenTCP("tcp", address(port))
 	if err != nil {
 		return false
 	}
