Judge runs of tests by their events: known failures excuse nothing but themselves

Cause: the script looked for '--- FAIL' lines. With a list of known failures that is not empty, a package that ended by os.Exit, a fatal error or a signal printed none and passed, as did a test of a listed name in another package. Change: 'go test -json' is judged by a package of its own; a listed test is named with its package, a package has to come to the end of its tests, and a run without tests or an exit status that nothing explains is red. Before: such runs pass (exit, fatal error, kill, namesake).

--- a/cmd/thistlewalk-lab/main.go
+++ b/cmd/thistlewalk-lab/main.go
@@ -19,7 +19,7 @@
 		Name:                  "thistlewalk-lab",
 		Usage:                 "stand-ins of the platform, and experiments with thistlewalk",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{platformCommand(), demoCommand(), runCommand(), compareCommand(), hollowCommand(), fuzzCommand(), costCommand(), soakCommand()},
+		Commands:              []*cli.Command{platformCommand(), demoCommand(), runCommand(), compareCommand(), hollowCommand(), fuzzCommand(), costCommand(), soakCommand(), verdictCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		if !errors.Is(err, errBreach) && !errors.Is(err, errNotMet) {
