Name in logs what a replica was asked of whom no answer came

Cause: of calls under which replicas ended, no line says whether they asked for the same; each call has an identifier of its own. Change: 'attempt failed' has the fingerprint of what was sent: service, tenant, method, host, target and body. It is computed for such attempts only.

--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -15,6 +15,7 @@
 
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/quarantine"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
@@ -314,13 +315,21 @@
 	switch {
 	case result.err != nil:
 		run.forwarder.Logger.Info("attempt failed", "request", run.call.Request.ID, "replica", result.replica, "sent", !errors.Is(result.err, backend.ErrNotSent),
-			"after_ms", time.Since(run.started).Milliseconds(), "error", result.err)
+			"after_ms", time.Since(run.started).Milliseconds(), "fingerprint", run.fingerprint(result), "error", result.err)
 	case result.answer.NotExecuted || result.answer.Status >= http.StatusInternalServerError:
 		run.forwarder.Logger.Info("attempt failed", "request", run.call.Request.ID, "replica", result.replica, "status", result.answer.Status,
 			"not_executed", result.answer.NotExecuted, "after_ms", time.Since(run.started).Milliseconds())
 	}
 }
 
+// fingerprint names what a replica was asked of whom no answer came: a request that comes again has another identifier.
+func (run *run) fingerprint(result attemptResult) string {
+	if errors.Is(result.err, backend.ErrNotSent) {
+		return ""
+	}
+	return quarantine.FingerprintOf(run.service, &run.call.Request).String()
+}
+
 // keepFailure keeps the first failure that a replica answered, in case no other replica does better.
 func (run *run) keepFailure(result attemptResult) {
 	run.mayHaveRun = true
