--- a/internal/lab/platform/site/replica.go
+++ b/internal/lab/platform/site/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,6 +35,11 @@
 	holders []string
 	// OnChange is called after the replica's registered state changed.
 	OnChange func()
+	// EndsUnder is what the body of a request contains under which the replica ends, EndTime after it began to run it; empty for none.
+	EndsUnder string
+	EndTime   time.Duration
+	// OnEnd is called when the replica ends so; it has to break all of its connections off.
+	OnEnd func(request string)
 	// Log takes what the replica does; nil for none.
 	Log      *Executions
 	draining bool
@@ -55,7 +61,7 @@
 func NewReplica(id, service, model string) *Replica {
 	return &Replica{
 		ID: id, Service: service, Model: model, Slots: 8, EventTime: 5 * time.Millisecond, LoadTime: 50 * time.Millisecond,
-		version: 1, ran: make(map[string]int), bodies: make(map[string]string), callers: make(map[string]Caller), OnChange: func() {},
+		version: 1, ran: make(map[string]int), bodies: make(map[string]string), callers: make(map[string]Caller), OnChange: func() {}, OnEnd: func(string) {},
 	}
 }
 
@@ -67,6 +73,7 @@
 	next.Zone, next.Slots = replica.Zone, replica.Slots
 	next.EventTime, next.LoadTime, next.WorkTime = replica.EventTime, replica.LoadTime, replica.WorkTime
 	next.version, next.Log = replica.version, replica.Log
+	next.EndsUnder, next.EndTime = replica.EndsUnder, replica.EndTime
 	return next
 }
 
@@ -175,6 +182,11 @@
 	}
 	after, _ := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
 	execution := replica.Log.begin(id, replica.ID, caller, after)
+	if replica.EndsUnder != "" && strings.Contains(string(body), replica.EndsUnder) {
+		time.Sleep(replica.EndTime)
+		replica.OnEnd(id)
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(replica.workTime(request))
 	if faults.CloseSilently {
 		panic(http.ErrAbortHandler)
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -18,7 +18,9 @@
 		return quarantine.FingerprintOf("app", request)
 	}
 	first := made(func(*backend.Request) {})
-	must.Eq(t, first, made(func(request *backend.Request) { request.ID, request.Deadline, request.ResumeAfter, request.Priority = "q2", 700, 4, 1 }))
+	must.Eq(t, first, made(func(request *backend.Request) {
+		request.ID, request.Deadline, request.ResumeAfter, request.Priority = "q2", 700, 4, 1
+	}))
 	for name, change := range map[string]func(*backend.Request){
 		"method": func(request *backend.Request) { request.Method = http.MethodPut },
 		"host":   func(request *backend.Request) { request.Host = "b.example" },
