Keep requests from replicas that end under them

Cause: what a node learned of a request ended with its call, and no node told another. A call that came again was entitled to as many replicas as its route allows, on any node; items and scoring calls were sent on without end. Change: all requests to replicas go through one guard. An answer that breaks off, while the replica is registered and its address refuses connections, or its entry goes soon after, is the end of a replica under that request; nodes tell each other by datagrams. After two ends the request rests for 4 s, after three it is in quarantine for an hour, with one trial by the node that saw the last end. A whole answer clears it. Quarantines are kept in the metadata store and published as the other topics are, so that they outlive restarts.

--- a/cmd/thistlewalk-rollout/crash_test.go
+++ b/cmd/thistlewalk-rollout/crash_test.go
@@ -69,6 +69,7 @@
 			late++
 		}
 	}
+	t.Logf("%d replicas ended, %d later than %s after the third", len(endings.ends), late, knownAfter)
 	must.LessEq(t, allowedLater, late, must.Sprintf("%d replicas ended, %d later than %s after the third", len(endings.ends), late, knownAfter))
 }
 
--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -43,7 +43,7 @@
 	patience := dissemination.LimitsFor(settings.ChangeLimit(), settings.FirstStart)
 	front := role.NewFront(role.FrontOptions{
 		Node: settings.Node, Zone: settings.Zone, Role: settings.Role, Life: process.life, Cores: settings.ProcessorCores(), PeerAddress: settings.PeerAddress(0),
-		Store: process.measuredStore(), Sender: replicas, Decoder: platform.EventDecoder{},
+		Store: process.measuredStore(), Sender: replicas, Prober: replicas, Decoder: platform.EventDecoder{},
 		PeerClient: peerClient(), Logger: process.logger, Metrics: process.metrics, Catalog: table,
 		ConfigurationPrefix: platform.KeyConfiguration, ReplicaPrefix: platform.PrefixReplicas,
 		ConfigurationHandler: process.operator(table),
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -20,6 +20,24 @@
 // run.
 var ErrBroken = errors.New("the replica's answer broke off or was not its answer")
 
+// HeldError says that a request was not sent since replicas have ended that ran it before. It is marked as ErrNotSent; another replica
+// will not do either.
+type HeldError struct {
+	// After is when the request may come again.
+	After time.Duration
+}
+
+// Error implements error.
+func (held *HeldError) Error() string {
+	return "replicas have ended under the request; it may come again in " + held.After.Round(time.Millisecond).String()
+}
+
+// IsHeld reports whether a request was not sent since replicas have ended that ran it before.
+func IsHeld(err error) bool {
+	var held *HeldError
+	return errors.As(err, &held)
+}
+
 // Request is what a replica is to run. Target and Body arrive there unchanged.
 type Request struct {
 	ID     string
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -27,9 +27,10 @@
 	outcomeMixed    // the versions do not fit a route that allows one
 	outcomeMoved    // goes on at a faster replica
 	outcomeCut      // the job ended or left this node
+	outcomeHeld     // not sent, since replicas ended under the item
 )
 
-var outcomeNames = [...]string{"whole", "broken", "refused", "failed", "rejected", "stale", "mixed", "moved", "cut"}
+var outcomeNames = [...]string{"whole", "broken", "refused", "failed", "rejected", "stale", "mixed", "moved", "cut", "held"}
 
 // String returns the name that logs use.
 func (outcome outcome) String() string { return outcomeNames[outcome] }
@@ -41,6 +42,8 @@
 	// avoidFailed is how long an item avoids a replica that answered it with 500: whether the item or the replica is the cause is known only
 	// once another has tried.
 	avoidFailed = 2 * time.Second
+	// heldPause is the least time between two looks at whether an item may be sent under which replicas ended.
+	heldPause = 250 * time.Millisecond
 	// avoidStale is how long a replica is left alone that answers with older weights than it registered.
 	avoidStale = 250 * time.Millisecond
 )
@@ -76,7 +79,7 @@
 	switch ended {
 	case outcomeBroken:
 		return backend.Failed
-	case outcomeCut, outcomeMoved:
+	case outcomeCut, outcomeMoved, outcomeHeld:
 		return backend.Unknown
 	default:
 		return backend.Served
@@ -107,6 +110,8 @@
 		running.avoid, running.avoidUntil = replica.ID, now.Add(avoidFailed)
 	case outcomeRefused:
 		running.notBefore = now.Add(pauseAfterRefusal)
+	case outcomeHeld:
+		running.notBefore = now.Add(heldPause)
 	case outcomeStale, outcomeMixed:
 		running.restart()
 		running.notBefore = now.Add(pauseAfterFailure)
@@ -143,7 +148,11 @@
 	watchdog := time.AfterFunc(stallLimit, func() { cancel(errStalled) })
 	defer watchdog.Stop()
 	answer, err := runner.Sender.Send(ctx, replica, itemRequest(running, route))
-	if err != nil {
+	switch {
+	case backend.IsHeld(err):
+		runner.scheduler.untried(replica.ID)
+		return outcomeHeld, 0
+	case err != nil:
 		runner.scheduler.took(replica.ID)
 		return interrupted(ctx, running), 0
 	}
--- a/internal/batchrun/score.go
+++ b/internal/batchrun/score.go
@@ -39,12 +39,6 @@
 
 // callScorer returns the scorer's signature, or that it failed as often as its route allows.
 func (runner *Runner) callScorer(done *task) (stamp string, given bool) {
-	select {
-	case runner.scoring <- struct{}{}:
-		defer func() { <-runner.scoring }()
-	case <-done.job.ctx.Done():
-		return "", false
-	}
 	scorer := done.item.GetScorer()
 	var tried []string
 	failures, attempts := 0, 0
@@ -56,9 +50,13 @@
 			continue
 		}
 		attempts++
-		status, signature := runner.scoreOnce(done, scorer, route, replica)
+		status, signature, err := runner.scoreInTurn(done, scorer, route, replica)
+		if backend.IsHeld(err) {
+			wait.Pause(done.job.ctx, heldPause)
+			continue
+		}
 		if status != http.StatusOK || signature == "" {
-			runner.Logger.Info("scorer call", "request", scorer.GetId(), "item", done.item.GetId(), "replica", replica.ID, "status", status, "attempt", attempts)
+			runner.Logger.Info("scorer call", "request", scorer.GetId(), "item", done.item.GetId(), "replica", replica.ID, "status", status, "attempt", attempts, "error", err)
 		}
 		switch {
 		case status >= http.StatusOK && status < http.StatusMultipleChoices && signature != "":
@@ -90,8 +88,19 @@
 	return route, choice.Pick(runner.Catalog.Replicas().Service(service), tried, time.Now())
 }
 
-// scoreOnce returns the status and signature of one scoring request; status 0 when no whole answer came.
-func (runner *Runner) scoreOnce(done *task, scorer *batchv1.Scorer, route *catalog.Route, replica *catalog.Replica) (status int, signature string) {
+// scoreInTurn is scoreOnce once one of the places for scoring requests is free. A call that waits for its next try holds none.
+func (runner *Runner) scoreInTurn(done *task, scorer *batchv1.Scorer, route *catalog.Route, replica *catalog.Replica) (status int, signature string, err error) {
+	select {
+	case runner.scoring <- struct{}{}:
+		defer func() { <-runner.scoring }()
+	case <-done.job.ctx.Done():
+		return 0, "", done.job.ctx.Err()
+	}
+	return runner.scoreOnce(done, scorer, route, replica)
+}
+
+// scoreOnce returns the status and signature of one scoring request; status 0 with an error when no whole answer came.
+func (runner *Runner) scoreOnce(done *task, scorer *batchv1.Scorer, route *catalog.Route, replica *catalog.Replica) (status int, signature string, err error) {
 	limit := scoreTimeout
 	if route.Timeout > 0 {
 		limit = min(limit, route.Timeout)
@@ -106,15 +115,18 @@
 		Body: scorer.GetBody(), Deadline: limit, Priority: -1,
 	})
 	if err != nil {
-		return 0, ""
+		if backend.IsHeld(err) {
+			ended = backend.Unknown
+		}
+		return 0, "", err
 	}
 	defer answer.Body.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, scoreReadLimit)); err != nil {
-		return 0, ""
+		return 0, "", err
 	}
 	ended = backend.Served
 	if answer.NotExecuted {
-		return http.StatusServiceUnavailable, ""
+		return http.StatusServiceUnavailable, "", nil
 	}
-	return answer.Status, answer.Stamp
+	return answer.Status, answer.Stamp, nil
 }
--- a/internal/cluster/datagrams.go
+++ b/internal/cluster/datagrams.go
@@ -46,6 +46,7 @@
 	Loads     func(*clusterv1.Loads)
 	// StoreAnswers is told that the metadata store answers another node again.
 	StoreAnswers func(*clusterv1.StoreAnswers)
+	Suspicions   func(*clusterv1.Suspicions)
 }
 
 // Receive hands datagrams to the handlers until the context ends or the connection is closed.
@@ -94,5 +95,9 @@
 		if handlers.StoreAnswers != nil {
 			handlers.StoreAnswers(kind.StoreAnswers)
 		}
+	case *clusterv1.Datagram_Suspicions:
+		if handlers.Suspicions != nil {
+			handlers.Suspicions(kind.Suspicions)
+		}
 	}
 }
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -140,6 +140,8 @@
 	pending   int
 	// mayHaveRun says that an attempt ended without word of its outcome.
 	mayHaveRun bool
+	// held says that the request is sent to no further replica, since others ended under it.
+	held *backend.HeldError
 	// failure is the answer of a replica that failed the request, kept in case no other does better.
 	failure *attemptResult
 	results chan attemptResult
@@ -162,6 +164,15 @@
 	return result.answer.NotExecuted
 }
 
+// held returns why the request was not sent, if replicas have ended under it; nil otherwise.
+func (result *attemptResult) held() *backend.HeldError {
+	var held *backend.HeldError
+	if errors.As(result.err, &held) {
+		return held
+	}
+	return nil
+}
+
 // count counts a request of a tenant, empty for none, that is sent to a replica now.
 func (forwarder *Forwarder) count(tenant string) (withdraw func()) {
 	if forwarder.Meter == nil || tenant == "" {
@@ -254,7 +265,7 @@
 	}
 	outcome := backend.Served
 	switch {
-	case result.err != nil && ctx.Err() != nil:
+	case result.held() != nil, result.err != nil && ctx.Err() != nil:
 		outcome = backend.Unknown
 	case result.err != nil:
 		outcome = backend.Failed
@@ -295,6 +306,9 @@
 	case result.err == nil:
 		run.keepFailure(result)
 	case errors.Is(result.err, backend.ErrNotSent):
+		if held := result.held(); held != nil {
+			run.held = held
+		}
 	default:
 		run.mayHaveRun = true
 	}
@@ -304,7 +318,7 @@
 	if run.pending > 0 {
 		return Result{}, false
 	}
-	if (run.route.Idempotent() || !run.mayHaveRun) && run.start(ctx) {
+	if run.held == nil && (run.route.Idempotent() || !run.mayHaveRun) && run.start(ctx) {
 		return Result{}, false
 	}
 	return run.giveUp(), true
@@ -357,6 +371,11 @@
 	if run.revoked() {
 		return run.unauthorized()
 	}
+	if run.held != nil {
+		refused := run.refuse("held")
+		refused.RetryAfter = run.held.After
+		return refused
+	}
 	return run.refuse("not_executed")
 }
 
--- /dev/null
+++ b/internal/quarantine/outbox.go
@@ -0,0 +1,114 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/wait"
+)
+
+const (
+	// gatherFor is how long what is to be told waits for more: a replica that ends breaks off some 16 requests at one time.
+	gatherFor = 5 * time.Millisecond
+	// againAfter is when it is told once more, since a datagram may be lost.
+	againAfter = 250 * time.Millisecond
+	// toldAtOnce bounds the crashes in one datagram, at some 50 bytes each.
+	toldAtOnce = 24
+)
+
+// Crash says that a replica ended under a request.
+type Crash struct {
+	Fingerprint Fingerprint
+	Replica     string
+}
+
+// Suspicions is what a node tells the others: the ends of replicas that it saw, and the requests that it has seen answered since.
+type Suspicions struct {
+	Reporter string
+	Crashes  []Crash
+	Cleared  []Fingerprint
+}
+
+// outbox gathers what is to be told. The zero value is empty; it is safe for concurrent use.
+type outbox struct {
+	mu      sync.Mutex
+	waiting Suspicions
+	wake    chan struct{}
+}
+
+func (outbox *outbox) crashed(crash Crash) {
+	outbox.mu.Lock()
+	outbox.waiting.Crashes = append(outbox.waiting.Crashes, crash)
+	outbox.mu.Unlock()
+	outbox.nudge()
+}
+
+func (outbox *outbox) cleared(fingerprint Fingerprint) {
+	outbox.mu.Lock()
+	outbox.waiting.Cleared = append(outbox.waiting.Cleared, fingerprint)
+	outbox.mu.Unlock()
+	outbox.nudge()
+}
+
+// woken returns the channel that holds a notice while something waits.
+func (outbox *outbox) woken() chan struct{} {
+	outbox.mu.Lock()
+	defer outbox.mu.Unlock()
+	if outbox.wake == nil {
+		outbox.wake = make(chan struct{}, 1)
+	}
+	return outbox.wake
+}
+
+func (outbox *outbox) nudge() {
+	select {
+	case outbox.woken() <- struct{}{}:
+	default:
+	}
+}
+
+// next removes and returns what one datagram takes of what waits.
+func (outbox *outbox) next() (told Suspicions, more bool) {
+	outbox.mu.Lock()
+	defer outbox.mu.Unlock()
+	crashes := min(toldAtOnce, len(outbox.waiting.Crashes))
+	cleared := min(toldAtOnce, len(outbox.waiting.Cleared))
+	told = Suspicions{Crashes: outbox.waiting.Crashes[:crashes:crashes], Cleared: outbox.waiting.Cleared[:cleared:cleared]}
+	outbox.waiting.Crashes, outbox.waiting.Cleared = outbox.waiting.Crashes[crashes:], outbox.waiting.Cleared[cleared:]
+	return told, len(outbox.waiting.Crashes)+len(outbox.waiting.Cleared) > 0
+}
+
+// tell tells other nodes until the context ends.
+func (guard *Guard) tell(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-guard.outbox.woken():
+		}
+		wait.Pause(ctx, gatherFor)
+		for more := true; more; {
+			var told Suspicions
+			told, more = guard.outbox.next()
+			guard.tellTwice(told)
+		}
+	}
+}
+
+// tellTwice tells other nodes now and a little later, then without what was cleared in between.
+func (guard *Guard) tellTwice(told Suspicions) {
+	if guard.Teller == nil {
+		return
+	}
+	told.Reporter = guard.Node
+	guard.Teller.Tell(told)
+	time.AfterFunc(againAfter, func() {
+		told.Crashes = slices.DeleteFunc(slices.Clone(told.Crashes), func(crash Crash) bool {
+			crashes, _, _ := guard.Book.Suspected(crash.Fingerprint)
+			return crashes == 0
+		})
+		guard.Teller.Tell(told)
+	})
+}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -21,6 +21,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/forwarding"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/quarantine"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
@@ -34,10 +35,12 @@
 	PeerAddress string
 	Store       metadata.Store
 	Sender      backend.Sender
-	Decoder     batchrun.Decoder
-	PeerClient  *http.Client
-	Logger      *log.Logger
-	Metrics     *telemetry.Metrics
+	// Prober finds out whether the process of a replica is gone.
+	Prober     quarantine.Prober
+	Decoder    batchrun.Decoder
+	PeerClient *http.Client
+	Logger     *log.Logger
+	Metrics    *telemetry.Metrics
 	// ConfigurationPrefix and ReplicaPrefix are the keys that the handlers follow; the handlers fill the catalog.
 	ConfigurationPrefix, ReplicaPrefix string
 	Catalog                            *catalog.Table
@@ -70,6 +73,9 @@
 	calls   atomic.Int64
 	// usage is nil where none is reported.
 	usage *usage
+	// guard sends all requests to replicas; archive has those that it sends no more outlive this process.
+	guard   *quarantine.Guard
+	archive *quarantine.Archive
 }
 
 // Times of a front.
@@ -86,15 +92,16 @@
 	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life, Cores: options.Cores}
 	front := &Front{FrontOptions: options, loads: loads, health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
-	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics}
+	front.guard, front.archive = front.newGuard()
+	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics}
 	front.Runner = batchrun.New(batchrun.Options{
-		Node: options.Node, Life: options.Life, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
+		Node: options.Node, Life: options.Life, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: front.guard,
 		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node, Life: options.Life}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
 		Flush: batch.FlushPolicy{Spacing: flushSpacing, Longest: flushLongest, FinalSpacing: flushFinal},
 	})
 	front.health.Nodes = front.Registry.Count
 	front.health.OnRegained = front.tellStoreAnswers
-	front.topics = newTopics(options.ConfigurationPrefix, options.ConfigurationHandler, options.ReplicaPrefix, options.ReplicaHandler, front.Registry)
+	front.topics = newTopics(options.ConfigurationPrefix, options.ConfigurationHandler, options.ReplicaPrefix, options.ReplicaHandler, front.Registry, front.archive)
 	front.subscriber = front.newSubscriber()
 	front.health.Needed, front.health.Urgent = front.needsStore, front.waitsForStore
 	front.Registry.LeftKey, front.Registry.Health = batchlog.LeftKey, front.health
@@ -126,9 +133,11 @@
 		Any:       func() { front.Registry.HeardAny(time.Now()) },
 		Heartbeat: monitor.Heard, Beacon: subscriber.Heard, Loads: front.heardLoads,
 		StoreAnswers: func(*clusterv1.StoreAnswers) { front.health.Told() },
+		Suspicions:   func(told *clusterv1.Suspicions) { front.guard.Heard(decodeSuspicions(told)) },
 		JobOwner:     func(owner *clusterv1.JobOwner) { front.Runner.RememberOwner(owner.GetJobId(), owner.GetNode()) },
 	})
 	go monitor.Run(front.ctx)
+	go front.guard.Run(front.ctx)
 	go subscriber.Run(front.ctx)
 	if front.StartOrderer != nil {
 		go front.standBy(front.ctx)
--- a/internal/role/knowledge.go
+++ b/internal/role/knowledge.go
@@ -13,6 +13,8 @@
 const (
 	replicaPace  = time.Second
 	registryPace = 800 * time.Millisecond
+	// quarantinePace is that of a list that nearly never changes.
+	quarantinePace = time.Second
 )
 
 // newSubscriber returns what decides whether this front relies on a publisher or reads the store itself.
@@ -66,6 +68,7 @@
 	read(front.topics.configuration, 0, metadata.ShortWait)
 	read(front.topics.replicas, replicaPace, metadata.ShortWait)
 	read(front.topics.nodes, registryPace, metadata.LongWait)
+	read(front.topics.quarantine, quarantinePace, metadata.LongWait)
 }
 
 // waitsForStore reports whether this front has to know at once when a lost store answers again. The others are told by those that do.
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -16,6 +16,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metering"
+	"github.com/thistlewalk/thistlewalk/internal/quarantine"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 	"github.com/thistlewalk/thistlewalk/internal/weights"
 )
@@ -79,6 +80,8 @@
 	replicaWait = 3 * time.Second
 	// nodesWait does so for nodes: one that starts while its record is missed reads the store itself.
 	nodesWait = 5 * time.Second
+	// quarantineWait does so for requests in quarantine, of which fronts tell each other besides.
+	quarantineWait = 15 * time.Second
 )
 
 // NewOrderer returns a candidate that does not work yet.
@@ -90,7 +93,7 @@
 	registry := cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	orderer := &Orderer{
 		OrdererOptions: options, ctx: ctx, cancel: cancel, Weights: orders, registry: registry,
-		topics: newTopics(options.ConfigurationPrefix, metadata.Handlers{}, options.ReplicaPrefix, options.ReplicaHandler, registry),
+		topics: newTopics(options.ConfigurationPrefix, metadata.Handlers{}, options.ReplicaPrefix, options.ReplicaHandler, registry, metadata.Handlers{}),
 	}
 	if options.UsageWindow > 0 {
 		windows, clock := metering.Windows{Length: options.UsageWindow}, metering.NewClock()
@@ -185,6 +188,7 @@
 	follow(metadata.Follower{Prefix: orderer.OperatorPrefix, Handler: metadata.Handlers{orderer.operator, topics.configuration}}, metadata.ShortWait)
 	follow(metadata.Follower{Prefix: topics.replicas.Prefix(), Handler: topics.replicas, From: topics.replicas.Revision, Pace: ordererReplicaPace}, replicaWait)
 	follow(metadata.Follower{Prefix: topics.nodes.Prefix(), Handler: topics.nodes, From: topics.nodes.Revision, Pace: ordererRegistryPace}, nodesWait)
+	follow(metadata.Follower{Prefix: topics.quarantine.Prefix(), Handler: topics.quarantine, From: topics.quarantine.Revision}, quarantineWait)
 	publisher := &dissemination.Publisher{
 		Node: orderer.Node, Topics: topics.published(), Registry: orderer.registry, Relay: fence == noTerm, Term: fence, Datagrams: orderer.datagrams, Health: health,
 		Logger: orderer.Logger, Metrics: orderer.Metrics,
@@ -197,7 +201,7 @@
 	collectLimit    = 20 * time.Second
 )
 
-// collect removes ended jobs from the log once nobody may ask for them any more.
+// collect removes ended jobs from the log once nobody may ask for them any more, and requests whose quarantine is over.
 func (orderer *Orderer) collect(ctx context.Context) {
 	jobs := &batchlog.Log{Store: orderer.Store, Node: orderer.Node, Life: orderer.Life}
 	ticker := time.NewTicker(collectInterval)
@@ -210,10 +214,14 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, collectLimit)
 		count, err := jobs.Collect(callCtx, time.Now().Add(-orderer.Retention))
-		cancel()
 		if count > 0 || err != nil {
 			orderer.Logger.Info("jobs collected", "count", count, "error", err)
 		}
+		count, err = quarantine.RemoveExpired(callCtx, orderer.Store, orderer.topics.quarantine.Difference(0).Items, time.Now())
+		if count > 0 || err != nil {
+			orderer.Logger.Info("quarantines over", "count", count, "error", err)
+		}
+		cancel()
 	}
 }
 
--- /dev/null
+++ b/internal/role/quarantine.go
@@ -0,0 +1,55 @@
+package role
+
+import (
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/quarantine"
+)
+
+// newGuard returns what keeps requests from replicas that end under them, and what keeps such requests in the metadata store.
+func (front *Front) newGuard() (*quarantine.Guard, *quarantine.Archive) {
+	book := quarantine.NewBook(front.Node)
+	archive := quarantine.NewArchive(front.ctx, front.Store, front.health, book, front.Node, front.Logger)
+	archive.IsDeputy = func(fingerprint quarantine.Fingerprint) bool {
+		return front.Registry.PreferredAnywhere(fingerprint.String()) == front.Node
+	}
+	return &quarantine.Guard{
+		Sender: front.Sender, Prober: front.Prober, Book: book, Catalog: front.Catalog, Teller: suspicionTeller{front}, Keeper: archive,
+		Node: front.Node, Logger: front.Logger, Metrics: front.Metrics,
+	}, archive
+}
+
+// suspicionTeller tells all other fronts by datagrams. It implements quarantine.Teller.
+type suspicionTeller struct{ front *Front }
+
+// Tell implements quarantine.Teller.
+func (teller suspicionTeller) Tell(told quarantine.Suspicions) {
+	datagram := &clusterv1.Datagram{Kind: &clusterv1.Datagram_Suspicions{Suspicions: encodeSuspicions(told)}}
+	teller.front.datagrams.Send(datagram, teller.front.Registry.Others())
+}
+
+func encodeSuspicions(told quarantine.Suspicions) *clusterv1.Suspicions {
+	encoded := &clusterv1.Suspicions{Reporter: told.Reporter}
+	for _, crash := range told.Crashes {
+		encoded.Crashes = append(encoded.Crashes, &clusterv1.Crash{Fingerprint: crash.Fingerprint[:], Replica: crash.Replica})
+	}
+	for _, fingerprint := range told.Cleared {
+		encoded.Cleared = append(encoded.Cleared, fingerprint[:])
+	}
+	return encoded
+}
+
+// decodeSuspicions passes over fingerprints of another length, which this version did not make.
+func decodeSuspicions(told *clusterv1.Suspicions) quarantine.Suspicions {
+	decoded := quarantine.Suspicions{Reporter: told.GetReporter()}
+	for _, crash := range told.GetCrashes() {
+		if len(crash.GetFingerprint()) == len(quarantine.Fingerprint{}) {
+			decoded.Crashes = append(decoded.Crashes, quarantine.Crash{Fingerprint: quarantine.Fingerprint(crash.GetFingerprint()), Replica: crash.GetReplica()})
+		}
+	}
+	for _, cleared := range told.GetCleared() {
+		if len(cleared) == len(quarantine.Fingerprint{}) {
+			decoded.Cleared = append(decoded.Cleared, quarantine.Fingerprint(cleared))
+		}
+	}
+	return decoded
+}
--- a/internal/role/topics.go
+++ b/internal/role/topics.go
@@ -6,19 +6,21 @@
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/quarantine"
 )
 
 // topics are the keys of the metadata store that every front knows.
 type topics struct {
-	configuration, replicas, nodes *metadata.Mirror
+	configuration, replicas, nodes, quarantine *metadata.Mirror
 }
 
 // newTopics returns mirrors that know nothing yet, and pass what they learn to the handlers.
-func newTopics(configurationPrefix string, configuration metadata.Handler, replicaPrefix string, replicas, nodes metadata.Handler) topics {
+func newTopics(configurationPrefix string, configuration metadata.Handler, replicaPrefix string, replicas, nodes, quarantined metadata.Handler) topics {
 	return topics{
 		configuration: metadata.NewMirror(configurationPrefix, configuration),
 		replicas:      metadata.NewMirror(replicaPrefix, replicas),
 		nodes:         metadata.NewMirror(cluster.Prefix, nodes),
+		quarantine:    metadata.NewMirror(quarantine.Prefix, quarantined),
 	}
 }
 
@@ -32,5 +34,6 @@
 		{Mirror: topics.configuration},
 		{Mirror: topics.replicas},
 		{Mirror: topics.nodes, Pace: nodesPace},
+		{Mirror: topics.quarantine},
 	}
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -22,6 +22,11 @@
 	readings  *prometheus.CounterVec
 	told      *prometheus.CounterVec
 	reported  *prometheus.HistogramVec
+	ended     prometheus.Counter
+	held      prometheus.Counter
+	cleared   prometheus.Counter
+	// quarantined is how many requests are in quarantine.
+	quarantined prometheus.Gauge
 }
 
 // latencyBuckets are upper bounds in seconds, from a call to the store to the longest item.
@@ -47,10 +52,18 @@
 	}
 	metrics.told = counter("usage_told_total", "Calls that tell tallies of usage to another node, by its role and result.", "role", "result")
 	metrics.reported = histogram("usage_report_seconds", "Time of calls that report usage, by result.", "result")
+	single := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "thistlewalk", Name: name, Help: help})
+	}
+	metrics.ended = single("replica_ends_under_requests_total", "Requests of this node under which a replica ended, by replica.")
+	metrics.held = single("requests_held_total", "Requests that were not sent to a replica since others had ended under them.")
+	metrics.cleared = single("suspicions_cleared_total", "Requests that a replica answered after others had ended under them.")
+	metrics.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "requests_quarantined", Help: "Requests that are not sent to replicas any more."})
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.store, metrics.orders, metrics.published, metrics.readings, metrics.told, metrics.reported, lines)
+	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.store, metrics.orders, metrics.published, metrics.readings, metrics.told, metrics.reported,
+		metrics.ended, metrics.held, metrics.cleared, metrics.quarantined, lines)
 	return metrics
 }
 
@@ -122,6 +135,34 @@
 	}
 }
 
+// ReplicaEnded counts that a replica ended under a request of this node.
+func (metrics *Metrics) ReplicaEnded() {
+	if metrics != nil {
+		metrics.ended.Inc()
+	}
+}
+
+// RequestHeld counts a request that was not sent since replicas had ended under it.
+func (metrics *Metrics) RequestHeld() {
+	if metrics != nil {
+		metrics.held.Inc()
+	}
+}
+
+// SuspicionCleared counts a request that a replica answered after others had ended under it.
+func (metrics *Metrics) SuspicionCleared() {
+	if metrics != nil {
+		metrics.cleared.Inc()
+	}
+}
+
+// Quarantined tells how many requests are in quarantine.
+func (metrics *Metrics) Quarantined(count int) {
+	if metrics != nil {
+		metrics.quarantined.Set(float64(count))
+	}
+}
+
 func outcomeOf(ok bool) string {
 	if ok {
 		return "ok"
