Ask a replica that broke requests off once, and read bodies only of requests that may be suspected

Cause: each broken request would open a connection to a replica that did not end, and each request sent while anything is suspected would be hashed whole.

--- a/cmd/thistlewalk-rollout/crash_test.go
+++ b/cmd/thistlewalk-rollout/crash_test.go
@@ -50,13 +50,6 @@
 	endings.ends = append(endings.ends, at)
 }
 
-// count returns how many replicas have ended.
-func (endings *endings) count() int {
-	endings.mu.Lock()
-	defer endings.mu.Unlock()
-	return len(endings.ends)
-}
-
 // check fails the test if a request reached replicas too often after three had ended. A run begins endTime before its end.
 func (endings *endings) check(t *testing.T) {
 	t.Helper()
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -208,7 +208,7 @@
 
 // hedgeTimer fires when another replica is to be asked beside the one that is slow.
 func (run *run) hedgeTimer() (<-chan time.Time, func()) {
-	if run.route.Kind != catalog.Safe || run.pending != 1 || run.attempts >= run.route.MaxAttempts {
+	if run.held != nil || run.route.Kind != catalog.Safe || run.pending != 1 || run.attempts >= run.route.MaxAttempts {
 		return nil, func() {}
 	}
 	wait := max(hedgeLeast, time.Duration(hedgeShare*float64(run.route.Objective)))
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/backend"
 )
 
 const (
@@ -49,6 +51,7 @@
 
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
+	heads   map[head]int // of the entries, with how many have each
 }
 
 // entry is what is known of one request.
@@ -63,11 +66,19 @@
 
 // NewBook returns an empty book of a node.
 func NewBook(node string) *Book {
-	return &Book{node: node, entries: make(map[Fingerprint]*entry)}
+	return &Book{node: node, entries: make(map[Fingerprint]*entry), heads: make(map[head]int)}
 }
 
-// Empty reports whether no request is suspected, without taking a lock.
-func (book *Book) Empty() bool { return book.size.Load() == 0 }
+// MayKnow reports whether a request may be suspected, without reading its body; with nothing suspected, without a lock.
+func (book *Book) MayKnow(service string, request *backend.Request) bool {
+	if book.size.Load() == 0 {
+		return false
+	}
+	wanted := headOf(service, request)
+	book.mu.Lock()
+	defer book.mu.Unlock()
+	return book.heads[wanted] > 0
+}
 
 // Note takes that a replica ended under a request, as a node reports, and returns how many did; fresh is false for an end that is known.
 func (book *Book) Note(fingerprint Fingerprint, replica, reporter string, now time.Time) (crashes int, fresh bool) {
@@ -111,18 +122,31 @@
 		book.makeRoom(now)
 		known = &entry{}
 		book.entries[fingerprint] = known
+		book.heads[fingerprint.head()]++
 		book.size.Store(int64(len(book.entries)))
 	}
 	return known
 }
 
+// remove must be called with mu held.
+func (book *Book) remove(fingerprint Fingerprint) {
+	if book.entries[fingerprint] == nil {
+		return
+	}
+	delete(book.entries, fingerprint)
+	if book.heads[fingerprint.head()]--; book.heads[fingerprint.head()] == 0 {
+		delete(book.heads, fingerprint.head())
+	}
+	book.size.Store(int64(len(book.entries)))
+}
+
 // makeRoom forgets what is over, and the request that was suspected the longest ago if too many are left. It must be called with mu held.
 func (book *Book) makeRoom(now time.Time) {
 	var oldest Fingerprint
 	var oldestAt time.Time
 	for fingerprint, known := range book.entries {
 		if known.over(now) {
-			delete(book.entries, fingerprint)
+			book.remove(fingerprint)
 			continue
 		}
 		if oldestAt.IsZero() || known.last.Before(oldestAt) {
@@ -130,7 +154,7 @@
 		}
 	}
 	if len(book.entries) >= entriesMost {
-		delete(book.entries, oldest)
+		book.remove(oldest)
 	}
 }
 
@@ -147,8 +171,7 @@
 	book.mu.Lock()
 	defer book.mu.Unlock()
 	_, known := book.entries[fingerprint]
-	delete(book.entries, fingerprint)
-	book.size.Store(int64(len(book.entries)))
+	book.remove(fingerprint)
 	return known
 }
 
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -32,5 +32,5 @@
 		must.NotEq(t, first, made(change), must.Sprint(name))
 	}
 	must.NotEq(t, first, quarantine.FingerprintOf("other", &backend.Request{Method: http.MethodPost, Host: "a.example", Target: "/book/1?a=b", Body: []byte("body"), Tenant: "harbour"}))
-	must.Eq(t, 32, len(first.String()))
+	must.Eq(t, 48, len(first.String()))
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -14,9 +14,6 @@
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
-// probeLimit bounds the question whether anybody listens at a replica's address still: an answer takes one way there and back.
-const probeLimit = 50 * time.Millisecond
-
 // Prober finds out whether a replica's process is gone.
 type Prober interface {
 	// Refuses reports whether connections to the replica's address are refused, so that nobody listens there.
@@ -50,6 +47,7 @@
 	Logger  *log.Logger
 	Metrics *telemetry.Metrics
 
+	probes     probes
 	unanswered unanswered
 	outbox     outbox
 }
@@ -88,7 +86,7 @@
 
 // admit returns why a request is not to be sent now; nil for one that is.
 func (guard *Guard) admit(replica *catalog.Replica, request *backend.Request) error {
-	if guard.Book.Empty() {
+	if !guard.Book.MayKnow(replica.Service, request) {
 		return nil
 	}
 	fingerprint := FingerprintOf(replica.Service, request)
@@ -115,14 +113,9 @@
 	}
 	fingerprint := FingerprintOf(replica.Service, request)
 	left := unansweredRequest{fingerprint: fingerprint, request: request.ID, service: replica.Service, replica: replica.ID, at: time.Now()}
-	if ctx.Err() == nil {
-		probeCtx, cancel := context.WithTimeout(ctx, probeLimit)
-		refused := guard.Prober.Refuses(probeCtx, replica)
-		cancel()
-		if refused {
-			guard.crashed(left, evidenceRefused)
-			return
-		}
+	if ctx.Err() == nil && guard.probes.refuses(ctx, guard.Prober, replica) {
+		guard.crashed(left, evidenceRefused)
+		return
 	}
 	guard.unanswered.add(left)
 }
@@ -162,7 +155,7 @@
 
 // answered takes that a replica has answered a request whole: it does not end under it.
 func (guard *Guard) answered(replica *catalog.Replica, request *backend.Request, status int) {
-	if status >= http.StatusInternalServerError || guard.Book.Empty() {
+	if status >= http.StatusInternalServerError || !guard.Book.MayKnow(replica.Service, request) {
 		return
 	}
 	fingerprint := FingerprintOf(replica.Service, request)
