Have one node at a time try a request that rests, and keep requests that come often out of quarantine

Cause: drawn histories (four nodes, faults besides, datagrams lost) showed three faults of the mend. Ends of replicas under requests whose callers had left were known only when entries went, 3.6 s later, and all nodes tried the request after its rest: up to five runs late where three are allowed. Replicas that end at one moment counted as three ends under what all of them ran. A request that was cleared stayed held at nodes that had lost the datagram, or in quarantine for an hour. Change: a refused connection of any request is evidence for those before it; after a rest the node that saw the last end tries, after 8 s the one that ranks first, after 12 s any; ends within 10 ms count as one; in quarantine the node that ranks first tries once after 30 s; records name the replicas, so that an end that is told of late counts once.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -16,6 +16,9 @@
 // ErrNotSent says that nothing of a request left this node, so that it has not run.
 var ErrNotSent = errors.New("the request did not reach a replica")
 
+// ErrRefused says that nobody listens at the replica's address. It goes with ErrNotSent.
+var ErrRefused = errors.New("the replica refuses connections")
+
 // ErrBroken says that a replica's answer was cut off, was no answer or belonged to another request: the request may have
 // run.
 var ErrBroken = errors.New("the replica's answer broke off or was not its answer")
@@ -53,6 +56,8 @@
 	ResumeAfter int64
 	// Priority ranks the request at an engine, 0 first; negative leaves it to the engine.
 	Priority int
+	// Exclusive says that no other node sends the request, since this one owns the job that it belongs to.
+	Exclusive bool
 	// Tenant is the name of the tenant that the request is made for; empty for none. Its key never leaves this node.
 	Tenant string
 }
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -196,7 +196,7 @@
 	}
 	return &backend.Request{
 		ID: running.item.GetId(), Method: http.MethodPost, Host: running.job.definition.GetHost(), Target: running.item.GetPath(),
-		Header: header, Body: running.item.GetBody(), Deadline: route.MaxQueue, ResumeAfter: running.lastEvent, Priority: -1,
+		Header: header, Body: running.item.GetBody(), Deadline: route.MaxQueue, ResumeAfter: running.lastEvent, Priority: -1, Exclusive: true,
 		Tenant: running.job.definition.GetTenant(),
 	}
 }
--- a/internal/batchrun/score.go
+++ b/internal/batchrun/score.go
@@ -112,7 +112,7 @@
 	defer func() { runner.Loads.End(replica.ID, ended, time.Now()) }()
 	answer, err := runner.Sender.Send(ctx, replica, &backend.Request{
 		ID: scorer.GetId(), Method: http.MethodPost, Host: scorer.GetHost(), Target: scorer.GetPath(), Header: http.Header{},
-		Body: scorer.GetBody(), Deadline: limit, Priority: -1,
+		Body: scorer.GetBody(), Deadline: limit, Priority: -1, Exclusive: true,
 	})
 	if err != nil {
 		if backend.IsHeld(err) {
--- a/internal/quarantine/archive.go
+++ b/internal/quarantine/archive.go
@@ -65,9 +65,8 @@
 
 // Keep implements Keeper. It returns at once.
 func (archive *Archive) Keep(fingerprint Fingerprint) {
-	_, reporter, _ := archive.Book.Suspected(fingerprint)
 	delay := time.Duration(0)
-	if reporter != archive.Node {
+	if archive.Book.Suspected(fingerprint).Reporter != archive.Node {
 		if !archive.IsDeputy(fingerprint) {
 			return
 		}
@@ -101,12 +100,12 @@
 	defer archive.end(fingerprint)
 	wait.Pause(archive.ctx, delay)
 	for archive.ctx.Err() == nil {
-		crashes, reporter, until := archive.Book.Suspected(fingerprint)
+		known := archive.Book.Suspected(fingerprint)
 		kept := archive.record(fingerprint)
-		if crashes < quarantineAt || kept.crashes >= crashes {
+		if known.Crashes < quarantineAt || kept.crashes >= known.Crashes {
 			return
 		}
-		value, err := proto.Marshal(&clusterv1.QuarantineRecord{Crashes: int32(crashes), Reporter: reporter, UntilUnixMs: until.UnixMilli()})
+		value, err := proto.Marshal(encodeRecord(known))
 		if err != nil {
 			archive.Logger.Error("encode quarantine record", "fingerprint", fingerprint, "error", err)
 			return
@@ -115,22 +114,27 @@
 		revision, err := archive.commit(metadata.Txn{
 			Conditions: []metadata.Condition{{Key: key, Revision: kept.revision}}, Puts: []metadata.Put{{Key: key, Value: value}},
 		}, fingerprint)
-		archive.Logger.Warn("request in quarantine", "fingerprint", fingerprint, "crashes", crashes, "reporter", reporter, "revision", int64(revision), "error", err)
+		archive.Logger.Warn("request in quarantine", "fingerprint", fingerprint, "crashes", known.Crashes, "reporter", known.Reporter, "revision", int64(revision), "error", err)
 		if err == nil {
-			archive.setRecord(fingerprint, keptRecord{revision, crashes})
+			archive.setRecord(fingerprint, keptRecord{revision, known.Crashes})
 		}
 	}
 }
 
+func encodeRecord(known Suspicion) *clusterv1.QuarantineRecord {
+	return &clusterv1.QuarantineRecord{
+		Crashes: int32(known.Crashes), Reporter: known.Reporter, UntilUnixMs: known.Until.UnixMilli(), Replicas: known.Replicas,
+	}
+}
+
 // Lift implements Keeper. It returns at once.
 func (archive *Archive) Lift(fingerprint Fingerprint) { go archive.remove(fingerprint) }
 
 // remove removes the record of a request until the store has none, or the request is suspected anew.
 func (archive *Archive) remove(fingerprint Fingerprint) {
 	for archive.ctx.Err() == nil {
-		crashes, _, _ := archive.Book.Suspected(fingerprint)
 		kept := archive.record(fingerprint)
-		if crashes > 0 || kept.revision == 0 {
+		if archive.Book.Suspected(fingerprint).Crashes > 0 || kept.revision == 0 {
 			return
 		}
 		key := Prefix + fingerprint.String()
@@ -234,10 +238,12 @@
 		archive.Logger.Error("quarantine record not readable", "key", item.Key, "error", err)
 		return
 	}
-	crashes := int(record.GetCrashes())
-	archive.setRecord(fingerprint, keptRecord{item.Revision, crashes})
-	archive.Book.Restore(fingerprint, crashes, record.GetReporter(), time.UnixMilli(record.GetUntilUnixMs()), time.Now())
-	archive.Logger.Info("quarantine known", "fingerprint", fingerprint, "crashes", crashes, "reporter", record.GetReporter(), "revision", int64(item.Revision))
+	kept := Suspicion{
+		Crashes: int(record.GetCrashes()), Replicas: record.GetReplicas(), Reporter: record.GetReporter(), Until: time.UnixMilli(record.GetUntilUnixMs()),
+	}
+	archive.setRecord(fingerprint, keptRecord{item.Revision, kept.Crashes})
+	archive.Book.Restore(fingerprint, kept, time.Now())
+	archive.Logger.Info("quarantine known", "fingerprint", fingerprint, "crashes", kept.Crashes, "reporter", record.GetReporter(), "revision", int64(item.Revision))
 }
 
 // drop takes that the store has no record of a request any more: its time is over, or a replica has answered it.
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -10,19 +10,28 @@
 )
 
 const (
-	// holdAt is how many replicas must have ended under a request for it to rest for holdFor: one may have ended for another reason. Of three
-	// replicas of a service one is left then, which goes on serving others.
+	// holdAt is how many replicas must have ended under a request for it to rest, and then to be tried by one node at a time: one may have
+	// ended for another reason. Of three replicas of a service one is left then, which goes on serving others.
 	holdAt = 2
-	// holdFor is longer than a replica takes to be back, which was 3.0 to 3.9 s where it was seen, and shorter than the 5 s for which an item
-	// of a job may be at no replica.
+	// holdFor is how long it rests: longer than a replica takes to be back, which was 3.0 to 3.9 s where it was seen, and shorter than the 5 s
+	// for which an item of a job may be at no replica.
 	holdFor = 4 * time.Second
+	// deputyMayAfter is when the node that ranks first for a request may try it, and anyoneAfter when any may: the node that saw the last end,
+	// which may sooner, may be gone, and a datagram that cleared the request may be lost.
+	deputyMayAfter = 2 * holdFor
+	anyoneAfter    = 3 * holdFor
 	// quarantineAt is how many replicas must have ended under a request for it to be sent no more.
 	quarantineAt = 3
-	// trialsUntil is how many replicas must have ended for the request to get no further trial: the one trial that is left shows a request
-	// that merely ran beside the cause, and it comes from one node only, so that nodes do not try at a time.
-	trialsUntil = quarantineAt + 1
+	// trialsUntil is how many replicas must have ended for a request to get no further trial. One is left to a request in quarantine: it may
+	// have run beside three other causes. Of a job's request that is likelier, which runs for seconds, and the job can't be whole without it, so
+	// its trial comes after holdFor; that of others, which the node that ranks first makes, after deputyTrialAfter.
+	trialsUntil      = quarantineAt + 1
+	deputyTrialAfter = 30 * time.Second
+	// together is the time within which ends of replicas count as one: machines that fail at the same moment do not fail under the requests
+	// that all of them run, which are those that come most often. Under one request, replicas end some time after each has begun.
+	together = 10 * time.Millisecond
 	// quarantineFor is how long a request is sent no more. It is a fault of a replica's software that a newer release mends, which takes hours;
-	// each hour costs some four replicas until then.
+	// each hour costs some three replicas until then.
 	quarantineFor = time.Hour
 	// suspicionFor is how long the end of a replica counts against a request that is not in quarantine.
 	suspicionFor = 10 * time.Minute
@@ -37,14 +46,14 @@
 	Allowed bool
 	// Crashes is how many replicas have ended under the request.
 	Crashes int
-	// Trial says that the request is in quarantine and may be tried this once.
+	// Trial says that the request may be tried this once.
 	Trial bool
 	// After is when a request that is not allowed may come again.
 	After time.Duration
 }
 
-// Book is what a node knows of requests under which replicas ended. It is safe for concurrent use; times are passed in. Of a suspended
-// machine's clock nothing depends but that a request rests longer.
+// Book is what a node knows of requests under which replicas ended. It is safe for concurrent use; times are passed in. They may come from a
+// clock that stands still while the machine is suspended: a request rests longer then, which breaks no promise.
 type Book struct {
 	node string
 	size atomic.Int64
@@ -56,11 +65,12 @@
 
 // entry is what is known of one request.
 type entry struct {
-	replicas []string // that ended under it, as far as they are remembered
-	crashes  int
+	replicas []string  // that ended under it, as far as they are remembered
+	crashes  int       // as they count
 	reporter string    // who saw the last end
 	last     time.Time // when this node learned of it
-	tried    time.Time // when this node tried the request last in quarantine
+	broke    time.Time // when the request broke off
+	tried    time.Time // when the request was tried last after a rest
 	until    time.Time // the end of the quarantine; zero outside
 }
 
@@ -80,31 +90,58 @@
 	return book.heads[wanted] > 0
 }
 
-// Note takes that a replica ended under a request, as a node reports, and returns how many did; fresh is false for an end that is known.
-func (book *Book) Note(fingerprint Fingerprint, replica, reporter string, now time.Time) (crashes int, fresh bool) {
+// Note takes that a replica ended under a request, as a node reports, and returns how many ends count; fresh is false for an end that is
+// known. Broke is when the request broke off, which may be seconds before the end was known for one.
+func (book *Book) Note(fingerprint Fingerprint, replica, reporter string, broke, now time.Time) (crashes int, fresh bool) {
 	book.mu.Lock()
 	defer book.mu.Unlock()
 	known := book.entry(fingerprint, now)
 	if slices.Contains(known.replicas, replica) {
 		return known.crashes, false
 	}
-	if len(known.replicas) == replicasMost {
-		known.replicas = slices.Delete(known.replicas, 0, 1)
+	known.remember(replica)
+	apart := broke.Sub(known.broke).Abs()
+	known.broke = broke
+	if known.crashes > 0 && apart < together {
+		return known.crashes, true
 	}
-	known.replicas = append(known.replicas, replica)
 	known.raise(known.crashes+1, reporter, now, now.Add(quarantineFor))
 	return known.crashes, true
 }
 
-// Restore takes what is kept of a request in quarantine.
-func (book *Book) Restore(fingerprint Fingerprint, crashes int, reporter string, until, now time.Time) {
+// Suspicion is what a node knows of a request under which replicas ended.
+type Suspicion struct {
+	// Crashes is how many ends count; Replicas are those of the replicas that are remembered.
+	Crashes  int
+	Replicas []string
+	// Reporter is the node that saw the last end.
+	Reporter string
+	// Until is the end of the quarantine, zero for a request that is in none.
+	Until time.Time
+}
+
+// Restore takes what another node knew of a request in quarantine.
+func (book *Book) Restore(fingerprint Fingerprint, kept Suspicion, now time.Time) {
 	book.mu.Lock()
 	defer book.mu.Unlock()
 	known := book.entry(fingerprint, now)
-	if crashes > known.crashes {
-		known.raise(crashes, reporter, now, until)
+	for _, replica := range kept.Replicas {
+		if !slices.Contains(known.replicas, replica) {
+			known.remember(replica)
+		}
+	}
+	if kept.Crashes > known.crashes {
+		known.raise(kept.Crashes, kept.Reporter, now, kept.Until)
+	}
+	known.until = kept.Until
+}
+
+// remember takes a replica that ended; the oldest is forgotten.
+func (known *entry) remember(replica string) {
+	if len(known.replicas) == replicasMost {
+		known.replicas = slices.Delete(known.replicas, 0, 1)
 	}
-	known.until = until
+	known.replicas = append(known.replicas, replica)
 }
 
 // raise takes that more replicas have ended.
@@ -118,6 +155,10 @@
 // entry must be called with mu held.
 func (book *Book) entry(fingerprint Fingerprint, now time.Time) *entry {
 	known := book.entries[fingerprint]
+	if known != nil && known.over(now) {
+		book.remove(fingerprint)
+		known = nil
+	}
 	if known == nil {
 		book.makeRoom(now)
 		known = &entry{}
@@ -175,15 +216,15 @@
 	return known
 }
 
-// Suspected returns how many replicas have ended under a request, and who saw the last end; zero for a request that is not suspected.
-func (book *Book) Suspected(fingerprint Fingerprint) (crashes int, reporter string, until time.Time) {
+// Suspected returns what is known of a request; the zero value of one that is not suspected.
+func (book *Book) Suspected(fingerprint Fingerprint) Suspicion {
 	book.mu.Lock()
 	defer book.mu.Unlock()
 	known := book.entries[fingerprint]
 	if known == nil {
-		return 0, "", time.Time{}
+		return Suspicion{}
 	}
-	return known.crashes, known.reporter, known.until
+	return Suspicion{Crashes: known.crashes, Replicas: slices.Clone(known.replicas), Reporter: known.reporter, Until: known.until}
 }
 
 // Quarantined returns how many requests are in quarantine.
@@ -199,8 +240,16 @@
 	return count
 }
 
+// Claim is what a node has to do with a request that it wants to send.
+type Claim struct {
+	// Exclusive says that no other node sends the request, so that a trial of it is the only one.
+	Exclusive bool
+	// Deputy says that the node ranks first for the request.
+	Deputy bool
+}
+
 // Admit decides whether a request may be sent to a replica now; one that it allows is about to be sent.
-func (book *Book) Admit(fingerprint Fingerprint, now time.Time) Decision {
+func (book *Book) Admit(fingerprint Fingerprint, claim Claim, now time.Time) Decision {
 	book.mu.Lock()
 	defer book.mu.Unlock()
 	known := book.entries[fingerprint]
@@ -208,22 +257,32 @@
 		return Decision{Allowed: true}
 	}
 	decision := Decision{Crashes: known.crashes}
-	rest := holdFor - now.Sub(known.last)
 	switch {
 	case known.crashes < holdAt:
 		decision.Allowed = true
-	case known.crashes < quarantineAt:
-		decision.Allowed, decision.After = rest <= 0, rest
-	case known.mayBeTried(book.node, now):
+	case known.mayBeTried(claim, book.node, now):
 		known.tried = now
 		decision.Allowed, decision.Trial = true, true
+	case known.crashes < quarantineAt:
+		decision.After = max(holdFor-now.Sub(known.last), holdLeast)
 	default:
 		decision.After = known.until.Sub(now)
 	}
 	return decision
 }
 
-// mayBeTried reports whether a node may try a request in quarantine.
-func (known *entry) mayBeTried(node string, now time.Time) bool {
-	return known.reporter == node && known.crashes < trialsUntil && now.Sub(known.last) >= holdFor && now.Sub(known.tried) >= holdFor
+// holdLeast is when a request may come again that another node tries.
+const holdLeast = time.Second
+
+// mayBeTried reports whether this node may send a request that rests: by itself if no other node does, and not again before the end of the
+// replica would be known.
+func (known *entry) mayBeTried(claim Claim, node string, now time.Time) bool {
+	rested := now.Sub(known.last)
+	if rested < holdFor || now.Sub(known.tried) < holdFor {
+		return false
+	}
+	if known.crashes < quarantineAt {
+		return claim.Exclusive || known.reporter == node || rested >= anyoneAfter || (claim.Deputy && rested >= deputyMayAfter)
+	}
+	return known.crashes < trialsUntil && (claim.Exclusive || (claim.Deputy && rested >= deputyTrialAfter))
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -41,11 +41,13 @@
 	Book    *Book
 	Catalog *catalog.Table
 	// Teller and Keeper may be nil.
-	Teller  Teller
-	Keeper  Keeper
-	Node    string
-	Logger  *log.Logger
-	Metrics *telemetry.Metrics
+	Teller Teller
+	Keeper Keeper
+	// IsDeputy reports whether this node ranks first for a request, of those that run.
+	IsDeputy func(Fingerprint) bool
+	Node     string
+	Logger   *log.Logger
+	Metrics  *telemetry.Metrics
 
 	probes     probes
 	unanswered unanswered
@@ -72,10 +74,13 @@
 		return nil, err
 	}
 	answer, err := guard.Sender.Send(ctx, replica, request)
+	switch {
+	case errors.Is(err, backend.ErrRefused):
+		guard.refused(replica)
+	case err != nil && !errors.Is(err, backend.ErrNotSent):
+		guard.brokeOff(ctx, replica, request)
+	}
 	if err != nil {
-		if !errors.Is(err, backend.ErrNotSent) {
-			guard.brokeOff(ctx, replica, request)
-		}
 		return nil, err
 	}
 	if !answer.NotExecuted {
@@ -90,7 +95,7 @@
 		return nil
 	}
 	fingerprint := FingerprintOf(replica.Service, request)
-	decision := guard.Book.Admit(fingerprint, time.Now())
+	decision := guard.Book.Admit(fingerprint, Claim{Exclusive: request.Exclusive, Deputy: guard.IsDeputy(fingerprint)}, time.Now())
 	switch {
 	case !decision.Allowed:
 		guard.Metrics.RequestHeld()
@@ -113,11 +118,20 @@
 	}
 	fingerprint := FingerprintOf(replica.Service, request)
 	left := unansweredRequest{fingerprint: fingerprint, request: request.ID, service: replica.Service, replica: replica.ID, at: time.Now()}
+	guard.unanswered.add(left)
 	if ctx.Err() == nil && guard.probes.refuses(ctx, guard.Prober, replica) {
-		guard.crashed(left, evidenceRefused)
+		guard.refused(replica)
+	}
+}
+
+// refused takes that nobody listens at a replica's address: it ended under the requests that it left unanswered just before.
+func (guard *Guard) refused(replica *catalog.Replica) {
+	if !guard.serves(replica.ID) {
 		return
 	}
-	guard.unanswered.add(left)
+	for _, left := range guard.unanswered.takeOf(replica.ID, time.Now()) {
+		guard.crashed(left, evidenceRefused)
+	}
 }
 
 // serves reports whether a replica is registered and not about to leave.
@@ -134,7 +148,7 @@
 
 // crashed takes that a replica ended under a request, as this node saw.
 func (guard *Guard) crashed(seen unansweredRequest, evidence string) {
-	crashes, fresh := guard.Book.Note(seen.fingerprint, seen.replica, guard.Node, time.Now())
+	crashes, fresh := guard.Book.Note(seen.fingerprint, seen.replica, guard.Node, seen.at, time.Now())
 	if !fresh {
 		return
 	}
@@ -142,7 +156,7 @@
 	guard.Metrics.Quarantined(guard.Book.Quarantined())
 	guard.Logger.Warn("replica ended under a request", "request", seen.request, "service", seen.service, "replica", seen.replica,
 		"fingerprint", seen.fingerprint, "crashes", crashes, "evidence", evidence, "after_ms", time.Since(seen.at).Milliseconds())
-	guard.outbox.crashed(Crash{Fingerprint: seen.fingerprint, Replica: seen.replica})
+	guard.outbox.crashed(Crash{Fingerprint: seen.fingerprint, Replica: seen.replica, Broke: seen.at})
 	guard.keep(seen.fingerprint, crashes)
 }
 
@@ -159,7 +173,7 @@
 		return
 	}
 	fingerprint := FingerprintOf(replica.Service, request)
-	crashes, _, _ := guard.Book.Suspected(fingerprint)
+	crashes := guard.Book.Suspected(fingerprint).Crashes
 	if !guard.Book.Clear(fingerprint) {
 		return
 	}
@@ -181,7 +195,7 @@
 // Heard takes what another node has seen.
 func (guard *Guard) Heard(told Suspicions) {
 	for _, crash := range told.Crashes {
-		crashes, fresh := guard.Book.Note(crash.Fingerprint, crash.Replica, told.Reporter, time.Now())
+		crashes, fresh := guard.Book.Note(crash.Fingerprint, crash.Replica, told.Reporter, crash.Broke, time.Now())
 		if !fresh {
 			continue
 		}
@@ -189,13 +203,13 @@
 		guard.keep(crash.Fingerprint, crashes)
 	}
 	for _, fingerprint := range told.Cleared {
-		crashes, reporter, _ := guard.Book.Suspected(fingerprint)
+		known := guard.Book.Suspected(fingerprint)
 		if !guard.Book.Clear(fingerprint) {
 			continue
 		}
-		guard.Logger.Info("suspicion cleared elsewhere", "reporter", told.Reporter, "fingerprint", fingerprint, "crashes", crashes)
-		if reporter == guard.Node { // who may have kept it since
-			guard.lift(fingerprint, crashes)
+		guard.Logger.Info("suspicion cleared elsewhere", "reporter", told.Reporter, "fingerprint", fingerprint, "crashes", known.Crashes)
+		if known.Reporter == guard.Node { // who may have kept it since
+			guard.lift(fingerprint, known.Crashes)
 		}
 	}
 	guard.Metrics.Quarantined(guard.Book.Quarantined())
--- a/internal/quarantine/outbox.go
+++ b/internal/quarantine/outbox.go
@@ -22,6 +22,8 @@
 type Crash struct {
 	Fingerprint Fingerprint
 	Replica     string
+	// Broke is when the request broke off.
+	Broke time.Time
 }
 
 // Suspicions is what a node tells the others: the ends of replicas that it saw, and the requests that it has seen answered since.
@@ -106,8 +108,7 @@
 	guard.Teller.Tell(told)
 	time.AfterFunc(againAfter, func() {
 		told.Crashes = slices.DeleteFunc(slices.Clone(told.Crashes), func(crash Crash) bool {
-			crashes, _, _ := guard.Book.Suspected(crash.Fingerprint)
-			return crashes == 0
+			return guard.Book.Suspected(crash.Fingerprint).Crashes == 0
 		})
 		guard.Teller.Tell(told)
 	})
--- a/internal/quarantine/unanswered.go
+++ b/internal/quarantine/unanswered.go
@@ -56,6 +56,20 @@
 	return gone
 }
 
+// takeOf removes and returns the requests that a replica left unanswered.
+func (unanswered *unanswered) takeOf(replica string, now time.Time) []unansweredRequest {
+	unanswered.mu.Lock()
+	defer unanswered.mu.Unlock()
+	var taken []unansweredRequest
+	unanswered.list = slices.DeleteFunc(unanswered.list, func(left unansweredRequest) bool {
+		if left.replica == replica && now.Sub(left.at) <= unansweredFor {
+			taken = append(taken, left)
+		}
+		return left.replica == replica
+	})
+	return taken
+}
+
 // checkUnanswered finds out which replicas that left requests unanswered are registered no more.
 func (guard *Guard) checkUnanswered(now time.Time) {
 	for _, left := range guard.unanswered.take(guard.Catalog.Replicas(), now) {
--- a/internal/role/quarantine.go
+++ b/internal/role/quarantine.go
@@ -1,6 +1,8 @@
 package role
 
 import (
+	"time"
+
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/quarantine"
 )
@@ -13,7 +15,7 @@
 		return front.Registry.PreferredAnywhere(fingerprint.String()) == front.Node
 	}
 	return &quarantine.Guard{
-		Sender: front.Sender, Prober: front.Prober, Book: book, Catalog: front.Catalog, Teller: suspicionTeller{front}, Keeper: archive,
+		IsDeputy: archive.IsDeputy, Sender: front.Sender, Prober: front.Prober, Book: book, Catalog: front.Catalog, Teller: suspicionTeller{front}, Keeper: archive,
 		Node: front.Node, Logger: front.Logger, Metrics: front.Metrics,
 	}, archive
 }
@@ -30,7 +32,9 @@
 func encodeSuspicions(told quarantine.Suspicions) *clusterv1.Suspicions {
 	encoded := &clusterv1.Suspicions{Reporter: told.Reporter}
 	for _, crash := range told.Crashes {
-		encoded.Crashes = append(encoded.Crashes, &clusterv1.Crash{Fingerprint: crash.Fingerprint[:], Replica: crash.Replica})
+		encoded.Crashes = append(encoded.Crashes, &clusterv1.Crash{
+			Fingerprint: crash.Fingerprint[:], Replica: crash.Replica, AgoMs: time.Since(crash.Broke).Milliseconds(),
+		})
 	}
 	for _, fingerprint := range told.Cleared {
 		encoded.Cleared = append(encoded.Cleared, fingerprint[:])
@@ -43,7 +47,10 @@
 	decoded := quarantine.Suspicions{Reporter: told.GetReporter()}
 	for _, crash := range told.GetCrashes() {
 		if len(crash.GetFingerprint()) == len(quarantine.Fingerprint{}) {
-			decoded.Crashes = append(decoded.Crashes, quarantine.Crash{Fingerprint: quarantine.Fingerprint(crash.GetFingerprint()), Replica: crash.GetReplica()})
+			decoded.Crashes = append(decoded.Crashes, quarantine.Crash{
+				Fingerprint: quarantine.Fingerprint(crash.GetFingerprint()), Replica: crash.GetReplica(),
+				Broke: time.Now().Add(-time.Duration(crash.GetAgoMs()) * time.Millisecond),
+			})
 		}
 	}
 	for _, cleared := range told.GetCleared() {
