Tests of the evidence for ends of replicas, of what clears and holds a request, and of what is kept

Cause: the parts of the mend were covered by histories and by the assembled fronts only. Conclusion: tests only, no change of the program.

--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
 	"github.com/thistlewalk/thistlewalk/internal/backend"
@@ -25,6 +26,7 @@
 	notExecuted bool
 	notSent     bool
 	broken      bool
+	held        bool
 }
 
 // scripted answers the n-th request by the n-th behaviour, and the rest by the last.
@@ -44,6 +46,9 @@
 	if behaviour.notSent {
 		return nil, backend.ErrNotSent
 	}
+	if behaviour.held {
+		return nil, errors.Mark(&backend.HeldError{After: heldFor}, backend.ErrNotSent)
+	}
 	select {
 	case <-ctx.Done():
 		return nil, backend.ErrBroken
@@ -74,6 +79,34 @@
 	return result, sender
 }
 
+// heldFor is when a request may come again that is held.
+const heldFor = 4 * time.Second
+
+// A request that is held is refused at once, with when to come back; one that ran before has an outcome that nobody knows. No replica
+// counts as failing for it.
+func TestHeldRequests(t *testing.T) {
+	held := behaviour{held: true}
+	for _, check := range []struct {
+		name   string
+		kind   catalog.Kind
+		script []behaviour
+		status int
+		sent   int
+		after  time.Duration
+	}{
+		{"before its first run", catalog.Safe, []behaviour{held}, 503, 1, heldFor},
+		{"after a refusal", catalog.Unsafe, []behaviour{{status: 503, notExecuted: true}, held}, 503, 2, heldFor},
+		{"after a run that broke off", catalog.Safe, []behaviour{{broken: true}, held}, 502, 2, 0},
+		{"after a run that failed", catalog.Safe, []behaviour{{status: 500}, held}, 500, 2, 0},
+		{"beside a run that is slow", catalog.Safe, []behaviour{{after: 300 * time.Millisecond, status: 200}, held}, 200, 2, 0},
+	} {
+		result, sender := forward(t, check.kind, 4, check.script...)
+		must.Eq(t, check.status, result.Status, must.Sprint(check.name))
+		must.Eq(t, check.sent, len(sender.sent), must.Sprint(check.name))
+		must.Eq(t, check.after, result.RetryAfter, must.Sprint(check.name))
+	}
+}
+
 func TestForward(t *testing.T) {
 	whole := behaviour{after: 20 * time.Millisecond, status: http.StatusOK}
 	refused := behaviour{status: http.StatusServiceUnavailable, notExecuted: true}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -71,4 +71,28 @@
 mutate 'job not taken back' internal/batchrun/service.go 'other.deferral.takeBack()' '_ = other' ./internal/batchrun
 mutate 'replica that fails is not left alone' internal/batchrun/generate.go 'runner.scheduler.failed(replica.ID, time.Now())' '_ = time.Now' ./internal/batchrun
 mutate 'item goes back to who failed it' internal/batchrun/generate.go 'running.avoid, running.avoidUntil = replica.ID, now.Add(avoidFailed)' '_ = avoidFailed' ./internal/batchrun
+mutate 'nodes tell nobody of ends' internal/quarantine/outbox.go '	guard.Teller.Tell(told)
+	time.AfterFunc' '	time.AfterFunc' ./internal/quarantine
+mutate 'quarantine not kept' internal/quarantine/archive.go 'if known.Crashes < quarantineAt || kept.crashes >= known.Crashes {' 'if known.Crashes > 0 || kept.crashes >= known.Crashes {' ./internal/quarantine
+mutate 'quarantine not published' internal/role/topics.go '		{Mirror: topics.quarantine},
+' '' ./cmd/thistlewalk-rollout -run EndsReplicas
+mutate 'an answer clears nothing' internal/quarantine/guard.go 'if !guard.Book.Clear(fingerprint) {
+		return
+	}
+	guard.Metrics' 'if fingerprint != (Fingerprint{}) {
+		return
+	}
+	guard.Metrics' ./internal/quarantine
+mutate 'an answer that breaks off is not seen' internal/quarantine/guard.go 'body.guard.brokeOff(body.ctx, body.replica, body.request)' '_ = body.ctx' ./internal/quarantine
+mutate 'requests of callers that left forgotten' internal/quarantine/guard.go 'case errors.Is(err, backend.ErrRefused):
+		guard.refused(replica)' 'case errors.Is(err, backend.ErrRefused):' ./internal/quarantine
+mutate 'planned ends count' internal/quarantine/guard.go 'return registered != nil && !registered.Draining' 'return registered != nil || replica != ""' ./internal/quarantine
+mutate 'ends at one moment count each' internal/quarantine/book.go 'if known.crashes > 0 && apart < together {' 'if known.crashes > 0 && apart < 0 {' ./internal/quarantine
+mutate 'all nodes try at a time' internal/quarantine/book.go 'return claim.Exclusive || known.reporter == node || rested >= anyoneAfter' 'return claim.Exclusive || node != "" || rested >= anyoneAfter' ./internal/quarantine
+mutate 'late write without its condition' internal/quarantine/archive.go 'Conditions: []metadata.Condition{{Key: key, Revision: kept.revision}}, Puts' 'Conditions: []metadata.Condition{}, Puts' ./internal/quarantine
+mutate 'items go round the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: front.guard,
+		Decoder' 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
+		Decoder' ./cmd/thistlewalk-rollout -run EndsReplicas
+mutate 'requests go round the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone' 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone' ./cmd/thistlewalk-rollout -run EndsReplicas
+mutate 'a held request is tried elsewhere' internal/forwarding/forwarding.go 'if run.held == nil && (run' 'if (run' ./internal/forwarding
 exit "$missed"
