--- a/cmd/thistlewalk-rollout/crash_test.go
+++ b/cmd/thistlewalk-rollout/crash_test.go
@@ -50,6 +50,13 @@
 	endings.ends = append(endings.ends, at)
 }
 
+// count returns how many replicas have ended.
+func (endings *endings) count() int {
+	endings.mu.Lock()
+	defer endings.mu.Unlock()
+	return len(endings.ends)
+}
+
 // check fails the test if a request reached replicas too often after three had ended. A run begins endTime before its end.
 func (endings *endings) check(t *testing.T) {
 	t.Helper()
@@ -199,7 +206,9 @@
 			later := deployment.startFront("front-4")
 			eventually(t, 5*time.Second, "the later front is ready", func() bool { return deployment.isSettled(later) })
 			deployment.fronts = []*runningFront{later}
+			before := seen.count()
 			deployment.sendFor(2*time.Second, 100*time.Millisecond, check.patience, named("f"), always(ending))
+			must.Eq(t, before, seen.count(), must.Sprint("a front that began later knows what the others learned"))
 			seen.check(t)
 			for body, statuses := range map[string][]int{
 				"the same": deployment.sendFor(time.Second, 50*time.Millisecond, usualPatience, named("v"), always("usual")),
