--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -327,6 +327,7 @@
 // logFailure tells of an attempt that did not serve the request, and whether it can have run.
 func (run *run) logFailure(result attemptResult) {
 	switch {
+	case result.held() != nil: // which has a line of its own
 	case result.err != nil:
 		run.forwarder.Logger.Info("attempt failed", "request", run.call.Request.ID, "replica", result.replica, "sent", !errors.Is(result.err, backend.ErrNotSent),
 			"after_ms", time.Since(run.started).Milliseconds(), "fingerprint", run.fingerprint(result), "error", result.err)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -71,7 +71,7 @@
 mutate 'job not taken back' internal/batchrun/service.go 'other.deferral.takeBack()' '_ = other' ./internal/batchrun
 mutate 'replica that fails is not left alone' internal/batchrun/generate.go 'runner.scheduler.failed(replica.ID, time.Now())' '_ = time.Now' ./internal/batchrun
 mutate 'item goes back to who failed it' internal/batchrun/generate.go 'running.avoid, running.avoidUntil = replica.ID, now.Add(avoidFailed)' '_ = avoidFailed' ./internal/batchrun
-mutate 'nodes tell nobody of ends' internal/quarantine/outbox.go 'if guard.Teller == nil {' 'if guard.Teller != nil {' ./internal/quarantine
+mutate 'nodes tell nobody of ends' internal/quarantine/outbox.go 'if guard.Teller == nil {' 'if guard.Teller == nil || told.Reporter == "" {' ./internal/quarantine
 mutate 'quarantine not kept' internal/quarantine/archive.go 'if known.Crashes < quarantineAt || kept.crashes >= known.Crashes {' 'if known.Crashes > 0 || kept.crashes >= known.Crashes {' ./internal/quarantine
 mutate 'quarantine not published' internal/role/topics.go '		{Mirror: topics.quarantine},
 ' '' ./cmd/thistlewalk-rollout -run EndsReplicas
