Go by a clock that goes on while the machine is suspended where a promise relies on it

Cause: terms of leases, ages of what is known, windows of usage and callers' time went by the steady clock, which stands still while a machine is suspended: a holder that wakes took its lease for one in force, a node what it knew for new, and the time of day seemed to have stepped. Change: a small package with the clock since boot, injected; terms, the age of beacons and of the list that is read, the clock of windows and what is left of a caller's time read it; a watch compares it with the steady clock, says so in one line and a counter, and has jobs looked at again and watches begun anew. Tests step the two clocks apart.

--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -51,6 +51,7 @@
 		Limits:               patience,
 		StartOrderer:         process.standby(),
 		UsageWindow:          settings.UsageWindow(),
+		Clock:                process.clock,
 	})
 	ingress := &platform.Ingress{
 		Catalog: table, Forwarder: front.Forwarder, Runner: front.Runner, Bodies: forwarding.NewBodies(), Logger: process.logger,
--- a/cmd/thistlewalk-rollout/main.go
+++ b/cmd/thistlewalk-rollout/main.go
@@ -18,6 +18,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
 
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/logging"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
@@ -54,6 +55,7 @@
 	store    *platform.Store
 	path     string
 	life     int64
+	clock    clock.Clock
 }
 
 const (
@@ -97,8 +99,12 @@
 	if err != nil {
 		return nil, err
 	}
+	machine, err := clock.System()
+	if err != nil {
+		return nil, err
+	}
 	return &process{
-		settings: settings, logger: logger, queue: queue, metrics: telemetry.New(queue.Dropped), path: path, life: time.Now().UnixNano(),
+		clock: machine, settings: settings, logger: logger, queue: queue, metrics: telemetry.New(queue.Dropped), path: path, life: time.Now().UnixNano(),
 		store: platform.NewStore(settings.API.Address, dialer()),
 	}, nil
 }
--- a/internal/dissemination/pause_test.go
+++ b/internal/dissemination/pause_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
 
@@ -17,22 +18,70 @@
 
 func (answering) Probe(context.Context) error { return nil }
 
-// A process that stood still has missed beacons without there being none: it waits for one before it reads the store, and reads it if
-// none comes.
-func TestPauseIsNotSilence(t *testing.T) {
+// standing is a subscriber whose process or machine stands still.
+type standing struct {
+	*Subscriber
+	// now is what the steady clock shows; suspended is what the clock that goes on shows more.
+	now       time.Time
+	suspended time.Duration
+}
+
+func newStanding() *standing {
 	logger := log.New(io.Discard)
-	subscriber := &Subscriber{Limits: LimitsFor(2*time.Second, false), Health: metadata.NewHealth(answering{}, logger), Logger: logger}
-	subscriber.behind = make(map[string]lag)
-	now := time.Now()
-	subscriber.begun, subscriber.checked = now, now
-	subscriber.Heard(&clusterv1.Beacon{}, nil)
-	look := func(after time.Duration) bool {
-		now = now.Add(after)
-		reading, _, _ := subscriber.check(now)
-		return reading
+	standing := &standing{now: time.Now(), Subscriber: &Subscriber{
+		Limits: LimitsFor(2*time.Second, false), Health: metadata.NewHealth(answering{}, logger), Logger: logger,
+	}}
+	begun := standing.now
+	standing.Clock = clock.Func(func() time.Duration { return time.Minute + standing.now.Sub(begun) + standing.suspended })
+	standing.behind = make(map[string]lag)
+	standing.begun, standing.checked, standing.checkedAt = begun, begun, time.Minute
+	standing.Heard(&clusterv1.Beacon{}, nil)
+	return standing
+}
+
+// look checks after some time, of which the machine was suspended for a part, and reports whether the subscriber reads the store.
+func (standing *standing) look(after, suspended time.Duration) bool {
+	standing.now = standing.now.Add(after - suspended)
+	standing.suspended += suspended
+	reading, _, _ := standing.check(standing.now)
+	return reading
+}
+
+// A process that stood still, itself or with its machine, has missed beacons without there being none: it waits for one before it reads the
+// store, and reads it if none comes.
+func TestPauseIsNotSilence(t *testing.T) {
+	for _, suspended := range []time.Duration{0, 5 * time.Second} {
+		standing := newStanding()
+		must.False(t, standing.look(checkPeriod, 0))
+		must.False(t, standing.look(5*time.Second, suspended), must.Sprint("it has just woken"))
+		must.False(t, standing.look(wakeWait-checkPeriod, 0))
+		must.True(t, standing.look(2*checkPeriod, 0), must.Sprint(suspended))
 	}
-	must.False(t, look(checkPeriod))
-	must.False(t, look(5*time.Second), must.Sprint("it has just woken"))
-	must.False(t, look(wakeWait-checkPeriod))
-	must.True(t, look(2*checkPeriod))
+}
+
+// What a node knew before its machine was suspended is old when it wakes, by the first look at it: it says that it can't tell until a beacon
+// comes, or until it has read the store anew.
+func TestSuspendedNodeIsNotUpToDate(t *testing.T) {
+	standing := newStanding()
+	must.False(t, standing.look(checkPeriod, 0))
+	must.True(t, standing.UpToDate("p", standing.now))
+	standing.suspended += 5 * time.Second
+	must.False(t, standing.UpToDate("p", standing.now), must.Sprint("before anything else has run"))
+	standing.look(checkPeriod, 0)
+	must.False(t, standing.UpToDate("p", standing.now), must.Sprint("without a beacon"))
+	standing.Heard(&clusterv1.Beacon{}, nil)
+	must.True(t, standing.UpToDate("p", standing.now))
+
+	standing.reading, standing.readingSince = true, standing.now.Add(-time.Minute)
+	standing.missed = standing.now // so that it goes on reading
+	must.True(t, standing.UpToDate("p", standing.now))
+	standing.suspended += 5 * time.Second
+	must.False(t, standing.UpToDate("p", standing.now), must.Sprint("before anything else has run"))
+	standing.missed = standing.now
+	must.True(t, standing.look(checkPeriod, 0))
+	must.False(t, standing.UpToDate("p", standing.now), must.Sprint("what is read may be old"))
+	standing.missed = standing.now
+	must.True(t, standing.look(firstReading, 0))
+	standing.look(checkPeriod, 0)
+	must.True(t, standing.UpToDate("p", standing.now.Add(time.Millisecond)))
 }
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
@@ -48,6 +49,8 @@
 	// Relay does so until its context ends; nil for a node that waits for no reader.
 	IsReader func() bool
 	Relay    func(context.Context)
+	// Clock tells how old what this node knows is, also after its machine was suspended; nil for a steady one.
+	Clock clock.Clock
 
 	mu    sync.Mutex
 	begun time.Time
@@ -61,9 +64,11 @@
 	// excused is until when missing beacons mean nothing: this process stood still, or the store did not answer.
 	excused time.Time
 	checked time.Time
-	behind  map[string]lag // by prefix
-	missed  time.Time      // when something was missing last; zero for never
-	reading bool
+	// heardAt and checkedAt are when a beacon was last heard, and when this process last looked for what it misses, by the Clock.
+	heardAt, checkedAt time.Duration
+	behind             map[string]lag // by prefix
+	missed             time.Time      // when something was missing last; zero for never
+	reading            bool
 	// readingSince is when this node last began to read the store.
 	readingSince time.Time
 }
@@ -143,14 +148,19 @@
 }
 
 // UpToDate reports whether this node knows of nothing that it lacks of a topic: it has read the store for some time, which answers, or a
-// beacon came lately that told of nothing newer.
+// beacon came lately that told of nothing newer. A node that stood still, itself or with its machine, can't tell until it has heard anew: it
+// would deny what the operator has added meanwhile.
 func (subscriber *Subscriber) UpToDate(prefix string, now time.Time) bool {
 	subscriber.mu.Lock()
 	defer subscriber.mu.Unlock()
+	elapsed := subscriber.elapsed()
+	if elapsed-subscriber.checkedAt > pauseLimit {
+		return false
+	}
 	if subscriber.reading {
 		return subscriber.Health.Good() && now.Sub(subscriber.readingSince) > firstReading
 	}
-	if subscriber.heard.IsZero() || now.Sub(subscriber.heard) > subscriber.Limits.Silence {
+	if subscriber.heard.IsZero() || elapsed-subscriber.heardAt > subscriber.Limits.Silence {
 		return false
 	}
 	for _, topic := range subscriber.Topics {
@@ -172,7 +182,7 @@
 func (subscriber *Subscriber) Heard(beacon *clusterv1.Beacon, from net.Addr) {
 	subscriber.mu.Lock()
 	defer subscriber.mu.Unlock()
-	subscriber.heard = time.Now()
+	subscriber.heard, subscriber.heardAt = time.Now(), subscriber.elapsed()
 	subscriber.told = beacon
 	if !beacon.GetRelay() {
 		subscriber.led = subscriber.heard
@@ -181,11 +191,17 @@
 	}
 }
 
+// elapsed must be called with mu held.
+func (subscriber *Subscriber) elapsed() time.Duration {
+	subscriber.Clock = clock.OrSteady(subscriber.Clock)
+	return subscriber.Clock.Elapsed()
+}
+
 // Run decides, until the context ends, whether this node relies on beacons or reads the store itself.
 func (subscriber *Subscriber) Run(ctx context.Context) {
 	subscriber.mu.Lock()
 	subscriber.begun = time.Now()
-	subscriber.checked = subscriber.begun
+	subscriber.checked, subscriber.checkedAt = subscriber.begun, subscriber.elapsed()
 	subscriber.behind = make(map[string]lag)
 	subscriber.mu.Unlock()
 	ticker := time.NewTicker(checkPeriod)
@@ -253,10 +269,13 @@
 func (subscriber *Subscriber) check(now time.Time) (reading, changed bool, reason string) {
 	subscriber.mu.Lock()
 	defer subscriber.mu.Unlock()
-	if now.Sub(subscriber.checked) > pauseLimit {
+	elapsed := subscriber.elapsed()
+	if pause := elapsed - subscriber.checkedAt; pause > pauseLimit {
+		subscriber.age(pause - now.Sub(subscriber.checked))
 		subscriber.excuse(now.Add(wakeWait - subscriber.Limits.Silence))
+		subscriber.readingSince = now // what is read may be as old as the pause
 	}
-	subscriber.checked = now
+	subscriber.checked, subscriber.checkedAt = now, elapsed
 	answers := subscriber.Health.Good()
 	if !answers {
 		subscriber.excuse(now)
@@ -274,6 +293,17 @@
 	return subscriber.reading, subscriber.reading != before, reason
 }
 
+// age has what was before count as older by the time for which the machine was suspended. It must be called with mu held.
+func (subscriber *Subscriber) age(suspended time.Duration) {
+	subscriber.begun = subscriber.begun.Add(-suspended)
+	if !subscriber.heard.IsZero() {
+		subscriber.heard = subscriber.heard.Add(-suspended)
+	}
+	if !subscriber.led.IsZero() {
+		subscriber.led = subscriber.led.Add(-suspended)
+	}
+}
+
 // excuse has silence count from a moment at the earliest, and forgets since when anything was lacking. It must be called with mu held.
 func (subscriber *Subscriber) excuse(from time.Time) {
 	subscriber.excused = later(subscriber.excused, from)
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -15,6 +15,7 @@
 
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/quarantine"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
@@ -74,6 +75,8 @@
 	Metrics *telemetry.Metrics
 	// Meter may be nil.
 	Meter Meter
+	// Clock is what is left of a caller's time by; nil for a steady one. It has to go on while the machine is suspended, as the caller does.
+	Clock clock.Clock
 }
 
 // PickPart draws a part of a route by weight.
@@ -102,11 +105,12 @@
 	if call.Deadline > 0 && (held <= 0 || call.Deadline < held) {
 		held = call.Deadline
 	}
+	machine := forwarder.clock()
 	run := &run{
-		forwarder: forwarder, route: route, call: call, started: started, end: started.Add(held - answerMargin),
+		forwarder: forwarder, route: route, call: call, started: started, clock: machine, end: machine.Elapsed() + held - answerMargin,
 		service: PickPart(route.Parts), results: make(chan attemptResult, max(route.MaxAttempts, 1)),
 	}
-	attemptCtx, cancel := context.WithDeadline(ctx, run.end)
+	attemptCtx, cancel := context.WithTimeout(ctx, held-answerMargin)
 	run.cancel = cancel
 	result := run.loop(attemptCtx)
 	if result.Rest == nil {
@@ -119,6 +123,8 @@
 	return result
 }
 
+func (forwarder *Forwarder) clock() clock.Clock { return clock.OrSteady(forwarder.Clock) }
+
 func (forwarder *Forwarder) configurationVersion() int64 {
 	if configuration := forwarder.Catalog.Configuration(); configuration != nil {
 		return configuration.Version
@@ -132,7 +138,8 @@
 	route     *catalog.Route
 	call      *Call
 	started   time.Time
-	end       time.Time
+	clock     clock.Clock
+	end       time.Duration // by the clock
 	service   string
 	tried     []string
 	last      string
@@ -226,7 +233,7 @@
 
 // start sends the request to a replica that has not had it, and reports whether there was one.
 func (run *run) start(ctx context.Context) bool {
-	left := time.Until(run.end)
+	left := run.end - run.clock.Elapsed()
 	if run.revoked() {
 		return false
 	}
--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/forwarding"
 )
 
@@ -151,6 +152,40 @@
 	}
 }
 
+// A request that was held while the machine was suspended gets no more time at a replica than its caller has left.
+func TestSuspendedCallIsNotRetried(t *testing.T) {
+	for _, check := range []struct {
+		suspended time.Duration
+		sent      int
+		status    int
+	}{
+		{0, 2, http.StatusOK},
+		{500 * time.Millisecond, 2, http.StatusOK},
+		{5 * time.Second, 1, http.StatusServiceUnavailable},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			suspended := time.Duration(0)
+			steady := clock.Steady()
+			sender := &scripted{script: []behaviour{{after: 20 * time.Millisecond, status: http.StatusServiceUnavailable, notExecuted: true}, {status: http.StatusOK}}}
+			table := catalog.NewTable()
+			table.SetReplicas([]catalog.Replica{{ID: "r1", Service: "s", Slots: 6}, {ID: "r2", Service: "s", Slots: 6}}, 1)
+			forwarder := &forwarding.Forwarder{
+				Catalog: table, Loads: backend.NewLoads(), Sender: sender, Logger: log.New(io.Discard),
+				Clock: clock.Func(func() time.Duration { return steady.Elapsed() + suspended }),
+			}
+			route := &catalog.Route{Kind: catalog.Safe, Parts: []catalog.Part{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: 3}
+			time.AfterFunc(10*time.Millisecond, func() { suspended = check.suspended })
+			result := forwarder.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q"}, Deadline: 900 * time.Millisecond})
+			synctest.Wait()
+			must.Eq(t, check.status, result.Status)
+			must.Eq(t, check.sent, len(sender.sent))
+			if check.sent > 1 {
+				must.LessEq(t, 900*time.Millisecond-20*time.Millisecond-check.suspended, sender.deadlines[1])
+			}
+		})
+	}
+}
+
 // Parts of a route get requests by their weights.
 func TestPickPart(t *testing.T) {
 	parts := []catalog.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}
--- a/internal/metering/clock.go
+++ b/internal/metering/clock.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 )
 
 const (
@@ -15,7 +17,7 @@
 
 // reading is what a machine's clocks show at one moment.
 type reading struct {
-	// timeOfDay may jump; steady, the time since some moment, does not.
+	// timeOfDay may jump; steady, the time since some moment, does not, and goes on while the machine is suspended.
 	timeOfDay time.Time
 	steady    time.Duration
 }
@@ -32,31 +34,30 @@
 	differs bool
 }
 
-// NewClock returns a clock that takes the present time of day for right.
-func NewClock() *Clock {
-	begun := time.Now()
+// NewClock returns a clock that takes the present time of day for right. The machine's clock has to go on while it is suspended: the time of
+// day does, and would seem to have stepped otherwise.
+func NewClock(machine clock.Clock) *Clock {
 	return newClock(func() reading {
-		now := time.Now()
-		return reading{timeOfDay: now.Round(0), steady: now.Sub(begun)} // rounding drops the steady part
+		return reading{timeOfDay: time.Now().Round(0), steady: machine.Elapsed()} // rounding drops the steady part
 	})
 }
 
 func newClock(read func() reading) *Clock { return &Clock{read: read, base: read()} }
 
 // Now returns true time.
-func (clock *Clock) Now() time.Time {
-	clock.mu.Lock()
-	defer clock.mu.Unlock()
-	now := clock.read()
-	expected := clock.base.timeOfDay.Add(now.steady - clock.base.steady)
+func (told *Clock) Now() time.Time {
+	told.mu.Lock()
+	defer told.mu.Unlock()
+	now := told.read()
+	expected := told.base.timeOfDay.Add(now.steady - told.base.steady)
 	switch {
 	case now.timeOfDay.Sub(expected).Abs() < stepLeast:
-		clock.base, clock.differs = now, false
+		told.base, told.differs = now, false
 		return now.timeOfDay
-	case !clock.differs:
-		clock.stepped, clock.differs = now.steady, true
-	case now.steady-clock.stepped > stepLife:
-		clock.base, clock.differs = now, false
+	case !told.differs:
+		told.stepped, told.differs = now.steady, true
+	case now.steady-told.stepped > stepLife:
+		told.base, told.differs = now, false
 		return now.timeOfDay
 	}
 	return expected
--- a/internal/metering/clock_test.go
+++ b/internal/metering/clock_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 )
 
 // A machine whose time of day jumps still tells true time by its steady clock; a jump that lasts is believed in the end.
@@ -37,6 +39,20 @@
 	tells(step, "is believed after long")
 }
 
+// A machine that was suspended has no step of its time of day: its clock went on.
+func TestClockAfterSuspension(t *testing.T) {
+	begun, elapsed := time.Now(), time.Minute
+	told := NewClock(clock.Func(func() time.Duration { return elapsed }))
+	must.Less(t, time.Second, told.Now().Sub(begun).Abs())
+	shown := told.read
+	told.read = func() reading { // five seconds later for all but the steady clock
+		now := shown()
+		return reading{timeOfDay: now.timeOfDay.Add(5 * time.Second), steady: now.steady}
+	}
+	elapsed += 5 * time.Second
+	must.Less(t, time.Second, told.Now().Sub(begun.Add(5*time.Second)).Abs())
+}
+
 func TestWindows(t *testing.T) {
 	windows := Windows{Length: 5 * time.Second}
 	for _, check := range []struct {
--- a/internal/metering/history_test.go
+++ b/internal/metering/history_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	meteringv1 "github.com/thistlewalk/thistlewalk/api/metering/v1"
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 	"github.com/thistlewalk/thistlewalk/internal/metering"
@@ -176,7 +177,7 @@
 			_, err := store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "holder", Value: []byte(holder)}}})
 			must.NoError(t, err)
 		}
-		clock, windows := metering.NewClock(), metering.Windows{Length: windowLength}
+		clock, windows := metering.NewClock(clock.Steady()), metering.Windows{Length: windowLength}
 		reporter := &metering.Reporter{
 			Node: "former", Windows: windows, Clock: clock, Ledger: metering.NewLedger(windows, clock), Store: store, Sink: taken, Logger: log.New(io.Discard),
 		}
--- a/internal/metering/ledger_test.go
+++ b/internal/metering/ledger_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	meteringv1 "github.com/thistlewalk/thistlewalk/api/metering/v1"
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 )
 
 var testWindows = Windows{Length: 5 * time.Second}
@@ -21,7 +22,7 @@
 // Tallies may come twice, late and out of order: the newest of each process counts, once.
 func TestLedgerTakesTheNewest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ledger := NewLedger(testWindows, NewClock())
+		ledger := NewLedger(testWindows, NewClock(clock.Steady()))
 		present := testWindows.At(time.Now())
 		counted := func(window int64) int64 { report, _ := ledger.Report(window); return total(report) }
 		ledger.Merge(tally("a", 1, present, 2, 7))
@@ -50,7 +51,7 @@
 // A request that has not run is taken back in the window in which it was counted.
 func TestMeter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := NewClock()
+		clock := NewClock(clock.Steady())
 		ledger := NewLedger(testWindows, clock)
 		meter := NewMeter("a", 1, testWindows, clock, ledger)
 		first := testWindows.At(time.Now())
--- a/internal/metering/world_test.go
+++ b/internal/metering/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	meteringv1 "github.com/thistlewalk/thistlewalk/api/metering/v1"
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 	"github.com/thistlewalk/thistlewalk/internal/metering"
@@ -209,7 +210,7 @@
 // startFront begins a process of a front.
 func (history *history) startFront(index int) {
 	name := fmt.Sprint("front-", index)
-	clock, windows := metering.NewClock(), metering.Windows{Length: windowLength}
+	clock, windows := metering.NewClock(clock.Steady()), metering.Windows{Length: windowLength}
 	ctx, stop := context.WithCancel(context.Background())
 	history.mu.Lock()
 	history.lives++
@@ -230,7 +231,7 @@
 
 // startCandidate begins a process of a candidate for the duty.
 func (history *history) startCandidate(name string) {
-	clock, windows := metering.NewClock(), metering.Windows{Length: windowLength}
+	clock, windows := metering.NewClock(clock.Steady()), metering.Windows{Length: windowLength}
 	ledger := metering.NewLedger(windows, clock)
 	store := cutStore{history.store, history, name}
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -17,6 +17,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/batchrun"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/forwarding"
@@ -52,6 +53,8 @@
 	StartOrderer func() (*Orderer, error)
 	// UsageWindow is the length of the windows of which usage is reported; zero for no reports.
 	UsageWindow time.Duration
+	// Clock goes on while the machine is suspended; nil for a steady one.
+	Clock clock.Clock
 }
 
 // Front serves callers and runs batch jobs.
@@ -87,13 +90,14 @@
 
 // NewFront returns a front that does not work yet.
 func NewFront(options FrontOptions) *Front {
+	options.Clock = clock.OrSteady(options.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
 	loads := backend.NewLoads()
 	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life, Cores: options.Cores}
 	front := &Front{FrontOptions: options, loads: loads, health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	front.guard, front.archive = front.newGuard()
-	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics}
+	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics, Clock: options.Clock}
 	front.Runner = batchrun.New(batchrun.Options{
 		Node: options.Node, Life: options.Life, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: front.guard,
 		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node, Life: options.Life}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
@@ -138,6 +142,7 @@
 	})
 	go monitor.Run(front.ctx)
 	go front.guard.Run(front.ctx)
+	go (&clock.Watch{Clock: front.Clock, Logger: front.Logger, Metrics: front.Metrics, Woken: front.woken}).Run(front.ctx)
 	go subscriber.Run(front.ctx)
 	if front.StartOrderer != nil {
 		go front.standBy(front.ctx)
@@ -149,6 +154,14 @@
 	return nil
 }
 
+// woken has this front find out what became of it while its machine was suspended: others may have taken its jobs over, and connections that
+// it waits on may be dead.
+func (front *Front) woken(time.Duration) {
+	front.health.Doubt()
+	front.health.CutWatches()
+	go front.Runner.Recheck(front.ctx)
+}
+
 // servePeers answers other nodes until the process ends.
 func (front *Front) servePeers(listener net.Listener, subscriber *dissemination.Subscriber) {
 	batches := batchv1.NewBatchesServer(batchrun.Service{Runner: front.Runner})
--- a/internal/role/knowledge.go
+++ b/internal/role/knowledge.go
@@ -21,7 +21,7 @@
 func (front *Front) newSubscriber() *dissemination.Subscriber {
 	return &dissemination.Subscriber{
 		Node: front.Node, Life: front.Life, Topics: front.topics.published(), Limits: front.Limits, Health: front.health,
-		Logger: front.Logger, Metrics: front.Metrics, Follow: front.follow, Relay: front.relay,
+		Logger: front.Logger, Metrics: front.Metrics, Follow: front.follow, Relay: front.relay, Clock: front.Clock,
 		IsReader: func() bool { return front.Registry.Preferred(readerKey) == front.Node },
 	}
 }
--- a/internal/role/metering.go
+++ b/internal/role/metering.go
@@ -18,7 +18,7 @@
 
 // newUsage returns the counting of a front, by windows of a length.
 func (front *Front) newUsage(window time.Duration) *usage {
-	windows, clock := metering.Windows{Length: window}, metering.NewClock()
+	windows, clock := metering.Windows{Length: window}, metering.NewClock(front.Clock)
 	ledger := metering.NewLedger(windows, clock)
 	meter := metering.NewMeter(front.Node, front.Life, windows, clock, ledger)
 	return &usage{ledger: ledger, meter: meter, teller: &metering.Teller{
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -12,6 +12,7 @@
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
@@ -50,6 +51,8 @@
 	UsageSink   metering.Sink
 	// CallOverhang is how long after the end of a term a call of the cloud may last.
 	CallOverhang time.Duration
+	// Clock goes on while the machine is suspended, as the leases do; nil for a steady one.
+	Clock clock.Clock
 }
 
 // Orderer is a candidate for bringing replicas to the versions that trainers name, and for spreading to the fronts what it
@@ -86,6 +89,7 @@
 
 // NewOrderer returns a candidate that does not work yet.
 func NewOrderer(options OrdererOptions) *Orderer {
+	options.Clock = clock.OrSteady(options.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
 	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Role: options.Role, Life: options.Life}
 	orders := weights.NewOrderer(options.Node, options.Catalog, options.Replicas, loadShare, options.Logger)
@@ -96,7 +100,7 @@
 		topics: newTopics(options.ConfigurationPrefix, metadata.Handlers{}, options.ReplicaPrefix, options.ReplicaHandler, registry, metadata.Handlers{}),
 	}
 	if options.UsageWindow > 0 {
-		windows, clock := metering.Windows{Length: options.UsageWindow}, metering.NewClock()
+		windows, clock := metering.Windows{Length: options.UsageWindow}, metering.NewClock(options.Clock)
 		orderer.reporter = &metering.Reporter{
 			Node: options.Node, Windows: windows, Clock: clock, Ledger: metering.NewLedger(windows, clock), Store: options.Store,
 			Sink: options.UsageSink, Logger: options.Logger, Metrics: options.Metrics, Overhang: options.CallOverhang,
@@ -122,7 +126,7 @@
 	})
 	orderer.operator = operator
 	election := weights.NewElection(orderer.Store, orderer.Node, orderer.Election, orderer.Logger)
-	election.StandIn = orderer.standIn
+	election.StandIn, election.Clock = orderer.standIn, orderer.Clock
 	orderer.done.Add(1)
 	go func() {
 		defer orderer.done.Done()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -27,6 +27,7 @@
 	cleared   prometheus.Counter
 	// quarantined is how many requests are in quarantine.
 	quarantined prometheus.Gauge
+	suspensions prometheus.Counter
 }
 
 // latencyBuckets are upper bounds in seconds, from a call to the store to the longest item.
@@ -59,11 +60,12 @@
 	metrics.held = single("requests_held_total", "Requests that were not sent to a replica since others had ended under them.")
 	metrics.cleared = single("suspicions_cleared_total", "Requests that a replica answered after others had ended under them.")
 	metrics.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "requests_quarantined", Help: "Requests that are not sent to replicas any more."})
+	metrics.suspensions = single("suspensions_total", "Times that the machine was suspended while this process ran.")
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
 	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.store, metrics.orders, metrics.published, metrics.readings, metrics.told, metrics.reported,
-		metrics.ended, metrics.held, metrics.cleared, metrics.quarantined, lines)
+		metrics.ended, metrics.held, metrics.cleared, metrics.quarantined, metrics.suspensions, lines)
 	return metrics
 }
 
@@ -163,6 +165,13 @@
 	}
 }
 
+// Suspended counts that the machine was suspended.
+func (metrics *Metrics) Suspended() {
+	if metrics != nil {
+		metrics.suspensions.Inc()
+	}
+}
+
 func outcomeOf(ok bool) string {
 	if ok {
 		return "ok"
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
@@ -41,6 +42,8 @@
 	// StandIn is called when a former process of this node holds the lease still, which lapses by itself; its context ends with that.
 	// This process orders nothing meanwhile. Nil for nothing.
 	StandIn func(context.Context)
+	// Clock is what terms go by; nil for a steady one. It has to go on while the machine is suspended, as the lease does.
+	Clock clock.Clock
 
 	health *metadata.Health
 	mu     sync.Mutex
@@ -66,8 +69,10 @@
 	lease metadata.LeaseID
 	life  time.Duration
 
+	clock clock.Clock
+
 	mu    sync.Mutex
-	until time.Time // by the steady clock, counted from before the renewal was sent
+	until time.Duration // by the clock, counted from before the renewal was sent
 	// begun says that this node is written down as the one that gives orders; none is given before.
 	begun bool
 }
@@ -82,7 +87,7 @@
 	if !term.begun {
 		return 0
 	}
-	return time.Until(term.until)
+	return term.until - term.clock.Elapsed()
 }
 
 func (term *Term) begin() {
@@ -96,10 +101,10 @@
 	return metadata.Condition{Key: holderKey, Revision: metadata.Revision(term.Fence)}
 }
 
-func (term *Term) extend(sent time.Time) {
+func (term *Term) extend(sent time.Duration) {
 	term.mu.Lock()
 	defer term.mu.Unlock()
-	term.until = sent.Add(term.life)
+	term.until = sent + term.life
 }
 
 // Reset implements metadata.Handler.
@@ -158,6 +163,7 @@
 
 // Run takes part until the context ends, and calls lead for each term; the context of lead ends with the term.
 func (election *Election) Run(ctx context.Context, lead func(context.Context, *Term)) {
+	election.Clock = clock.OrSteady(election.Clock)
 	go election.health.Run(ctx)
 	follower := metadata.Follower{Store: election.Store, Prefix: electionPrefix, Handler: election, Logger: election.Logger, Health: election.health, Wait: func() time.Duration { return electionWatch }}
 	go follower.Run(ctx)
@@ -243,7 +249,7 @@
 	election.mu.Lock()
 	last, lastAt := election.last, election.lastAt
 	election.mu.Unlock()
-	sent := time.Now()
+	sent := election.Clock.Elapsed()
 	lease, err := election.Store.GrantLease(ctx, election.Settings.Lease)
 	if err != nil {
 		return nil, errors.Wrap(err, "grant")
@@ -268,7 +274,7 @@
 			return nil, errors.Wrap(err, "commit") // if it was done all the same, the lease runs out
 		}
 	}
-	term := &Term{Fence: int64(revision), lease: lease, life: election.Settings.Lease, begun: !waits}
+	term := &Term{Fence: int64(revision), lease: lease, life: election.Settings.Lease, clock: election.Clock, begun: !waits}
 	term.extend(sent)
 	election.Logger.Info("orderer lease acquired", "fence", term.Fence, "last", last, "waits", waits)
 	return term, nil
@@ -344,7 +350,7 @@
 	interval := election.Settings.Renew
 	for ctx.Err() == nil {
 		wait.Pause(ctx, interval)
-		sent := time.Now()
+		sent := election.Clock.Elapsed()
 		callCtx, stop := context.WithTimeout(ctx, electionCall)
 		err := election.Store.RenewLease(callCtx, term.lease)
 		stop()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -94,4 +94,17 @@
 		Decoder' ./cmd/thistlewalk-rollout -run EndsReplicas
 mutate 'requests go round the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone' 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone' ./cmd/thistlewalk-rollout -run EndsReplicas
 mutate 'a held request is tried elsewhere' internal/forwarding/forwarding.go 'if run.held == nil && (run' 'if (run' ./internal/forwarding
+mutate 'term reads the steady clock' internal/weights/election.go 'return term.until - term.clock.Elapsed()' 'return term.until - steadily.Elapsed()
+}
+
+var steadily = clock.Steady()
+
+func init() {' ./internal/weights
+mutate 'knowledge ages by the steady clock' internal/dissemination/subscriber.go 'if elapsed-subscriber.checkedAt > pauseLimit {
+		return false
+	}' 'if now.Sub(subscriber.checked) > pauseLimit {
+		return false
+	}' ./internal/dissemination
+mutate 'usage is dated by the steady clock' internal/metering/clock.go 'steady: machine.Elapsed()}' 'steady: machine.Elapsed()/2}' ./internal/metering
+mutate "a caller's time by the steady clock" internal/forwarding/forwarding.go 'left := run.end - run.clock.Elapsed()' 'left := run.end - run.clock.Elapsed() + time.Hour' ./internal/forwarding
 exit "$missed"
