Soak: requests that end replicas, series of signals, and callers that keep their connections until these are gone

Cause: the soak had no replica that ends by a request, one signal at a time to a process, and callers with a connection for each call.

--- a/cmd/thistlewalk-lab/soak.go
+++ b/cmd/thistlewalk-lab/soak.go
@@ -38,7 +38,7 @@
 	}
 	broken := 0
 	for index := range command.Int("plans") {
-		plan := soak.Draw(seed+uint64(index), time.Duration(command.Int("seconds"))*time.Second)
+		plan := soak.DrawOverlapping(seed+uint64(index), time.Duration(command.Int("seconds"))*time.Second)
 		folder := filepath.Join(base, fmt.Sprint("soak-", plan.Seed))
 		report, err := soak.Run(ctx, soak.Options{Binary: command.String("binary"), Folder: folder, Plan: plan})
 		if err != nil {
--- a/internal/lab/platform/soak/callers.go
+++ b/internal/lab/platform/soak/callers.go
@@ -24,6 +24,8 @@
 	// written says that the whole request left the caller; broken that no whole answer came back.
 	written bool
 	broken  error
+	// leaves says that the front wants the caller to leave the connection.
+	leaves bool
 }
 
 // ingress picks the front of each call as the platform does: of those that were ready when last asked, else any.
@@ -98,6 +100,11 @@
 
 // call makes one call on a connection of its own.
 func call(ctx context.Context, node *Node, method, target, id, body string, limit time.Duration, headers ...string) answer {
+	return callOn(ctx, &http.Transport{DisableKeepAlives: true, DisableCompression: true}, node, method, target, id, body, limit, headers...)
+}
+
+// callOn makes one call on a connection of a transport.
+func callOn(ctx context.Context, transport *http.Transport, node *Node, method, target, id, body string, limit time.Duration, headers ...string) answer {
 	ctx, cancel := context.WithTimeout(ctx, limit+callMargin)
 	defer cancel()
 	written := atomic.Bool{}
@@ -112,13 +119,13 @@
 	for index := 0; index+1 < len(headers); index += 2 {
 		request.Header.Set(headers[index], headers[index+1])
 	}
-	response, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(request)
+	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return answer{written: written.Load(), broken: err}
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(content), written: true, broken: err}
+	return answer{status: response.StatusCode, header: response.Header, body: string(content), written: true, broken: err, leaves: response.Close}
 }
 
 const callMargin = 600 * time.Millisecond
@@ -143,6 +150,7 @@
 	tenants map[string]string // by identifier
 	served  int
 	failed  int
+	kept    int // on connections that are kept
 }
 
 const (
@@ -162,8 +170,48 @@
 	running.Wait()
 }
 
-// one makes a call and judges its answer.
+const (
+	// keepers is how many callers keep their connection to a front, whether that is ready or not, until it is closed or the front asks them to
+	// leave it; keptInterval is the time between two of their calls.
+	keepers      = 6
+	keptInterval = 60 * time.Millisecond
+)
+
+// keep has callers use the connections that they have until these are gone.
+func (calls *calls) keep(ctx context.Context) {
+	var running sync.WaitGroup
+	for range keepers {
+		running.Go(func() {
+			for ctx.Err() == nil {
+				calls.keepOne(ctx, calls.ingress.pick())
+			}
+		})
+	}
+	running.Wait()
+}
+
+// keepOne makes calls on one connection to a front until it is gone.
+func (calls *calls) keepOne(ctx context.Context, node *Node) {
+	transport := &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	for pause(ctx, keptInterval) {
+		got := calls.oneOn(ctx, node, transport)
+		calls.mu.Lock()
+		calls.kept++
+		calls.mu.Unlock()
+		if got.broken != nil || got.leaves {
+			return
+		}
+	}
+}
+
+// one makes a call on a connection of its own and judges its answer.
 func (calls *calls) one(ctx context.Context) {
+	calls.oneOn(ctx, calls.ingress.pick(), &http.Transport{DisableKeepAlives: true, DisableCompression: true})
+}
+
+// oneOn makes a call and judges its answer.
+func (calls *calls) oneOn(ctx context.Context, node *Node, transport *http.Transport) answer {
 	calls.mu.Lock()
 	calls.next++
 	id := fmt.Sprint("call-", calls.next)
@@ -183,16 +231,16 @@
 		headers = append(headers, "Tenant", tenantOf(calls.next+1))
 	}
 	calls.mu.Unlock()
-	node := calls.ingress.pick()
 	life := node.Life()
 	sent := time.Now()
-	got := call(ctx, node, http.MethodPost, target, id, "body of "+id, callTime, headers...)
+	got := callOn(ctx, transport, node, http.MethodPost, target, id, "body of "+id, callTime, headers...)
 	if ctx.Err() != nil {
-		return
+		return got
 	}
 	calls.count(id, got)
 	calls.judge(id, got)
 	calls.judgeStop(id, node, life, sent, got)
+	return got
 }
 
 func (calls *calls) count(id string, got answer) {
--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -14,11 +14,16 @@
 // injector carries a plan out.
 type injector struct {
 	world *World
+	// endings sends requests under which replicas end.
+	endings *endings
 	// calm is told when faults begin and end.
 	calm *calm
 
-	mu   sync.Mutex
-	busy map[any]bool // nodes and members that have a fault now: a second one of the same target is passed over
+	ctx context.Context
+	mu  sync.Mutex
+	// storeFaulted is when a fault of the store last began or ended.
+	storeFaulted time.Time
+	busy         map[any]bool // nodes and members that have a fault now: a second one of the same target is passed over
 }
 
 func newInjector(world *World, calm *calm) *injector {
@@ -27,6 +32,7 @@
 
 // run carries the events out and returns when the last has ended.
 func (injector *injector) run(ctx context.Context, began time.Time, plan Plan) {
+	injector.ctx = ctx
 	var events sync.WaitGroup
 	for _, event := range plan.Events {
 		if !pause(ctx, time.Until(began.Add(event.At))) {
@@ -86,6 +92,10 @@
 		injector.killMany(event, func(int) bool { return true })
 	case KindReplica, KindReplicaLink, KindReplicaBad, KindDrain:
 		injector.onMember(event, member)
+	case KindSeries:
+		injector.series(event, node)
+	case KindEnding:
+		injector.endings.send(injector.ctx, event)
 	case KindConfigure:
 		world.Configure()
 	case KindCloudDown, KindCloudLost:
@@ -97,6 +107,21 @@
 	}
 }
 
+// noteStore notes that a fault of the store begins or ends now.
+func (injector *injector) noteStore() {
+	injector.mu.Lock()
+	defer injector.mu.Unlock()
+	injector.storeFaulted = time.Now()
+}
+
+// inTouch reports whether a node and the store have had no fault for some time.
+func (injector *injector) inTouch(node *Node) bool {
+	injector.mu.Lock()
+	defer injector.mu.Unlock()
+	now := time.Now()
+	return !injector.busy[node] && !injector.busy[injector.world.Store] && now.Sub(node.Faulted()) > contactTime && now.Sub(injector.storeFaulted) > contactTime
+}
+
 // leader returns the node that gave the last order, or another one if there was none.
 func (injector *injector) leader(other *Node) *Node {
 	orders := injector.world.Executions.Orders()
@@ -141,6 +166,54 @@
 	}
 }
 
+// signalSeries are what a process gets in quick succession, up to its last planned stop.
+var signalSeries = [][]syscall.Signal{
+	{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM},
+	{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP},
+	{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM},
+	{syscall.SIGTERM, syscall.SIGSTOP, syscall.SIGCONT, syscall.SIGTERM},
+}
+
+// seriesGap is the longest time between two signals of a series, and seriesLength how many planned stops follow each other.
+const (
+	seriesGap    = 250 * time.Millisecond
+	seriesLength = 2
+)
+
+// series sends signals to a process in quick succession that stop it as planned, starts it again at once, and does so again.
+func (injector *injector) series(event Event, node *Node) {
+	if !injector.claim(node) {
+		return
+	}
+	defer injector.release(node)
+	node.Fault()
+	defer node.Fault()
+	signals := signalSeries[event.Variant%len(signalSeries)]
+	gap := time.Duration(event.Variant%5) * seriesGap / 5
+	for range seriesLength {
+		for _, signal := range signals {
+			if node.Signal(signal, signal == syscall.SIGTERM) != nil {
+				break
+			}
+			if signal == syscall.SIGTERM {
+				node.stopping.Store(true)
+			}
+			time.Sleep(gap)
+		}
+		if !node.AwaitEnd(graceTime) {
+			node.stopping.Store(false)
+			_ = node.Signal(syscall.SIGKILL, true) // as the platform does after the grace
+			node.AwaitEnd(closeLimit)
+		}
+		_ = node.Start() // a failure shows as a node that never serves
+		node.stopping.Store(false)
+		time.Sleep(startTime)
+	}
+}
+
+// startTime is what a front takes to serve again after its start, with some to spare.
+const startTime = 600 * time.Millisecond
+
 // restart ends a process by a signal and starts it again after a pause.
 func restart(node *Node, signal syscall.Signal, down time.Duration) {
 	if node.Signal(signal, true) != nil {
@@ -234,6 +307,8 @@
 		return
 	}
 	defer injector.release(store)
+	injector.noteStore()
+	defer injector.noteStore()
 	switch event.Kind {
 	case KindStoreDown:
 		store.SetFaults(memstore.Faults{Down: true})
--- a/internal/lab/platform/soak/plan.go
+++ b/internal/lab/platform/soak/plan.go
@@ -36,6 +36,8 @@
 	KindConfigure   Kind = "configure"    // the operator changes the configuration
 	KindCloudDown   Kind = "cloud-down"   // the platform refuses reports of usage
 	KindCloudLost   Kind = "cloud-lost"   // the platform takes reports of usage and does not answer
+	KindSeries      Kind = "series"       // signals to one process in quick succession, of which some stop it as planned, twice in a row
+	KindEnding      Kind = "ending"       // a request comes again and again under which replicas end
 )
 
 // weights is how often each kind is drawn.
@@ -90,6 +92,11 @@
 	longestCloudGap = 8 * time.Second
 	// cloudStream is the stream of chance for these faults. They are drawn apart from the others, whose plans they leave as they were.
 	cloudStream = 0xc10d
+	// seriesStream is that of series of signals and of requests that end replicas.
+	seriesStream = 0x5e71
+	// longestSeriesGap is the longest time between two series, and endingRequests is how many requests that end replicas a plan has.
+	longestSeriesGap = 12 * time.Second
+	endingRequests   = 2
 )
 
 // Draw returns the plan of a seed. Faults follow each other closely enough to overlap.
@@ -107,6 +114,21 @@
 	return plan
 }
 
+// DrawOverlapping returns the plan of a seed with series of signals and requests that end replicas besides, which overlap the other faults.
+func DrawOverlapping(seed uint64, length time.Duration) Plan {
+	plan := Draw(seed, length)
+	random := rand.New(rand.NewPCG(seed, seriesStream))
+	for at := firstFault; at < length; at += longest/2 + time.Duration(random.Int64N(int64(longestSeriesGap))) {
+		plan.Events = append(plan.Events, Event{Kind: KindSeries, At: at, For: min(longest, length-at), Target: random.IntN(targets), Variant: random.IntN(targets)})
+	}
+	for range endingRequests {
+		at := firstFault + time.Duration(random.Int64N(int64(max(1, length/2))))
+		plan.Events = append(plan.Events, Event{Kind: KindEnding, At: at, For: max(0, length-at), Target: random.IntN(targets), Variant: random.IntN(targets)})
+	}
+	slices.SortStableFunc(plan.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
 // drawCloud returns the faults of the platform's calls for reports.
 func drawCloud(seed uint64, length time.Duration) []Event {
 	random := rand.New(rand.NewPCG(seed, cloudStream))
--- a/internal/lab/platform/soak/soak.go
+++ b/internal/lab/platform/soak/soak.go
@@ -32,14 +32,16 @@
 	Orders, Configurations, Windows               int
 	// ComparedWindows are the reported windows that lay wholly in the time of the calls, ExactWindows those whose report was what ran.
 	ComparedWindows, ExactWindows int
-	Took                          time.Duration
+	// EndedReplicas are those that ended under a request, KeptCalls the calls on connections that were kept.
+	EndedReplicas, KeptCalls int
+	Took                     time.Duration
 }
 
 // String returns the report's lines.
 func (report Report) String() string {
-	lines := []string{fmt.Sprintf("seed %d: %d faults in %.0fs; %d calls served, %d not; %d jobs accepted, %d ended, %d results read; %d orders, %d configurations, %d reports of usage; %d violations",
+	lines := []string{fmt.Sprintf("seed %d: %d faults in %.0fs; %d calls served, %d not; %d jobs accepted, %d ended, %d results read; %d orders, %d configurations, %d reports of usage; %d calls on kept connections, %d replicas ended by a request; %d violations",
 		report.Plan.Seed, len(report.Plan.Events), report.Took.Seconds(), report.Served, report.Failed, report.Accepted, report.Ended, report.Items,
-		report.Orders, report.Configurations, report.Windows, len(report.Violations))}
+		report.Orders, report.Configurations, report.Windows, report.KeptCalls, report.EndedReplicas, len(report.Violations))}
 	for _, violation := range report.Violations {
 		lines = append(lines, violation.String())
 	}
@@ -64,6 +66,10 @@
 	ingress    *ingress
 	calls      *calls
 	trainers   *trainers
+	endings    *endings
+	injector   *injector
+	// ended is how many runs ended their replicas.
+	ended int
 }
 
 // Run carries a plan out and returns what it showed. Faults end before the last checks.
@@ -84,6 +90,9 @@
 		calls:    &calls{world: world, ingress: entry, calm: quiet, report: found.add, tenants: make(map[string]string)},
 		trainers: &trainers{world: world, ingress: entry, calm: quiet, report: found.add, version: 1},
 	}
+	run.injector = newInjector(world, quiet)
+	run.endings = &endings{world: world, ingress: entry, report: found.add, inTouch: run.injector.inTouch, sent: make(map[string][]endingCall)}
+	run.injector.endings = run.endings
 	if err := run.start(ctx); err != nil {
 		return nil, err
 	}
@@ -124,7 +133,8 @@
 	parts.Go(func() { run.calls.run(working) })
 	parts.Go(func() { run.trainers.run(working) })
 	parts.Go(func() { (&configurations{world: run.world, calm: run.calm, report: run.violations.add}).run(working) })
-	newInjector(run.world, run.calm).run(working, began, run.options.Plan)
+	parts.Go(func() { run.calls.keep(working) })
+	run.injector.run(working, began, run.options.Plan)
 	<-working.Done()
 	parts.Wait()
 }
@@ -137,6 +147,7 @@
 	}
 	run.finishConfiguration(ctx)
 	run.calls.verify()
+	run.ended = run.endings.verify()
 	run.verifyEnds()
 	run.trainers.verifyTenants()
 	for _, violation := range judgeUsage(run.world.Cloud.Reports()) {
@@ -234,6 +245,7 @@
 		Orders: len(run.world.Executions.Orders()), Configurations: int(run.world.Configured()), Windows: len(run.world.Cloud.Reports()), Took: time.Since(run.violations.began),
 	}
 	report.ComparedWindows, report.ExactWindows = run.compareUsage()
+	report.EndedReplicas, report.KeptCalls = run.ended, run.calls.kept
 	for _, created := range run.trainers.jobs {
 		if !created.accepted.IsZero() {
 			report.Accepted++
--- a/internal/lab/platform/soak/world.go
+++ b/internal/lab/platform/soak/world.go
@@ -148,6 +148,7 @@
 	member.Link = link
 	replica := site.NewReplica(name+"-0", service, model)
 	replica.EventTime, replica.LoadTime, replica.WorkTime, replica.Log = eventTime, loadTime, workTime, world.Executions
+	replica.EndsUnder, replica.EndTime = endingBody, endingTime
 	member.install(replica)
 	world.Members = append(world.Members, member)
 	return nil
@@ -156,6 +157,7 @@
 // install makes an incarnation the present one and registers it.
 func (member *Member) install(replica *site.Replica) {
 	replica.OnChange = func() { member.register(replica) }
+	replica.OnEnd = func(string) { member.end(replica) }
 	member.mu.Lock()
 	member.replica, member.gone = replica, false
 	member.mu.Unlock()
@@ -205,6 +207,25 @@
 	member.Link.Reset()
 }
 
+// end ends an incarnation under a request; its successor begins some time later.
+func (member *Member) end(ended *site.Replica) {
+	member.mu.Lock()
+	present := member.replica == ended && !member.gone
+	member.mu.Unlock()
+	if !present {
+		return
+	}
+	member.Crash()
+	time.AfterFunc(endedTime, func() {
+		member.mu.Lock()
+		returned := member.replica != ended // after another fault
+		member.mu.Unlock()
+		if !returned {
+			member.Return()
+		}
+	})
+}
+
 // Return starts a new incarnation in place of one that crashed or drained.
 func (member *Member) Return() {
 	member.mu.Lock()
