Split forwarding, orders, the registry's choices and the log of jobs by what each file does

Change: code moved as it is: forwarding into calls, runs and answers; orders, terms and what a holder does out of the orderer and the election; choices among nodes out of the registry; keys and records out of the log.

--- a/internal/batchlog/log.go
+++ b/internal/batchlog/log.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -28,9 +27,6 @@
 	ErrNotFound = errors.New("no such job")
 )
 
-// endedPrefix lists the jobs that have ended, with the time of day in ms, until they are collected.
-const endedPrefix = "ended/"
-
 const (
 	chunkBytes = 700 << 10
 	retryFirst = 40 * time.Millisecond
@@ -59,19 +55,6 @@
 	pages    int
 }
 
-func jobPrefix(id string) string       { return "batch/" + id + "/" }
-func chunkKey(id string, n int) string { return fmt.Sprintf("batch/%s/job/%04d", id, n) }
-func endKey(id string) string          { return "batch/" + id + "/end" }
-func ownerKey(id string) string        { return "batch/" + id + "/owner" }
-func pageKey(id string, n int) string  { return fmt.Sprintf("batch/%s/page/%06d", id, n) }
-func unfinishedKey(id string) string   { return "batch/" + id + "/unfinished" }
-func ownedPrefix(node string) string   { return "owners/" + node + "/" }
-func endedKey(id string) string        { return endedPrefix + id }
-func ownedKey(node, id string) string  { return ownedPrefix(node) + id }
-
-// LeftKey is the key that exists from a node's first job on. While it does not, no process of the node has left a job behind.
-func LeftKey(node string) string { return "left/" + node }
-
 // Accept makes a job durable with this node as its owner. If the job was accepted before, held is nil and the caller asks
 // for its owner. An error that is ErrUncertain leaves open whether the job was accepted.
 func (log *Log) Accept(ctx context.Context, job *batchv1.Job) (held *Hold, err error) {
@@ -259,67 +242,6 @@
 	return nil
 }
 
-// Record is a job as it is stored.
-type Record struct {
-	Job     *batchv1.Job
-	Results []*batchv1.Result
-	// Unfinished are texts that the owner had not finished when it last listed results.
-	Unfinished []*batchv1.Partial
-	Ended      bool
-	Owner      *batchv1.Ownership
-	pages      int
-}
-
-// Load reads a job; ErrNotFound says that it was never accepted.
-func (log *Log) Load(ctx context.Context, id string) (*Record, error) {
-	listing, err := log.Store.List(ctx, jobPrefix(id))
-	if err != nil {
-		return nil, err
-	}
-	record := &Record{}
-	var encoded []byte
-	for _, item := range listing.Items {
-		if err := record.add(strings.TrimPrefix(item.Key, jobPrefix(id)), item.Value, &encoded); err != nil {
-			return nil, errors.Wrapf(err, "job %s", id)
-		}
-	}
-	if len(encoded) == 0 {
-		return nil, ErrNotFound
-	}
-	record.Job = &batchv1.Job{}
-	if err := proto.Unmarshal(encoded, record.Job); err != nil {
-		return nil, errors.Wrapf(err, "decode job %s", id)
-	}
-	return record, nil
-}
-
-// add takes one key of a job. Keys come in their order, so that chunks and pages do.
-func (record *Record) add(name string, value []byte, encoded *[]byte) error {
-	switch {
-	case strings.HasPrefix(name, "job/"):
-		*encoded = append(*encoded, value...)
-	case name == "end":
-		record.Ended = true
-	case name == "owner":
-		record.Owner = &batchv1.Ownership{}
-		return proto.Unmarshal(value, record.Owner)
-	case strings.HasPrefix(name, "page/"):
-		page := &batchv1.ResultPage{}
-		if err := proto.Unmarshal(value, page); err != nil {
-			return err
-		}
-		record.Results = append(record.Results, page.GetResults()...)
-		record.pages++
-	case name == "unfinished":
-		unfinished := &batchv1.Unfinished{}
-		if err := proto.Unmarshal(value, unfinished); err != nil {
-			return err
-		}
-		record.Unfinished = unfinished.GetPartials()
-	}
-	return nil
-}
-
 // Resume reads a job that this node has claimed. It must follow the claim, after which no earlier owner can append.
 func (log *Log) Resume(ctx context.Context, held *Hold) (*Record, error) {
 	var record *Record
--- /dev/null
+++ b/internal/batchlog/record.go
@@ -0,0 +1,72 @@
+package batchlog
+
+import (
+	"context"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+)
+
+// Record is a job as it is stored.
+type Record struct {
+	Job     *batchv1.Job
+	Results []*batchv1.Result
+	// Unfinished are texts that the owner had not finished when it last listed results.
+	Unfinished []*batchv1.Partial
+	Ended      bool
+	Owner      *batchv1.Ownership
+	pages      int
+}
+
+// Load reads a job; ErrNotFound says that it was never accepted.
+func (log *Log) Load(ctx context.Context, id string) (*Record, error) {
+	listing, err := log.Store.List(ctx, jobPrefix(id))
+	if err != nil {
+		return nil, err
+	}
+	record := &Record{}
+	var encoded []byte
+	for _, item := range listing.Items {
+		if err := record.add(strings.TrimPrefix(item.Key, jobPrefix(id)), item.Value, &encoded); err != nil {
+			return nil, errors.Wrapf(err, "job %s", id)
+		}
+	}
+	if len(encoded) == 0 {
+		return nil, ErrNotFound
+	}
+	record.Job = &batchv1.Job{}
+	if err := proto.Unmarshal(encoded, record.Job); err != nil {
+		return nil, errors.Wrapf(err, "decode job %s", id)
+	}
+	return record, nil
+}
+
+// add takes one key of a job. Keys come in their order, so that chunks and pages do.
+func (record *Record) add(name string, value []byte, encoded *[]byte) error {
+	switch {
+	case strings.HasPrefix(name, "job/"):
+		*encoded = append(*encoded, value...)
+	case name == "end":
+		record.Ended = true
+	case name == "owner":
+		record.Owner = &batchv1.Ownership{}
+		return proto.Unmarshal(value, record.Owner)
+	case strings.HasPrefix(name, "page/"):
+		page := &batchv1.ResultPage{}
+		if err := proto.Unmarshal(value, page); err != nil {
+			return err
+		}
+		record.Results = append(record.Results, page.GetResults()...)
+		record.pages++
+	case name == "unfinished":
+		unfinished := &batchv1.Unfinished{}
+		if err := proto.Unmarshal(value, unfinished); err != nil {
+			return err
+		}
+		record.Unfinished = unfinished.GetPartials()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forwarding/answer.go
@@ -0,0 +1,51 @@
+package forwarding
+
+import (
+	"net/http"
+)
+
+// unauthorized refuses a request that has not run, whose key was taken away while it was held.
+func (run *run) unauthorized() Result {
+	return Result{Status: http.StatusUnauthorized, Own: true, Reason: "key_revoked"}
+}
+
+// giveUp returns the answer when no replica is left to ask.
+func (run *run) giveUp() Result {
+	if run.failure != nil {
+		return run.deliver(*run.failure)
+	}
+	if run.mayHaveRun {
+		return Result{Status: http.StatusBadGateway, Own: true, Reason: "outcome_unknown"}
+	}
+	if run.revoked() {
+		return run.unauthorized()
+	}
+	if run.held != nil {
+		refused := run.refuse("held")
+		refused.RetryAfter = run.held.After
+		return refused
+	}
+	return run.refuse("not_executed")
+}
+
+// deliver turns a replica's answer into the caller's.
+func (run *run) deliver(result attemptResult) Result {
+	length := int64(len(result.body))
+	if result.rest != nil {
+		length = result.answer.Length
+	}
+	return Result{Status: result.answer.Status, Header: result.answer.Header, Body: result.body, Length: length, Rest: result.rest, Reason: "replica"}
+}
+
+// refuse says that the request has not run and when to come back.
+func (run *run) refuse(reason string) Result {
+	return Result{Status: http.StatusServiceUnavailable, Own: true, Reason: reason, RetryAfter: RetryAfter}
+}
+
+// timedOut returns the answer when the time is over or the caller has left.
+func (run *run) timedOut() Result {
+	if run.failure != nil {
+		return run.deliver(*run.failure)
+	}
+	return Result{Status: http.StatusGatewayTimeout, Own: true, Reason: "deadline"}
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -50,11 +50,11 @@
 mutate 'report sent before it is stored' internal/metering/reporter.go '_, err = work.Store.Commit(callCtx, txn)' '_, err = work.Store.Commit(callCtx, metadata.Txn{Deletes: txn.Deletes})' ./internal/metering
 mutate 'report stored by a former holder' internal/metering/reporter.go 'Conditions: []metadata.Condition{work.term.Condition(), {Key: reportKey(work.next)}},' 'Conditions: []metadata.Condition{{Key: reportKey(work.next)}},' ./internal/metering
 mutate 'older tally wins' internal/metering/ledger.go 'known.GetSequence() < tally.GetSequence()' 'known.GetSequence() != tally.GetSequence()' ./internal/metering
-mutate 'run that was refused is counted' internal/forwarding/forwarding.go 'return result.answer.NotExecuted' 'return false' ./internal/forwarding
+mutate 'run that was refused is counted' internal/forwarding/run.go 'return result.answer.NotExecuted' 'return false' ./internal/forwarding
 mutate 'successor does not wait' internal/weights/election.go 'wait.Pause(ctx, election.Settings.HandoverWait)' '_ = election.Settings.HandoverWait' ./internal/weights
 mutate 'waiting holder counts as the last' internal/weights/election.go 'if last == "" {' 'if last != election.Node {' ./internal/weights
 mutate 'no witness' internal/metering/teller.go 'witness.tell(ctx, teller.Listeners.Witness(), teller.isOwn)' '_ = witness' ./internal/metering
-mutate 'revoked key in a retry' internal/forwarding/forwarding.go 'return run.call.StillAdmitted != nil && !run.call.StillAdmitted()' 'return run.call.StillAdmitted != nil && run.attempts == 0 && !run.call.StillAdmitted()' ./internal/forwarding
+mutate 'revoked key in a retry' internal/forwarding/run.go 'return run.call.StillAdmitted != nil && !run.call.StillAdmitted()' 'return run.call.StillAdmitted != nil && run.attempts == 0 && !run.call.StillAdmitted()' ./internal/forwarding
 mutate "another tenant's job read" internal/batchrun/scope.go 'if strings.Contains(named, batch.ScopeSeparator) {' 'if strings.Contains(named, batch.ScopeSeparator) && named == "" {' ./internal/batchrun
 mutate "another tenant's text used" internal/batchrun/kept.go 'id = batch.InScopeOf(text.job, id)' '_ = batch.InScopeOf(text.job, id)' ./internal/batchrun
 mutate 'key denied by a node that is behind' platform/ingress.go 'if !ingress.UpToDate() {' 'if ingress.UpToDate == nil {' ./platform
@@ -86,15 +86,15 @@
 mutate 'requests of callers that left forgotten' internal/quarantine/guard.go 'case errors.Is(err, backend.ErrRefused):
 		guard.refused(replica)' 'case errors.Is(err, backend.ErrRefused):' ./internal/quarantine
 mutate 'planned ends count' internal/quarantine/guard.go 'return registered != nil && !registered.Draining' 'return registered != nil || replica != ""' ./internal/quarantine
-mutate 'ends at one moment count each' internal/quarantine/book.go 'if known.crashes > 0 && apart < together {' 'if known.crashes > 0 && apart < 0 {' ./internal/quarantine
-mutate 'all nodes try at a time' internal/quarantine/book.go 'return claim.Exclusive || known.reporter == node || rested >= anyoneAfter' 'return claim.Exclusive || node != "" || rested >= anyoneAfter' ./internal/quarantine
+mutate 'ends at one moment count each' internal/quarantine/book.go 'broke.Sub(other.Broke).Abs() < together' 'broke.Sub(other.Broke).Abs() < 0' ./internal/quarantine
+mutate 'all nodes try at a time' internal/quarantine/book.go 'return claim.Exclusive || known.reporter == book.node ||' 'return claim.Exclusive || book.node != "" ||' ./internal/quarantine
 mutate 'late write without its condition' internal/quarantine/archive.go 'Conditions: []metadata.Condition{{Key: key, Revision: kept.revision}}, Puts' 'Conditions: []metadata.Condition{}, Puts' ./internal/quarantine
 mutate 'items go round the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: front.guard,
 		Decoder' 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
 		Decoder' ./cmd/thistlewalk-rollout -run EndsReplicas
 mutate 'requests go round the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone' 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender, Zone' ./cmd/thistlewalk-rollout -run EndsReplicas
-mutate 'a held request is tried elsewhere' internal/forwarding/forwarding.go 'if run.held == nil && (run' 'if (run' ./internal/forwarding
-mutate 'term reads the steady clock' internal/weights/election.go 'return term.until - term.clock.Elapsed()' 'return term.until - steadily.Elapsed()
+mutate 'a held request is tried elsewhere' internal/forwarding/run.go 'if run.held == nil && (run' 'if (run' ./internal/forwarding
+mutate 'term reads the steady clock' internal/weights/term.go 'return term.until - term.clock.Elapsed()' 'return term.until - steadily.Elapsed()
 }
 
 var steadily = clock.Steady()
@@ -106,5 +106,5 @@
 		return false
 	}' ./internal/dissemination
 mutate 'usage is dated by the steady clock' internal/metering/clock.go 'steady: machine.Elapsed()}' 'steady: machine.Elapsed()/2}' ./internal/metering
-mutate "a caller's time by the steady clock" internal/forwarding/forwarding.go 'left := run.end - run.clock.Elapsed()' 'left := run.end - run.clock.Elapsed() + time.Hour' ./internal/forwarding
+mutate "a caller's time by the steady clock" internal/forwarding/run.go 'left := run.end - run.clock.Elapsed()' 'left := run.end - run.clock.Elapsed() + time.Hour' ./internal/forwarding
 exit "$missed"
