--- /dev/null
+++ b/internal/lab/platform/soak/endings_test.go
@@ -0,0 +1,26 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Runs count as late that begin long enough after the third replica has ended, at nodes that count.
+func TestLateRuns(t *testing.T) {
+	begun := time.Now()
+	at := func(offsets ...time.Duration) (times []time.Time) {
+		for _, offset := range offsets {
+			times = append(times, begun.Add(offset))
+		}
+		return times
+	}
+	all := func(time.Time) bool { return true }
+	third := 2 * time.Second
+	bound := third + endingTime + contactTime
+	must.Eq(t, 0, lateRuns(at(0, third), all))
+	must.Eq(t, 0, lateRuns(at(0, time.Second, third, bound), all))
+	must.Eq(t, 2, lateRuns(at(0, time.Second, third, bound+1, bound+2), all))
+	must.Eq(t, 1, lateRuns(at(0, time.Second, third, bound+1, bound+2), func(run time.Time) bool { return run.Equal(begun.Add(bound + 1)) }))
+}
--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -38,6 +38,20 @@
 	}
 }
 
+// The same with series of signals, requests that end replicas and callers that keep their connections, which overlap the other faults.
+func TestSoakOverlapping(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "rollout")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "github.com/thistlewalk/thistlewalk/cmd/thistlewalk-rollout").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	plan := soak.DrawOverlapping(1796245766, 20*time.Second)
+	report, err := soak.Run(t.Context(), soak.Options{Binary: binary, Folder: t.TempDir(), Plan: plan})
+	must.NoError(t, err)
+	t.Log(report)
+	must.SliceEmpty(t, report.Violations, must.Sprint(report, "\n", plan))
+	must.Positive(t, report.KeptCalls)
+	must.GreaterEq(t, 3, report.EndedReplicas, must.Sprint("requests end replicas"))
+}
+
 // While nothing fails, each window's report is what the replicas ran in it.
 func TestUsageIsExact(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "rollout")
