Soak: connections that go silent for good while new ones work

Cause: a link could be held and healed, reset or refused, but not have its open connections fall silent for good. Change: the proxy silences the connections that it has; overlapping plans do so on the link of a node to the store or of all nodes to a replica, for which it counts as harmed for 3 s.

--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -94,6 +94,8 @@
 		injector.onMember(event, member)
 	case KindSeries:
 		injector.series(event, node)
+	case KindSilence:
+		injector.silence(event, node, member)
 	case KindEnding:
 		injector.endings.send(injector.ctx, event)
 	case KindConfigure:
@@ -166,6 +168,27 @@
 	}
 }
 
+// silence has the open connections of one link go silent: that of a node to the store, or those of all nodes to a replica.
+func (injector *injector) silence(event Event, node *Node, member *Member) {
+	if event.Variant%2 == 0 {
+		if !injector.claim(node) {
+			return
+		}
+		defer injector.release(node)
+		node.Fault()
+		defer node.Fault()
+		node.StoreLink.Silence()
+	} else {
+		if !injector.claim(member) {
+			return
+		}
+		defer injector.release(member)
+		defer member.harmLink()()
+		member.Link.Silence()
+	}
+	time.Sleep(event.For)
+}
+
 // signalSeries are what a process gets in quick succession, up to its last planned stop.
 var signalSeries = [][]syscall.Signal{
 	{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM},
--- a/internal/lab/platform/soak/plan.go
+++ b/internal/lab/platform/soak/plan.go
@@ -37,6 +37,7 @@
 	KindCloudDown   Kind = "cloud-down"   // the platform refuses reports of usage
 	KindCloudLost   Kind = "cloud-lost"   // the platform takes reports of usage and does not answer
 	KindSeries      Kind = "series"       // signals to one process in quick succession, of which some stop it as planned, twice in a row
+	KindSilence     Kind = "silence"      // the open connections of a link go silent for good, and new ones work
 	KindEnding      Kind = "ending"       // a request comes again and again under which replicas end
 )
 
@@ -94,6 +95,8 @@
 	cloudStream = 0xc10d
 	// seriesStream is that of series of signals and of requests that end replicas.
 	seriesStream = 0x5e71
+	// silenceTime is how long a link counts as harmed whose connections went silent: until each has been noticed, by a time-out.
+	silenceTime = 3 * time.Second
 	// longestSeriesGap is the longest time between two series, and endingRequests is how many requests that end replicas a plan has.
 	longestSeriesGap = 12 * time.Second
 	endingRequests   = 2
@@ -114,13 +117,17 @@
 	return plan
 }
 
-// DrawOverlapping returns the plan of a seed with series of signals and requests that end replicas besides, which overlap the other faults.
+// DrawOverlapping returns the plan of a seed with series of signals, connections that go silent and requests that end replicas besides, which overlap
+// the other faults.
 func DrawOverlapping(seed uint64, length time.Duration) Plan {
 	plan := Draw(seed, length)
 	random := rand.New(rand.NewPCG(seed, seriesStream))
 	for at := firstFault; at < length; at += longest/2 + time.Duration(random.Int64N(int64(longestSeriesGap))) {
 		plan.Events = append(plan.Events, Event{Kind: KindSeries, At: at, For: min(longest, length-at), Target: random.IntN(targets), Variant: random.IntN(targets)})
 	}
+	for at := firstFault; at < length; at += longest/2 + time.Duration(random.Int64N(int64(longestSeriesGap))) {
+		plan.Events = append(plan.Events, Event{Kind: KindSilence, At: at, For: min(silenceTime, length-at), Target: random.IntN(targets), Variant: random.IntN(targets)})
+	}
 	for range endingRequests {
 		at := firstFault + time.Duration(random.Int64N(int64(max(1, length/2))))
 		plan.Events = append(plan.Events, Event{Kind: KindEnding, At: at, For: max(0, length-at), Target: random.IntN(targets), Variant: random.IntN(targets)})
--- a/internal/lab/platform/soak/proxy.go
+++ b/internal/lab/platform/soak/proxy.go
@@ -30,6 +30,8 @@
 	changed chan struct{} // closed when the state changes
 	conns   map[net.Conn]bool
 	closed  bool
+	// accepted counts the connections, and those up to silenced say nothing any more.
+	accepted, silenced int
 }
 
 const copyBuffer = 16 << 10
@@ -66,6 +68,28 @@
 	}
 }
 
+// Silence has the present connections say nothing any more, for good and without a reset; new ones work.
+func (proxy *Proxy) Silence() {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	proxy.silenced = proxy.accepted
+}
+
+// isSilenced reports whether a connection, by its number, says nothing any more.
+func (proxy *Proxy) isSilenced(number int) bool {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	return number <= proxy.silenced
+}
+
+// number returns the number of a new connection.
+func (proxy *Proxy) number() int {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	proxy.accepted++
+	return proxy.accepted
+}
+
 // Close ends the proxy and its connections.
 func (proxy *Proxy) Close() {
 	proxy.mu.Lock()
@@ -134,19 +158,24 @@
 		return
 	}
 	defer proxy.forget(target)
+	number := proxy.number()
 	var directions sync.WaitGroup
-	directions.Go(func() { proxy.copy(target, caller, func(state LinkState) bool { return state.HoldRequests }) })
-	directions.Go(func() { proxy.copy(caller, target, func(state LinkState) bool { return state.HoldAnswers }) })
+	directions.Go(func() { proxy.copy(number, target, caller, func(state LinkState) bool { return state.HoldRequests }) })
+	directions.Go(func() { proxy.copy(number, caller, target, func(state LinkState) bool { return state.HoldAnswers }) })
 	directions.Wait()
 }
 
-// copy passes one direction on. When its source ends, the target is closed the same way.
-func (proxy *Proxy) copy(target, source net.Conn, held func(LinkState) bool) {
+// copy passes one direction of a connection on. When its source ends, the target is closed the same way, unless the connection is silenced.
+func (proxy *Proxy) copy(number int, target, source net.Conn, held func(LinkState) bool) {
 	buffer := make([]byte, copyBuffer)
 	for {
 		count, err := source.Read(buffer)
 		if count > 0 {
 			proxy.await(held)
+			if proxy.isSilenced(number) {
+				_, _ = io.Copy(io.Discard, source) // until the sender gives it up
+				return
+			}
 			if _, writeErr := target.Write(buffer[:count]); writeErr != nil {
 				resetConn(source)
 				return
@@ -154,7 +183,9 @@
 		}
 		if err != nil {
 			proxy.await(held)
-			endLike(target, err)
+			if !proxy.isSilenced(number) {
+				endLike(target, err)
+			}
 			return
 		}
 	}
