Let a list that was read earlier not lift a quarantine that was just kept

Cause, by reading: a node that has written a record and is then handed a list from before took the record for removed, and forgot the request. Change: only a list or a removal at least as new as the record counts. Before: the test's request is forgotten; after, it is kept; all tests of the package pass.

--- a/internal/quarantine/archive.go
+++ b/internal/quarantine/archive.go
@@ -192,8 +192,8 @@
 	archive.kept[fingerprint] = record
 }
 
-// Reset implements metadata.Handler.
-func (archive *Archive) Reset(items []metadata.Item, _ metadata.Revision) {
+// Reset implements metadata.Handler. A record that this node has just written is newer than a list that was read before.
+func (archive *Archive) Reset(items []metadata.Item, revision metadata.Revision) {
 	stays := make(map[Fingerprint]bool, len(items))
 	for _, item := range items {
 		if fingerprint, err := fingerprintOfKey(item.Key); err == nil {
@@ -202,8 +202,8 @@
 	}
 	archive.mu.Lock()
 	var gone []Fingerprint
-	for fingerprint := range archive.kept {
-		if !stays[fingerprint] {
+	for fingerprint, kept := range archive.kept {
+		if !stays[fingerprint] && kept.revision <= revision {
 			gone = append(gone, fingerprint)
 		}
 	}
@@ -223,7 +223,7 @@
 			archive.put(event.Item)
 			continue
 		}
-		if fingerprint, err := fingerprintOfKey(event.Key); err == nil {
+		if fingerprint, err := fingerprintOfKey(event.Key); err == nil && archive.record(fingerprint).revision <= event.Revision {
 			archive.drop(fingerprint)
 		}
 	}
--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -110,6 +110,8 @@
 	archive.Reset([]metadata.Item{{Key: quarantine.Prefix + "short", Value: value}, {Key: quarantine.Prefix + fingerprintOf("y").String(), Value: []byte{1}}, good}, 5)
 	must.Eq(t, 3, crashesOf(book))
 	must.Eq(t, 1, book.Quarantined())
+	archive.Reset(nil, 3)
+	must.Eq(t, 3, crashesOf(book), must.Sprint("a list that is older than the record"))
 	archive.Reset(nil, 6)
 	must.Eq(t, 0, crashesOf(book))
 }
