--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -112,8 +112,14 @@
 	must.Eq(t, 1, book.Quarantined())
 	archive.Reset(nil, 3)
 	must.Eq(t, 3, crashesOf(book), must.Sprint("a list that is older than the record"))
+	archive.Apply([]metadata.Event{{Item: metadata.Item{Key: good.Key, Revision: 3}, Deleted: true}}, 3)
+	must.Eq(t, 3, crashesOf(book), must.Sprint("a removal that is older than the record"))
 	archive.Reset(nil, 6)
 	must.Eq(t, 0, crashesOf(book))
+	archive.Apply([]metadata.Event{{Item: good}}, 7)
+	must.Eq(t, 3, crashesOf(book))
+	archive.Apply([]metadata.Event{{Item: metadata.Item{Key: good.Key, Revision: 8}, Deleted: true}}, 8)
+	must.Eq(t, 0, crashesOf(book))
 }
 
 // Records are removed when their time is over, and the oldest of too many; what has changed meanwhile stays.
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -54,8 +54,8 @@
 	return &backend.Answer{Status: status, Body: io.NopCloser(body)}
 }
 
-// bench is one guard over a script.
-type bench struct {
+// fixture is one guard over a script.
+type fixture struct {
 	script *scripted
 	guard  *quarantine.Guard
 	table  *catalog.Table
@@ -64,29 +64,29 @@
 
 var asked = catalog.Replica{ID: "r1", Service: service}
 
-func newBench(t *testing.T) *bench {
+func newFixture(t *testing.T) *fixture {
 	script, table := &scripted{}, catalog.NewTable()
-	bench := &bench{script: script, table: table, guard: &quarantine.Guard{
+	fixture := &fixture{script: script, table: table, guard: &quarantine.Guard{
 		Sender: script, Prober: script, Book: quarantine.NewBook("node", time.Now()), Catalog: table, Node: "node", Logger: log.New(io.Discard),
 		IsDeputy: func(quarantine.Fingerprint) bool { return false },
 	}}
-	bench.register(asked)
-	go bench.guard.Run(t.Context())
-	return bench
+	fixture.register(asked)
+	go fixture.guard.Run(t.Context())
+	return fixture
 }
 
 // register replaces the list of replicas.
-func (bench *bench) register(list ...catalog.Replica) {
-	bench.last++
-	bench.table.SetReplicas(list, bench.last)
+func (fixture *fixture) register(list ...catalog.Replica) {
+	fixture.last++
+	fixture.table.SetReplicas(list, fixture.last)
 	synctest.Wait()
 }
 
 var requested = &backend.Request{ID: "q1", Method: http.MethodPost, Target: "/book/1", Body: []byte("x")}
 
 // send sends a request and reads the answer.
-func (bench *bench) send(ctx context.Context) error {
-	answer, err := bench.guard.Send(ctx, &asked, requested)
+func (fixture *fixture) send(ctx context.Context) error {
+	answer, err := fixture.guard.Send(ctx, &asked, requested)
 	if err != nil {
 		return err
 	}
@@ -94,8 +94,8 @@
 	return err
 }
 
-func (bench *bench) crashes() int {
-	return bench.guard.Book.Suspected(quarantine.FingerprintOf(service, requested)).Crashes
+func (fixture *fixture) crashes() int {
+	return fixture.guard.Book.Suspected(quarantine.FingerprintOf(service, requested)).Crashes
 }
 
 // What counts as the end of a replica under a request, and what does not.
@@ -109,90 +109,90 @@
 	leaving.Draining = true
 	for _, check := range []struct {
 		name    string
-		play    func(*testing.T, *bench)
+		play    func(*testing.T, *fixture)
 		crashes int
 	}{
-		{"broken off, and nobody listens", func(t *testing.T, bench *bench) {
-			bench.script.err, bench.script.refuses = errBroken, true
-			_ = bench.send(t.Context())
+		{"broken off, and nobody listens", func(t *testing.T, fixture *fixture) {
+			fixture.script.err, fixture.script.refuses = errBroken, true
+			_ = fixture.send(t.Context())
 		}, 1},
-		{"told of twice", func(t *testing.T, bench *bench) {
-			bench.script.err, bench.script.refuses = errBroken, true
-			_ = bench.send(t.Context())
-			_ = bench.send(t.Context())
+		{"told of twice", func(t *testing.T, fixture *fixture) {
+			fixture.script.err, fixture.script.refuses = errBroken, true
+			_ = fixture.send(t.Context())
+			_ = fixture.send(t.Context())
 		}, 1},
-		{"broken off, and somebody listens", func(t *testing.T, bench *bench) {
-			bench.script.err = errBroken
-			_ = bench.send(t.Context())
+		{"broken off, and somebody listens", func(t *testing.T, fixture *fixture) {
+			fixture.script.err = errBroken
+			_ = fixture.send(t.Context())
 		}, 0},
-		{"broken off, and gone from the list soon after", func(t *testing.T, bench *bench) {
-			bench.script.err = errBroken
-			_ = bench.send(t.Context())
+		{"broken off, and gone from the list soon after", func(t *testing.T, fixture *fixture) {
+			fixture.script.err = errBroken
+			_ = fixture.send(t.Context())
 			time.Sleep(4 * time.Second)
-			bench.register()
+			fixture.register()
 		}, 1},
-		{"broken off, and gone from the list long after", func(t *testing.T, bench *bench) {
-			bench.script.err = errBroken
-			_ = bench.send(t.Context())
+		{"broken off, and gone from the list long after", func(t *testing.T, fixture *fixture) {
+			fixture.script.err = errBroken
+			_ = fixture.send(t.Context())
 			time.Sleep(10 * time.Second)
-			bench.register()
+			fixture.register()
 		}, 0},
-		{"broken off, said to leave, and gone", func(t *testing.T, bench *bench) {
-			bench.script.err = errBroken
-			_ = bench.send(t.Context())
-			bench.register(leaving)
-			bench.register()
+		{"broken off, said to leave, and gone", func(t *testing.T, fixture *fixture) {
+			fixture.script.err = errBroken
+			_ = fixture.send(t.Context())
+			fixture.register(leaving)
+			fixture.register()
 		}, 0},
-		{"broken off by a replica that leaves", func(t *testing.T, bench *bench) {
-			bench.script.err, bench.script.refuses = errBroken, true
-			bench.register(leaving)
-			_ = bench.send(t.Context())
+		{"broken off by a replica that leaves", func(t *testing.T, fixture *fixture) {
+			fixture.script.err, fixture.script.refuses = errBroken, true
+			fixture.register(leaving)
+			_ = fixture.send(t.Context())
 		}, 0},
-		{"broken off by a replica whose entry is gone", func(t *testing.T, bench *bench) {
-			bench.script.err, bench.script.refuses = errBroken, true
-			bench.register()
-			_ = bench.send(t.Context())
+		{"broken off by a replica whose entry is gone", func(t *testing.T, fixture *fixture) {
+			fixture.script.err, fixture.script.refuses = errBroken, true
+			fixture.register()
+			_ = fixture.send(t.Context())
 		}, 0},
-		{"broken off, and answered elsewhere soon after", func(t *testing.T, bench *bench) {
-			bench.script.err, bench.script.refuses = errBroken, true
-			_ = bench.send(t.Context())
-			bench.script.answer, bench.script.err = answerOf(http.StatusOK, strings.NewReader("whole")), nil
-			_ = bench.send(t.Context())
+		{"broken off, and answered elsewhere soon after", func(t *testing.T, fixture *fixture) {
+			fixture.script.err, fixture.script.refuses = errBroken, true
+			_ = fixture.send(t.Context())
+			fixture.script.answer, fixture.script.err = answerOf(http.StatusOK, strings.NewReader("whole")), nil
+			_ = fixture.send(t.Context())
 		}, 0},
-		{"not sent", func(t *testing.T, bench *bench) {
-			bench.script.err, bench.script.refuses = errRefused, true
-			_ = bench.send(t.Context())
+		{"not sent", func(t *testing.T, fixture *fixture) {
+			fixture.script.err, fixture.script.refuses = errRefused, true
+			_ = fixture.send(t.Context())
 		}, 0},
-		{"the caller left, and another request is refused", func(t *testing.T, bench *bench) {
-			bench.script.err, bench.script.refuses = errBroken, true
-			bench.script.hangs = true
-			_ = bench.send(left(time.Second))
-			bench.script.err, bench.script.hangs = errRefused, false
-			_ = bench.send(t.Context())
+		{"the caller left, and another request is refused", func(t *testing.T, fixture *fixture) {
+			fixture.script.err, fixture.script.refuses = errBroken, true
+			fixture.script.hangs = true
+			_ = fixture.send(left(time.Second))
+			fixture.script.err, fixture.script.hangs = errRefused, false
+			_ = fixture.send(t.Context())
 		}, 1},
-		{"the caller left, and nothing else is known", func(t *testing.T, bench *bench) {
-			bench.script.err, bench.script.refuses, bench.script.hangs = errBroken, true, true
-			_ = bench.send(left(time.Second))
+		{"the caller left, and nothing else is known", func(t *testing.T, fixture *fixture) {
+			fixture.script.err, fixture.script.refuses, fixture.script.hangs = errBroken, true, true
+			_ = fixture.send(left(time.Second))
 		}, 0},
-		{"the caller left just before the replica ended", func(t *testing.T, bench *bench) {
-			bench.script.err, bench.script.refuses = errBroken, true
-			_ = bench.send(left(0))
+		{"the caller left just before the replica ended", func(t *testing.T, fixture *fixture) {
+			fixture.script.err, fixture.script.refuses = errBroken, true
+			_ = fixture.send(left(0))
 		}, 1},
-		{"an answer that breaks off", func(t *testing.T, bench *bench) {
-			bench.script.answer, bench.script.refuses = answerOf(http.StatusOK, io.MultiReader(strings.NewReader("ev"), iotest.ErrReader(io.ErrUnexpectedEOF))), true
-			_ = bench.send(t.Context())
+		{"an answer that breaks off", func(t *testing.T, fixture *fixture) {
+			fixture.script.answer, fixture.script.refuses = answerOf(http.StatusOK, io.MultiReader(strings.NewReader("ev"), iotest.ErrReader(io.ErrUnexpectedEOF))), true
+			_ = fixture.send(t.Context())
 		}, 1},
-		{"an answer that comes to its end", func(t *testing.T, bench *bench) {
-			bench.script.answer, bench.script.refuses = answerOf(http.StatusOK, strings.NewReader("whole")), true
-			_ = bench.send(t.Context())
+		{"an answer that comes to its end", func(t *testing.T, fixture *fixture) {
+			fixture.script.answer, fixture.script.refuses = answerOf(http.StatusOK, strings.NewReader("whole")), true
+			_ = fixture.send(t.Context())
 		}, 0},
 	} {
 		t.Run(check.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				bench := newBench(t)
-				check.play(t, bench)
+				fixture := newFixture(t)
+				check.play(t, fixture)
 				time.Sleep(time.Second) // a request that broke off is not looked at before another replica could have answered it
-				must.Eq(t, check.crashes, bench.crashes())
+				must.Eq(t, check.crashes, fixture.crashes())
 			})
 		})
 	}
@@ -214,14 +214,14 @@
 		{"of a job", 30 * time.Millisecond, nil, true, 30 * time.Millisecond},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			bench := newBench(t)
-			bench.script.hangs, bench.script.err = true, errBroken
+			fixture := newFixture(t)
+			fixture.script.hangs, fixture.script.err = true, errBroken
 			ctx, cancel := context.WithCancelCause(t.Context())
 			begun := time.Now()
 			time.AfterFunc(check.left, func() { cancel(check.cause) })
 			request := *requested
 			request.Exclusive = check.exclusive
-			_, err := bench.guard.Send(ctx, &asked, &request)
+			_, err := fixture.guard.Send(ctx, &asked, &request)
 			must.ErrorContains(t, err, "connection")
 			must.Eq(t, check.ended, time.Since(begun), must.Sprint(check.name))
 		})
@@ -244,12 +244,12 @@
 		{"an answer that breaks off", answerOf(http.StatusOK, iotest.ErrReader(io.ErrUnexpectedEOF)), false},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			bench := newBench(t)
+			fixture := newFixture(t)
 			fingerprint := quarantine.FingerprintOf(service, requested)
-			bench.guard.Book.Note(fingerprint, "r0", "other", time.Now(), time.Now())
-			bench.script.answer = check.answer
-			_ = bench.send(t.Context())
-			must.Eq(t, check.cleared, bench.crashes() == 0, must.Sprint(check.name))
+			fixture.guard.Book.Note(fingerprint, "r0", "other", time.Now(), time.Now())
+			fixture.script.answer = check.answer
+			_ = fixture.send(t.Context())
+			must.Eq(t, check.cleared, fixture.crashes() == 0, must.Sprint(check.name))
 		})
 	}
 }
@@ -257,15 +257,15 @@
 // A request that is held counts as not sent, and says when it may come again. Requests of other bodies are sent.
 func TestHeldRequestIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		bench := newBench(t)
+		fixture := newFixture(t)
 		fingerprint := quarantine.FingerprintOf(service, requested)
 		for index, replica := range []string{"r7", "r8"} {
-			bench.guard.Heard(quarantine.Suspicions{Reporter: "other", Crashes: []quarantine.Crash{{
+			fixture.guard.Heard(quarantine.Suspicions{Reporter: "other", Crashes: []quarantine.Crash{{
 				Fingerprint: fingerprint, End: quarantine.End{Replica: replica, Broke: time.Now().Add(time.Duration(index) * time.Second)},
 			}}})
 		}
-		bench.script.answer = answerOf(http.StatusOK, strings.NewReader("whole"))
-		err := bench.send(t.Context())
+		fixture.script.answer = answerOf(http.StatusOK, strings.NewReader("whole"))
+		err := fixture.send(t.Context())
 		must.True(t, errors.Is(err, backend.ErrNotSent))
 		must.True(t, backend.IsHeld(err))
 		var held *backend.HeldError
@@ -273,47 +273,47 @@
 		must.Eq(t, heldFor, held.After)
 		other := *requested
 		other.Body = []byte("y")
-		_, err = bench.guard.Send(t.Context(), &asked, &other)
+		_, err = fixture.guard.Send(t.Context(), &asked, &other)
 		must.NoError(t, err)
-		bench.guard.Heard(quarantine.Suspicions{Reporter: "other", Cleared: []quarantine.Fingerprint{fingerprint}})
-		must.NoError(t, bench.send(t.Context()))
+		fixture.guard.Heard(quarantine.Suspicions{Reporter: "other", Cleared: []quarantine.Fingerprint{fingerprint}})
+		must.NoError(t, fixture.send(t.Context()))
 	})
 }
 
 // A replica that breaks many requests off at a time is asked once.
 func TestReplicaIsProbedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		bench := newBench(t)
-		bench.script.err = errBroken
+		fixture := newFixture(t)
+		fixture.script.err = errBroken
 		for range 20 {
-			go bench.send(t.Context())
+			go fixture.send(t.Context())
 		}
 		synctest.Wait()
-		must.Eq(t, 0, bench.script.probes.Load(), must.Sprint("before another replica could have answered"))
+		must.Eq(t, 0, fixture.script.probes.Load(), must.Sprint("before another replica could have answered"))
 		time.Sleep(time.Second)
-		must.Eq(t, 1, bench.script.probes.Load())
+		must.Eq(t, 1, fixture.script.probes.Load())
 	})
 }
 
 // A request that a second replica breaks off has both asked at once; one that another replica answers has none asked.
 func TestProbesFollowDoubt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		bench := newBench(t)
-		bench.register(asked, catalog.Replica{ID: "r2", Service: service})
-		bench.script.err, bench.script.refuses = errBroken, true
-		_ = bench.send(t.Context())
+		fixture := newFixture(t)
+		fixture.register(asked, catalog.Replica{ID: "r2", Service: service})
+		fixture.script.err, fixture.script.refuses = errBroken, true
+		_ = fixture.send(t.Context())
 		time.Sleep(60 * time.Millisecond)
-		_, _ = bench.guard.Send(t.Context(), &catalog.Replica{ID: "r2", Service: service}, requested)
-		must.Eq(t, 2, bench.script.probes.Load())
-		must.Eq(t, 2, bench.crashes())
+		_, _ = fixture.guard.Send(t.Context(), &catalog.Replica{ID: "r2", Service: service}, requested)
+		must.Eq(t, 2, fixture.script.probes.Load())
+		must.Eq(t, 2, fixture.crashes())
 	})
 	synctest.Test(t, func(t *testing.T) {
-		bench := newBench(t)
-		bench.script.err = errBroken
-		_ = bench.send(t.Context())
-		bench.script.answer, bench.script.err = answerOf(http.StatusOK, strings.NewReader("whole")), nil
-		must.NoError(t, bench.send(t.Context()))
+		fixture := newFixture(t)
+		fixture.script.err = errBroken
+		_ = fixture.send(t.Context())
+		fixture.script.answer, fixture.script.err = answerOf(http.StatusOK, strings.NewReader("whole")), nil
+		must.NoError(t, fixture.send(t.Context()))
 		time.Sleep(time.Second)
-		must.Eq(t, 0, bench.script.probes.Load())
+		must.Eq(t, 0, fixture.script.probes.Load())
 	})
 }
