Bound a notice so that it fits into a datagram, also with long names of replicas

Cause, by reading: 24 crashes and 24 cleared requests took up to 1.8 KB with names of 14 bytes, and more than the 2,048 bytes that a receiver reads with names of 40: the whole notice would have been lost.

--- a/internal/quarantine/outbox.go
+++ b/internal/quarantine/outbox.go
@@ -14,8 +14,9 @@
 	gatherFor = 5 * time.Millisecond
 	// againAfter is when it is told once more, since a datagram may be lost.
 	againAfter = 250 * time.Millisecond
-	// toldAtOnce bounds the crashes in one datagram, at some 50 bytes each.
-	toldAtOnce = 24
+	// NoticeMost bounds the crashes and the cleared requests in one notice, which has to fit into a datagram of 2,048 bytes: 100 bytes are
+	// left for each crash with the name of its replica, 28 for each cleared request.
+	NoticeMost = 12
 )
 
 // Crash says that a replica ended under a request.
@@ -76,8 +77,8 @@
 func (outbox *outbox) next() (told Notice, more bool) {
 	outbox.mu.Lock()
 	defer outbox.mu.Unlock()
-	crashes := min(toldAtOnce, len(outbox.waiting.Crashes))
-	cleared := min(toldAtOnce, len(outbox.waiting.Cleared))
+	crashes := min(NoticeMost, len(outbox.waiting.Crashes))
+	cleared := min(NoticeMost, len(outbox.waiting.Cleared))
 	told = Notice{Crashes: outbox.waiting.Crashes[:crashes:crashes], Cleared: outbox.waiting.Cleared[:cleared:cleared]}
 	outbox.waiting.Crashes, outbox.waiting.Cleared = outbox.waiting.Crashes[crashes:], outbox.waiting.Cleared[cleared:]
 	return told, len(outbox.waiting.Crashes)+len(outbox.waiting.Cleared) > 0
