Stand-in of the store: read the body of a call for a lease to its end

The stacks of its goroutines show the stand-in in a call for a lease that a silent store held; its body had not been read to its end, and a server sees a caller leave only after that. Change: as for transactions, the whole body is read. The program is not concerned.

--- a/internal/lab/platform/site/store.go
+++ b/internal/lab/platform/site/store.go
@@ -51,7 +51,10 @@
 		body := struct {
 			TTL int64 `json:"ttl_ms"`
 		}{}
-		_ = json.NewDecoder(request.Body).Decode(&body)
+		if !readWhole(request, &body) {
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		}
 		lease, err := server.Store.GrantLease(request.Context(), time.Duration(body.TTL)*time.Millisecond)
 		reply(writer, map[string]int64{"lease": int64(lease), "ttl_ms": body.TTL}, err)
 	case strings.HasPrefix(call, "kv-keep/"):
@@ -63,6 +66,12 @@
 	}
 }
 
+// readWhole decodes a body and reports whether it could. It is read to its end: the server sees a caller leave only then.
+func readWhole(request *http.Request, body any) bool {
+	content, err := io.ReadAll(request.Body)
+	return err == nil && json.Unmarshal(content, body) == nil
+}
+
 func leaseOf(call string) metadata.LeaseID {
 	_, id, _ := strings.Cut(call, "/")
 	number, _ := strconv.ParseInt(id, 10, 64)
@@ -119,8 +128,7 @@
 		} `json:"put"`
 		Remove []string `json:"remove"`
 	}{}
-	content, err := io.ReadAll(request.Body) // to the end, so that the server sees the caller leave
-	if err != nil || json.Unmarshal(content, &body) != nil {
+	if !readWhole(request, &body) {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
