Sight: which build a process runs, and what updates brought in which form

No change of logic. Conclusion: an update that was pushed packed to a node of another build is seen at the publisher.

--- a/cmd/thistlewalk-rollout/main.go
+++ b/cmd/thistlewalk-rollout/main.go
@@ -18,6 +18,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
 
+	"github.com/thistlewalk/thistlewalk/internal/build"
 	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/logging"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
@@ -28,8 +29,9 @@
 func main() {
 	signals := listenForSignals() // before anything else: until then a SIGHUP ends the process
 	command := &cli.Command{
-		Name:  "thistlewalk-rollout",
-		Usage: "thistlewalk on the users' platform",
+		Name:    "thistlewalk-rollout",
+		Usage:   "thistlewalk on the users' platform",
+		Version: build.ID(),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings file", Sources: cli.EnvVars(platform.SettingsVariable)},
 			&cli.IntFlag{Name: "metrics-port", Usage: "port for metrics on the node's address; 0 for none"},
@@ -87,7 +89,8 @@
 		settings := started.settings
 		debug.SetGCPercent(garbageTarget)
 		limitMemory(settings)
-		started.logger.Info("start", "node", settings.Node, "role", settings.Role, "zone", settings.Zone, "life", started.life, "settings", path)
+		started.logger.Info("start", "node", settings.Node, "role", settings.Role, "zone", settings.Zone, "life", started.life, "build", build.ID(), "settings", path)
+		started.metrics.Build(build.ID())
 		if port := command.Int("metrics-port"); port > 0 {
 			if err := started.serveMetrics(port); err != nil {
 				return err
--- a/internal/dissemination/push.go
+++ b/internal/dissemination/push.go
@@ -96,6 +96,7 @@
 			return
 		}
 		publisher.Metrics.Published("ok", time.Since(started))
+		publisher.tellPush(key, request, response)
 		if publisher.told(state, request, response) {
 			break
 		}
@@ -103,6 +104,29 @@
 	failed = false
 }
 
+// tellPush says what a process was sent and what it knows since, as it tells. Updates of single changes have no line: the topics' handlers say
+// what changed, and there may be some hundred in a second.
+func (publisher *Publisher) tellPush(key process, request *clusterv1.PublishRequest, response *clusterv1.PublishResponse) {
+	for _, update := range request.GetUpdates() {
+		if !update.GetWhole() && len(update.GetPacked()) == 0 {
+			continue
+		}
+		publisher.Logger.Info("update pushed", "node", key.node, "life", key.life, "prefix", update.GetPrefix(), "base", update.GetBaseRevision(),
+			"revision", update.GetRevision(), "whole", update.GetWhole(), "packed", len(update.GetPacked()) > 0, "bytes", proto.Size(update),
+			"known", knownOf(response, update.GetPrefix()))
+	}
+}
+
+// knownOf returns the revision of a prefix that a process told; zero for none.
+func knownOf(response *clusterv1.PublishResponse, prefix string) int64 {
+	for _, known := range response.GetKnown() {
+		if known.GetPrefix() == prefix {
+			return known.GetRevision()
+		}
+	}
+	return 0
+}
+
 // begin returns the state of a process and the slots that bound the pushes to it; nil when it is not served any more.
 func (publisher *Publisher) begin(key process) (*receiver, chan struct{}) {
 	publisher.mu.Lock()
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -99,6 +99,7 @@
 		for _, topic := range subscriber.Topics {
 			if topic.Prefix() == update.GetPrefix() {
 				topic.Take(decodeDifference(update))
+				subscriber.tellTaken(packed, update, topic.Revision())
 			}
 		}
 	}
@@ -108,6 +109,17 @@
 	return &clusterv1.PublishResponse{Known: known(subscriber.Topics)}, nil
 }
 
+// tellTaken says what an update brought, as it came and as it was unpacked. Updates of single changes have no line, as at the publisher.
+func (subscriber *Subscriber) tellTaken(packed, update *clusterv1.PrefixUpdate, known metadata.Revision) {
+	isPacked := len(packed.GetPacked()) > 0
+	subscriber.Metrics.UpdateTaken(update.GetPrefix(), update.GetWhole(), isPacked)
+	if !update.GetWhole() && !isPacked {
+		return
+	}
+	subscriber.Logger.Info("update taken", "prefix", update.GetPrefix(), "base", update.GetBaseRevision(), "revision", update.GetRevision(),
+		"whole", update.GetWhole(), "packed", isPacked, "items", len(update.GetItems()), "removals", len(update.GetRemovals()), "known", int64(known))
+}
+
 // Ping tells who answers.
 func (subscriber *Subscriber) Ping(context.Context, *clusterv1.PingRequest) (*clusterv1.PingResponse, error) {
 	return &clusterv1.PingResponse{Name: subscriber.Node, Life: subscriber.Life}, nil
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -25,6 +25,8 @@
 	snapshots *prometheus.CounterVec
 	lost      prometheus.Counter
 	old       prometheus.Counter
+	build     *prometheus.GaugeVec
+	taken     *prometheus.CounterVec
 	told      *prometheus.CounterVec
 	reported  *prometheus.HistogramVec
 	ended     prometheus.Counter
@@ -66,6 +68,8 @@
 	metrics.planned = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "planned_replicas", Help: "Replicas that a model is given, by the node that orders them."}, []string{"model"})
 	metrics.lost = single("relays_lost_total", "Relays that did not relay, so that their nodes were given to others.")
 	metrics.old = single("old_beacons_total", "Beacons that were under way for too long, and counted for nothing.")
+	metrics.build = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "build_info", Help: "The build that this process runs; always 1."}, []string{"build"})
+	metrics.taken = counter("updates_taken_total", "Updates of other nodes by topic, whether they held all of it, and whether they were packed.", "topic", "whole", "packed")
 	metrics.ended = single("replica_ends_under_requests_total", "Requests of this node under which a replica ended, by replica.")
 	metrics.held = single("requests_held_total", "Requests that were not sent to a replica since others had ended under them.")
 	metrics.cleared = single("suspicions_cleared_total", "Requests that a replica answered after others had ended under them.")
@@ -74,7 +78,7 @@
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.store, metrics.orders, metrics.published, metrics.readings, metrics.pushed, metrics.planned, metrics.snapshots, metrics.lost, metrics.old, metrics.told, metrics.reported,
+	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.store, metrics.orders, metrics.published, metrics.readings, metrics.pushed, metrics.planned, metrics.snapshots, metrics.lost, metrics.old, metrics.build, metrics.taken, metrics.told, metrics.reported,
 		metrics.ended, metrics.held, metrics.cleared, metrics.quarantined, metrics.suspensions, lines)
 	return metrics
 }
@@ -133,6 +137,20 @@
 	}
 }
 
+// UpdateTaken counts an update of another node.
+func (metrics *Metrics) UpdateTaken(topic string, whole, packed bool) {
+	if metrics != nil {
+		metrics.taken.WithLabelValues(topic, strconv.FormatBool(whole), strconv.FormatBool(packed)).Inc()
+	}
+}
+
+// Build tells which build this process runs.
+func (metrics *Metrics) Build(id string) {
+	if metrics != nil {
+		metrics.build.WithLabelValues(id).Set(1)
+	}
+}
+
 // Planned tells how many replicas a model is given.
 func (metrics *Metrics) Planned(model string, replicas int) {
 	if metrics != nil {
