Test, failing: nodes of the build in production are served by a publisher of this one

Cause: updates that are packed are passed over by the build in production, which takes them for empty ones.

--- a/internal/dissemination/fleet_test.go
+++ b/internal/dissemination/fleet_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +26,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
+	"github.com/thistlewalk/thistlewalk/internal/lab/former"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 )
@@ -49,6 +52,11 @@
 	takes time.Duration
 	// fanOut bounds the nodes that publishers and relays serve themselves.
 	fanOut int
+	// padding is how many bytes a configuration has beside its version.
+	padding int
+	// production is the build that runs the nodes for which runsFormer holds; nil for none.
+	production *former.Build
+	runsFormer func(index int) bool
 }
 
 type version struct {
@@ -67,6 +75,10 @@
 	publisher  atomic.Pointer[dissemination.Publisher]
 	address    string
 	sent       traffic
+	registry   *cluster.Registry
+	replicas   *metadata.Mirror
+	// former says that the node runs the build in production.
+	former bool
 
 	mu      sync.Mutex
 	version int64 // of the configuration in force
@@ -102,7 +114,7 @@
 }
 
 func (node *node) take(item metadata.Item) {
-	number, _ := strconv.ParseInt(string(item.Value), 10, 64)
+	number, _ := strconv.ParseInt(strings.TrimSpace(string(item.Value)), 10, 64)
 	node.mu.Lock()
 	defer node.mu.Unlock()
 	if number < node.version {
@@ -223,6 +235,9 @@
 		return 0, err
 	}
 	from := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(link.from.address))
+	if to.former {
+		return len(payload), to.hearAsFormer(datagram, from)
+	}
 	if beacon := datagram.GetBeacon(); beacon != nil && to.subscriber != nil {
 		if to.subscriber.Heard(beacon, from) {
 			to.relays.Heard(beacon, from)
@@ -251,6 +266,11 @@
 	if request.ContentLength > largePush {
 		time.Sleep(link.from.fleet.takes)
 	}
+	if link.from.former {
+		if err := sendAsFormer(request); err != nil {
+			return nil, err
+		}
+	}
 	recorder := httptest.NewRecorder()
 	to.handler.ServeHTTP(recorder, request)
 	return recorder.Result(), nil
@@ -326,8 +346,11 @@
 	}
 	created.relays.Start(ctx)
 	subscriber.Assign = created.assign
-	created.subscriber = subscriber
+	created.subscriber, created.registry, created.replicas = subscriber, registry, topics[1].Mirror
 	created.handler = clusterv1.NewNodesServer(subscriber)
+	if fleet.runsFormer != nil && fleet.runsFormer(index) {
+		created.becomeFormer()
+	}
 	fleet.join(created)
 	go health.Run(ctx)
 	go subscriber.Run(ctx)
@@ -359,6 +382,9 @@
 		Node: from.name, Life: registry.Life(), Clock: from.fleet.clock, Topics: topics, Registry: registry, Nodes: to, Relay: to != nil, Address: from.address,
 		Datagrams: &cluster.Datagrams{Conn: link{from: from}}, Health: health, Logger: log.New(io.Discard), FanOut: from.fleet.fanOut,
 	}
+	if from.former {
+		publisher.FanOut = math.MaxInt // it knows no relays
+	}
 	from.publisher.Store(publisher)
 	publisher.Run(ctx)
 }
@@ -367,8 +393,12 @@
 const publisherAt = 9000
 
 // startPublisher begins a process that publishes, as the holder of the lease does.
-func (fleet *fleet) startPublisher() *node {
+func (fleet *fleet) startPublisher() *node { return fleet.beginPublisher(false) }
+
+// beginPublisher begins one that may run the build in production.
+func (fleet *fleet) beginPublisher(former bool) *node {
 	created, registry, store, ctx := fleet.newNode("orderer-9", address(publisherAt))
+	created.former = former
 	health := metadata.NewHealth(store, log.New(io.Discard))
 	topics := []dissemination.Topic{
 		{Mirror: metadata.NewMirror("op/config", created)},
@@ -388,7 +418,7 @@
 	defer fleet.mu.Unlock()
 	number := int64(len(fleet.versions) + 1)
 	fleet.versions = append(fleet.versions, version{number, time.Now()})
-	_, _ = fleet.store.CommitDirectly(metadata.Txn{Puts: []metadata.Put{{Key: "op/config", Value: []byte(fmt.Sprint(number))}}})
+	_, _ = fleet.store.CommitDirectly(metadata.Txn{Puts: []metadata.Put{{Key: "op/config", Value: fmt.Appendf(nil, "%*d", fleet.padding, number)}}})
 }
 
 // due returns the newest version that has to be in force.
