What needs a newer build is sent only to processes that have registered that they read it

Cause: the publisher packs what has more than 1,024 bytes; a build that does not know the field passes over it, loses all replicas and nodes, keeps its configuration, and says that it is up to date. It was also given relays' work, and pushed a topic for ever that it does not follow. A receiver that finds fields which it does not know takes nothing, says so, counts it, knows that it lacks something, and is sent the plain form from then on. A process that tells nothing of a topic does not follow it. Builds without relays are served directly. Weighed: another call for the new form (a refused call at each start for each node, and nothing tells who can relay); asking in the first push (known too late to choose relays). The registration is known before anything is sent. Conclusion: the class is a message that means something else to a receiver that passes over a part of it.

--- a/internal/dissemination/arrange_bench_test.go
+++ b/internal/dissemination/arrange_bench_test.go
@@ -9,13 +9,14 @@
 	"github.com/charmbracelet/log"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/capability"
 )
 
 // fleetOf returns nodes of six zones.
 func fleetOf(count int) []*clusterv1.NodeRecord {
 	nodes := make([]*clusterv1.NodeRecord, count)
 	for index := range nodes {
-		nodes[index] = &clusterv1.NodeRecord{Name: fmt.Sprint("node-", index), Zone: fmt.Sprint("zone-", index%6), Life: 1, Cores: 0.4}
+		nodes[index] = &clusterv1.NodeRecord{Name: fmt.Sprint("node-", index), Zone: fmt.Sprint("zone-", index%6), Life: 1, Cores: 0.4, Capabilities: capability.Own()}
 	}
 	return nodes
 }
--- a/internal/dissemination/fleet_test.go
+++ b/internal/dissemination/fleet_test.go
@@ -23,6 +23,7 @@
 	"pgregory.net/rapid"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/capability"
 	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
@@ -282,13 +283,16 @@
 	return fleet.nodes[address]
 }
 
-func (fleet *fleet) newNode(name string, address string) (*node, *cluster.Registry, nodeStore, context.Context) {
+func (fleet *fleet) newNode(name, address string, former bool) (*node, *cluster.Registry, nodeStore, context.Context) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	fleet.lives++
-	created := &node{fleet: fleet, name: name, address: address, calm: time.Now()}
+	created := &node{fleet: fleet, name: name, address: address, former: former, calm: time.Now()}
 	store := nodeStore{fleet.store, created}
 	record := &clusterv1.NodeRecord{Name: name, Address: address, Zone: "z" + name[len(name)-1:], Role: "front", Life: fleet.lives}
+	if !former {
+		record.Capabilities = capability.Own()
+	}
 	registry := cluster.NewRegistry(record, store, &http.Client{Transport: link{from: created}}, log.New(io.Discard))
 	ctx, stop := context.WithCancel(fleet.ctx)
 	created.stop = stop
@@ -314,7 +318,8 @@
 
 // start begins a process of a node, as the role of fronts does.
 func (fleet *fleet) start(index int, first bool) {
-	created, registry, store, ctx := fleet.newNode(fmt.Sprint("front-", index, "-", index%3), address(index))
+	former := fleet.runsFormer != nil && fleet.runsFormer(index)
+	created, registry, store, ctx := fleet.newNode(fmt.Sprint("front-", index, "-", index%3), address(index), former)
 	logger := log.New(io.Discard)
 	health := metadata.NewHealth(store, logger)
 	topics := []dissemination.Topic{
@@ -348,7 +353,7 @@
 	subscriber.Assign = created.assign
 	created.subscriber, created.registry, created.replicas = subscriber, registry, topics[1].Mirror
 	created.handler = clusterv1.NewNodesServer(subscriber)
-	if fleet.runsFormer != nil && fleet.runsFormer(index) {
+	if former {
 		created.becomeFormer()
 	}
 	fleet.join(created)
@@ -397,8 +402,7 @@
 
 // beginPublisher begins one that may run the build in production.
 func (fleet *fleet) beginPublisher(former bool) *node {
-	created, registry, store, ctx := fleet.newNode("orderer-9", address(publisherAt))
-	created.former = former
+	created, registry, store, ctx := fleet.newNode("orderer-9", address(publisherAt), former)
 	health := metadata.NewHealth(store, log.New(io.Discard))
 	topics := []dissemination.Topic{
 		{Mirror: metadata.NewMirror("op/config", created)},
--- a/internal/dissemination/former_test.go
+++ b/internal/dissemination/former_test.go
@@ -41,7 +41,6 @@
 
 // becomeFormer has a node read what it is sent as the build in production does, and relay nothing.
 func (node *node) becomeFormer() {
-	node.former = true
 	node.subscriber.Assign = nil
 	node.handler = clusterv1.NewNodesServer(formerNodes{node.subscriber, node.fleet.production})
 }
--- a/internal/dissemination/packing.go
+++ b/internal/dissemination/packing.go
@@ -8,9 +8,28 @@
 	"google.golang.org/protobuf/proto"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/capability"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
 
+// form is how an update is sent.
+type form int
+
+const (
+	// plain is read by every build. It costs what packing saves: nine tenths of the bytes of a snapshot.
+	plain form = iota
+	// packed needs a capability.
+	packed
+)
+
+// formFor returns the form in which a process is sent updates.
+func formFor(process capability.Holder) form {
+	if capability.Has(process, clusterv1.Capability_CAPABILITY_PACKED_UPDATES) {
+		return packed
+	}
+	return plain
+}
+
 const (
 	// packAbove is the size in bytes from which on an update is compressed: below, a change of a replica or two, it saves less than a packet.
 	packAbove = 1024
@@ -51,10 +70,29 @@
 	err     error
 }
 
-// unpack returns an update as it was before it was packed.
+// errUnread is the cause when an update holds what this build does not know. Without it, the update would say something else: that there are no
+// items, where a newer build has them in a field of its own.
+var errUnread = errors.New("the update has fields that this build does not know")
+
+// checkRead returns errUnread unless all of an update is read.
+func checkRead(update *clusterv1.PrefixUpdate) error {
+	read := len(update.ProtoReflect().GetUnknown()) == 0
+	for _, item := range update.GetItems() {
+		read = read && len(item.ProtoReflect().GetUnknown()) == 0
+	}
+	for _, removal := range update.GetRemovals() {
+		read = read && len(removal.ProtoReflect().GetUnknown()) == 0
+	}
+	if !read {
+		return errUnread
+	}
+	return nil
+}
+
+// unpack returns an update as it was before it was packed. One that this build can't read whole is an error.
 func (unpacker *unpacker) unpack(update *clusterv1.PrefixUpdate) (*clusterv1.PrefixUpdate, error) {
 	if len(update.GetPacked()) == 0 {
-		return update, nil
+		return update, checkRead(update)
 	}
 	unpacker.once.Do(func() {
 		unpacker.decoder, unpacker.err = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(mostUnpacked))
@@ -70,10 +108,14 @@
 	if err := proto.Unmarshal(plain, content); err != nil {
 		return nil, errors.Wrap(err, "decode an update")
 	}
-	return &clusterv1.PrefixUpdate{
+	unpacked := &clusterv1.PrefixUpdate{
 		Prefix: update.GetPrefix(), Revision: update.GetRevision(), Whole: update.GetWhole(), BaseRevision: update.GetBaseRevision(),
 		Items: content.GetItems(), Removals: content.GetRemovals(),
-	}, nil
+	}
+	if len(update.ProtoReflect().GetUnknown()) > 0 || len(content.ProtoReflect().GetUnknown()) > 0 {
+		return nil, errUnread
+	}
+	return unpacked, checkRead(unpacked)
 }
 
 // updates encodes differences once for all nodes that lack the same. It is safe for concurrent use.
@@ -87,6 +129,7 @@
 type updateKey struct {
 	prefix string
 	base   metadata.Revision
+	form   form
 }
 
 // encodedUpdate is an update with the newest change that it holds.
@@ -98,18 +141,21 @@
 // updatesKept bounds the updates that are kept: nodes lack the same, but for those that begin or were cut off.
 const updatesKept = 32
 
-// of returns what brings a node that has reached a base of a topic to a wanted revision, or a later one.
-func (updates *updates) of(topic Topic, base, wanted metadata.Revision) (*clusterv1.PrefixUpdate, error) {
+// of returns what brings a node that has reached a base of a topic to a wanted revision, or a later one, in a form that it reads.
+func (updates *updates) of(topic Topic, base, wanted metadata.Revision, form form) (*clusterv1.PrefixUpdate, error) {
 	updates.mu.Lock()
 	defer updates.mu.Unlock()
-	key, changedAt := updateKey{topic.Prefix(), base}, topic.ChangedAt()
+	key, changedAt := updateKey{topic.Prefix(), base, form}, topic.ChangedAt()
 	if known, ok := updates.encoded[key]; ok && known.changedAt == changedAt && metadata.Revision(known.update.GetRevision()) >= wanted {
 		return known.update, nil
 	}
 	difference := topic.Difference(base)
-	update, err := updates.packer.pack(encodeDifference(&difference))
-	if err != nil {
-		return nil, err
+	update := encodeDifference(&difference)
+	if form == packed {
+		var err error
+		if update, err = updates.packer.pack(update); err != nil {
+			return nil, err
+		}
 	}
 	if updates.encoded == nil || len(updates.encoded) >= updatesKept {
 		updates.encoded = make(map[updateKey]encodedUpdate)
--- a/internal/dissemination/packing_test.go
+++ b/internal/dissemination/packing_test.go
@@ -52,10 +52,10 @@
 			difference.Removals = append(difference.Removals, metadata.Removal{Key: fmt.Sprint("servers/", removal), Revision: metadata.Revision(removal)})
 		}
 		plain := encodeDifference(&difference)
-		packed, err := packer.pack(plain)
+		small, err := packer.pack(plain)
 		must.NoError(t, err)
-		must.LessEq(t, proto.Size(plain), proto.Size(packed))
-		unpacked, err := unpacker.unpack(packed)
+		must.LessEq(t, proto.Size(plain), proto.Size(small))
+		unpacked, err := unpacker.unpack(small)
 		must.NoError(t, err)
 		must.True(t, proto.Equal(plain, unpacked))
 	})
@@ -72,13 +72,13 @@
 	topic := Topic{Mirror: metadata.NewMirror("servers/", metadata.Handlers{})}
 	topic.Reset(entries(20), 20)
 	var updates updates
-	first, err := updates.of(topic, 0, topic.ChangedAt())
+	first, err := updates.of(topic, 0, topic.ChangedAt(), packed)
 	must.NoError(t, err)
-	again, err := updates.of(topic, 0, topic.ChangedAt())
+	again, err := updates.of(topic, 0, topic.ChangedAt(), packed)
 	must.NoError(t, err)
 	must.True(t, first == again)
 	topic.Apply([]metadata.Event{{Item: metadata.Item{Key: "servers/new", Revision: 21}}}, 21)
-	later, err := updates.of(topic, 0, topic.ChangedAt())
+	later, err := updates.of(topic, 0, topic.ChangedAt(), packed)
 	must.NoError(t, err)
 	must.Eq(t, 21, later.GetRevision())
 }
--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/capability"
 	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
@@ -226,10 +227,7 @@
 
 // rearrange must be called with mu held.
 func (publisher *Publisher) rearrange(nodes []*clusterv1.NodeRecord, now time.Time) {
-	arranged := arrange(nodes, publisher.FanOut, func(node *clusterv1.NodeRecord) bool {
-		_, alone := publisher.alone[processOf(node)]
-		return alone
-	})
+	arranged := arrange(nodes, publisher.FanOut, publisher.isAlone)
 	receivers := make(map[process]*receiver, len(arranged.direct))
 	for _, node := range arranged.direct {
 		key := processOf(node)
@@ -244,6 +242,13 @@
 	publisher.arranged, publisher.arrangedFor, publisher.outdated = arranged, nodes, false
 }
 
+// isAlone reports whether a node is served directly and relays nothing: one that was found not to, or of a build that knows no relays. Such a build
+// also takes the sender of a beacon for the publisher, which it tells of its jobs. It must be called with mu held.
+func (publisher *Publisher) isAlone(node *clusterv1.NodeRecord) bool {
+	_, alone := publisher.alone[processOf(node)]
+	return alone || !capability.Has(node, clusterv1.Capability_CAPABILITY_RELAYS)
+}
+
 // assign has the relays be told of their nodes. It must be called with mu held.
 func (publisher *Publisher) assign(groups []group, now time.Time) {
 	served := make(map[process][]*clusterv1.NodeRecord, len(groups))
--- a/internal/dissemination/push.go
+++ b/internal/dissemination/push.go
@@ -58,7 +58,7 @@
 		return true
 	}
 	for _, topic := range publisher.Topics {
-		if state.known[topic.Prefix()] < publisher.wanted(topic) && now.Sub(state.pushed) >= topic.Pace {
+		if state.lacks(topic, publisher.wanted(topic)) && now.Sub(state.pushed) >= topic.Pace {
 			return true
 		}
 	}
@@ -141,27 +141,21 @@
 // next returns the request that a process is sent next, and how long the call may take.
 func (publisher *Publisher) next(state *receiver) (*clusterv1.PublishRequest, time.Duration, error) {
 	publisher.mu.Lock()
-	known, assignment := state.known, state.relay.wanted
-	wanted := make(map[string]metadata.Revision, len(publisher.Topics))
-	for _, topic := range publisher.Topics {
-		wanted[topic.Prefix()] = publisher.wanted(topic)
-	}
+	lacking, form, assignment := publisher.lacking(state), state.form(), state.relay.wanted
 	if !state.relay.unsent() {
 		assignment = nil
 	}
+	asked := state.known != nil
 	publisher.mu.Unlock()
 	request := &clusterv1.PublishRequest{}
-	if known == nil {
+	if !asked {
 		return request, publishLimit, nil
 	}
 	request.Assignment = assignment
 	limit := publishLimit
-	for _, topic := range publisher.Topics {
-		base := known[topic.Prefix()]
-		if base >= wanted[topic.Prefix()] {
-			continue
-		}
-		update, err := publisher.updates.of(topic, base, wanted[topic.Prefix()])
+	for _, lack := range lacking {
+		topic := lack.topic
+		update, err := publisher.updates.of(topic, lack.base, lack.wanted, form)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -174,6 +168,23 @@
 	return request, limit, nil
 }
 
+// lack is a topic of which a process has reached a base, and is to reach a wanted revision.
+type lack struct {
+	topic        Topic
+	base, wanted metadata.Revision
+}
+
+// lacking returns what a process lacks. It must be called with mu held.
+func (publisher *Publisher) lacking(state *receiver) []lack {
+	var list []lack
+	for _, topic := range publisher.Topics {
+		if wanted := publisher.wanted(topic); state.lacks(topic, wanted) {
+			list = append(list, lack{topic, state.known[topic.Prefix()], wanted})
+		}
+	}
+	return list
+}
+
 // told notes what a process has after a request, and reports whether that is all.
 func (publisher *Publisher) told(state *receiver, request *clusterv1.PublishRequest, response *clusterv1.PublishResponse) (all bool) {
 	publisher.mu.Lock()
@@ -185,12 +196,11 @@
 	if assignment := request.GetAssignment(); assignment != nil {
 		state.relay.sent = assignment.GetNumber()
 	}
-	for _, topic := range publisher.Topics {
-		if state.known[topic.Prefix()] < publisher.wanted(topic) {
-			return false
-		}
+	if unread := response.GetUnread(); len(unread) > 0 && !state.unread {
+		state.unread = true
+		publisher.Logger.Warn("update not read by its receiver", "node", state.record.GetName(), "life", state.record.GetLife(), "prefixes", unread)
 	}
-	return !state.relay.unsent()
+	return len(publisher.lacking(state)) == 0 && !state.relay.unsent()
 }
 
 // finish ends a push. When a relay was not reached, its nodes are to have another at once.
--- a/internal/dissemination/receiver.go
+++ b/internal/dissemination/receiver.go
@@ -20,14 +20,30 @@
 // receiver is what the publisher knows of a process that it serves itself.
 type receiver struct {
 	record *clusterv1.NodeRecord
-	// known is the revision that the process has of each topic's prefix, as it told; nil before it has.
-	known   map[string]metadata.Revision
+	// known is the revision that the process has of the prefix of each topic that it follows, as it told; nil before it has.
+	known map[string]metadata.Revision
+	// unread says that the process could not read an update in the form that it has registered: it is sent plain ones from then on.
+	unread  bool
 	pushing bool
 	failed  bool // whether the last push did
 	pushed  time.Time
 	relay   relayState
 }
 
+// lacks reports whether the process follows a topic and has not reached a revision of it. One of a build that does not have the topic never does.
+func (state *receiver) lacks(topic Topic, wanted metadata.Revision) bool {
+	known, follows := state.known[topic.Prefix()]
+	return follows && known < wanted
+}
+
+// form returns the form in which the process is sent updates.
+func (state *receiver) form() form {
+	if state.unread {
+		return plain
+	}
+	return formFor(state.record)
+}
+
 // relayState is what the publisher knows of a process as a relay.
 type relayState struct {
 	// wanted is what the process is to relay to, sent the number of the assignment that it has taken; zero for none.
--- a/internal/dissemination/snapshot.go
+++ b/internal/dissemination/snapshot.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/capability"
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
@@ -43,7 +44,9 @@
 	if !snapshots.awaitNeighbours(ctx) {
 		return snapshots.Topic.Revision() > 0
 	}
-	neighbours := slices.Clone(snapshots.Registry.Neighbours())
+	neighbours := slices.DeleteFunc(slices.Clone(snapshots.Registry.Neighbours()), func(neighbour *clusterv1.NodeRecord) bool {
+		return !capability.Has(neighbour, clusterv1.Capability_CAPABILITY_SNAPSHOTS)
+	})
 	rand.Shuffle(len(neighbours), func(a, b int) { neighbours[a], neighbours[b] = neighbours[b], neighbours[a] })
 	for _, neighbour := range neighbours[:min(len(neighbours), snapshotTries)] {
 		if ctx.Err() != nil || snapshots.Topic.Revision() > 0 || snapshots.takeFrom(ctx, neighbour) {
@@ -76,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, snapshotLimit)
 	defer cancel()
 	prefix := snapshots.Topic.Prefix()
-	response, err := snapshots.Registry.ClientOf(neighbour).Snapshot(ctx, &clusterv1.SnapshotRequest{Prefix: prefix})
+	response, err := snapshots.Registry.ClientOf(neighbour).Snapshot(ctx, &clusterv1.SnapshotRequest{Prefix: prefix, Capabilities: capability.Own()})
 	if err == nil && response.GetUpdate() == nil {
 		snapshots.Metrics.Snapshot("unknown")
 		return false
@@ -103,7 +106,7 @@
 		if topic.Prefix() != request.GetPrefix() || topic.Revision() == 0 {
 			continue
 		}
-		update, err := subscriber.updates.of(topic, nothingKnown, topic.ChangedAt())
+		update, err := subscriber.updates.of(topic, nothingKnown, topic.ChangedAt(), formFor(request))
 		if err != nil {
 			subscriber.Logger.Error("update not encoded", "prefix", topic.Prefix(), "error", err)
 			return nil, err
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/twitchtv/twirp"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/clock"
@@ -90,23 +89,45 @@
 
 // Publish takes updates, and tells what this node knows then.
 func (subscriber *Subscriber) Publish(_ context.Context, request *clusterv1.PublishRequest) (*clusterv1.PublishResponse, error) {
-	for _, packed := range request.GetUpdates() {
-		update, err := subscriber.unpacker.unpack(packed)
-		if err != nil {
-			subscriber.Logger.Error("update not readable", "prefix", packed.GetPrefix(), "revision", packed.GetRevision(), "error", err)
-			return nil, twirp.InvalidArgumentError("updates", err.Error())
-		}
-		for _, topic := range subscriber.Topics {
-			if topic.Prefix() == update.GetPrefix() {
-				topic.Take(decodeDifference(update))
-				subscriber.tellTaken(packed, update, topic.Revision())
-			}
+	response := &clusterv1.PublishResponse{}
+	for _, update := range request.GetUpdates() {
+		if err := subscriber.take(update); err != nil {
+			response.Unread = append(response.Unread, update.GetPrefix())
 		}
 	}
 	if request.GetAssignment() != nil && subscriber.Assign != nil {
 		subscriber.Assign(request.GetAssignment())
 	}
-	return &clusterv1.PublishResponse{Known: known(subscriber.Topics)}, nil
+	response.Known = known(subscriber.Topics)
+	return response, nil
+}
+
+// take takes an update. One that can't be read changes nothing, and this node knows that it lacks what it was to bring: it denies nothing meanwhile
+// that may have been added, and reads the store itself if nothing better comes.
+func (subscriber *Subscriber) take(packed *clusterv1.PrefixUpdate) error {
+	update, err := subscriber.unpacker.unpack(packed)
+	if err != nil {
+		subscriber.Logger.Error("update not readable", "prefix", packed.GetPrefix(), "revision", packed.GetRevision(), "error", err)
+		subscriber.Metrics.UpdateUnread(packed.GetPrefix())
+		subscriber.noteLack(packed.GetPrefix(), metadata.Revision(packed.GetRevision()))
+		return err
+	}
+	for _, topic := range subscriber.Topics {
+		if topic.Prefix() == update.GetPrefix() {
+			topic.Take(decodeDifference(update))
+			subscriber.tellTaken(packed, update, topic.Revision())
+		}
+	}
+	return nil
+}
+
+// noteLack notes that there is a revision of a prefix which this node has not reached.
+func (subscriber *Subscriber) noteLack(prefix string, revision metadata.Revision) {
+	subscriber.mu.Lock()
+	defer subscriber.mu.Unlock()
+	if _, already := subscriber.behind[prefix]; !already && subscriber.behind != nil {
+		subscriber.behind[prefix] = lag{revision, time.Now()}
+	}
 }
 
 // tellTaken says what an update brought, as it came and as it was unpacked. Updates of single changes have no line, as at the publisher.
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -17,6 +17,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/batchrun"
+	"github.com/thistlewalk/thistlewalk/internal/capability"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
@@ -98,7 +99,7 @@
 	options.Clock = clock.OrSteady(options.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
 	loads := backend.NewLoads()
-	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life, Cores: options.Cores}
+	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Life, Cores: options.Cores, Capabilities: capability.Own()}
 	front := &Front{FrontOptions: options, loads: loads, owners: newOwners(), health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	front.guard, front.archive = front.newGuard()
