Jobs of tenants lie under the identifiers that their callers gave, also for nodes that know no tenants

Cause: jobs of tenants lay under identifiers in a scope of their tenant. While two builds run side by side, nodes of the build in production did not find them, and accepted them a second time when they were submitted again. Change: a job lies under its caller's identifier and says whose it is; nodes know that from the job, its owner's announcement or, once, from the log, and another tenant's is not found. The scope remains for the second of two tenants that use one identifier. Kept texts are found by tenant and item. Weighed: scopes once no process without them is registered; jobs in their scope would be lost when an upgrade is taken back. Conclusion: what two builds have to agree on, as where a job lies, is kept rather than switched.

--- a/internal/batch/scope.go
+++ b/internal/batch/scope.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"strings"
 )
 
 const (
@@ -14,21 +13,12 @@
 	scopeBytes = 10
 )
 
-// ScopedID returns the identifier under which nodes and the store know a job. Jobs of a tenant lie in a scope of its own, so that no call
-// of another tenant can name them; without a tenant it is the caller's identifier.
+// ScopedID returns the identifier under which a tenant's job lies when another tenant's lies under the one that its caller gave.
 func ScopedID(tenant, id string) string {
-	if tenant == "" {
-		return id
-	}
 	digest := sha256.Sum256([]byte(tenant))
 	return hex.EncodeToString(digest[:scopeBytes]) + ScopeSeparator + id
 }
 
-// InScopeOf returns an identifier that is unique only within a job's tenant, such as that of an item, in the scope of the job.
-func InScopeOf(jobID, id string) string {
-	scope, _, scoped := strings.Cut(jobID, ScopeSeparator)
-	if !scoped {
-		return id
-	}
-	return scope + ScopeSeparator + id
-}
+// MayUse reports whether callers of a tenant, empty for none, may use a job of another or the same. A job of none, as those are that were accepted
+// before the deployment had tenants or by a build that knows none, is open to all.
+func MayUse(caller, owner string) bool { return owner == "" || owner == caller }
--- a/internal/batchrun/backup.go
+++ b/internal/batchrun/backup.go
@@ -174,7 +174,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(owned.ctx, backupLimit)
-		_, err := client.Keep(ctx, &batchv1.KeepRequest{JobId: owned.id(), Partials: partials})
+		_, err := client.Keep(ctx, &batchv1.KeepRequest{JobId: owned.id(), Tenant: owned.definition.GetTenant(), Partials: partials})
 		cancel()
 		runner.Logger.Info("texts backed up", "job", owned.id(), "to", name, "count", len(partials), "error", err)
 		if err == nil {
--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -19,7 +19,7 @@
 
 // End ends a job of a tenant, empty for none. It returns once the end is durable.
 func (runner *Runner) End(ctx context.Context, tenant, job string) error {
-	return inScope(tenant, job, func(id string) error { return runner.end(ctx, id) })
+	return runner.inScope(ctx, tenant, job, func(id string) error { return runner.end(ctx, id) })
 }
 
 func (runner *Runner) end(ctx context.Context, id string) error {
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
@@ -13,11 +14,13 @@
 // job is a job that this node runs.
 type job struct {
 	definition *batchv1.Job
-	items      map[string]*batchv1.Item
-	due        time.Time
-	usualWork  float64 // expected output of an item in tokens, on average
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// foreign says that the job was not accepted since another tenant's has its identifier.
+	foreign   atomic.Bool
+	items     map[string]*batchv1.Item
+	due       time.Time
+	usualWork float64 // expected output of an item in tokens, on average
+	ctx       context.Context
+	cancel    context.CancelFunc
 	// accepted is closed once the job is durable, or known to be owned elsewhere.
 	accepted chan struct{}
 	// deferral is what another node does about the job until then.
--- a/internal/batchrun/kept.go
+++ b/internal/batchrun/kept.go
@@ -5,7 +5,6 @@
 	"time"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
-	"github.com/thistlewalk/thistlewalk/internal/batch"
 )
 
 const (
@@ -18,6 +17,7 @@
 // the job up.
 type keptText struct {
 	job       string
+	tenant    string
 	text      []byte
 	lastEvent int64
 	versions  []int64
@@ -27,22 +27,24 @@
 
 // keptItems holds texts by item. It is safe for concurrent use.
 type keptItems struct {
-	mu sync.Mutex
-	// items are in the scope of their job's tenant: another tenant may use the same identifiers.
-	items map[string]*keptText
+	mu    sync.Mutex
+	items map[keptKey]*keptText
 	// ofJob are the items that other nodes had kept here, by job.
-	ofJob map[string]map[string]bool
+	ofJob map[string]map[keptKey]bool
 }
 
+// keptKey names an item: another tenant may use the same identifier.
+type keptKey struct{ tenant, item string }
+
 func newKeptItems() *keptItems {
-	return &keptItems{items: make(map[string]*keptText), ofJob: make(map[string]map[string]bool)}
+	return &keptItems{items: make(map[keptKey]*keptText), ofJob: make(map[string]map[keptKey]bool)}
 }
 
-// keepFor keeps texts of a job for its owner.
-func (kept *keptItems) keepFor(job string, partials []*batchv1.Partial) {
+// keepFor keeps texts of a job of a tenant for its owner.
+func (kept *keptItems) keepFor(job, tenant string, partials []*batchv1.Partial) {
 	now := time.Now()
 	for _, partial := range partials {
-		kept.put(partial.GetItemId(), textOf(job, partial, now))
+		kept.put(partial.GetItemId(), textOf(job, tenant, partial, now))
 	}
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
@@ -50,10 +52,10 @@
 		clear(kept.ofJob)
 	}
 	if kept.ofJob[job] == nil {
-		kept.ofJob[job] = make(map[string]bool, len(partials))
+		kept.ofJob[job] = make(map[keptKey]bool, len(partials))
 	}
 	for _, partial := range partials {
-		kept.ofJob[job][partial.GetItemId()] = true
+		kept.ofJob[job][keptKey{tenant, partial.GetItemId()}] = true
 	}
 }
 
@@ -62,17 +64,17 @@
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
 	var list []*batchv1.Partial
-	for id := range kept.ofJob[job] {
-		if text := kept.items[batch.InScopeOf(job, id)]; text != nil {
-			list = append(list, text.partial(id))
+	for key := range kept.ofJob[job] {
+		if text := kept.items[key]; text != nil {
+			list = append(list, text.partial(key.item))
 		}
 	}
 	return list
 }
 
-func textOf(job string, partial *batchv1.Partial, now time.Time) *keptText {
+func textOf(job, tenant string, partial *batchv1.Partial, now time.Time) *keptText {
 	return &keptText{
-		job: job, text: partial.GetText(), lastEvent: partial.GetLastEvent(), versions: partial.GetVersions(), whole: partial.GetWhole(), at: now,
+		job: job, tenant: tenant, text: partial.GetText(), lastEvent: partial.GetLastEvent(), versions: partial.GetVersions(), whole: partial.GetWhole(), at: now,
 	}
 }
 
@@ -83,13 +85,13 @@
 func (kept *keptItems) put(id string, text *keptText) {
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
-	id = batch.InScopeOf(text.job, id)
-	present := kept.items[id]
+	key := keptKey{text.tenant, id}
+	present := kept.items[key]
 	if present == nil && len(kept.items) >= keptMost {
 		kept.expire(text.at)
 	}
 	if (present != nil && text.supersedes(present)) || (present == nil && len(kept.items) < keptMost) {
-		kept.items[id] = text
+		kept.items[key] = text
 	}
 }
 
@@ -111,20 +113,29 @@
 
 // expire must be called with mu held.
 func (kept *keptItems) expire(now time.Time) {
-	for id, text := range kept.items {
+	for key, text := range kept.items {
 		if now.Sub(text.at) > keptLife {
-			delete(kept.items, id)
+			delete(kept.items, key)
 		}
 	}
 }
 
-// take returns and forgets the text of an item of a job, whichever job of its tenant made it; nil without one.
-func (kept *keptItems) take(job, id string) *keptText {
+// take returns and forgets the text of an item of a job, whichever job of its tenant made it; nil without one. What a node of a build that tells no
+// tenant had kept here counts for its own job only.
+func (kept *keptItems) take(owned *job, id string) *keptText {
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
-	id = batch.InScopeOf(job, id)
-	text := kept.items[id]
-	delete(kept.items, id)
+	key := keptKey{owned.definition.GetTenant(), id}
+	if text := kept.items[key]; text != nil {
+		delete(kept.items, key)
+		return text
+	}
+	key.tenant = ""
+	text := kept.items[key]
+	if text == nil || text.job != owned.id() {
+		return nil
+	}
+	delete(kept.items, key)
 	return text
 }
 
@@ -143,6 +154,6 @@
 // keep remembers what was made of an item whose job ended or left this node, also if it is nothing: the item may be brought back.
 func (runner *Runner) keep(cut *task, whole bool) {
 	runner.kept.put(cut.item.GetId(), &keptText{
-		job: cut.job.id(), text: cut.text, lastEvent: cut.lastEvent, versions: cut.versions, whole: whole, at: time.Now(),
+		job: cut.job.id(), tenant: cut.job.definition.GetTenant(), text: cut.text, lastEvent: cut.lastEvent, versions: cut.versions, whole: whole, at: time.Now(),
 	})
 }
--- a/internal/batchrun/read.go
+++ b/internal/batchrun/read.go
@@ -35,7 +35,7 @@
 // Read returns the results at position from and after of a job of a tenant, empty for none. If there is none it waits for one, up to
 // wait. ErrNotFound says that the tenant has no such job, ErrUnsure that this can't be told now.
 func (runner *Runner) Read(ctx context.Context, tenant, job string, from int, wait time.Duration) (page Page, err error) {
-	err = inScope(tenant, job, func(id string) error {
+	err = runner.inScope(ctx, tenant, job, func(id string) error {
 		page, err = runner.read(ctx, id, from, wait)
 		return err
 	})
@@ -211,6 +211,7 @@
 	case err != nil:
 		return nil, errors.Mark(err, ErrUnsure)
 	}
+	runner.RememberTenant(id, record.Job.GetTenant())
 	if record.Ended {
 		runner.ended.put(&endedJob{id: id, total: len(record.Job.GetItems()), results: record.Results, read: true})
 	}
@@ -219,7 +220,7 @@
 
 // Body returns the body of an item that is not listed yet, of a job of a tenant, empty for none.
 func (runner *Runner) Body(ctx context.Context, tenant, job, itemID string) (body []byte, err error) {
-	err = inScope(tenant, job, func(id string) error {
+	err = runner.inScope(ctx, tenant, job, func(id string) error {
 		body, err = runner.readBody(ctx, id, itemID)
 		return err
 	})
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -103,6 +103,7 @@
 	jobs     map[string]*job
 	ended    *endedCache
 	owners   map[string]string // owner by job, as last seen; a hint only
+	tenants  map[string]string // tenant by job, which never changes
 	kept     *keptItems
 	copies   *copies
 	claiming map[string]bool // jobs that this node is taking up
@@ -122,7 +123,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	runner := &Runner{
 		Options: options, ctx: ctx, cancel: cancel, scoring: make(chan struct{}, scoringInFlight),
-		jobs: make(map[string]*job), ended: newEndedCache(), owners: make(map[string]string), kept: newKeptItems(), copies: newCopies(), claiming: make(map[string]bool),
+		jobs: make(map[string]*job), ended: newEndedCache(), owners: make(map[string]string), tenants: make(map[string]string), kept: newKeptItems(), copies: newCopies(), claiming: make(map[string]bool),
 		sweeps: newSweeps(),
 	}
 	runner.scheduler = newScheduler(runner)
@@ -199,6 +200,9 @@
 	runner.mu.Lock()
 	if runner.jobs[owned.id()] == owned {
 		delete(runner.jobs, owned.id())
+		if owned.isAccepted() {
+			runner.tenants[owned.id()] = owned.definition.GetTenant()
+		}
 		runner.lastJob = time.Now()
 	}
 	runner.mu.Unlock()
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
 )
 
 // Service answers the other nodes. It implements batchv1.Batches.
@@ -25,11 +26,17 @@
 	definition := request.GetJob()
 	started := time.Now()
 	for _, partial := range request.GetPartials() {
-		runner.kept.put(partial.GetItemId(), textOf(definition.GetId(), partial, started))
+		runner.kept.put(partial.GetItemId(), textOf(definition.GetId(), definition.GetTenant(), partial, started))
+	}
+	if err := runner.checkTenant(definition); err != nil {
+		return nil, twirp.WrapError(twirp.NewError(twirp.AlreadyExists, "not accepted"), err)
 	}
 	owned := newJob(runner.ctx, definition, runner.objectiveOf(definition))
 	if other := runner.addUnlessKnown(owned); other != nil {
 		owned.cancel()
+		if !batch.MayUse(definition.GetTenant(), other.definition.GetTenant()) {
+			return nil, twirp.WrapError(twirp.NewError(twirp.AlreadyExists, "not accepted"), errForeign)
+		}
 		other.deferral.takeBack()
 		return other.awaitAccepted(ctx)
 	}
@@ -108,7 +115,7 @@
 
 // Keep keeps texts for the owner of a job.
 func (service Service) Keep(_ context.Context, request *batchv1.KeepRequest) (*batchv1.KeepResponse, error) {
-	service.Runner.kept.keepFor(request.GetJobId(), request.GetPartials())
+	service.Runner.kept.keepFor(request.GetJobId(), request.GetTenant(), request.GetPartials())
 	return &batchv1.KeepResponse{}, nil
 }
 
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
@@ -32,6 +34,21 @@
 // Submit makes a job durable and runs it, here or at the node that owns it already. It returns once the job is accepted;
 // an error other than ErrStopping leaves open whether the job will run.
 func (runner *Runner) Submit(ctx context.Context, definition *batchv1.Job, route *catalog.Route) error {
+	err := runner.submit(ctx, definition, route)
+	if !errors.Is(err, errForeign) {
+		return err
+	}
+	scoped := proto.CloneOf(definition)
+	scoped.Id = batch.ScopedID(definition.GetTenant(), definition.GetId())
+	runner.Logger.Info("job scoped", "job", scoped.GetId(), "tenant", scoped.GetTenant())
+	return runner.submit(ctx, scoped, route)
+}
+
+// submit returns errForeign, and accepts nothing, where another tenant's job has the identifier.
+func (runner *Runner) submit(ctx context.Context, definition *batchv1.Job, route *catalog.Route) error {
+	if err := runner.checkTenant(definition); err != nil {
+		return err
+	}
 	if runner.knownElsewhere(ctx, definition.GetId()) {
 		return nil
 	}
@@ -51,10 +68,16 @@
 	if owned == nil {
 		return runner.relay(ctx, &batchv1.SubmitRequest{Job: definition})
 	}
+	if !batch.MayUse(definition.GetTenant(), owned.definition.GetTenant()) {
+		return errForeign // another tenant's is being accepted here at this moment
+	}
 	select {
 	case <-owned.accepted:
 		return nil
 	case <-owned.ctx.Done():
+		if owned.foreign.Load() {
+			return errForeign
+		}
 		return ErrUnsure
 	case <-ctx.Done():
 		return ErrUnsure
@@ -168,6 +191,10 @@
 			runner.settleAccept(owned, held, started, tries)
 			return
 		}
+		if errors.Is(err, errForeign) {
+			owned.foreign.Store(true)
+			break
+		}
 		if tries == 1 {
 			runner.Logger.Warn("acceptance delayed", "job", owned.id(), "error", err)
 		}
@@ -177,7 +204,7 @@
 		}
 		wait.Pause(ctx, acceptPause)
 	}
-	runner.Logger.Warn("acceptance given up", "job", owned.id(), "took_ms", time.Since(started).Milliseconds())
+	runner.Logger.Warn("acceptance given up", "job", owned.id(), "took_ms", time.Since(started).Milliseconds(), "foreign", owned.foreign.Load())
 	runner.remove(owned)
 }
 
@@ -229,6 +256,9 @@
 	if held != nil {
 		return held, true, nil
 	}
+	if err := runner.checkAccepted(ctx, owned.definition); err != nil {
+		return nil, false, err
+	}
 	owner, _, err := runner.Log.Owner(ctx, owned.id())
 	switch {
 	case errors.Is(err, batchlog.ErrNotOwner):
@@ -293,7 +323,7 @@
 		}
 		created := &task{job: owned, item: item}
 		owned.tasks[item.GetId()] = created
-		if kept := runner.kept.take(owned.id(), item.GetId()); kept != nil && created.useKept(kept) {
+		if kept := runner.kept.take(owned, item.GetId()); kept != nil && created.useKept(kept) {
 			whole = append(whole, created)
 			continue
 		}
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -71,7 +71,7 @@
 	}
 	now := time.Now()
 	for _, partial := range slices.Concat(record.Unfinished, runner.fetchKept(ctx, id), partials) {
-		runner.kept.put(partial.GetItemId(), textOf(id, partial, now))
+		runner.kept.put(partial.GetItemId(), textOf(id, record.Job.GetTenant(), partial, now))
 	}
 	runner.Metrics.Job("taken_over")
 	runner.resume(held, record)
@@ -199,7 +199,7 @@
 		name = runner.Peers.Alternate(owned.definition.GetModel())
 	}
 	kept := len(partials) > 0 && runner.callPeer(ctx, name, handOverLimit, func(ctx context.Context, client batchv1.Batches) (bool, error) {
-		_, err := client.Keep(ctx, &batchv1.KeepRequest{JobId: owned.id(), Partials: partials})
+		_, err := client.Keep(ctx, &batchv1.KeepRequest{JobId: owned.id(), Tenant: owned.definition.GetTenant(), Partials: partials})
 		return err == nil, err
 	})
 	runner.Logger.Info("job passed on", "job", owned.id(), "to", name, "partials", len(partials), "kept", kept)
@@ -231,7 +231,7 @@
 	if !taken {
 		runner.Logger.Warn("job not handed over", "job", owned.id())
 		for _, partial := range request.GetPartials() {
-			runner.kept.put(partial.GetItemId(), textOf(owned.id(), partial, time.Now()))
+			runner.kept.put(partial.GetItemId(), textOf(owned.id(), owned.definition.GetTenant(), partial, time.Now()))
 		}
 	}
 	runner.remove(owned)
@@ -242,7 +242,7 @@
 func (runner *Runner) partials(owned *job) []*batchv1.Partial {
 	list := owned.unlisted()
 	for _, item := range owned.definition.GetItems() {
-		kept := runner.kept.take(owned.id(), item.GetId())
+		kept := runner.kept.take(owned, item.GetId())
 		if kept == nil || kept.lastEvent == 0 {
 			continue
 		}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -188,6 +188,9 @@
 // heardOwner takes another node's announcement of a job.
 func (front *Front) heardOwner(owner *clusterv1.JobOwner) {
 	front.owners.note(owner.GetNode(), time.Now())
+	if owner.Tenant != nil {
+		front.Runner.RememberTenant(owner.GetJobId(), owner.GetTenant())
+	}
 	front.Runner.RememberOwner(owner.GetJobId(), owner.GetNode())
 }
 
--- a/internal/role/peers.go
+++ b/internal/role/peers.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/batch"
@@ -39,7 +41,7 @@
 // AnnounceJob implements batchrun.Peers.
 func (peers peers) AnnounceJob(job *batchv1.Job) {
 	front := peers.front
-	owner := &clusterv1.JobOwner{JobId: job.GetId(), Node: front.Node}
+	owner := &clusterv1.JobOwner{JobId: job.GetId(), Node: front.Node, Tenant: proto.String(job.GetTenant())}
 	front.datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_JobOwner{JobOwner: owner}}, front.Registry.Others())
 }
 
