Soak of two builds: the real programs of production and of the sources, side by side, forth, back and halted

Cause: nothing tested two builds. Change: internal/lab/production builds the commit that deploy/system.toml names from the history; drawn plans begin on it and have machines start again on either build beside the other faults, without tenants and reports of use, which the build in production does not know.

--- a/cmd/thistlewalk-lab/soak.go
+++ b/cmd/thistlewalk-lab/soak.go
@@ -18,6 +18,7 @@
 		Usage: "run the real programs as processes over stand-ins of the users' platform, with drawn faults, and check the promises",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "binary", Required: true, Usage: "the built thistlewalk-rollout"},
+			&cli.StringFlag{Name: "production", Usage: "the program that runs in production: machines start again on the one or the other in each plan"},
 			&cli.IntFlag{Name: "seconds", Value: 60, Usage: "length of a plan of faults"},
 			&cli.IntFlag{Name: "seed", Usage: "seed of the first plan; 0 takes the time"},
 			&cli.IntFlag{Name: "plans", Value: 1, Usage: "how many plans, with seeds that follow each other"},
@@ -38,9 +39,13 @@
 	}
 	broken := 0
 	for index := range command.Int("plans") {
-		plan := soak.DrawOverlapping(seed+uint64(index), time.Duration(command.Int("seconds"))*time.Second)
+		length, draw := time.Duration(command.Int("seconds"))*time.Second, soak.DrawOverlapping
+		if command.String("production") != "" {
+			draw = soak.DrawMixed
+		}
+		plan := draw(seed+uint64(index), length)
 		folder := filepath.Join(base, fmt.Sprint("soak-", plan.Seed))
-		report, err := soak.Run(ctx, soak.Options{Binary: command.String("binary"), Folder: folder, Plan: plan})
+		report, err := soak.Run(ctx, soak.Options{Binary: command.String("binary"), Production: command.String("production"), Folder: folder, Plan: plan})
 		if err != nil {
 			return err
 		}
--- a/internal/lab/platform/soak/callers.go
+++ b/internal/lab/platform/soak/callers.go
@@ -293,6 +293,9 @@
 		}
 	}
 	for id, tenant := range calls.tenants {
+		if !calls.world.tenants {
+			break
+		}
 		for _, violation := range judgeCallers(calls.world.Executions, id, tenant) {
 			calls.report(violation)
 		}
--- a/internal/lab/platform/soak/configurations.go
+++ b/internal/lab/platform/soak/configurations.go
@@ -55,7 +55,9 @@
 		configurations.saw(node, inForce{life: life, version: newest, at: time.Now()})
 	}
 	configurations.late(node, newest, got)
-	configurations.tryOldKey(ctx, node, newest)
+	if configurations.world.tenants {
+		configurations.tryOldKey(ctx, node, newest)
+	}
 	if before.life != life || before.version < newest || sent.Sub(before.at) <= rollbackTime {
 		return
 	}
--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -94,6 +94,8 @@
 		injector.onMember(event, member)
 	case KindSeries:
 		injector.series(event, node)
+	case KindUpgrade:
+		injector.upgrade(event, node)
 	case KindSilence:
 		injector.silence(event, node, member)
 	case KindEnding:
--- a/internal/lab/platform/soak/plan.go
+++ b/internal/lab/platform/soak/plan.go
@@ -39,6 +39,7 @@
 	KindSeries      Kind = "series"       // signals to one process in quick succession, of which some stop it as planned, twice in a row
 	KindSilence     Kind = "silence"      // the open connections of a link go silent for good, and new ones work
 	KindEnding      Kind = "ending"       // a request comes again and again under which replicas end
+	KindUpgrade     Kind = "upgrade"      // one process is stopped as planned and started again on a build
 )
 
 // weights is how often each kind is drawn.
@@ -58,10 +59,15 @@
 	For  time.Duration
 	// Target picks the node or replica, Variant the way, by remainder.
 	Target, Variant int
+	// Build is what a process is started on by an upgrade.
+	Build Build
 }
 
 // String returns one line.
 func (event Event) String() string {
+	if event.Kind == KindUpgrade {
+		return fmt.Sprintf("%6.2fs %s target %d to %s", event.At.Seconds(), event.Kind, event.Target, event.Build)
+	}
 	return fmt.Sprintf("%6.2fs for %.2fs %s target %d variant %d", event.At.Seconds(), event.For.Seconds(), event.Kind, event.Target, event.Variant)
 }
 
@@ -70,11 +76,16 @@
 	Seed   uint64
 	Length time.Duration
 	Events []Event
+	// Builds are what the machines begin on; none where all run the current one.
+	Builds []Build
 }
 
 // String returns a line for each event.
 func (plan Plan) String() string {
 	lines := []string{fmt.Sprintf("seed %d, %s, %d faults", plan.Seed, plan.Length, len(plan.Events))}
+	if len(plan.Builds) > 0 {
+		lines = append(lines, fmt.Sprint("begins on ", plan.Builds))
+	}
 	for _, event := range plan.Events {
 		lines = append(lines, event.String())
 	}
--- a/internal/lab/platform/soak/process.go
+++ b/internal/lab/platform/soak/process.go
@@ -52,6 +52,13 @@
 	return nil
 }
 
+// Use has the next lives run a program.
+func (process *Process) Use(binary string) {
+	process.mu.Lock()
+	defer process.mu.Unlock()
+	process.binary = binary
+}
+
 // LogPath is the file that holds the output of all lives.
 func (process *Process) LogPath() string { return filepath.Join(process.folder, process.Name+".log") }
 
--- a/internal/lab/platform/soak/soak.go
+++ b/internal/lab/platform/soak/soak.go
@@ -16,8 +16,8 @@
 
 // Options of a soak.
 type Options struct {
-	// Binary is the program that runs the roles.
-	Binary string
+	// Binary is the program that runs the roles, Production the one that does in production; empty where no plan needs it.
+	Binary, Production string
 	// Folder takes settings and logs.
 	Folder string
 	Plan   Plan
@@ -78,7 +78,7 @@
 		return nil, errors.Wrap(err, "make the folder of the soak")
 	}
 	found := &violations{began: time.Now()}
-	world, err := newWorld(options.Folder, options.Binary, found.add)
+	world, err := newWorld(options, found.add)
 	if err != nil {
 		return nil, err
 	}
@@ -149,7 +149,9 @@
 	run.calls.verify()
 	run.ended = run.endings.verify()
 	run.verifyEnds()
-	run.trainers.verifyTenants()
+	if run.world.tenants {
+		run.trainers.verifyTenants()
+	}
 	for _, violation := range judgeUsage(run.world.Cloud.Reports()) {
 		run.violations.add(violation)
 	}
--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/thistlewalk/thistlewalk/internal/lab/platform/soak"
+	"github.com/thistlewalk/thistlewalk/internal/lab/production"
 )
 
 // fixedSeeds are the plans that every run of the tests carries out. Seeds that failed once stand here with their cause.
@@ -65,6 +66,53 @@
 	}
 }
 
+// mixedSeeds are plans in which machines start again on another build. Seeds that failed once stand here with their cause.
+var mixedSeeds = []struct {
+	seed   uint64
+	length time.Duration
+	cause  string
+}{
+	{seed: 1796270200, length: 30 * time.Second, cause: "updates were packed for nodes of the build in production, which passed over them: three fronts lacked a configuration"},
+}
+
+// The program that runs in production and that of the sources as they stand keep the promises side by side, whichever machine runs which.
+func TestSoakMixed(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "rollout")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "github.com/thistlewalk/thistlewalk/cmd/thistlewalk-rollout").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	inProduction, err := production.Build(t.Context(), filepath.Join("..", "..", "..", ".."), t.TempDir())
+	must.NoError(t, err)
+	for _, fixed := range mixedSeeds {
+		plan := soak.DrawMixed(fixed.seed, fixed.length)
+		report, err := soak.Run(t.Context(), soak.Options{Binary: binary, Production: inProduction, Folder: t.TempDir(), Plan: plan})
+		must.NoError(t, err)
+		t.Log(report)
+		must.SliceEmpty(t, report.Violations, must.Sprint(report, "\n", plan))
+		must.Positive(t, report.Served)
+		must.Positive(t, report.Items)
+	}
+}
+
+// The courses of upgrades are all drawn, and each begins with a machine in production.
+func TestDrawMixed(t *testing.T) {
+	lengths := make(map[int]bool)
+	for seed := range uint64(40) {
+		plan := soak.DrawMixed(seed, time.Minute)
+		must.Eq(t, plan.String(), soak.DrawMixed(seed, time.Minute).String())
+		must.SliceContains(t, plan.Builds, soak.BuildProduction)
+		upgrades := 0
+		for _, event := range plan.Events {
+			if event.Kind == soak.KindUpgrade {
+				upgrades++
+			}
+		}
+		lengths[upgrades] = true
+	}
+	for _, upgrades := range []int{4, 8, 12} { // halted; forth, or half of it and back; one machine to and fro, then all
+		must.True(t, lengths[upgrades], must.Sprint(upgrades, " of ", lengths))
+	}
+}
+
 // While nothing fails, each window's report is what the replicas ran in it.
 func TestUsageIsExact(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "rollout")
--- a/internal/lab/platform/soak/trainer.go
+++ b/internal/lab/platform/soak/trainer.go
@@ -197,7 +197,9 @@
 			continue
 		}
 		if index%4 == 0 {
-			trainers.pry(ctx, chosen)
+			if trainers.world.tenants {
+				trainers.pry(ctx, chosen)
+			}
 			continue
 		}
 		trainers.read(ctx, chosen, 0)
--- a/internal/lab/platform/soak/world.go
+++ b/internal/lab/platform/soak/world.go
@@ -78,8 +78,12 @@
 
 // World is the deployment: real processes over stand-ins.
 type World struct {
-	folder     string
-	binary     string
+	folder string
+	// programs are the builds' programs, builds what the machines begin on; none where all run the current one.
+	programs map[Build]string
+	builds   []Build
+	// tenants says that the deployment has tenants and reports of use, which the build in production does not know.
+	tenants    bool
 	Store      *memstore.Store
 	Executions *site.Executions
 	Cloud      *site.Cloud
@@ -97,10 +101,11 @@
 }
 
 // newWorld sets the stand-ins up and writes the settings; nothing runs yet.
-func newWorld(folder, binary string, report func(Violation)) (*World, error) {
+func newWorld(options Options, report func(Violation)) (*World, error) {
 	store, cloud := memstore.New(), &site.Cloud{}
 	world := &World{
-		folder: folder, binary: binary, Store: store, Executions: site.NewExecutions(), report: report,
+		folder: options.Folder, programs: map[Build]string{BuildCurrent: options.Binary, BuildProduction: options.Production}, builds: options.Plan.Builds,
+		tenants: len(options.Plan.Builds) == 0, Store: store, Executions: site.NewExecutions(), report: report,
 		storeHTTP: httptest.NewServer(&site.StoreServer{Store: store}), Cloud: cloud, cloudHTTP: httptest.NewServer(cloud),
 	}
 	for index := range engines {
@@ -272,17 +277,25 @@
 		node.Front, node.Ready = addresses[0].String(), addresses[1].String()
 		listen["front"], listen["ready"] = node.Front, node.Ready
 	}
-	node.Process = &Process{Name: name, binary: world.binary, role: role, settings: node.settings, folder: world.folder, OnDeath: world.died}
+	build := BuildCurrent
+	if index := len(world.Nodes); index < len(world.builds) {
+		build = world.builds[index]
+	}
+	node.Process = &Process{Name: name, binary: world.programs[build], role: role, settings: node.settings, folder: world.folder, OnDeath: world.died}
 	world.Nodes = append(world.Nodes, node)
-	return node.writeSettings(listen, addresses[2].Port, world.cloudHTTP.Listener.Addr().String())
+	duties := []string{}
+	if world.tenants {
+		duties = append(duties, "usage")
+	}
+	return node.writeSettings(listen, addresses[2].Port, world.cloudHTTP.Listener.Addr().String(), duties)
 }
 
-func (node *Node) writeSettings(listen map[string]string, peerPort int, cloud string) error {
+func (node *Node) writeSettings(listen map[string]string, peerPort int, cloud string, duties []string) error {
 	content, err := json.Marshal(map[string]any{
 		"node-name": node.Name, "role": node.Process.role, "ip": "127.0.0.1", "zone": "zone", "listen": listen, "internal-ports": []int{peerPort, peerPort + 1},
 		"limits": map[string]int{"memory-mb": 200},
 		"bounds": map[string]any{"grace-s": graceTime.Seconds(), "lease-ms": leaseTime.Milliseconds(), "status-s": 120, "report-window-s": usageWindow.Seconds()},
-		"cloud":  map[string]any{"address": cloud, "duties": []string{"usage"}},
+		"cloud":  map[string]any{"address": cloud, "duties": duties},
 		"platform-api": map[string]any{
 			"address": node.StoreLink.Address(), "ttl_min_ms": 1000,
 		},
@@ -316,8 +329,8 @@
 }
 
 // configuration is the operator's document at a version. The route of the version's mark exists in no other version.
-func configuration(version int64) []byte {
-	content, _ := json.Marshal(map[string]any{ // of plain values: it cannot fail
+func configuration(version int64, tenants bool) []byte {
+	document := map[string]any{
 		"version": version,
 		"routes": []map[string]any{
 			route("calls", "/call/", "safe", applierName, 2), route("orders", "/order/", "unsafe", applierName, 2),
@@ -328,9 +341,12 @@
 			{"name": applierName, "health-path": "/health"},
 			{"name": engineName, "health-path": "/health", "engine": map[string]any{"slots": 8, "models": []map[string]any{{"name": modelName}}}},
 		},
-		"tenants": tenantsAt(version),
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+	}
+	if tenants {
+		document["tenants"] = tenantsAt(version)
+	}
+	content, _ := json.Marshal(document) // of plain values: it cannot fail
 	return content
 }
 
@@ -354,7 +370,7 @@
 	world.mu.Lock()
 	next := world.version + 1
 	world.mu.Unlock()
-	world.write("op/config", configuration(next))
+	world.write("op/config", configuration(next, world.tenants))
 	world.mu.Lock()
 	world.version, world.configuredAt = next, time.Now()
 	world.mu.Unlock()
