Tests, failing: replicas that start again under their identifier, entries that another writer spoiled

Cause: a replica is known by its identifier alone, and an entry that can't be decoded is passed over, so that what its key said before goes on being used.

--- a/internal/lab/platform/site/replica.go
+++ b/internal/lab/platform/site/replica.go
@@ -13,7 +13,9 @@
 
 // Replica is one replica of a service, with an engine if it has a model.
 type Replica struct {
-	ID      string
+	ID string
+	// Born is when the process started, in Unix milliseconds; zero for one that does not say so.
+	Born    int64
 	Service string
 	Zone    string
 	Slots   int
@@ -77,6 +79,14 @@
 	return next
 }
 
+// StartAgain returns a new life of the replica under the identifier that it has: it holds and knows nothing of the one before, and its orders are
+// counted anew.
+func (replica *Replica) StartAgain(born int64) *Replica {
+	next := replica.Restart(replica.ID)
+	next.Born, next.version = born, 1
+	return next
+}
+
 // Drain has the replica say that it is leaving.
 func (replica *Replica) Drain() {
 	replica.mu.Lock()
@@ -125,6 +135,9 @@
 		"service": replica.Service, "address": address, "zone": replica.Zone, "slots": replica.Slots, "state": state, "version": "v1",
 		"seq-no": 17, "cold-left-ms": 0,
 	}
+	if replica.Born > 0 {
+		entry["born"] = replica.Born
+	}
 	if replica.Model != "" {
 		entry["models"] = []map[string]any{{"name": replica.Model, "version": replica.version, "adapters": []string{}}}
 	}
@@ -297,7 +310,7 @@
 	replica.mu.Lock()
 	defer replica.mu.Unlock()
 	_ = json.NewEncoder(writer).Encode(map[string]any{ // the caller may have left
-		"stage": "both", "busy": replica.loading, "seq-no": replica.orders, "num-waiting": 0, "num-running": 0,
+		"born": replica.Born, "stage": "both", "busy": replica.loading, "seq-no": replica.orders, "num-waiting": 0, "num-running": 0,
 		"models": []map[string]any{{"name": replica.Model, "version": replica.version, "adapters": []string{}}},
 	})
 }
