--- a/internal/dissemination/arrange_test.go
+++ b/internal/dissemination/arrange_test.go
@@ -39,3 +39,19 @@
 }
 
 func sameGroups(a, b arrangement) bool { return &a.groups[0] == &b.groups[0] }
+
+// A node of a build that knows no relays is served directly and relays nothing: it would be found silent, and its nodes be served late.
+func TestNodesWithoutRelaysAreServedDirectly(t *testing.T) {
+	publisher, nodes := &Publisher{Logger: log.New(io.Discard)}, fleetOf(300)
+	publisher.prepare()
+	for index := range 150 {
+		nodes[2*index].Capabilities = nil
+	}
+	arranged := publisher.arrange(nodes, time.Now())
+	must.Positive(t, len(arranged.groups))
+	for index, node := range nodes {
+		former := index%2 == 0
+		must.Eq(t, former, former && slices.Contains(arranged.direct, node))
+		must.False(t, former && slices.ContainsFunc(arranged.groups, func(group group) bool { return group.relay == node }))
+	}
+}
--- a/internal/dissemination/fleet_test.go
+++ b/internal/dissemination/fleet_test.go
@@ -58,6 +58,8 @@
 	// production is the build that runs the nodes for which runsFormer holds; nil for none.
 	production *former.Build
 	runsFormer func(index int) bool
+	// publishesFormer reports whether the next publisher runs that build; nil for no.
+	publishesFormer func() bool
 }
 
 type version struct {
@@ -324,8 +326,8 @@
 	health := metadata.NewHealth(store, logger)
 	topics := []dissemination.Topic{
 		{Mirror: metadata.NewMirror("op/config", created)},
-		{Mirror: metadata.NewMirror("servers/", &keys{})},
-		{Mirror: metadata.NewMirror(cluster.Prefix, registry), Pace: time.Second},
+		{Mirror: metadata.NewMirror("servers/", &keys{}), Bulk: true},
+		{Mirror: metadata.NewMirror(cluster.Prefix, registry), Pace: time.Second, Bulk: true},
 	}
 	subscriber := &dissemination.Subscriber{
 		Node: created.name, Topics: topics, Limits: dissemination.LimitsFor(inForce, first), Health: health, Logger: logger,
@@ -398,7 +400,9 @@
 const publisherAt = 9000
 
 // startPublisher begins a process that publishes, as the holder of the lease does.
-func (fleet *fleet) startPublisher() *node { return fleet.beginPublisher(false) }
+func (fleet *fleet) startPublisher() *node {
+	return fleet.beginPublisher(fleet.publishesFormer != nil && fleet.publishesFormer())
+}
 
 // beginPublisher begins one that may run the build in production.
 func (fleet *fleet) beginPublisher(former bool) *node {
@@ -406,8 +410,8 @@
 	health := metadata.NewHealth(store, log.New(io.Discard))
 	topics := []dissemination.Topic{
 		{Mirror: metadata.NewMirror("op/config", created)},
-		{Mirror: metadata.NewMirror("servers/", &keys{})},
-		{Mirror: metadata.NewMirror(cluster.Prefix, registry), Pace: time.Second},
+		{Mirror: metadata.NewMirror("servers/", &keys{}), Bulk: true},
+		{Mirror: metadata.NewMirror(cluster.Prefix, registry), Pace: time.Second, Bulk: true},
 	}
 	fleet.join(created)
 	go health.Run(ctx)
--- a/internal/dissemination/former_test.go
+++ b/internal/dissemination/former_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
@@ -151,3 +152,35 @@
 	})
 	must.Eq(t, "", failure)
 }
+
+// drawnBuilds draws the build of each life of each node: an upgrade that goes forth, back, or halts.
+type drawnBuilds struct{ former []bool }
+
+// next returns whether the next life runs the build in production.
+func (builds *drawnBuilds) next() bool {
+	if len(builds.former) == 0 {
+		return false
+	}
+	first := builds.former[0]
+	builds.former = builds.former[1:]
+	return first
+}
+
+// Whichever nodes run which build, and whichever build the publisher runs, a node that the store answers has each configuration in time, and none
+// goes back.
+func TestChangesReachEveryNodeOfTwoBuilds(t *testing.T) {
+	rapid.Check(t, func(drawn *rapid.T) {
+		nodes := rapid.IntRange(3, 12).Draw(drawn, "nodes")
+		steps := drawSteps(drawn, nodes)
+		lives := &drawnBuilds{rapid.SliceOfN(rapid.Bool(), nodes, 2*nodes).Draw(drawn, "former lives")}
+		publishers := &drawnBuilds{rapid.SliceOfN(rapid.Bool(), 1, 6).Draw(drawn, "former publishers")}
+		failure := runFleet(t, func(fleet *fleet) {
+			fleet.mix(t, func(int) bool { return lives.next() })
+			fleet.publishesFormer = publishers.next
+			fleet.play(nodes, steps)
+		})
+		if failure != "" {
+			drawn.Fatal(failure)
+		}
+	})
+}
--- /dev/null
+++ b/internal/dissemination/unread_test.go
@@ -0,0 +1,102 @@
+package dissemination
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"pgregory.net/rapid"
+
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/capability"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+)
+
+// laterField is a field that this build does not know, as a later one may send.
+func laterField(number int32, content []byte) protoreflect.RawFields {
+	return protowire.AppendBytes(protowire.AppendTag(nil, protowire.Number(number), protowire.BytesType), content)
+}
+
+func newReader() *Subscriber {
+	return &Subscriber{
+		Node: "node", Life: 1, Limits: LimitsFor(2*time.Second, false), Logger: log.New(io.Discard), Health: metadata.NewHealth(memstore.New(), log.New(io.Discard)),
+		Topics: []Topic{{Mirror: metadata.NewMirror("op/config", metadata.Handlers{})}, {Mirror: metadata.NewMirror("servers/", metadata.Handlers{})}},
+		behind: make(map[string]lag),
+	}
+}
+
+// An update of a later build that can't be read whole changes nothing, wherever the unknown part lies: the receiver says so, says that it knows what it
+// knew, and does not say that it is up to date. The other updates of the call are taken.
+func TestUpdatesOfLaterBuilds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reader := newReader()
+		number := rapid.Int32Range(20, 500).Draw(t, "field")
+		content := rapid.SliceOf(rapid.Byte()).Draw(t, "content")
+		update := encodeDifference(&metadata.Difference{Prefix: "servers/", Whole: true, Revision: 7, Items: entries(rapid.IntRange(1, 9).Draw(t, "items"))})
+		update.Removals = []*clusterv1.Removal{{Key: "servers/x", Revision: 3}}
+		switch rapid.IntRange(0, 2).Draw(t, "where") {
+		case 0:
+			update.ProtoReflect().SetUnknown(laterField(number, content))
+		case 1:
+			update.GetItems()[0].ProtoReflect().SetUnknown(laterField(number, content))
+		case 2:
+			update.GetRemovals()[0].ProtoReflect().SetUnknown(laterField(number, content))
+		}
+		if rapid.Bool().Draw(t, "packed") {
+			small, err := (&packer{}).pack(update)
+			must.NoError(t, err)
+			small.ProtoReflect().SetUnknown(update.ProtoReflect().GetUnknown())
+			update = small
+		}
+		readable := encodeDifference(&metadata.Difference{Prefix: "op/config", Whole: true, Revision: 9, Items: []metadata.Item{{Key: "op/config", Revision: 9}}})
+		reader.Heard(&clusterv1.Beacon{Changed: []*clusterv1.PrefixRevision{{Prefix: "op/config", Revision: 9}}}, nil)
+		response, err := reader.Publish(t.Context(), &clusterv1.PublishRequest{Updates: []*clusterv1.PrefixUpdate{update, readable}})
+		must.NoError(t, err)
+		must.Eq(t, []string{"servers/"}, response.GetUnread())
+		must.Eq(t, 0, knownOf(response, "servers/"))
+		must.Eq(t, 9, knownOf(response, "op/config"))
+		reader.mu.Lock()
+		_, lacks := reader.lacks(reader.Topics[1], time.Now())
+		reader.mu.Unlock()
+		must.True(t, lacks, must.Sprint("it knows that it lacks something"))
+	})
+}
+
+// A process that could not read an update is sent the plain form from then on, whatever it has registered.
+func TestPlainFormAfterAnUnreadUpdate(t *testing.T) {
+	topic := Topic{Mirror: metadata.NewMirror("servers/", metadata.Handlers{})}
+	topic.Reset(entries(40), 40)
+	publisher := &Publisher{Node: "publisher", Logger: log.New(io.Discard), Topics: []Topic{topic}}
+	publisher.prepare()
+	record := &clusterv1.NodeRecord{Name: "node", Life: 1, Capabilities: capability.Own()}
+	state := &receiver{record: record, known: map[string]metadata.Revision{"servers/": 0}}
+	next := func() *clusterv1.PrefixUpdate {
+		request, _, err := publisher.next(state, prompt)
+		must.NoError(t, err)
+		must.Len(t, 1, request.GetUpdates())
+		return request.GetUpdates()[0]
+	}
+	must.Positive(t, len(next().GetPacked()))
+	answer := &clusterv1.PublishResponse{Known: []*clusterv1.PrefixRevision{{Prefix: "servers/"}}, Unread: []string{"servers/"}}
+	must.False(t, publisher.told(state, prompt, &clusterv1.PublishRequest{}, answer))
+	must.Zero(t, len(next().GetPacked()))
+	must.Len(t, 40, next().GetItems())
+}
+
+// A process that tells nothing of a topic does not follow it, and lacks nothing of it: it is not pushed to again and again.
+func TestTopicsThatAProcessDoesNotFollow(t *testing.T) {
+	topics := []Topic{{Mirror: metadata.NewMirror("servers/", metadata.Handlers{})}, {Mirror: metadata.NewMirror("quarantine/", metadata.Handlers{})}}
+	for _, topic := range topics {
+		topic.Reset(nil, 5)
+	}
+	publisher := &Publisher{Node: "publisher", Logger: log.New(io.Discard), Topics: topics}
+	publisher.prepare()
+	state := &receiver{record: &clusterv1.NodeRecord{Name: "node"}}
+	must.True(t, publisher.told(state, prompt, &clusterv1.PublishRequest{}, &clusterv1.PublishResponse{Known: []*clusterv1.PrefixRevision{{Prefix: "servers/", Revision: 5}}}))
+	must.False(t, publisher.lacks(state, prompt, time.Now()))
+}
