A job whose owner is cut off is offered to three nodes; dark neighbours hold up a start for 0.8 s at most

Change: up to three nodes that the store answers are asked; one limit for all calls of a start, and a line for a neighbour that knows nothing. Tests: TestJobsLeaveForAnotherNodeThanOneThatStops, TestDarkNeighboursHoldUpAStartForALimitedTime, both fail without.

--- a/internal/batchrun/evacuate.go
+++ b/internal/batchrun/evacuate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +16,8 @@
 	// servedLimit bounds the question whether the metadata store answers another node, servedCall the call that puts it.
 	servedLimit = 300 * time.Millisecond
 	servedCall  = 500 * time.Millisecond
+	// evacuateTries bounds the nodes that a job is offered to: each may take handOverLimit to say nothing.
+	evacuateTries = 3
 )
 
 // evacuate gives the jobs of this node to another one when the metadata store answers that one and not this: here no result could be
@@ -34,21 +35,22 @@
 		if runner.Log.Health.LostFor() < evacuateAfter || runner.OpenJobs() == 0 || runner.isStopping() {
 			continue
 		}
-		name := runner.servedPeer(ctx)
-		if name == "" {
+		names := runner.servedPeers(ctx)
+		if len(names) == 0 {
 			continue
 		}
 		for _, owned := range runner.open() {
 			if owned.isAccepted() {
-				taken := runner.handOver(ctx, owned, []string{name})
-				runner.Logger.Warn("job evacuated", "job", owned.id(), "to", name, "taken", taken, "lost_ms", runner.Log.Health.LostFor().Milliseconds())
+				taken := runner.handOver(ctx, owned, names)
+				runner.Logger.Warn("job evacuated", "job", owned.id(), "to", names, "taken", taken, "lost_ms", runner.Log.Health.LostFor().Milliseconds())
 			}
 		}
 	}
 }
 
-// servedPeer returns the first of the candidates that the metadata store answers; empty for none. All are asked at once.
-func (runner *Runner) servedPeer(ctx context.Context) string {
+// servedPeers returns those of the candidates that the metadata store answers, the best first. All are asked at once. One may stop before it takes a
+// job: with the first alone to choose from, a job waited 2.7 s for its owner to be answered again (own day, an upgrade beside nodes that the store refuses).
+func (runner *Runner) servedPeers(ctx context.Context) []string {
 	names := runner.Peers.Candidates()
 	served := make([]bool, len(names))
 	var calls sync.WaitGroup
@@ -61,8 +63,11 @@
 		})
 	}
 	calls.Wait()
-	if index := slices.Index(served, true); index >= 0 {
-		return names[index]
+	var answered []string
+	for index, name := range names {
+		if served[index] {
+			answered = append(answered, name)
+		}
 	}
-	return ""
+	return answered[:min(len(answered), evacuateTries)]
 }
--- a/internal/batchrun/evacuate_test.go
+++ b/internal/batchrun/evacuate_test.go
@@ -68,6 +68,20 @@
 	})
 }
 
+// The node that was to take a job begins to stop before it does: another one that the store answers takes the job.
+func TestJobsLeaveForAnotherNodeThanOneThatStops(t *testing.T) {
+	for _, stopping := range []string{"b", "c"} {
+		inWorld(t, 35, func(t *testing.T, world *world) {
+			world.refusesTakeOver = stopping
+			must.NoError(t, world.node("a").Submit(t.Context(), newDefinition(middleItem, 6, 1), jobRoute))
+			time.Sleep(300 * time.Millisecond)
+			world.refuse("a", true)
+			checkResults(t, await(t, world.node("b"), middleItem, 6, 5*time.Second), 1)
+			world.refuse("a", false)
+		})
+	}
+}
+
 // A node that is giving a job away does not answer with what it had listed: the next owner may have listed more.
 func TestLeavingJobIsNotReadFromItsFormerOwner(t *testing.T) {
 	inWorld(t, 19, func(t *testing.T, world *world) {
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -125,8 +125,8 @@
 
 // relayToServed has a node that the metadata store answers accept a job that runs here, and reports whether one has.
 func (runner *Runner) relayToServed(ctx context.Context, owned *job) bool {
-	name := runner.servedPeer(ctx)
-	return name != "" && runner.relayTo(ctx, name, owned.submission())
+	names := runner.servedPeers(ctx)
+	return len(names) > 0 && runner.relayTo(ctx, names[0], owned.submission())
 }
 
 // submission is the request to accept the job elsewhere, with what was made of it here: items would be made anew otherwise, and be late.
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -45,18 +45,24 @@
 	lines       logLines
 	// takeOverDelay is how long the answer to a take-over is on its way, keptDelay that to a question for kept texts.
 	takeOverDelay, keptDelay time.Duration
+	// refusesTakeOver is the node that takes nothing over, as one that begins to stop.
+	refusesTakeOver string
 	// silent has nodes announce no jobs.
 	silent bool
 }
 
-// slowClient is a node whose answers come late.
+// slowClient is a node whose answers come late, or that refuses.
 type slowClient struct {
 	batchv1.Batches
 	world *world
+	node  string
 }
 
 // TakeOver implements batchv1.Batches.
 func (client slowClient) TakeOver(ctx context.Context, request *batchv1.TakeOverRequest) (*batchv1.TakeOverResponse, error) {
+	if client.node != "" && client.node == client.world.refusesTakeOver {
+		return nil, batchrun.ErrStopping
+	}
 	response, err := client.Batches.TakeOver(ctx, request)
 	time.Sleep(client.world.takeOverDelay)
 	return response, err
@@ -160,7 +166,7 @@
 // Client implements batchrun.Peers.
 func (peers *worldPeers) Client(node string) batchv1.Batches {
 	if runner := peers.world.node(node); runner != nil {
-		return slowClient{batchrun.Service{Runner: runner}, peers.world}
+		return slowClient{batchrun.Service{Runner: runner}, peers.world, node}
 	}
 	return nil
 }
--- a/internal/dissemination/snapshot.go
+++ b/internal/dissemination/snapshot.go
@@ -21,6 +21,9 @@
 	// snapshotLimit bounds one of the calls. Packing 10,000 entries takes 13 ms of a core (BenchmarkSnapshot), of which the weakest machines have
 	// a fifth; a neighbour that does not answer costs the time that reading the store takes.
 	snapshotLimit = 400 * time.Millisecond
+	// snapshotsLimit bounds all of the calls together: callers get 503 until the replicas are known, and neighbours that are dark would cost 1.6 s. Two of
+	// them leave as much time as reading the store takes.
+	snapshotsLimit = 2 * snapshotLimit
 	// neighboursWait bounds the wait for the registry: five pages at 985 nodes, 4 ms each.
 	neighboursWait = 500 * time.Millisecond
 )
@@ -47,6 +50,8 @@
 	neighbours := slices.DeleteFunc(slices.Clone(snapshots.Registry.Neighbours()), func(neighbour *clusterv1.NodeRecord) bool {
 		return !capability.Has(neighbour, clusterv1.Capability_CAPABILITY_SNAPSHOTS)
 	})
+	ctx, cancel := context.WithTimeout(ctx, snapshotsLimit)
+	defer cancel()
 	rand.Shuffle(len(neighbours), func(a, b int) { neighbours[a], neighbours[b] = neighbours[b], neighbours[a] })
 	for _, neighbour := range neighbours[:min(len(neighbours), snapshotTries)] {
 		if ctx.Err() != nil || snapshots.Topic.Revision() > 0 || snapshots.takeFrom(ctx, neighbour) {
@@ -82,6 +87,7 @@
 	response, err := snapshots.Registry.ClientOf(neighbour).Snapshot(ctx, &clusterv1.SnapshotRequest{Prefix: prefix, Capabilities: capability.Own()})
 	if err == nil && response.GetUpdate() == nil {
 		snapshots.Metrics.Snapshot("unknown")
+		snapshots.Logger.Info("snapshot not known", "prefix", prefix, "from", neighbour.GetName(), "took_ms", time.Since(started).Milliseconds())
 		return false
 	}
 	var update *clusterv1.PrefixUpdate
--- a/internal/dissemination/snapshot_test.go
+++ b/internal/dissemination/snapshot_test.go
@@ -1,10 +1,17 @@
 package dissemination_test
 
 import (
+	"context"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/cluster"
+	"github.com/thistlewalk/thistlewalk/internal/dissemination"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
 
 // A node that begins while nobody publishes takes the replicas from a neighbour; one that reaches no other reads them from the store.
@@ -34,3 +41,26 @@
 		must.Eq(t, "", failure)
 	}
 }
+
+// Neighbours that are dark hold up a start for 0.8 s at most, all together; asking four of them took 1.6 s.
+func TestDarkNeighboursHoldUpAStartForALimitedTime(t *testing.T) {
+	failure := runFleet(t, func(fleet *fleet) {
+		fleet.startPublisher()
+		fleet.configure()
+		fleet.register(1)
+		fleet.startAll(15) // five of each zone
+		time.Sleep(4 * time.Second)
+		for index := range 15 {
+			fleet.at(address(index)).set(index != 0, false)
+		}
+		begun := fleet.at(address(0))
+		unknown := dissemination.Topic{Mirror: metadata.NewMirror("servers/", metadata.Handlers{})}
+		snapshots := &dissemination.Snapshots{Topic: unknown, Nodes: begun.subscriber.Topics[2], Registry: begun.registry, Logger: log.New(io.Discard)}
+		must.Eq(t, cluster.Prefix, snapshots.Nodes.Prefix())
+		started := time.Now()
+		must.False(t, snapshots.Take(context.Background()))
+		must.LessEq(t, 810*time.Millisecond, time.Since(started))
+		must.GreaterEq(t, 400*time.Millisecond, time.Since(started))
+	})
+	must.Eq(t, "", failure)
+}
