A request is not held for an end that another request explains (F42)

Symptom: callers of a harmless request got 503 with Retry-After of an hour, at every node, from some ten seconds after replicas had ended under another request. Cause: a replica that ends breaks off all that it runs, and its end counts against each. Two requests that were broken off together rest for the same time, come due in one moment and, where few replicas are left, are tried at the same one. It ends under the one; the other has its third end without a trial of its own. The way out of quarantine is not open to processes that have run for less than ten minutes, so it stays for an hour. Change: the end that brings a request into quarantine is put down to another that is in quarantine, ended at the same replica and is suspected more (a strict order). The request then rests as after two ends, is told so in Retry-After, and is tried once by itself. request held and suspected request sent name the other request. Why it holds: the other is sent no more, so the next trial is alone; if a replica ends under it then, nothing explains that. A culprit gains one trial at most. Nothing changes on the wire or in the store. The limit in young fleets that nothing explains is F43, not mended.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -52,6 +52,9 @@
 	Trial bool
 	// After is when a request that is not allowed may come again.
 	After time.Duration
+	// Explained says that the newest end is put down to another request, which is Culprit.
+	Explained bool
+	Culprit   Fingerprint
 }
 
 // End is the end of a replica under a request.
@@ -71,6 +74,7 @@
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
 	heads   map[head]int // of the entries, with how many have each
+	changes uint64       // how often an entry was added, changed or removed
 }
 
 // entry is what is known of one request.
@@ -82,6 +86,11 @@
 	last     time.Time // when this node learned of it
 	tried    time.Time // when the request was tried last after a rest
 	until    time.Time // the end of the quarantine; zero outside
+
+	// What the newest end is put down to, as found after judgedAt changes of the book.
+	culprit   Fingerprint
+	explained bool
+	judgedAt  uint64
 }
 
 // NewBook returns an empty book of a node whose process begins now.
@@ -166,8 +175,9 @@
 	}
 }
 
-// entry must be called with mu held.
+// entry returns what is known of a request, for a change. It must be called with mu held.
 func (book *Book) entry(fingerprint Fingerprint, now time.Time) *entry {
+	book.changes++
 	known := book.entries[fingerprint]
 	if known != nil && known.over(now) {
 		book.remove(fingerprint)
@@ -188,6 +198,7 @@
 	if book.entries[fingerprint] == nil {
 		return
 	}
+	book.changes++
 	delete(book.entries, fingerprint)
 	if book.heads[fingerprint.head()]--; book.heads[fingerprint.head()] == 0 {
 		delete(book.heads, fingerprint.head())
@@ -221,6 +232,11 @@
 	return now.After(known.until)
 }
 
+// quarantined reports whether a request is in quarantine.
+func (known *entry) quarantined(now time.Time) bool {
+	return known.crashes >= quarantineAt && !known.over(now)
+}
+
 // Clear forgets a request, which a replica has answered or whose quarantine was lifted, and reports whether it was suspected.
 func (book *Book) Clear(fingerprint Fingerprint) bool {
 	book.mu.Lock()
@@ -271,13 +287,14 @@
 		return Decision{Allowed: true}
 	}
 	decision := Decision{Crashes: known.crashes}
+	decision.Culprit, decision.Explained = book.explanation(fingerprint, known, now)
 	switch {
 	case known.crashes < holdAt:
 		decision.Allowed = true
-	case book.mayBeTried(known, claim, now):
+	case book.mayBeTried(known, claim, decision.Explained, now):
 		known.tried = now
 		decision.Allowed, decision.Trial = true, true
-	case known.crashes < quarantineAt:
+	case known.crashes < quarantineAt, decision.Explained:
 		decision.After = max(holdFor-now.Sub(known.last), holdLeast)
 	default:
 		decision.After = known.until.Sub(now)
@@ -290,14 +307,22 @@
 
 // mayBeTried reports whether this node may send a request that rests: by itself if no other node does, and not again before the end of the
 // replica would be known.
-func (book *Book) mayBeTried(known *entry, claim Claim, now time.Time) bool {
+func (book *Book) mayBeTried(known *entry, claim Claim, explained bool, now time.Time) bool {
 	rested := now.Sub(known.last)
 	if rested < holdFor || now.Sub(known.tried) < holdFor {
 		return false
 	}
-	if known.crashes < quarantineAt {
-		return claim.Exclusive || known.reporter == book.node || rested >= anyoneAfter || (claim.Deputy && rested >= deputyTriesAfter)
+	isOwn := claim.Exclusive || known.reporter == book.node
+	deputyTries := claim.Deputy && rested >= deputyTriesAfter
+	switch {
+	case known.crashes < quarantineAt:
+		return isOwn || deputyTries || rested >= anyoneAfter
+	case explained: // all nodes at a time would be more runs than one trial
+		return isOwn || deputyTries
+	case known.crashes < trialsUntil:
+		mayKnowAll := known.first.Sub(book.begun) >= suspicionFor
+		return claim.Exclusive || (claim.Deputy && mayKnowAll && rested >= deputyTrialAfter)
+	default:
+		return false
 	}
-	mayKnowAll := known.first.Sub(book.begun) >= suspicionFor
-	return known.crashes < trialsUntil && (claim.Exclusive || (claim.Deputy && mayKnowAll && rested >= deputyTrialAfter))
 }
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -154,3 +154,19 @@
 	must.False(t, book.MayKnow("app", request(most+9)))
 	must.True(t, book.MayKnow("app", request(-1)))
 }
+
+// A held request costs what is remembered of the others, in a full book: 62 ns before ends were put down to others, 160,000 ns when
+// all requests were looked through at each.
+func BenchmarkHeldRequestInAFullBook(b *testing.B) {
+	book, now := quarantine.NewBook("node", time.Now()), time.Now()
+	for number := range 4096 {
+		for replica := range 3 {
+			at := now.Add(time.Duration(replica) * time.Second)
+			book.Note(fingerprintOf(fmt.Sprint(number)), fmt.Sprint("replica-", number, "-", replica), "node", at, at)
+		}
+	}
+	held := fingerprintOf("7")
+	for b.Loop() {
+		book.Admit(held, quarantine.Claim{}, now)
+	}
+}
--- a/internal/quarantine/dispute_test.go
+++ b/internal/quarantine/dispute_test.go
@@ -1,11 +1,16 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 	"github.com/thistlewalk/thistlewalk/internal/quarantine"
 )
 
@@ -29,7 +34,9 @@
 //	11.730 node-0: request in quarantine          fingerprint=917f crashes=3
 //	52.5   error: replicas have ended under the request; it may come again in 59m23.21s
 //
-// Each history failed in some plays only, since goroutines run in no fixed order.
+// Each history failed in some plays only, since goroutines run in no fixed order: whether both trials reach one replica is drawn.
+//
+// An end that two requests share is put down to the one that is suspected more; the other is tried once more by itself.
 func TestHarmlessRequestIsHeldForSecondsOnly(t *testing.T) {
 	for _, failed := range []history{
 		{0, []string{compact, killNode, compact}, endTime / 2, 2, runsForLong},
@@ -104,3 +111,62 @@
 	must.False(t, book.Admit(fingerprintOf(first), quarantine.Claim{}, due.Add(heldFor)).Allowed, must.Sprint("it had its trial"))
 	must.True(t, book.Admit(fingerprintOf(second), quarantine.Claim{}, due.Add(heldFor)).Trial)
 }
+
+// A record that names no replicas, as another writer may leave one, holds its request.
+func TestRecordWithoutReplicas(t *testing.T) {
+	now := time.Now()
+	book := quarantine.NewBook("node", now)
+	book.Restore(fingerprintOf(harmless), quarantine.Suspicion{Crashes: 3, Reporter: "node", Until: now.Add(quarantinedFor)}, now)
+	must.Eq(t, quarantine.Decision{Crashes: 3, After: quarantinedFor}, book.Admit(fingerprintOf(harmless), quarantine.Claim{}, now))
+}
+
+// Several harmless requests beside one that ends replicas, few of which there are, so that their trials meet: in the end each is served, and
+// the one that ends replicas reaches few more.
+func TestDrawnHistoriesOfCompany(t *testing.T) {
+	rapid.Check(t, func(drawn *rapid.T) {
+		played := history{
+			seed: rapid.Uint64().Draw(drawn, "seed"),
+			faults: rapid.SliceOfN(rapid.SampledFrom([]string{
+				calm, calm, calm, endReplica, resetReplica, leaveReplica, killNode, killAll, loseAnswers, lossyLinks,
+			}), 3, 6).Draw(drawn, "faults"),
+			patience: rapid.SampledFrom([]time.Duration{time.Second, endTime / 2}).Draw(drawn, "patience"),
+			replicas: rapid.IntRange(2, 4).Draw(drawn, "replicas"),
+			ran:      rapid.SampledFrom([]time.Duration{justBegun, runsForLong}).Draw(drawn, "ran"),
+		}
+		played.playWith(t, rapid.IntRange(2, 4).Draw(drawn, "harmless requests"))
+	})
+}
+
+// playWith plays a history with some harmless requests, and judges it.
+func (history *history) playWith(t *testing.T, harmlessRequests int) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(history.seed, history.replicas, historyNodes)
+		time.Sleep(history.ran)
+		stop := make(chan struct{})
+		go world.keepCalling(stop, 130*time.Millisecond, ending, history.patience)
+		for number := range harmlessRequests {
+			go world.keepCalling(stop, time.Duration(40+10*number)*time.Millisecond, bodyOf(number), time.Second)
+		}
+		for index, fault := range history.faults {
+			world.suffer(fault, index)
+		}
+		world.store.SetFaults(memstore.Faults{})
+		time.Sleep(settleTime)
+		close(stop)
+		time.Sleep(2 * time.Second)
+		late, ends := world.late()
+		var refused error
+		for _, node := range world.running() {
+			for number := range harmlessRequests {
+				refused = errors.CombineErrors(refused, node.call(bodyOf(number), time.Second))
+			}
+		}
+		world.close()
+		synctest.Wait()
+		time.Sleep(time.Minute) // timers of the world
+		must.LessEq(t, 3, late, must.Sprintf("%+v, %d harmless: %d runs later than %s after the third end, %d ends", history, harmlessRequests, late, contact, ends))
+		must.NoError(t, refused, must.Sprintf("%+v, %d harmless", history, harmlessRequests))
+	})
+}
+
+func bodyOf(number int) string { return fmt.Sprint("harmless ", number) }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -131,11 +131,11 @@
 	case !decision.Allowed:
 		guard.Metrics.RequestHeld()
 		guard.Logger.Info("request held", "request", request.ID, "service", replica.Service, "fingerprint", fingerprint, "crashes", decision.Crashes,
-			"retry_after_ms", decision.After.Milliseconds())
+			"retry_after_ms", decision.After.Milliseconds(), "put_down_to", decision.putDownTo())
 		return errors.Mark(&backend.HeldError{After: decision.After}, backend.ErrNotSent)
 	case decision.Crashes > 0:
 		guard.Logger.Info("suspected request sent", "request", request.ID, "service", replica.Service, "replica", replica.ID, "fingerprint", fingerprint,
-			"crashes", decision.Crashes, "trial", decision.Trial)
+			"crashes", decision.Crashes, "trial", decision.Trial, "put_down_to", decision.putDownTo())
 	}
 	return nil
 }
