--- a/internal/dissemination/relay.go
+++ b/internal/dissemination/relay.go
@@ -82,7 +82,7 @@
 	ctx, stop := context.WithCancel(relays.ctx)
 	created := &relayed{stop: stop}
 	created.publisher = &Publisher{
-		Node: origin.node, Life: origin.life, Topics: relays.Topics, Registry: relays.Registry, Nodes: created.nodes, Tree: created.tree,
+		Node: origin.node, Life: origin.life, Topics: unpaced(relays.Topics), Registry: relays.Registry, Nodes: created.nodes, Tree: created.tree,
 		Address: relays.Address, Datagrams: relays.Datagrams, Logger: relays.Logger, Metrics: relays.Metrics, FanOut: relays.FanOut,
 	}
 	created.publisher.prepare()
--- a/internal/dissemination/topic.go
+++ b/internal/dissemination/topic.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"slices"
 	"time"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
@@ -59,3 +60,13 @@
 	}
 	return difference
 }
+
+// unpaced returns topics as a relay pushes them: at once. What it knows comes at the origin's pace already, and a pace at each level would add up along the
+// tree, while a node is given the time of one.
+func unpaced(topics []Topic) []Topic {
+	list := slices.Clone(topics)
+	for index := range list {
+		list[index].Pace = 0
+	}
+	return list
+}
