--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -50,8 +50,8 @@
 
 	updates updates
 	wake    chan struct{}
-	pushes  chan struct{}
-	retries chan struct{}
+	pushes  [lanes]chan struct{}
+	retries [lanes]chan struct{}
 
 	mu       sync.Mutex
 	receiver map[process]*receiver
@@ -62,6 +62,8 @@
 	sent  int64
 	// alone are processes that are served directly and relay nothing, until when.
 	alone map[process]time.Time
+	// begun is when processes were first to be served.
+	begun map[process]time.Time
 	// arranged is who serves whom, as it was worked out for a list of nodes; outdated says that relays have changed since.
 	arranged    arrangement
 	arrangedFor []*clusterv1.NodeRecord
@@ -72,9 +74,11 @@
 func (publisher *Publisher) prepare() {
 	publisher.mu.Lock()
 	defer publisher.mu.Unlock()
-	publisher.receiver, publisher.alone = make(map[process]*receiver), make(map[process]time.Time)
+	publisher.receiver, publisher.alone, publisher.begun = make(map[process]*receiver), make(map[process]time.Time), make(map[process]time.Time)
 	publisher.wake = make(chan struct{}, 1)
-	publisher.pushes, publisher.retries = make(chan struct{}, pushesAtOnce), make(chan struct{}, retriesAtOnce)
+	for lane := range lanes {
+		publisher.pushes[lane], publisher.retries[lane] = make(chan struct{}, pushesAtOnce), make(chan struct{}, retriesAtOnce)
+	}
 	publisher.Clock = clock.OrSteady(publisher.Clock)
 	if publisher.FanOut <= 0 {
 		publisher.FanOut = defaultFanOut
@@ -100,38 +104,39 @@
 	}
 }
 
-// follow has each change of a topic wake the publisher until the context ends.
+// follow has a round begin, until the context ends, whenever nodes are to know more of a topic than before.
 func (publisher *Publisher) follow(ctx context.Context) {
 	for _, topic := range publisher.Topics {
-		go forwardChanges(ctx, topic, publisher.nudge)
-	}
-}
-
-// nudge has the next round begin at once.
-func (publisher *Publisher) nudge() {
-	select {
-	case publisher.wake <- struct{}{}:
-	default:
+		go publisher.followTopic(ctx, topic)
 	}
 }
 
-// forwardChanges calls wake at each change of a topic.
-func forwardChanges(ctx context.Context, topic Topic, wake func()) {
+// followTopic begins rounds for a topic. A relay may be told of a revision, by a beacon, before it has reached it: when it does, it has something to push
+// although nothing may have changed.
+func (publisher *Publisher) followTopic(ctx context.Context, topic Topic) {
 	revision := metadata.Revision(0)
 	for {
-		changed := topic.Changed()
-		if newest := topic.ChangedAt(); newest > revision {
-			revision = newest
-			wake()
+		advanced := topic.Advanced()
+		if wanted := publisher.wantedNow(topic); wanted > revision {
+			revision = wanted
+			publisher.nudge()
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-changed:
+		case <-advanced:
 		}
 	}
 }
 
+// nudge has the next round begin at once.
+func (publisher *Publisher) nudge() {
+	select {
+	case publisher.wake <- struct{}{}:
+	default:
+	}
+}
+
 // complete reports whether all topics have been read.
 func complete(topics []Topic) bool {
 	for _, topic := range topics {
@@ -159,8 +164,8 @@
 	now := time.Now()
 	publisher.announce(beacon, now)
 	arranged := publisher.arrange(publisher.nodes(), now)
-	for _, key := range publisher.due(arranged.direct, now) {
-		go publisher.push(ctx, key)
+	for _, due := range publisher.due(arranged.direct, now) {
+		go publisher.push(ctx, due.to, due.lane)
 	}
 	if beacon != nil {
 		publisher.Datagrams.Send(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Beacon{Beacon: beacon}}, publisher.listeners(arranged))
@@ -200,6 +205,12 @@
 	return max(topic.ChangedAt(), min(topic.Revision(), publisher.announced[topic.Prefix()]))
 }
 
+func (publisher *Publisher) wantedNow(topic Topic) metadata.Revision {
+	publisher.mu.Lock()
+	defer publisher.mu.Unlock()
+	return publisher.wanted(topic)
+}
+
 func (publisher *Publisher) nodes() []*clusterv1.NodeRecord {
 	if publisher.Nodes != nil {
 		return publisher.Nodes()
@@ -227,7 +238,10 @@
 
 // rearrange must be called with mu held.
 func (publisher *Publisher) rearrange(nodes []*clusterv1.NodeRecord, now time.Time) {
-	arranged := arrange(nodes, publisher.FanOut, publisher.isAlone)
+	publisher.noteBegun(nodes, now)
+	arranged := arrange(nodes, publisher.FanOut, publisher.isAlone, func(node *clusterv1.NodeRecord) bool {
+		return now.Sub(publisher.begun[processOf(node)]) < justBegun
+	})
 	receivers := make(map[process]*receiver, len(arranged.direct))
 	for _, node := range arranged.direct {
 		key := processOf(node)
@@ -242,6 +256,24 @@
 	publisher.arranged, publisher.arrangedFor, publisher.outdated = arranged, nodes, false
 }
 
+// justBegun is how long a process that has just begun relays nothing, where others can: it has to take all replicas first, and has nothing to pass on to the
+// nodes behind it until then.
+const justBegun = 3 * time.Second
+
+// noteBegun must be called with mu held.
+func (publisher *Publisher) noteBegun(nodes []*clusterv1.NodeRecord, now time.Time) {
+	begun := make(map[process]time.Time, len(nodes))
+	for _, node := range nodes {
+		key := processOf(node)
+		if at, known := publisher.begun[key]; known {
+			begun[key] = at
+			continue
+		}
+		begun[key] = now
+	}
+	publisher.begun = begun
+}
+
 // isAlone reports whether a node is served directly and relays nothing: one that was found not to, or of a build that knows no relays. Such a build
 // also takes the sender of a beacon for the publisher, which it tells of its jobs. It must be called with mu held.
 func (publisher *Publisher) isAlone(node *clusterv1.NodeRecord) bool {
@@ -285,8 +317,8 @@
 		}
 	}
 	for key, state := range publisher.receiver {
-		if relay := &state.relay; relay.silent(now) || (!relay.since.IsZero() && state.failed) {
-			publisher.Logger.Warn("relay silent", "node", key.node, "life", key.life, "took", relay.taken, "push_failed", state.failed, "nodes", len(relay.wanted.GetNodes()))
+		if relay := &state.relay; relay.silent(now) || (!relay.since.IsZero() && state.failed()) {
+			publisher.Logger.Warn("relay silent", "node", key.node, "life", key.life, "took", relay.taken, "push_failed", state.failed(), "nodes", len(relay.wanted.GetNodes()))
 			publisher.Metrics.RelayLost()
 			publisher.setAlone(key, now)
 		}
--- a/internal/dissemination/push.go
+++ b/internal/dissemination/push.go
@@ -16,7 +16,7 @@
 	// weakest machines have a fifth.
 	publishLimit = 500 * time.Millisecond
 	itemLimit    = 100 * time.Microsecond
-	// pushesAtOnce bounds the pushes in progress, so that many nodes at once don't choke the publisher's link.
+	// pushesAtOnce bounds the pushes in progress in a lane, so that many nodes at once don't choke the publisher's link.
 	pushesAtOnce = 32
 	// retriesAtOnce bounds those to nodes whose last push failed, which may be cut off and take the whole publishLimit.
 	retriesAtOnce = 8
@@ -24,16 +24,25 @@
 	pushSteps = 2
 )
 
-// due returns the processes that a push is to begin to.
-func (publisher *Publisher) due(nodes []*clusterv1.NodeRecord, now time.Time) []process {
+// pending is a push that is to begin.
+type pending struct {
+	to   process
+	lane lane
+}
+
+// due returns the pushes that are to begin.
+func (publisher *Publisher) due(nodes []*clusterv1.NodeRecord, now time.Time) []pending {
 	publisher.mu.Lock()
 	defer publisher.mu.Unlock()
-	var list []process
+	var list []pending
 	for _, node := range nodes {
 		key := processOf(node)
-		if state := publisher.receiver[key]; !state.pushing && publisher.lacks(state, now) {
-			state.pushing, state.pushed = true, now
-			list = append(list, key)
+		state := publisher.receiver[key]
+		for lane := range lanes {
+			if pushes := &state.lanes[lane]; !pushes.pushing && publisher.lacks(state, lane, now) {
+				pushes.pushing, pushes.pushed = true, now
+				list = append(list, pending{key, lane})
+			}
 		}
 	}
 	return list
@@ -45,34 +54,34 @@
 	defer publisher.mu.Unlock()
 	var names []string
 	for key, state := range publisher.receiver {
-		if state.failed {
+		if state.failed() {
 			names = append(names, key.node)
 		}
 	}
 	return names
 }
 
-// lacks reports whether a process lacks something that it is to be sent now. It must be called with mu held.
-func (publisher *Publisher) lacks(state *receiver, now time.Time) bool {
-	if state.known == nil || state.relay.unsent() {
+// lacks reports whether a process lacks something that it is to be sent now in a lane. It must be called with mu held.
+func (publisher *Publisher) lacks(state *receiver, lane lane, now time.Time) bool {
+	if lane == prompt && (state.known == nil || state.relay.unsent()) {
 		return true
 	}
 	for _, topic := range publisher.Topics {
-		if state.lacks(topic, publisher.wanted(topic)) && now.Sub(state.pushed) >= topic.Pace {
+		if topic.lane() == lane && state.lacks(topic, publisher.wanted(topic)) && now.Sub(state.lanes[lane].pushed) >= topic.Pace {
 			return true
 		}
 	}
 	return false
 }
 
-// push brings a process up to date. One that has not told what it has is asked first.
-func (publisher *Publisher) push(ctx context.Context, key process) {
-	state, slots := publisher.begin(key)
+// push brings a process up to date in a lane. One that has not told what it has is asked first.
+func (publisher *Publisher) push(ctx context.Context, key process, lane lane) {
+	state, slots := publisher.begin(key, lane)
 	if state == nil {
 		return
 	}
 	failed := true
-	defer func() { publisher.finish(state, failed) }()
+	defer func() { publisher.finish(state, lane, failed) }()
 	client := publisher.Registry.ClientOf(state.record)
 	select {
 	case slots <- struct{}{}:
@@ -81,7 +90,7 @@
 		return
 	}
 	for range pushSteps {
-		request, limit, err := publisher.next(state)
+		request, limit, err := publisher.next(state, lane)
 		if err != nil {
 			publisher.Logger.Error("update not encoded", "node", key.node, "error", err)
 			return
@@ -97,7 +106,7 @@
 		}
 		publisher.Metrics.Published("ok", time.Since(started))
 		publisher.tellPush(key, request, response)
-		if publisher.told(state, request, response) {
+		if publisher.told(state, lane, request, response) {
 			break
 		}
 	}
@@ -127,22 +136,22 @@
 	return 0
 }
 
-// begin returns the state of a process and the slots that bound the pushes to it; nil when it is not served any more.
-func (publisher *Publisher) begin(key process) (*receiver, chan struct{}) {
+// begin returns the state of a process and the slots that bound the pushes to it in a lane; nil when it is not served any more.
+func (publisher *Publisher) begin(key process, lane lane) (*receiver, chan struct{}) {
 	publisher.mu.Lock()
 	defer publisher.mu.Unlock()
 	state := publisher.receiver[key]
-	if state != nil && state.failed {
-		return state, publisher.retries
+	if state != nil && state.lanes[lane].failed {
+		return state, publisher.retries[lane]
 	}
-	return state, publisher.pushes
+	return state, publisher.pushes[lane]
 }
 
-// next returns the request that a process is sent next, and how long the call may take.
-func (publisher *Publisher) next(state *receiver) (*clusterv1.PublishRequest, time.Duration, error) {
+// next returns the request that a process is sent next in a lane, and how long the call may take.
+func (publisher *Publisher) next(state *receiver, lane lane) (*clusterv1.PublishRequest, time.Duration, error) {
 	publisher.mu.Lock()
-	lacking, form, assignment := publisher.lacking(state), state.form(), state.relay.wanted
-	if !state.relay.unsent() {
+	lacking, form, assignment := publisher.lacking(state, lane), state.form(), state.relay.wanted
+	if lane != prompt || !state.relay.unsent() {
 		assignment = nil
 	}
 	asked := state.known != nil
@@ -174,25 +183,25 @@
 	base, wanted metadata.Revision
 }
 
-// lacking returns what a process lacks. It must be called with mu held.
-func (publisher *Publisher) lacking(state *receiver) []lack {
+// lacking returns what a process lacks in a lane. It must be called with mu held.
+func (publisher *Publisher) lacking(state *receiver, lane lane) []lack {
 	var list []lack
 	for _, topic := range publisher.Topics {
-		if wanted := publisher.wanted(topic); state.lacks(topic, wanted) {
+		if wanted := publisher.wanted(topic); topic.lane() == lane && state.lacks(topic, wanted) {
 			list = append(list, lack{topic, state.known[topic.Prefix()], wanted})
 		}
 	}
 	return list
 }
 
-// told notes what a process has after a request, and reports whether that is all.
-func (publisher *Publisher) told(state *receiver, request *clusterv1.PublishRequest, response *clusterv1.PublishResponse) (all bool) {
+// told notes what a process has after a request, and reports whether that is all in a lane.
+func (publisher *Publisher) told(state *receiver, lane lane, request *clusterv1.PublishRequest, response *clusterv1.PublishResponse) (all bool) {
 	publisher.mu.Lock()
 	defer publisher.mu.Unlock()
-	state.known = make(map[string]metadata.Revision, len(response.GetKnown()))
-	for _, revision := range response.GetKnown() {
-		state.known[revision.GetPrefix()] = metadata.Revision(revision.GetRevision())
+	if state.known == nil {
+		publisher.nudge() // the other lane has something to send now
 	}
+	state.learn(publisher.Topics, lane, response.GetKnown())
 	if assignment := request.GetAssignment(); assignment != nil {
 		state.relay.sent = assignment.GetNumber()
 	}
@@ -200,14 +209,14 @@
 		state.unread = true
 		publisher.Logger.Warn("update not read by its receiver", "node", state.record.GetName(), "life", state.record.GetLife(), "prefixes", unread)
 	}
-	return len(publisher.lacking(state)) == 0 && !state.relay.unsent()
+	return len(publisher.lacking(state, lane)) == 0 && (lane != prompt || !state.relay.unsent())
 }
 
 // finish ends a push. When a relay was not reached, its nodes are to have another at once.
-func (publisher *Publisher) finish(state *receiver, failed bool) {
+func (publisher *Publisher) finish(state *receiver, lane lane, failed bool) {
 	publisher.mu.Lock()
 	defer publisher.mu.Unlock()
-	state.pushing, state.failed = false, failed
+	state.lanes[lane].pushing, state.lanes[lane].failed = false, failed
 	if failed && len(state.relay.wanted.GetNodes()) > 0 {
 		publisher.nudge()
 	}
--- a/internal/dissemination/receiver.go
+++ b/internal/dissemination/receiver.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"slices"
 	"time"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
@@ -23,11 +24,49 @@
 	// known is the revision that the process has of the prefix of each topic that it follows, as it told; nil before it has.
 	known map[string]metadata.Revision
 	// unread says that the process could not read an update in the form that it has registered: it is sent plain ones from then on.
-	unread  bool
+	unread bool
+	// lanes are the pushes to the process.
+	lanes [lanes]laneState
+	relay relayState
+}
+
+// laneState is what the publisher knows of the pushes to a process in one lane.
+type laneState struct {
 	pushing bool
-	failed  bool // whether the last push did
-	pushed  time.Time
-	relay   relayState
+	// pushed is when the last push began, failed whether the last that ended did.
+	pushed time.Time
+	failed bool
+}
+
+// failed reports whether the process was not brought up to date by the last push of a lane.
+func (state *receiver) failed() bool {
+	return slices.ContainsFunc(state.lanes[:], func(lane laneState) bool { return lane.failed })
+}
+
+// learn takes what the process tells after a push in a lane. Pushes of a lane follow each other, so that it is the newest word on the lane's own
+// topics; on the others a push beside it may have brought more since. A process that has less than it had is another one at the same address, and
+// has lost the others as well.
+func (state *receiver) learn(topics []Topic, lane lane, told []*clusterv1.PrefixRevision) {
+	revisions := make(map[string]metadata.Revision, len(told))
+	for _, known := range told {
+		revisions[known.GetPrefix()] = metadata.Revision(known.GetRevision())
+	}
+	if state.known == nil || state.isAnother(topics, lane, revisions) {
+		state.known = revisions
+		return
+	}
+	for _, topic := range topics {
+		if revision, follows := revisions[topic.Prefix()]; follows && topic.lane() == lane {
+			state.known[topic.Prefix()] = revision
+		}
+	}
+}
+
+// isAnother reports whether less is known of a lane's topics than before.
+func (state *receiver) isAnother(topics []Topic, lane lane, told map[string]metadata.Revision) bool {
+	return slices.ContainsFunc(topics, func(topic Topic) bool {
+		return topic.lane() == lane && told[topic.Prefix()] < state.known[topic.Prefix()]
+	})
 }
 
 // lacks reports whether the process follows a topic and has not reached a revision of it. One of a build that does not have the topic never does.
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -388,7 +388,7 @@
 		return "no beacon"
 	}
 	for _, topic := range subscriber.Topics {
-		if since, lacks := subscriber.lacks(topic, now); lacks && now.Sub(since) > subscriber.Limits.Behind+topic.Pace {
+		if since, lacks := subscriber.lacks(topic, now); lacks && now.Sub(since) > subscriber.Limits.Behind+topic.allowance() {
 			return "behind on " + topic.Prefix()
 		}
 	}
--- a/internal/dissemination/topic.go
+++ b/internal/dissemination/topic.go
@@ -14,6 +14,38 @@
 	// Pace is the least time between two pushes to a node that lacks changes of such topics only; zero for topics that are pushed at
 	// each change.
 	Pace time.Duration
+	// Bulk is for topics that may be large: they are pushed beside the others, which never wait for them.
+	Bulk bool
+}
+
+// lane is one of the two ways of the pushes to a process, which go on beside each other: a change of the configuration does not wait while the process takes
+// all replicas, which keeps a weak machine busy for longer than it may lack a change.
+type lane int
+
+// The lanes.
+const (
+	prompt lane = iota
+	bulk
+	lanes
+)
+
+// snapshotTime is how much longer a process that knows nothing of a bulk topic may go without it: what the weakest machines need to take 10,000 entries.
+// Reading the store takes as long, and a call for each page. Nobody is sent to the process until it knows replicas.
+const snapshotTime = 700 * time.Millisecond
+
+// allowance is how much longer than a change at once a process may lack a change of the topic.
+func (topic Topic) allowance() time.Duration {
+	if topic.Bulk && topic.Revision() == 0 {
+		return topic.Pace + snapshotTime
+	}
+	return topic.Pace
+}
+
+func (topic Topic) lane() lane {
+	if topic.Bulk {
+		return bulk
+	}
+	return prompt
 }
 
 // changedAt returns up to which revisions another node has to know topics in order to lack nothing that this one has.
--- a/internal/dissemination/tree.go
+++ b/internal/dissemination/tree.go
@@ -26,9 +26,9 @@
 	groups []group
 }
 
-// arrange divides nodes into groups of one zone each. Nodes for which alone holds are served directly and relay nothing. It is a function of
-// its arguments, and few nodes change their relay when one comes or goes.
-func arrange(nodes []*clusterv1.NodeRecord, fanOut int, alone func(*clusterv1.NodeRecord) bool) arrangement {
+// arrange divides nodes into groups of one zone each. Nodes for which alone holds are served directly and relay nothing, those for which begun holds
+// relay only where there are not enough others. It is a function of its arguments, and few nodes change their relay when one comes or goes.
+func arrange(nodes []*clusterv1.NodeRecord, fanOut int, alone, begun func(*clusterv1.NodeRecord) bool) arrangement {
 	if len(nodes) <= fanOut {
 		return arrangement{direct: nodes}
 	}
@@ -44,7 +44,7 @@
 	most := max(1, fanOut/max(1, len(byZone)))
 	for _, members := range byZone {
 		count := min(most, (len(members)+fanOut-1)/fanOut)
-		groups := divide(members, count)
+		groups := divide(members, count, begun)
 		for _, group := range groups {
 			arranged.direct = append(arranged.direct, group.relay)
 		}
@@ -56,13 +56,16 @@
 // strongShare is the share of the processor time of the strongest node of a zone that a node must have to relay, where any has it.
 const strongShare = 0.75
 
-// divide returns groups of nodes of one zone.
-func divide(members []*clusterv1.NodeRecord, count int) []group {
+// divide returns groups of nodes of one zone. Those that have just begun are no relays if there are enough others.
+func divide(members []*clusterv1.NodeRecord, count int, begun func(*clusterv1.NodeRecord) bool) []group {
 	strongest := 0.0
 	for _, member := range members {
 		strongest = max(strongest, member.GetCores())
 	}
 	candidates := slices.DeleteFunc(slices.Clone(members), func(member *clusterv1.NodeRecord) bool { return member.GetCores() < strongShare*strongest })
+	if others := slices.DeleteFunc(slices.Clone(candidates), begun); len(others) >= count {
+		candidates = others
+	}
 	slices.SortFunc(candidates, func(a, b *clusterv1.NodeRecord) int { return cmp.Compare(rank("relay", b), rank("relay", a)) })
 	groups := make([]group, 0, count)
 	chosen := make(map[string]bool, count)
--- a/internal/metadata/mirror.go
+++ b/internal/metadata/mirror.go
@@ -46,7 +46,8 @@
 	log     []change
 	since   Revision
 	removed map[string]Revision
-	changed chan struct{}
+	// changed is closed at the next change, advanced also when more is known without one.
+	changed, advanced chan struct{}
 }
 
 // change is a key that changed at a revision.
@@ -58,7 +59,7 @@
 // NewMirror returns a mirror that knows nothing. The handler is called with the mirror's lock held, so one call at a time; it must not
 // call the mirror.
 func NewMirror(prefix string, next Handler) *Mirror {
-	return &Mirror{prefix: prefix, next: next, items: make(map[string]Item), removed: make(map[string]Revision), changed: make(chan struct{})}
+	return &Mirror{prefix: prefix, next: next, items: make(map[string]Item), removed: make(map[string]Revision), changed: make(chan struct{}), advanced: make(chan struct{})}
 }
 
 // Prefix returns the prefix of the mirrored keys.
@@ -93,6 +94,13 @@
 	return mirror.changed
 }
 
+// Advanced returns a channel that is closed when a later revision is known, whether or not anything has changed up to there.
+func (mirror *Mirror) Advanced() <-chan struct{} {
+	mirror.mu.Lock()
+	defer mirror.mu.Unlock()
+	return mirror.advanced
+}
+
 // Reset implements Handler. Keys outside the prefix are passed over.
 func (mirror *Mirror) Reset(items []Item, revision Revision) {
 	mirror.mu.Lock()
@@ -125,7 +133,7 @@
 		}
 	}
 	first := !mirror.known
-	mirror.revision = revision
+	mirror.reach(revision)
 	switch {
 	case first:
 		mirror.known, mirror.since, mirror.changedAt = true, revision, revision
@@ -161,7 +169,7 @@
 			fresh = append(fresh, event)
 		}
 	}
-	mirror.revision = max(revision, mirror.revision)
+	mirror.reach(max(revision, mirror.revision))
 	if len(fresh) == 0 {
 		return
 	}
@@ -217,10 +225,25 @@
 	return mirror.log[index:]
 }
 
+// reach notes up to which revision everything is known. It must be called with mu held.
+func (mirror *Mirror) reach(revision Revision) {
+	if revision > mirror.revision {
+		mirror.advance()
+	}
+	mirror.revision = revision
+}
+
+// advance must be called with mu held.
+func (mirror *Mirror) advance() {
+	close(mirror.advanced)
+	mirror.advanced = make(chan struct{})
+}
+
 // announce must be called with mu held.
 func (mirror *Mirror) announce() {
 	close(mirror.changed)
 	mirror.changed = make(chan struct{})
+	mirror.advance()
 }
 
 // Difference returns what brings a mirror that has reached a base up to date: all items if its base is too old, or if it knows nothing
--- a/internal/metadata/mirror_test.go
+++ b/internal/metadata/mirror_test.go
@@ -196,6 +196,34 @@
 	must.Eq(t, 15, mirror.ChangedAt(), must.Sprint("the newest change, not the reading"))
 }
 
+// A mirror that knows more says so, also where nothing has changed.
+func TestMirrorAdvances(t *testing.T) {
+	mirror := metadata.NewMirror("a/", ignoringHandler{})
+	items := []metadata.Item{{Key: "a/1", Revision: 1}}
+	for _, step := range []struct {
+		name     string
+		play     func()
+		advanced bool
+	}{
+		{"first reading", func() { mirror.Reset(items, 3) }, true},
+		{"the same reading", func() { mirror.Reset(items, 3) }, false},
+		{"a later reading", func() { mirror.Reset(items, 5) }, true},
+		{"a watch without events", func() { mirror.Apply(nil, 7) }, true},
+		{"the same watch", func() { mirror.Apply(nil, 7) }, false},
+		{"an event", func() { mirror.Apply([]metadata.Event{{Item: metadata.Item{Key: "a/2", Revision: 8}}}, 8) }, true},
+		{"a difference without items", func() { mirror.Take(&metadata.Difference{Prefix: "a/", Base: 8, Revision: 9}) }, true},
+	} {
+		advanced := mirror.Advanced()
+		step.play()
+		select {
+		case <-advanced:
+			must.True(t, step.advanced, must.Sprint(step.name))
+		default:
+			must.False(t, step.advanced, must.Sprint(step.name))
+		}
+	}
+}
+
 // A mirror of a store that nothing was written to yet takes the first change.
 func TestMirrorOfEmptyStore(t *testing.T) {
 	mirror := metadata.NewMirror("a/", ignoringHandler{})
--- a/internal/role/topics.go
+++ b/internal/role/topics.go
@@ -32,8 +32,8 @@
 func (topics topics) published() []dissemination.Topic {
 	return []dissemination.Topic{
 		{Mirror: topics.configuration},
-		{Mirror: topics.replicas},
-		{Mirror: topics.nodes, Pace: nodesPace},
+		{Mirror: topics.replicas, Bulk: true},
+		{Mirror: topics.nodes, Pace: nodesPace, Bulk: true},
 		{Mirror: topics.quarantine},
 	}
 }
