Hard load: interfaces of admission, room and replica orders

Cause: requests compete for services with too little room, and nothing decides who gets it. Change: the types that the parts share: admission.Controller with demands, grants and outcomes (in order of arrival for now, and used by nothing yet), admission.Room, catalog.Scaling and spot replicas, messages that report loads of services, the setting that switches the parts on. Nothing is wired, so nothing behaves differently. Conclusion: the parts can be built side by side.

--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -51,6 +51,7 @@
 		Limits:               limits,
 		StartOrderer:         process.standbyStarter(),
 		UsageWindow:          settings.UsageWindow(),
+		OverloadControl:      settings.OverloadControl(),
 		Clock:                process.clock,
 	})
 	ingress := &platform.Ingress{
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/admission"
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
@@ -87,6 +88,8 @@
 	Logger      *log.Logger
 	Metrics     *telemetry.Metrics
 	Flush       batch.FlushPolicy
+	// Admission admits scoring requests to their services; nil limits them to a fixed number at a time.
+	Admission *admission.Controller
 	// Zone is the zone of this node.
 	Zone string
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -65,6 +65,20 @@
 	MaxConnections int
 	// Models are the models that the service's engines run; empty for a service without models.
 	Models []string
+	// Scaling bounds the replicas that may be ordered for the service; nil if their number is fixed.
+	Scaling *Scaling
+}
+
+// Scaling describes which replicas of a service can be ordered.
+type Scaling struct {
+	// Minimum and Maximum bound the replicas in each zone, of both kinds together.
+	Minimum, Maximum int
+	// BootTime is the time from an order until the new replica serves.
+	BootTime time.Duration
+	// SpotPrice is the price of a spot replica as a fraction of the price of an on-demand one; zero if there are no spot replicas.
+	SpotPrice float64
+	// ZonePrices are the prices of one replica for one second, by zone.
+	ZonePrices map[string]float64
 }
 
 // Limits bound what a client may send.
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // ModelVersion is a model with the version of its weights.
@@ -21,7 +22,11 @@
 	Zone     string
 	Slots    int
 	Draining bool
-	Models   []ModelVersion
+	// Spot replicas may be reclaimed at short notice.
+	Spot bool
+	// LeavesAfter is the time from the registration of the notice until a reclaimed replica ends; zero if no end is announced.
+	LeavesAfter time.Duration
+	Models      []ModelVersion
 }
 
 // incarnationSeparator separates the name of a replica from the start time of its incarnation. Names do not contain it.
@@ -71,5 +76,6 @@
 // Equal reports whether two entries of a replica are equal.
 func (replica *Replica) Equal(other *Replica) bool {
 	return replica.ID == other.ID && replica.Service == other.Service && replica.Address == other.Address && replica.Zone == other.Zone &&
-		replica.Slots == other.Slots && replica.Draining == other.Draining && slices.Equal(replica.Models, other.Models)
+		replica.Slots == other.Slots && replica.Draining == other.Draining && replica.Spot == other.Spot && replica.LeavesAfter == other.LeavesAfter &&
+		slices.Equal(replica.Models, other.Models)
 }
--- a/internal/cluster/datagrams.go
+++ b/internal/cluster/datagrams.go
@@ -49,6 +49,9 @@
 	StoreAnswers func(*clusterv1.StoreAnswers)
 	Suspicions   func(*clusterv1.Suspicions)
 	RelayReport  func(*clusterv1.RelayReport)
+	// ServiceReport and ServiceTotals also receive the address of the sender.
+	ServiceReport func(report *clusterv1.ServiceReport, from net.Addr)
+	ServiceTotals func(totals *clusterv1.ServiceTotals, from net.Addr)
 }
 
 // Receive dispatches datagrams to the handlers until the context ends or the connection is closed.
@@ -104,5 +107,13 @@
 		if handlers.RelayReport != nil {
 			handlers.RelayReport(kind.RelayReport)
 		}
+	case *clusterv1.Datagram_ServiceReport:
+		if handlers.ServiceReport != nil {
+			handlers.ServiceReport(kind.ServiceReport, from)
+		}
+	case *clusterv1.Datagram_ServiceTotals:
+		if handlers.ServiceTotals != nil {
+			handlers.ServiceTotals(kind.ServiceTotals, from)
+		}
 	}
 }
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/thistlewalk/thistlewalk/internal/admission"
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/clock"
@@ -72,6 +73,8 @@
 	Metrics *telemetry.Metrics
 	// Meter may be nil.
 	Meter Meter
+	// Admission admits requests to services; nil sends each of them at once.
+	Admission *admission.Controller
 	// Clock measures the caller's remaining time; nil for a steady clock. It must advance while the machine is suspended, because the
 	// caller keeps waiting.
 	Clock clock.Clock
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -57,6 +57,8 @@
 	StartOrderer func() (*Orderer, error)
 	// UsageWindow is the length of the windows for usage reports; zero disables them.
 	UsageWindow time.Duration
+	// OverloadControl makes requests wait for room at their service, and shares the room among callers, trainers and nodes.
+	OverloadControl bool
 	// Clock keeps running while the machine is suspended; nil means the process's monotonic clock.
 	Clock clock.Clock
 }
