Jobs of different models run at different nodes of a zone under overload control

Cause: the node of a model's jobs is drawn for each model by itself. Change: models take nodes in turn by rendezvous hashing, none twice while others are free; the second node is preferably no model's first. Only where the settings call for overload control. Not measured yet.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -126,6 +127,19 @@
 	return best
 }
 
+// ModelNames returns the names of all models of all services, sorted; nil without a configuration.
+func (configuration *Configuration) ModelNames() []string {
+	if configuration == nil {
+		return nil
+	}
+	var names []string
+	for _, service := range configuration.Services {
+		names = append(names, service.Models...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Table holds the newest configuration and the registered replicas. It is safe for concurrent use.
 type Table struct {
 	configuration atomic.Pointer[Configuration]
--- a/internal/role/peers.go
+++ b/internal/role/peers.go
@@ -25,10 +25,29 @@
 func (peers peers) Candidates() []string { return peers.front.Registry.Candidates() }
 
 // Preferred implements batchrun.Peers.
-func (peers peers) Preferred(model string) string { return peers.front.Registry.Preferred(model) }
+func (peers peers) Preferred(model string) string {
+	if peers.front.OverloadControl {
+		return peers.nodeAmongModels(model, 0)
+	}
+	return peers.front.Registry.Preferred(model)
+}
 
 // Alternate implements batchrun.Peers.
-func (peers peers) Alternate(model string) string { return peers.front.Registry.Alternate(model) }
+func (peers peers) Alternate(model string) string {
+	if peers.front.OverloadControl {
+		return peers.nodeAmongModels(model, 1)
+	}
+	return peers.front.Registry.Alternate(model)
+}
+
+// nodeAmongModels returns the node at a place in the order of preference of a model, which differs between models in its first place.
+func (peers peers) nodeAmongModels(model string, place int) string {
+	names := peers.front.Registry.PreferredAmong(model, peers.front.Catalog.Configuration().ModelNames())
+	if place >= len(names) {
+		return ""
+	}
+	return names[place]
+}
 
 // Directory implements batchrun.Peers.
 func (peers peers) Directory(job string) string { return peers.front.Registry.PreferredAnywhere(job) }
