An owner is notified when another node ends its job

Cause: an end through the log reaches the owner only by its next append, which may be seconds away while its items wait. Change: the node that ends a job for its owner calls it; a successor checks its claim after the job runs. Before: both new tests failed (six items started). After: they pass, with the package's other tests.

--- a/internal/batchlog/log.go
+++ b/internal/batchlog/log.go
@@ -42,6 +42,9 @@
 	// Node is the name under which this node owns jobs. Incarnation is that of its process.
 	Node        string
 	Incarnation int64
+	// OnEndedForOwner is called after this node has ended a job that another claim owned, with the owner's node. That owner does not know of
+	// the end before its next append. Nil disables the call.
+	OnEndedForOwner func(job, owner string)
 }
 
 // Ownership is this node's ownership of a job, fenced by the revision of the owner's key. Except for InDoubt it must be used by
@@ -212,6 +215,9 @@
 			return err
 		}
 		_, err = log.Store.Commit(ctx, endTxn(id, owner.GetNode(), revision))
+		if err == nil && log.OnEndedForOwner != nil {
+			log.OnEndedForOwner(id, owner.GetNode())
+		}
 		return err
 	})
 }
--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -52,6 +52,37 @@
 	return errors.Mark(err, ErrUncertain)
 }
 
+const (
+	// endNoticeAttempts bounds the calls that notify an owner of the end of its job. The owner learns of it by its next append in any case.
+	endNoticeAttempts = 3
+	endNoticePause    = 300 * time.Millisecond
+)
+
+// notifyOwnerOfEnd makes the owner of a job that this node has ended stop the job's items. An owner that has nothing to append would start
+// waiting items until then. An owner that is just taking the job over checks its claim itself once the job runs.
+func (runner *Runner) notifyOwnerOfEnd(job, owner string) {
+	if owner == runner.Node {
+		if owned := runner.find(job); owned != nil && owned.isAccepted() {
+			go runner.dropIfLost(runner.ctx, owned)
+		}
+		return
+	}
+	go func() {
+		notified := false
+		for range endNoticeAttempts {
+			notified = runner.callPeer(runner.ctx, owner, ownerEndTimeout, func(ctx context.Context, peer batchv1.Batches) (bool, error) {
+				_, err := peer.End(ctx, &batchv1.EndRequest{JobId: job})
+				return err == nil, err
+			})
+			if notified || runner.ctx.Err() != nil {
+				break
+			}
+			wait.Pause(runner.ctx, endNoticePause)
+		}
+		runner.Logger.Info("owner notified of an end", "job", job, "owner", owner, "notified", notified)
+	}()
+}
+
 // endLocally cancels the items at once and makes the end durable, even if the caller disconnects.
 func (runner *Runner) endLocally(ctx context.Context, owned *job) error {
 	if !runner.stopItems(owned) {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -130,6 +130,7 @@
 		sweeps: newSweepSchedule(),
 	}
 	runner.scheduler = newScheduler(runner)
+	runner.Log.OnEndedForOwner = runner.notifyOwnerOfEnd
 	return runner
 }
 
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -76,6 +76,10 @@
 	}
 	runner.Metrics.Job("taken_over")
 	runner.resume(ownership, record)
+	// The job may have ended since its record was read. Calls that end it later find it at this node.
+	if owned := runner.find(id); owned != nil && owned.isAccepted() {
+		runner.dropIfLost(ctx, owned)
+	}
 	return nil
 }
 
@@ -143,19 +147,23 @@
 // Recheck drops the jobs that this node no longer owns. It is called when other nodes may have declared this node failed.
 func (runner *Runner) Recheck(ctx context.Context) {
 	for _, owned := range runner.openJobs() {
-		if !owned.isAccepted() {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
-		still, err := runner.Log.StillOwner(callCtx, owned.ownership)
-		cancel()
-		if err == nil && !still {
-			runner.Logger.Warn("ownership lost", "job", owned.id(), "reason", "another owner")
-			runner.remove(owned)
+		if owned.isAccepted() {
+			runner.dropIfLost(ctx, owned)
 		}
 	}
 }
 
+// dropIfLost drops a job if it has ended or has another owner.
+func (runner *Runner) dropIfLost(ctx context.Context, owned *job) {
+	callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	defer cancel()
+	still, err := runner.Log.StillOwner(callCtx, owned.ownership)
+	if err == nil && !still {
+		runner.Logger.Warn("ownership lost", "job", owned.id(), "reason", "another owner")
+		runner.remove(owned)
+	}
+}
+
 func (runner *Runner) openJobs() []*job {
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
