A takeover does not wait for the check of its claim

Cause: the check reads the store, and the call that hands a job over waits 1.2 s for the takeover. Change: it runs beside the resumed job.

--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -78,7 +78,7 @@
 	runner.resume(ownership, record)
 	// The job may have ended since its record was read. Calls that end it later find it at this node.
 	if owned := runner.find(id); owned != nil && owned.isAccepted() {
-		runner.dropIfLost(ctx, owned)
+		go runner.dropIfLost(runner.ctx, owned)
 	}
 	return nil
 }
