--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,762 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// guaranteedShare is the share of a service's slot time that interactive requests in time and critical scoring requests each keep while
+	// the other presses. What one of them leaves unused goes to the other.
+	guaranteedShare = 0.25
+	// leastLateRate is the least rate, as a part of the places, at which late requests are assumed to be served.
+	leastLateRate = 0.02
+	// waitUncertainty is the part of the time of full value by which an estimated wait may be off.
+	waitUncertainty = 0.15
+	// lateCaution is the factor by which a late request must be expected to make its deadline, since more urgent ones go on arriving.
+	lateCaution = 2
+	// stallIntervals is after how many mean intervals without a freed place, beyond a service time, the places are taken to be slower than
+	// measured.
+	stallIntervals = 4
+	// criticalMargin covers the time between two looks at the queue.
+	criticalMargin = 2 * sweepInterval
+	// criticalRefresh is how long the result of refreshCritical holds.
+	criticalRefresh = 5 * time.Millisecond
+	// sweepInterval is the time between two looks at all waiting requests.
+	sweepInterval = 20 * time.Millisecond
+	// maxWaiting and minQueueBound limit the bound on the queue's length.
+	maxWaiting    = 2048
+	minQueueBound = 16
+	// maxIdleFlows bounds the flows kept for the slot time that they used.
+	maxIdleFlows = 1024
+	// never is later than every time in use.
+	never = time.Duration(1 << 62)
+)
+
+// Reasons of refusals.
+const (
+	reasonBacklog   = "backlog"    // the backlog ahead takes longer than the request has left
+	reasonExpired   = "expired"    // it waited, and can't be served by its deadline any more
+	reasonEvicted   = "evicted"    // it gave way to a more urgent request
+	reasonQueueFull = "queue_full" // as many wait as can be served, and it is the least urgent
+)
+
+// ticket is a request that waits for a place. Times are measured from the start of the controller.
+type ticket struct {
+	class            Class
+	flow             *flow
+	useful, deadline time.Duration
+	arrived          time.Duration
+	size             int64
+	late             bool
+	waiting          bool
+	// position is the number of requests that were expected to be served before it when it arrived.
+	position int
+	// Set when the wait ends: either grant or refusal.
+	grant   Grant
+	refusal *RefusedError
+	decided chan struct{}
+}
+
+// flow is a tenant's or a model's requests of one class and priority. fresh holds requests that can still be useful in full, late the
+// others; both are sorted.
+type flow struct {
+	name     string
+	level    *level
+	fresh    []*ticket
+	late     []*ticket
+	inFlight int
+	// finish is the flow's virtual finish time: where its next request starts if the flow is backlogged.
+	finish float64
+}
+
+func (flow *flow) waiting() int { return len(flow.fresh) + len(flow.late) }
+
+// level is the requests of one class and priority. Its flows share slot time by start-time fair queuing.
+type level struct {
+	class    Class
+	priority int
+	// virtual is the start tag of the request admitted last. A flow that was idle starts there, so that it gathers no credit.
+	virtual float64
+	flows   map[string]*flow
+	active  []*flow // those with waiting requests
+	fresh   int
+	late    int
+}
+
+// queue decides which requests get the places of one service: which is sent at once, which waits, which of those that wait is next, and
+// which is refused. It answers the load of a service with less room than demand: places go to the requests that are worth most, and what
+// can't be served by its deadline learns so early enough to go elsewhere. It is a plain value without locks, timers or I/O; its caller
+// passes the time and chance in, and passes the decisions on.
+type queue struct {
+	limit    int
+	inFlight [2]int // by class
+	waiting  int
+	bytes    int64
+	refused  int64
+	levels   []*level  // by class, then priority
+	due      []*ticket // fresh scoring requests by useful
+	times    [2]serviceTime
+	usage    usage
+	// progressed is when a place was last taken or freed.
+	progressed time.Duration
+	// longest is the longest time that a request lately had until its deadline.
+	longest time.Duration
+	// criticalUntil and urgentUntil are the values of useful up to which scoring requests have to be served now: critical ones get the
+	// guaranteed share, urgent ones all but the share of the others.
+	criticalUntil, urgentUntil time.Duration
+	criticalCount              int
+	criticalAt                 time.Duration
+	chance                     func() float64
+	decided                    []*ticket // to be told their decisions
+}
+
+func newQueue(chance func() float64) *queue {
+	return &queue{chance: chance, limit: 1, criticalUntil: -1, urgentUntil: -1, criticalAt: -never}
+}
+
+func (queue *queue) busy() int { return queue.inFlight[Interactive] + queue.inFlight[Scoring] }
+
+// hasRoom reports whether a request would be admitted at once.
+func (queue *queue) hasRoom(limit int) bool { return queue.waiting == 0 && queue.busy() < limit }
+
+// take admits a request. flow is nil if it did not wait.
+func (queue *queue) take(class Class, kind kind, flow *flow, now time.Duration) Grant {
+	charged := queue.meanOf(class)
+	queue.inFlight[class]++
+	queue.progressed = now
+	queue.usage.add(kind, charged, now)
+	if flow != nil {
+		flow.inFlight++
+		start := max(flow.level.virtual, flow.finish)
+		flow.level.virtual = start
+		flow.finish = start + charged
+	}
+	return Grant{class: class, kind: kind, flow: flow, charged: charged, since: now}
+}
+
+// takeAtOnce admits a request if there is room, and reports whether it did.
+func (queue *queue) takeAtOnce(class Class, limit int, now time.Duration) (Grant, bool) {
+	queue.limit = max(limit, 1)
+	if !queue.hasRoom(queue.limit) {
+		return Grant{}, false
+	}
+	kind := inTime
+	if class == Scoring {
+		kind = spare
+	}
+	return queue.take(class, kind, nil, now), true
+}
+
+// release frees the place of an admitted request. It returns the number of requests in flight until then.
+func (queue *queue) release(grant *Grant, outcome Outcome, now time.Duration) int {
+	before := queue.busy()
+	queue.inFlight[grant.class]--
+	queue.progressed = now
+	held := now - grant.since
+	switch {
+	case outcome.ServiceTime > 0:
+		queue.times[grant.class].observe(outcome.ServiceTime)
+	case !outcome.Full:
+		queue.times[grant.class].observeAtLeast(held)
+	}
+	correction := float64(held) - grant.charged
+	queue.usage.add(grant.kind, correction, now)
+	if flow := grant.flow; flow != nil {
+		flow.inFlight--
+		flow.finish += correction
+		flow.level.forget(flow)
+	}
+	return before
+}
+
+// meanOf returns the mean service time of a class in nanoseconds. A class without samples is taken to be like the other one.
+func (queue *queue) meanOf(class Class) float64 {
+	for _, candidate := range []Class{class, Interactive, Scoring} {
+		if queue.times[candidate].known {
+			return queue.times[candidate].mean
+		}
+	}
+	return float64(unknownServiceTime)
+}
+
+// meanTime returns the mean service time over both classes, weighted by the slot time that they used lately.
+func (queue *queue) meanTime() time.Duration {
+	share := queue.usage.scoringShare()
+	return time.Duration((1-share)*queue.meanOf(Interactive) + share*queue.meanOf(Scoring))
+}
+
+// likelyOf returns the time within which most requests of a class end; zero if nothing is known.
+func (queue *queue) likelyOf(class Class) time.Duration {
+	for _, candidate := range []Class{class, Interactive, Scoring} {
+		if queue.times[candidate].known {
+			return queue.times[candidate].likely()
+		}
+	}
+	return 0
+}
+
+// timesKnown reports whether a service time was measured. Without one no wait can be estimated, and nothing is refused for its length.
+func (queue *queue) timesKnown() bool {
+	return queue.times[Interactive].known || queue.times[Scoring].known
+}
+
+// interval returns the expected time until a place is free, and the factor by which places are slower than measured. Requests in flight
+// beyond the limit, which has shrunk, end beside each other before a place is free.
+func (queue *queue) interval(now time.Duration) (interval, slower float64) {
+	busy := queue.busy()
+	mean := queue.meanOf(Interactive)
+	if busy > 0 {
+		mean = (float64(queue.inFlight[Interactive])*queue.meanOf(Interactive) + float64(queue.inFlight[Scoring])*queue.meanOf(Scoring)) / float64(busy)
+	}
+	slot := mean / float64(max(queue.limit, busy))
+	slower = max(1, (float64(now-queue.progressed)-mean)/slot-stallIntervals+1)
+	interval = mean / float64(queue.limit)
+	if busy > queue.limit {
+		interval += mean * math.Log(float64(busy)/float64(queue.limit))
+	}
+	return interval * slower, slower
+}
+
+// wait estimates how long a request waits that has the given number of requests of its own kind ahead.
+func (queue *queue) wait(class Class, isLate bool, ahead int, now time.Duration) time.Duration {
+	queue.usage.decay(now)
+	interval, slower := queue.interval(now)
+	places := float64(queue.limit)
+	interactive, scoring := queue.meanOf(Interactive), queue.meanOf(Scoring)
+	criticalWork := float64(queue.criticalCount) * scoring
+	var work float64
+	switch {
+	case class == Scoring:
+		work = float64(ahead) * scoring / max(guaranteedShare, 1-queue.usage.ofPlaces(queue.limit, inTime))
+	case !isLate:
+		others := guaranteedShare
+		if queue.urgentUntil >= 0 {
+			others = 1 - guaranteedShare
+		}
+		own := float64(ahead) * interactive
+		work = min(own+criticalWork, own/(1-others))
+	default:
+		freshWork := float64(queue.count(Interactive, false)) * interactive
+		rate := max(leastLateRate, 1-queue.usage.ofPlaces(queue.limit, inTime, critical))
+		work = freshWork + criticalWork + float64(ahead+1)*interactive/rate
+	}
+	return time.Duration(interval + slower*work/places)
+}
+
+// count returns the number of waiting requests of a class that are late, or are not.
+func (queue *queue) count(class Class, isLate bool) int {
+	total := 0
+	for _, level := range queue.levels {
+		if level.class != class {
+			continue
+		}
+		if isLate {
+			total += level.late
+		} else {
+			total += level.fresh
+		}
+	}
+	return total
+}
+
+// ahead returns how many requests of the same class, late or not like it, are expected to be served before a request. Flows of its level
+// take turns, so that each has as many served before it as the request's own flow, and one more.
+func (queue *queue) ahead(request *ticket, isLate bool) int {
+	own := request.flow
+	index, _ := slices.BinarySearchFunc(own.list(isLate), request, compareTickets)
+	total := index
+	for _, level := range queue.levels {
+		if level.class != request.class || level.priority > own.level.priority {
+			continue
+		}
+		if level.priority < own.level.priority {
+			if isLate {
+				total += level.late
+			} else {
+				total += level.fresh
+			}
+			continue
+		}
+		for _, other := range level.active {
+			if other != own {
+				total += min(len(other.list(isLate)), index+1)
+			}
+		}
+	}
+	return total
+}
+
+func (flow *flow) list(isLate bool) []*ticket {
+	if isLate {
+		return flow.late
+	}
+	return flow.fresh
+}
+
+// compareTickets orders the requests of a flow: interactive ones by deadline, scoring ones by the time until which they are useful. A
+// request that comes back after a refusal has an earlier deadline than new ones, and goes before them.
+func compareTickets(a, b *ticket) int {
+	if a.class == Scoring && a.useful != b.useful {
+		return compareDurations(a.useful, b.useful)
+	}
+	if a.deadline != b.deadline {
+		return compareDurations(a.deadline, b.deadline)
+	}
+	return compareDurations(a.arrived, b.arrived)
+}
+
+func compareDurations(a, b time.Duration) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// levelOf returns the level of a class and priority, and adds it if there is none.
+func (queue *queue) levelOf(class Class, priority int) *level {
+	index, found := slices.BinarySearchFunc(queue.levels, priority, func(other *level, priority int) int {
+		if other.class != class {
+			return int(other.class) - int(class)
+		}
+		return other.priority - priority
+	})
+	if !found {
+		queue.levels = slices.Insert(queue.levels, index, &level{class: class, priority: priority, flows: make(map[string]*flow)})
+	}
+	return queue.levels[index]
+}
+
+func (level *level) flowOf(name string) *flow {
+	own := level.flows[name]
+	if own == nil {
+		if len(level.flows) >= maxIdleFlows {
+			for name, other := range level.flows {
+				if other.inFlight == 0 && other.waiting() == 0 {
+					delete(level.flows, name)
+				}
+			}
+		}
+		own = &flow{name: name, level: level}
+		level.flows[name] = own
+	}
+	return own
+}
+
+// forget removes a flow that has nothing waiting or in flight and used no more than its share.
+func (level *level) forget(flow *flow) {
+	if flow.inFlight == 0 && flow.waiting() == 0 && flow.finish <= level.virtual {
+		delete(level.flows, flow.name)
+	}
+}
+
+// add queues a request or refuses it. room reports whether size more bytes may be held.
+func (queue *queue) add(request *ticket, flowName string, priority int, room func(size int64) bool, now time.Duration) {
+	queue.refreshCritical(now)
+	level := queue.levelOf(request.class, priority)
+	request.flow = level.flowOf(flowName)
+	request.arrived = now
+	request.late = now+queue.likelyOf(request.class) > request.useful
+	request.position = queue.ahead(request, request.late)
+	if queue.timesKnown() && now+queue.expected(request, now) > request.deadline || now >= request.deadline {
+		queue.refuse(request, reasonBacklog, now)
+		level.forget(request.flow)
+		return
+	}
+	queue.longest = max(queue.longest, min(request.deadline-now, time.Minute))
+	for queue.waiting >= queue.bound() || !room(request.size) {
+		victim := queue.leastUrgent()
+		if victim == nil || !queue.givesWay(victim, request) {
+			queue.refuse(request, reasonQueueFull, now)
+			level.forget(request.flow)
+			return
+		}
+		queue.remove(victim)
+		queue.refuse(victim, reasonEvicted, now)
+	}
+	queue.insert(request)
+}
+
+// expected returns the time until a newly arrived request is expected to have been served. A request that would wait beyond the time of
+// its full value becomes late at once, so that the next one finds it among the late ones.
+func (queue *queue) expected(request *ticket, now time.Duration) time.Duration {
+	service := queue.likelyOf(request.class)
+	total := queue.wait(request.class, request.late, request.position, now) + service
+	if request.class == Interactive && !request.late && now+total+queue.uncertainty(request) > request.useful {
+		request.late = true
+		request.position = queue.count(Interactive, false) + queue.ahead(request, true)
+		total = lateCaution*queue.wait(Interactive, true, queue.ahead(request, true), now) + service
+	}
+	return total
+}
+
+// uncertainty is how far an estimated wait may be off. A request starts to wait only if it is in time by that much, and is given up only if
+// it is late by that much, so that chance does not push it out while it waits.
+func (queue *queue) uncertainty(request *ticket) time.Duration {
+	return time.Duration(waitUncertainty * float64(max(0, request.useful-request.arrived)))
+}
+
+// bound returns how many requests may wait: as many as can be served in the longest time that one of them has.
+func (queue *queue) bound() int {
+	if !queue.timesKnown() {
+		return maxWaiting
+	}
+	shortest := queue.meanOf(Interactive)
+	if queue.times[Scoring].known {
+		shortest = min(shortest, queue.times[Scoring].mean)
+	}
+	return int(min(maxWaiting, max(minQueueBound, float64(queue.limit)*float64(queue.longest)/max(shortest, 1))))
+}
+
+func (queue *queue) kindOf(request *ticket) kind {
+	switch {
+	case request.late:
+		return late
+	case request.class == Interactive:
+		return inTime
+	case request.useful <= queue.criticalUntil:
+		return critical
+	}
+	return spare
+}
+
+// leastUrgent returns the waiting request to evict first: of the least urgent kind and priority the one served last of the longest flow.
+// Neither in-time interactive nor critical scoring requests lose their guaranteed share of the queue to the other.
+func (queue *queue) leastUrgent() *ticket {
+	var worst *ticket
+	for _, level := range queue.levels {
+		if !queue.evictable(level) {
+			continue
+		}
+		for _, flow := range level.active {
+			for _, list := range [][]*ticket{flow.fresh, flow.late} {
+				if len(list) == 0 {
+					continue
+				}
+				if last := list[len(list)-1]; worst == nil || queue.givesWay(last, worst) {
+					worst = last
+				}
+			}
+		}
+	}
+	return worst
+}
+
+func (queue *queue) evictable(level *level) bool {
+	return float64(queue.count(level.class, false)+queue.count(level.class, true)) > guaranteedShare*float64(queue.waiting) ||
+		queue.count(1-level.class, false)+queue.count(1-level.class, true) == 0
+}
+
+// givesWay reports whether request is less urgent than other.
+func (queue *queue) givesWay(request, other *ticket) bool {
+	if own, others := queue.kindOf(request), queue.kindOf(other); own != others {
+		return own > others
+	}
+	if request.flow.level.priority != other.flow.level.priority {
+		return request.flow.level.priority > other.flow.level.priority
+	}
+	if request.flow != other.flow {
+		own, others := request.flow.waiting(), other.flow.waiting()
+		if !other.waiting {
+			others++
+		}
+		if own != others {
+			return own > others
+		}
+	}
+	return compareTickets(request, other) > 0
+}
+
+func (queue *queue) insert(request *ticket) {
+	flow := request.flow
+	if flow.waiting() == 0 {
+		flow.level.active = append(flow.level.active, flow)
+	}
+	if request.late {
+		flow.late = insertSorted(flow.late, request)
+		flow.level.late++
+	} else {
+		flow.fresh = insertSorted(flow.fresh, request)
+		flow.level.fresh++
+		if request.class == Scoring {
+			queue.due = insertSorted(queue.due, request)
+			queue.criticalAt = -never
+		}
+	}
+	request.waiting = true
+	queue.waiting++
+	queue.bytes += request.size
+}
+
+// remove takes a request out of the queue.
+func (queue *queue) remove(request *ticket) {
+	flow := request.flow
+	if request.late {
+		flow.late = removeSorted(flow.late, request)
+		flow.level.late--
+	} else {
+		flow.fresh = removeSorted(flow.fresh, request)
+		flow.level.fresh--
+		if request.class == Scoring {
+			queue.due = removeSorted(queue.due, request)
+		}
+	}
+	request.waiting = false
+	queue.waiting--
+	queue.bytes -= request.size
+	if flow.waiting() == 0 {
+		active := flow.level.active
+		index := slices.Index(active, flow)
+		active[index] = active[len(active)-1]
+		active[len(active)-1] = nil
+		flow.level.active = active[:len(active)-1]
+		flow.level.forget(flow)
+	}
+}
+
+func insertSorted(list []*ticket, request *ticket) []*ticket {
+	index, _ := slices.BinarySearchFunc(list, request, compareTickets)
+	for index < len(list) && compareTickets(list[index], request) == 0 {
+		index++
+	}
+	return slices.Insert(list, index, request)
+}
+
+func removeSorted(list []*ticket, request *ticket) []*ticket {
+	index, _ := slices.BinarySearchFunc(list, request, compareTickets)
+	for list[index] != request {
+		index++
+	}
+	return slices.Delete(list, index, index+1)
+}
+
+// refuse decides that a request that is not in the queue is not admitted.
+func (queue *queue) refuse(request *ticket, reason string, now time.Duration) {
+	queue.refused++
+	request.refusal = &RefusedError{
+		Reason: reason, RetryAfter: queue.retryAfter(request.class, request.deadline-now, now), Waited: now - request.arrived, Position: request.position,
+	}
+	queue.decided = append(queue.decided, request)
+}
+
+const (
+	// heededShare is the part of its remaining time up to which a caller heeds the time after which it may return.
+	heededShare   = 1.0 / 3
+	minRetryAfter = 20 * time.Millisecond
+	// retrySpread is the greatest time to return in drain times of the backlog; the least is half of it.
+	retrySpread = 1.5
+)
+
+// retryAfter returns when a refused caller may return: when the backlog has drained, but no later than the caller would heed, at random
+// over half of that time, so that callers that were refused together do not come back together.
+func (queue *queue) retryAfter(class Class, left, now time.Duration) time.Duration {
+	drain := queue.wait(class, false, queue.count(class, false)+queue.count(class, true), now)
+	longest := min(time.Duration(retrySpread*float64(drain)), time.Duration(heededShare*float64(min(left, time.Minute))))
+	longest = max(longest, minRetryAfter)
+	return longest/2 + time.Duration(queue.chance()*float64(longest/2))
+}
+
+// refreshCritical determines which scoring requests have to be served now. The requests due until some time are critical if the guaranteed
+// share of the places is only just enough to serve all of them by then, and urgent if that is so of all places but the other class's share.
+func (queue *queue) refreshCritical(now time.Duration) {
+	if now-queue.criticalAt < criticalRefresh {
+		return
+	}
+	queue.criticalAt, queue.criticalUntil, queue.urgentUntil, queue.criticalCount = now, -1, -1, 0
+	if len(queue.due) == 0 {
+		return
+	}
+	each := queue.meanOf(Scoring) / float64(queue.limit)
+	fixed := max(queue.likelyOf(Scoring), 0) + criticalMargin
+	for index, request := range queue.due {
+		left := float64(request.useful - now - fixed)
+		work := float64(index+1) * each
+		if left < work/guaranteedShare {
+			queue.criticalUntil, queue.criticalCount = request.useful, index+1
+		}
+		if left < work/(1-guaranteedShare) {
+			queue.urgentUntil = request.useful
+		}
+	}
+}
+
+// dispatch admits waiting requests while there is room.
+func (queue *queue) dispatch(limit int, now time.Duration) {
+	queue.limit = max(limit, 1)
+	for queue.waiting > 0 && queue.busy() < queue.limit {
+		request, kind := queue.next(now)
+		queue.remove(request)
+		if now >= request.deadline {
+			queue.refuse(request, reasonExpired, now)
+			continue
+		}
+		request.grant = queue.take(request.class, kind, request.flow, now)
+		request.grant.waited, request.grant.position = now-request.arrived, request.position
+		queue.decided = append(queue.decided, request)
+	}
+}
+
+// next returns the waiting request that is admitted next.
+func (queue *queue) next(now time.Duration) (*ticket, kind) {
+	queue.refreshCritical(now)
+	interactive := queue.first(Interactive, false, never, now)
+	scoring := queue.first(Scoring, false, queue.criticalUntil, now)
+	switch {
+	case interactive != nil && scoring != nil:
+		queue.usage.decay(now)
+		share := queue.usage.scoringShare()
+		if share < guaranteedShare || scoring.useful <= queue.urgentUntil && share < 1-guaranteedShare {
+			return scoring, critical
+		}
+		return interactive, inTime
+	case interactive != nil:
+		return interactive, inTime
+	case scoring != nil:
+		return scoring, critical
+	}
+	interactive, scoring = queue.first(Interactive, true, never, now), queue.first(Scoring, true, never, now)
+	if interactive != nil && (scoring == nil || queue.usage.scoringShare() >= 0.5) {
+		return interactive, late
+	}
+	if scoring != nil {
+		return scoring, late
+	}
+	return queue.first(Scoring, false, never, now), spare
+}
+
+// first returns the request of a class to serve first: of the first priority, of the flow that used least, the earliest. Requests whose
+// time of full value is over become late. Only requests that are useful at most until the given time are considered.
+func (queue *queue) first(class Class, isLate bool, until, now time.Duration) *ticket {
+	for _, level := range queue.levels {
+		if level.class != class {
+			continue
+		}
+		if !isLate {
+			queue.makeLate(level, now)
+		}
+		var best *ticket
+		var bestStart float64
+		for _, flow := range level.active {
+			list := flow.list(isLate)
+			if len(list) == 0 || list[0].useful > until {
+				continue
+			}
+			start := max(level.virtual, flow.finish)
+			if best == nil || start < bestStart || start == bestStart && compareTickets(list[0], best) < 0 {
+				best, bestStart = list[0], start
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// makeLate moves requests at the head of a level's flows to the late ones if they can't be served in time any more.
+func (queue *queue) makeLate(level *level, now time.Duration) {
+	inTimeUntil := now + queue.likelyOf(level.class)
+	for _, flow := range level.active {
+		for len(flow.fresh) > 0 && flow.fresh[0].useful < inTimeUntil {
+			queue.moveToLate(flow.fresh[0])
+		}
+	}
+}
+
+func (queue *queue) moveToLate(request *ticket) {
+	flow := request.flow
+	if request.class == Scoring {
+		queue.due = removeSorted(queue.due, request)
+	}
+	flow.fresh = removeSorted(flow.fresh, request)
+	flow.late = insertSorted(flow.late, request)
+	flow.level.fresh--
+	flow.level.late++
+	request.late = true
+}
+
+// sweep looks at all waiting requests: those that can't be served in time any more become late, and those that can't be served by their
+// deadline are refused.
+func (queue *queue) sweep(limit int, now time.Duration) {
+	queue.limit = max(limit, 1)
+	queue.criticalAt = -never
+	queue.refreshCritical(now)
+	queue.longest = 0
+	var doomed []*ticket
+	for _, level := range queue.levels {
+		inTimeUntil := now + queue.likelyOf(level.class)
+		for _, flow := range level.active {
+			for index := 0; index < len(flow.fresh); {
+				if request := flow.fresh[index]; request.useful < inTimeUntil {
+					queue.moveToLate(request)
+				} else {
+					index++
+				}
+			}
+		}
+	}
+	for _, isLate := range []bool{false, true} {
+		doomed = queue.appendDoomed(doomed, isLate, now)
+	}
+	for _, request := range doomed {
+		queue.remove(request)
+	}
+	for _, request := range doomed {
+		queue.refuse(request, reasonExpired, now)
+	}
+}
+
+// appendDoomed appends the waiting requests that are late, or are not, and can't be served by their deadline. A request counts as ahead of
+// another only if it isn't doomed itself.
+func (queue *queue) appendDoomed(doomed []*ticket, isLate bool, now time.Duration) []*ticket {
+	var missing []*ticket
+	before, class := 0, Class(-1)
+	for _, level := range queue.levels {
+		if level.class != class {
+			before, class = 0, level.class
+		}
+		service := queue.likelyOf(class)
+		if !queue.timesKnown() {
+			service = 0
+		}
+		// Flows take turns: round r serves the request number r of each flow.
+		served := 0
+		for round := 0; ; round++ {
+			any := false
+			for _, flow := range level.active {
+				list := flow.list(isLate)
+				if round >= len(list) {
+					continue
+				}
+				any = true
+				request := list[round]
+				queue.longest = max(queue.longest, min(request.deadline-now, time.Minute))
+				expected := service
+				if queue.timesKnown() {
+					expected += queue.wait(class, isLate, before+served, now)
+					if class == Interactive && !isLate && now+expected-queue.uncertainty(request) > request.useful {
+						missing = append(missing, request)
+						continue
+					}
+				}
+				if now+expected > request.deadline {
+					doomed = append(doomed, request)
+				} else {
+					served++
+				}
+			}
+			if !any {
+				break
+			}
+		}
+		before += served
+	}
+	for _, request := range missing {
+		queue.moveToLate(request)
+	}
+	return doomed
+}
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+
+	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
 // Class says who waits for the answer of a request. It decides which request gives way when a service has too little room.
@@ -19,6 +25,14 @@
 	Scoring
 )
 
+// String implements fmt.Stringer.
+func (class Class) String() string {
+	if class == Scoring {
+		return "scoring"
+	}
+	return "interactive"
+}
+
 // Demand describes a request that needs a slot of a service.
 type Demand struct {
 	Service string
@@ -30,6 +44,10 @@
 	Priority int
 	// Useful is the time until which an answer has its full value, Deadline the time after which it has none.
 	Useful, Deadline time.Time
+	// Size is the number of bytes that the request holds while it waits.
+	Size int
+	// Repeated is true for a further attempt at a request. Only first attempts earn retries and hedges.
+	Repeated bool
 }
 
 // Outcome is how an admitted request ended, as far as it tells about the service.
@@ -44,6 +62,9 @@
 type RefusedError struct {
 	Reason     string
 	RetryAfter time.Duration
+	// Waited is how long the request waited, Position how many requests were expected to be served before it.
+	Waited   time.Duration
+	Position int
 }
 
 // Error implements error.
@@ -76,101 +97,367 @@
 	ServiceTime time.Duration
 }
 
+const (
+	// waitingMemory bounds what the requests that wait on a node hold, in bytes, counting waitingOverhead for each one's connection and
+	// goroutine. It is a small part of the smallest node's memory.
+	waitingMemory   = 24 << 20
+	waitingOverhead = 16 << 10
+	// maxServices bounds the services whose state is kept. Beyond it those without requests are forgotten.
+	maxServices = 1024
+	// retryShare and retryReserve limit the retries of requests that may have run, hedgeShare and hedgeReserve the hedges, as a share of
+	// first attempts and a number that can be saved up. A crash of every third replica is covered; a failure of all is not multiplied.
+	retryShare, retryReserve = 0.3, 20
+	hedgeShare, hedgeReserve = 0.2, 10
+)
+
 // Controller admits requests to services. A request is sent at once while the node's room at its service has a free place, and waits
 // otherwise. It is safe for concurrent use.
 type Controller struct {
-	room Room
+	// Logger and Metrics may be nil. They must be set before the first use.
+	Logger  *log.Logger
+	Metrics *telemetry.Metrics
+
+	room  Room
+	start time.Time
+	// held is the memory that waiting requests hold at all services.
+	held atomic.Int64
 
+	// services is replaced whole under mu, and read without a lock.
+	services atomic.Pointer[map[string]*service]
 	mu       sync.Mutex
-	services map[string]*serviceState
 }
 
-type serviceState struct {
-	name     string
-	inFlight int
-	waiting  []chan struct{}
+// service is the state of one service. Room is asked outside of mu.
+type service struct {
+	name            string
+	retries, hedges *RetryBudget
+
+	mu    sync.Mutex
+	queue *queue
+	timer *time.Timer
+	armed bool
+	// rush describes the time since requests began to wait, for the log.
+	rush struct {
+		began             time.Duration
+		admitted, refused int
+		longest           time.Duration
+	}
+	loggedAt time.Duration
 }
 
 // NewController returns a controller for the given room.
 func NewController(room Room) *Controller {
-	return &Controller{room: room, services: make(map[string]*serviceState)}
+	controller := &Controller{room: room, start: time.Now()}
+	controller.services.Store(&map[string]*service{})
+	return controller
 }
 
 // Grant is the admission of one request. Release must be called exactly once, when the request has ended.
 type Grant struct {
 	controller *Controller
-	service    *serviceState
+	service    *service
+	flow       *flow
+	class      Class
+	kind       kind
+	charged    float64
+	since      time.Duration
+	waited     time.Duration
+	position   int
+}
+
+// Waited returns how long the request waited, and how many requests were expected to be served before it when it arrived.
+func (grant Grant) Waited() (waited time.Duration, position int) {
+	return grant.waited, grant.position
+}
+
+func (controller *Controller) now() time.Duration { return time.Since(controller.start) }
+
+func (controller *Controller) find(name string) *service { return (*controller.services.Load())[name] }
+
+// serviceOf returns the state of a service, and adds it if there is none.
+func (controller *Controller) serviceOf(name string) *service {
+	if own := controller.find(name); own != nil {
+		return own
+	}
+	controller.mu.Lock()
+	defer controller.mu.Unlock()
+	services := *controller.services.Load()
+	if own := services[name]; own != nil {
+		return own
+	}
+	services = maps.Clone(services)
+	if len(services) >= maxServices {
+		maps.DeleteFunc(services, func(_ string, other *service) bool { return other.idle() })
+	}
+	own := &service{name: name, retries: NewRetryBudget(retryShare, retryReserve), hedges: NewRetryBudget(hedgeShare, hedgeReserve), queue: newQueue(rand.Float64)}
+	services[name] = own
+	controller.services.Store(&services)
+	return own
+}
+
+func (service *service) idle() bool {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	return service.queue.waiting == 0 && service.queue.busy() == 0
 }
 
 // Admit waits until the request may be sent. It returns a RefusedError if the request can't be served by its deadline, and the context's
 // error if the context ends first.
 func (controller *Controller) Admit(ctx context.Context, demand Demand) (Grant, error) {
-	controller.mu.Lock()
-	service := controller.services[demand.Service]
-	if service == nil {
-		service = &serviceState{name: demand.Service}
-		controller.services[demand.Service] = service
-	}
-	grant := Grant{controller: controller, service: service}
-	if service.inFlight < controller.room.Limit(service.name) {
-		service.inFlight++
-		controller.mu.Unlock()
+	own := controller.serviceOf(demand.Service)
+	if !demand.Repeated && demand.Class == Interactive {
+		own.retries.FirstAttempt()
+		own.hedges.FirstAttempt()
+	}
+	limit := controller.room.Limit(own.name)
+	own.mu.Lock()
+	now := controller.now()
+	if grant, ok := own.queue.takeAtOnce(demand.Class, limit, now); ok {
+		own.mu.Unlock()
+		grant.controller, grant.service = controller, own
 		return grant, nil
 	}
-	admitted := make(chan struct{})
-	service.waiting = append(service.waiting, admitted)
-	controller.mu.Unlock()
+	request := controller.enqueue(own, &demand, limit, now)
+	own.mu.Unlock()
+	return controller.await(ctx, own, request)
+}
+
+// enqueue must be called with the service's mu held.
+func (controller *Controller) enqueue(own *service, demand *Demand, limit int, now time.Duration) *ticket {
+	request := &ticket{
+		class: demand.Class, size: int64(demand.Size) + waitingOverhead, decided: make(chan struct{}), useful: never, deadline: never,
+	}
+	if !demand.Deadline.IsZero() {
+		request.deadline = demand.Deadline.Sub(controller.start)
+	}
+	request.useful = request.deadline
+	if !demand.Useful.IsZero() {
+		request.useful = min(request.deadline, demand.Useful.Sub(controller.start))
+	}
+	if own.queue.waiting == 0 {
+		own.rush.began, own.rush.admitted, own.rush.refused, own.rush.longest = now, 0, 0, 0
+	}
+	heldBefore := own.queue.bytes
+	own.queue.add(request, demand.Flow, demand.Priority, func(size int64) bool {
+		return controller.held.Load()-heldBefore+own.queue.bytes+size <= waitingMemory
+	}, now)
+	controller.held.Add(own.queue.bytes - heldBefore)
+	controller.dispatch(own, limit, now)
+	controller.logNoRoom(own, now)
+	controller.arm(own)
+	return request
+}
+
+// await waits for the decision on a request.
+func (controller *Controller) await(ctx context.Context, own *service, request *ticket) (Grant, error) {
 	select {
-	case <-admitted:
-		return grant, nil
+	case <-request.decided:
+		return controller.decision(own, request)
 	case <-ctx.Done():
+	}
+	limit := controller.room.Limit(own.name)
+	own.mu.Lock()
+	if request.waiting {
+		now := controller.now()
+		own.queue.remove(request)
+		controller.held.Add(-request.size)
+		controller.dispatch(own, limit, now)
+		own.mu.Unlock()
+		controller.Metrics.AdmissionWaited(request.class.String(), "left", now-request.arrived)
 		return Grant{}, ctx.Err()
 	}
+	own.mu.Unlock()
+	if grant, err := controller.decision(own, request); err == nil {
+		grant.Release(Outcome{})
+	}
+	return Grant{}, ctx.Err()
+}
+
+// decision returns the decision on a request that does not wait any more.
+func (controller *Controller) decision(own *service, request *ticket) (Grant, error) {
+	if request.refusal != nil {
+		controller.Metrics.AdmissionWaited(request.class.String(), "refused", request.refusal.Waited)
+		controller.Metrics.AdmissionRefused(request.class.String(), request.refusal.Reason)
+		return Grant{}, request.refusal
+	}
+	grant := request.grant
+	grant.controller, grant.service = controller, own
+	controller.Metrics.AdmissionWaited(request.class.String(), "admitted", grant.waited)
+	return grant, nil
+}
+
+// dispatch admits waiting requests and passes the decisions on. It must be called with the service's mu held.
+func (controller *Controller) dispatch(own *service, limit int, now time.Duration) {
+	before := own.queue.bytes
+	own.queue.dispatch(limit, now)
+	controller.held.Add(own.queue.bytes - before)
+	controller.announce(own)
+}
+
+// announce passes decisions on. It must be called with the service's mu held.
+func (controller *Controller) announce(own *service) {
+	for index, request := range own.queue.decided {
+		if request.refusal != nil {
+			own.rush.refused++
+		} else {
+			own.rush.admitted++
+			own.rush.longest = max(own.rush.longest, request.grant.waited)
+		}
+		close(request.decided)
+		own.queue.decided[index] = nil
+	}
+	own.queue.decided = own.queue.decided[:0]
+}
+
+// arm starts the timer of the next sweep while requests wait. It must be called with the service's mu held.
+func (controller *Controller) arm(own *service) {
+	if own.armed || own.queue.waiting == 0 {
+		return
+	}
+	own.armed = true
+	if own.timer == nil {
+		own.timer = time.AfterFunc(sweepInterval, func() { controller.sweep(own) })
+		return
+	}
+	own.timer.Reset(sweepInterval)
+}
+
+// sweep looks at all waiting requests, and again after sweepInterval while some wait.
+func (controller *Controller) sweep(own *service) {
+	controller.sweepNow(own)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.armed = false
+	controller.arm(own)
+}
+
+func (controller *Controller) sweepNow(own *service) {
+	limit := controller.room.Limit(own.name)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	now := controller.now()
+	before := own.queue.bytes
+	own.queue.sweep(limit, now)
+	controller.held.Add(own.queue.bytes - before)
+	controller.dispatch(own, limit, now)
+	controller.Metrics.AdmissionQueue(own.name, own.queue.waiting)
+	controller.logRoomAgain(own, now)
+}
+
+// rushLogInterval bounds the log lines about a service's room.
+const rushLogInterval = time.Second
+
+// logNoRoom logs that requests began to wait. It must be called with the service's mu held.
+func (controller *Controller) logNoRoom(own *service, now time.Duration) {
+	if controller.Logger == nil || now != own.rush.began || own.loggedAt > 0 && now-own.loggedAt < rushLogInterval {
+		return
+	}
+	own.loggedAt = now
+	controller.Logger.Info("no room at service", "service", own.name, "limit", own.queue.limit, "in_flight", own.queue.busy(), "waiting", own.queue.waiting,
+		"service_ms", time.Duration(own.queue.meanOf(Interactive)).Milliseconds(), "scoring_ms", time.Duration(own.queue.meanOf(Scoring)).Milliseconds())
+}
+
+// logRoomAgain logs that no request waits any more, for rushes whose beginning was logged. It must be called with the service's mu held.
+func (controller *Controller) logRoomAgain(own *service, now time.Duration) {
+	if controller.Logger == nil || own.queue.waiting > 0 || own.loggedAt != own.rush.began {
+		return
+	}
+	controller.Logger.Info("room at service again", "service", own.name, "limit", own.queue.limit, "after_ms", (now - own.rush.began).Milliseconds(),
+		"admitted", own.rush.admitted, "refused", own.rush.refused, "longest_wait_ms", own.rush.longest.Milliseconds())
 }
 
 // HasRoom reports whether a further request would be admitted at once. Hedges and other optional requests are sent only then.
-func (controller *Controller) HasRoom(service string) bool {
-	controller.mu.Lock()
-	defer controller.mu.Unlock()
-	state := controller.services[service]
-	return state == nil || (len(state.waiting) == 0 && state.inFlight < controller.room.Limit(service))
+func (controller *Controller) HasRoom(name string) bool {
+	own := controller.find(name)
+	if own == nil {
+		return true
+	}
+	limit := controller.room.Limit(name)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.queue.hasRoom(max(limit, 1))
+}
+
+// AdmitHedge admits a second attempt beside a running one if the service has room and its budget of hedges is not exhausted.
+func (controller *Controller) AdmitHedge(demand Demand) (Grant, bool) {
+	own := controller.serviceOf(demand.Service)
+	limit := controller.room.Limit(own.name)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	if !own.queue.hasRoom(max(limit, 1)) || !own.hedges.Retry() {
+		return Grant{}, false
+	}
+	grant, ok := own.queue.takeAtOnce(demand.Class, limit, controller.now())
+	grant.controller, grant.service = controller, own
+	return grant, ok
+}
+
+// AllowRetry reports whether a request may be sent again after a failed attempt; its place has to be admitted all the same. A request that
+// no replica has run may, since it costs the service nothing. One that may have run takes from the budget of retries, and gives way
+// while the service has no room.
+func (controller *Controller) AllowRetry(name string, mayHaveRun bool) bool {
+	if !mayHaveRun {
+		return true
+	}
+	return controller.HasRoom(name) && controller.serviceOf(name).retries.Retry()
 }
 
-// RoomChanged admits waiting requests after the room has changed.
+// RetryAfter returns when a caller that is refused for another reason than room may return, by the backlog of the service. left is the time
+// until the caller's deadline.
+func (controller *Controller) RetryAfter(name string, left time.Duration) time.Duration {
+	own := controller.serviceOf(name)
+	limit := controller.room.Limit(name)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	own.queue.limit = max(limit, 1)
+	return own.queue.retryAfter(Interactive, left, controller.now())
+}
+
+// RoomChanged admits waiting requests after the room has changed, and refuses those that can't be served any more.
 func (controller *Controller) RoomChanged() {
-	controller.mu.Lock()
-	defer controller.mu.Unlock()
-	for _, service := range controller.services {
-		controller.admitWaiting(service)
+	for _, own := range *controller.services.Load() {
+		own.mu.Lock()
+		waiting := own.queue.waiting > 0
+		own.mu.Unlock()
+		if waiting {
+			controller.sweepNow(own)
+		}
 	}
 }
 
 // Loads returns the load of each service at which this node has requests in flight or waiting, or has refused some.
 func (controller *Controller) Loads() []ServiceLoad {
-	controller.mu.Lock()
-	defer controller.mu.Unlock()
 	var loads []ServiceLoad
-	for _, service := range controller.services {
-		loads = append(loads, ServiceLoad{Service: service.name, InFlight: service.inFlight, Waiting: len(service.waiting)})
+	for _, own := range *controller.services.Load() {
+		own.mu.Lock()
+		load := ServiceLoad{Service: own.name, InFlight: own.queue.busy(), Waiting: own.queue.waiting, Refused: own.queue.refused}
+		if own.queue.timesKnown() {
+			load.ServiceTime = own.queue.meanTime()
+		}
+		own.mu.Unlock()
+		if load.InFlight > 0 || load.Waiting > 0 || load.Refused > 0 {
+			loads = append(loads, load)
+		}
 	}
 	return loads
 }
 
-// admitWaiting must be called with mu held.
-func (controller *Controller) admitWaiting(service *serviceState) {
-	for len(service.waiting) > 0 && service.inFlight < controller.room.Limit(service.name) {
-		close(service.waiting[0])
-		service.waiting = service.waiting[1:]
-		service.inFlight++
-	}
-}
-
-// Release records the end of the request and admits the next one.
+// Release records the end of the request and admits the next one. It does nothing for the zero Grant.
 func (grant Grant) Release(outcome Outcome) {
-	controller, service := grant.controller, grant.service
-	controller.mu.Lock()
-	defer controller.mu.Unlock()
-	controller.room.Observe(service.name, outcome, service.inFlight)
-	service.inFlight--
-	controller.admitWaiting(service)
+	controller, own := grant.controller, grant.service
+	if own == nil {
+		return
+	}
+	own.mu.Lock()
+	before := own.queue.release(&grant, outcome, controller.now())
+	waiting := own.queue.waiting > 0
+	own.mu.Unlock()
+	controller.room.Observe(own.name, outcome, before)
+	if !waiting {
+		return
+	}
+	limit := controller.room.Limit(own.name)
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	controller.dispatch(own, limit, controller.now())
 }
--- /dev/null
+++ b/internal/forwarding/admission.go
@@ -0,0 +1,152 @@
+package forwarding
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/admission"
+)
+
+// demand describes the request to admission. The time of full value counts from the arrival of the call, also for a further attempt.
+func (run *run) demand() admission.Demand {
+	now := time.Now()
+	demand := admission.Demand{
+		Service: run.service, Class: admission.Interactive, Flow: run.call.Request.Tenant, Priority: run.priority(),
+		Deadline: now.Add(run.remaining()), Size: len(run.call.Request.Body), Repeated: run.attempts > 0,
+	}
+	if run.route.Objective > 0 {
+		demand.Useful = run.started.Add(run.route.Objective)
+	}
+	return demand
+}
+
+// priority returns the rank of the request: that of its tenant, or else of its route.
+func (run *run) priority() int {
+	if configuration := run.forwarder.Catalog.Configuration(); configuration != nil {
+		if tenant := configuration.FindTenant(run.call.Request.Tenant); tenant != nil {
+			return tenant.Priority
+		}
+	}
+	return run.route.Priority
+}
+
+// admit waits for a place at the service, and reports whether the request got one. It takes no place if there is no replica to send to.
+func (run *run) admit(ctx context.Context) (admission.Grant, bool) {
+	controller := run.forwarder.Admission
+	if controller == nil {
+		return admission.Grant{}, true
+	}
+	if run.forwarder.Catalog.Replicas().Service(run.service).Len() == 0 {
+		return admission.Grant{}, false
+	}
+	began := time.Now()
+	grant, err := controller.Admit(ctx, run.demand())
+	run.waited += time.Since(began)
+	if err != nil {
+		run.refusal = admission.IsRefused(err)
+		if run.refusal != nil && run.position == 0 {
+			run.position = run.refusal.Position
+		}
+		return admission.Grant{}, false
+	}
+	if _, position := grant.Waited(); run.position == 0 {
+		run.position = position
+	}
+	return grant, true
+}
+
+// mayRetry reports whether admission allows a further attempt.
+func (run *run) mayRetry() bool {
+	controller := run.forwarder.Admission
+	return controller == nil || controller.AllowRetry(run.service, run.mayHaveRun)
+}
+
+// notStarted returns the result of a call whose first attempt did not start.
+func (run *run) notStarted(ctx context.Context) Result {
+	switch {
+	case run.revoked():
+		return run.unauthorized()
+	case run.refusal != nil:
+		return run.refuseNoRoom()
+	case ctx.Err() != nil && run.waited > 0:
+		return run.refuse(reasonNoRoom)
+	}
+	return run.refuse("no_replica")
+}
+
+const reasonNoRoom = "no_room"
+
+func (run *run) refuseNoRoom() Result {
+	refused := run.refuse(reasonNoRoom)
+	refused.RetryAfter = run.refusal.RetryAfter
+	return refused
+}
+
+// admissionFields are the fields of the log line of a call that tell how it was admitted.
+func (run *run) admissionFields() []any {
+	if run.forwarder.Admission == nil {
+		return nil
+	}
+	refused := ""
+	if run.refusal != nil {
+		refused = run.refusal.Reason
+	}
+	return []any{"waited_ms", run.waited.Milliseconds(), "position", run.position, "not_admitted", refused}
+}
+
+// place is the grant of one attempt, released once. A nil place holds nothing.
+type place struct {
+	grant   admission.Grant
+	started time.Time
+	once    sync.Once
+	outcome admission.Outcome
+	// served is true if the replica's answer is being read, so that the time until the release is the service time.
+	served bool
+}
+
+// ended records what the end of the attempt tells about the service.
+func (place *place) ended(result *attemptResult) {
+	switch {
+	case result.err != nil:
+	case result.response.NotExecuted:
+		place.outcome.Full = result.response.Status == http.StatusServiceUnavailable || result.response.Status == http.StatusTooManyRequests
+	default:
+		place.served = true
+	}
+}
+
+func (place *place) release() {
+	if place == nil {
+		return
+	}
+	place.once.Do(func() {
+		if place.served {
+			place.outcome.ServiceTime = time.Since(place.started)
+		}
+		place.grant.Release(place.outcome)
+	})
+}
+
+// until returns a reader of the rest of an answer that releases the place when it is closed, or at the latest when the context ends.
+func (place *place) until(ctx context.Context, rest io.ReadCloser) io.ReadCloser {
+	stop := context.AfterFunc(ctx, place.release)
+	return &placeHolder{ReadCloser: rest, close: func() {
+		stop()
+		place.release()
+	}}
+}
+
+// placeHolder is the rest of an answer whose place is released when it is closed.
+type placeHolder struct {
+	io.ReadCloser
+	close func()
+}
+
+// Close implements io.Closer.
+func (holder *placeHolder) Close() error {
+	defer holder.close()
+	return holder.ReadCloser.Close()
+}
--- a/internal/forwarding/answer.go
+++ b/internal/forwarding/answer.go
@@ -25,7 +25,14 @@
 		refused.RetryAfter = run.held.RetryAfter
 		return refused
 	}
-	return run.refuse("not_executed")
+	if run.refusal != nil {
+		return run.refuseNoRoom()
+	}
+	refused := run.refuse("not_executed")
+	if controller := run.forwarder.Admission; controller != nil {
+		refused.RetryAfter = controller.RetryAfter(run.service, run.remaining())
+	}
+	return refused
 }
 
 // deliver turns a replica's answer into the result of the call.
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -122,9 +122,10 @@
 		cancel()
 	}
 	forwarder.Metrics.Forwarded(result.Status, result.Local, time.Since(started))
-	forwarder.Logger.Info("forward", "request", call.Request.ID, "route", route.Name, "service", run.service,
+	fields := []any{"request", call.Request.ID, "route", route.Name, "service", run.service,
 		"replica", run.lastReplica, "attempts", run.attempts, "replicas_revision", forwarder.Catalog.Replicas().Revision, "configuration", forwarder.configurationVersion(), "held_ms", time.Since(started).Milliseconds(), "status", result.Status,
-		"own", result.Local, "reason", result.Reason)
+		"own", result.Local, "reason", result.Reason}
+	forwarder.Logger.Info("forward", append(fields, run.admissionFields()...)...)
 	return result
 }
 
--- a/internal/forwarding/run.go
+++ b/internal/forwarding/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/thistlewalk/thistlewalk/internal/admission"
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/clock"
@@ -35,6 +36,13 @@
 	// failure is the first failed answer of a replica, delivered if no other attempt succeeds.
 	failure *attemptResult
 	results chan attemptResult
+	// waited is how long the request waited for places, position the number of requests expected before it when it first waited.
+	waited   time.Duration
+	position int
+	// refusal is set if the request was refused a place.
+	refusal *admission.RefusedError
+	// hedgeDenied is true if the service had no room for a hedge; it is not asked again.
+	hedgeDenied bool
 }
 
 type attemptResult struct {
@@ -64,10 +72,7 @@
 
 func (run *run) loop(ctx context.Context) Result {
 	if !run.startAttempt(ctx) {
-		if run.revoked() {
-			return run.unauthorized()
-		}
-		return run.refuse("no_replica")
+		return run.notStarted(ctx)
 	}
 	for {
 		hedge, stop := run.hedgeTimer()
@@ -79,7 +84,7 @@
 				return final
 			}
 		case <-hedge:
-			run.startAttempt(ctx)
+			run.startHedge(ctx)
 		case <-ctx.Done():
 			stop()
 			return run.timedOut()
@@ -90,7 +95,7 @@
 // hedgeTimer returns a channel that fires when the request is to be hedged, and a function that stops the timer. The channel is nil if
 // the request must not be hedged.
 func (run *run) hedgeTimer() (<-chan time.Time, func()) {
-	if run.held != nil || run.route.Kind != catalog.Safe || run.pending != 1 || run.attempts >= run.route.MaxAttempts {
+	if run.held != nil || run.hedgeDenied || run.route.Kind != catalog.Safe || run.pending != 1 || run.attempts >= run.route.MaxAttempts {
 		return nil, func() {}
 	}
 	wait := max(minHedgeDelay, time.Duration(hedgeFraction*float64(run.route.Objective)))
@@ -101,19 +106,49 @@
 // revoked reports whether the caller's API key was revoked since the request arrived. No attempt starts after that.
 func (run *run) revoked() bool { return run.call.KeyValid != nil && !run.call.KeyValid() }
 
-// startAttempt sends the request to a replica that was not tried before, and reports whether the attempt started.
+// mayStart reports whether a further attempt is allowed and can end in time.
+func (run *run) mayStart() bool {
+	return !run.revoked() && run.attempts < max(run.route.MaxAttempts, 1) && run.remaining() >= minAttempt
+}
+
+func (run *run) remaining() time.Duration { return run.deadline - run.clock.Elapsed() }
+
+// startAttempt waits until the service has a place for the request, sends it to a replica that was not tried before, and reports whether
+// the attempt started. No other attempt may be pending.
 func (run *run) startAttempt(ctx context.Context) bool {
-	remaining := run.deadline - run.clock.Elapsed()
-	if run.revoked() {
+	if !run.mayStart() {
 		return false
 	}
-	if run.attempts >= max(run.route.MaxAttempts, 1) || remaining < minAttempt {
-		return false
+	grant, ok := run.admit(ctx)
+	return ok && run.send(ctx, grant)
+}
+
+// startHedge sends the request a second time if the service has room.
+func (run *run) startHedge(ctx context.Context) {
+	if !run.mayStart() {
+		return
+	}
+	var grant admission.Grant
+	if controller := run.forwarder.Admission; controller != nil {
+		var ok bool
+		if grant, ok = controller.AdmitHedge(run.demand()); !ok {
+			run.hedgeDenied = true
+			return
+		}
+	}
+	run.send(ctx, grant)
+}
+
+// send sends the request to a replica that was not tried before, and reports whether it did. It releases the grant otherwise. The key and
+// the remaining time are checked again, since the request may have waited for its place.
+func (run *run) send(ctx context.Context, grant admission.Grant) bool {
+	var replica *catalog.Replica
+	if run.mayStart() {
+		picker := backend.Picker{Loads: run.forwarder.Loads, Zone: run.forwarder.Zone}
+		replica = picker.Pick(run.forwarder.Catalog.Replicas().Service(run.service), run.tried, time.Now())
 	}
-	now := time.Now()
-	picker := backend.Picker{Loads: run.forwarder.Loads, Zone: run.forwarder.Zone}
-	replica := picker.Pick(run.forwarder.Catalog.Replicas().Service(run.service), run.tried, now)
 	if replica == nil {
+		grant.Release(admission.Outcome{})
 		return false
 	}
 	run.tried = append(run.tried, replica.ID)
@@ -121,16 +156,20 @@
 	run.attempts++
 	run.pending++
 	request := run.call.Request
-	request.Deadline = remaining
+	request.Deadline = run.remaining()
 	request.Priority = -1
-	go run.runAttempt(ctx, replica, &request)
+	go run.runAttempt(ctx, replica, &request, grant)
 	return true
 }
 
-// runAttempt sends the request once and reads the answer up to the buffer limit. Its result goes to run.results.
-func (run *run) runAttempt(ctx context.Context, replica *catalog.Replica, request *backend.Request) {
+// runAttempt sends the request once and reads the answer up to the buffer limit. Its result goes to run.results. The grant is released
+// when the answer has been read, or handed to the reader of the rest.
+func (run *run) runAttempt(ctx context.Context, replica *catalog.Replica, request *backend.Request, grant admission.Grant) {
 	loads := run.forwarder.Loads
-	loads.Begin(replica.ID, time.Now())
+	started := time.Now()
+	place := &place{grant: grant, started: started}
+	defer func() { place.release() }()
+	loads.Begin(replica.ID, started)
 	withdraw := run.forwarder.countRun(request.Tenant)
 	result := attemptResult{replica: replica.ID}
 	result.response, result.err = run.forwarder.Sender.Send(ctx, replica, request)
@@ -148,6 +187,12 @@
 		outcome = backend.Failed
 	}
 	loads.End(replica.ID, outcome, time.Now())
+	place.ended(&result)
+	if result.rest != nil && run.forwarder.Admission != nil {
+		result.rest = place.until(ctx, result.rest)
+		place = nil
+	}
+	place.release() // before the result is handled, so that a retry finds the place free
 	run.results <- result
 }
 
@@ -196,7 +241,7 @@
 	if run.pending > 0 {
 		return Result{}, false
 	}
-	if run.held == nil && (run.route.Idempotent() || !run.mayHaveRun) && run.startAttempt(ctx) {
+	if run.held == nil && (run.route.Idempotent() || !run.mayHaveRun) && run.mayRetry() && run.startAttempt(ctx) {
 		return Result{}, false
 	}
 	return run.giveUp(), true
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -36,6 +36,9 @@
 	suspicionsCleared prometheus.Counter
 	quarantined       prometheus.Gauge
 	suspensions       prometheus.Counter
+	admissionWaits    *prometheus.HistogramVec
+	admissionRefusals *prometheus.CounterVec
+	admissionQueue    *prometheus.GaugeVec
 }
 
 // latencyBuckets are upper bounds in seconds. They cover the range from calls to the metadata store to the longest batch items.
@@ -78,11 +81,15 @@
 	metrics.suspicionsCleared = single("suspicions_cleared_total", "Requests that a replica answered after others had ended under them.")
 	metrics.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "requests_quarantined", Help: "Requests that are not sent to replicas any more."})
 	metrics.suspensions = single("suspensions_total", "Times that the machine was suspended while this process ran.")
+	metrics.admissionWaits = histogram("admission_wait_seconds", "Time that requests waited for room at their service, by class and how the wait ended.", "class", "end")
+	metrics.admissionRefusals = counter("admission_refused_total", "Requests that were not admitted to their service, by class and reason.", "class", "reason")
+	metrics.admissionQueue = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "admission_waiting", Help: "Requests of this node that wait for room, by service."}, []string{"service"})
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
 	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost, metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable, metrics.usageSent, metrics.usageReports,
-		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, lines)
+		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions,
+		metrics.admissionWaits, metrics.admissionRefusals, metrics.admissionQueue, lines)
 	return metrics
 }
 
@@ -252,6 +259,27 @@
 	}
 }
 
+// AdmissionWaited counts a request that waited for room, by how the wait ended: admitted, refused or left.
+func (metrics *Metrics) AdmissionWaited(class, end string, took time.Duration) {
+	if metrics != nil {
+		metrics.admissionWaits.WithLabelValues(class, end).Observe(took.Seconds())
+	}
+}
+
+// AdmissionRefused counts a request that was not admitted.
+func (metrics *Metrics) AdmissionRefused(class, reason string) {
+	if metrics != nil {
+		metrics.admissionRefusals.WithLabelValues(class, reason).Inc()
+	}
+}
+
+// AdmissionQueue sets the number of requests that wait for room at a service.
+func (metrics *Metrics) AdmissionQueue(service string, waiting int) {
+	if metrics != nil {
+		metrics.admissionQueue.WithLabelValues(service).Set(float64(waiting))
+	}
+}
+
 func outcomeOf(ok bool) string {
 	if ok {
 		return "ok"
