--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -28,6 +28,10 @@
 	// maxWaiting and minQueueBound limit the bound on the queue's length.
 	maxWaiting    = 2048
 	minQueueBound = 16
+	// longestWait is the longest deadline for which the queue makes room.
+	longestWait = time.Minute
+	// forgetUsageAfter is the time without waiting requests after which flows are equal again.
+	forgetUsageAfter = time.Second
 	// maxIdleFlows bounds the flows kept for the slot time that they used.
 	maxIdleFlows = 1024
 	// never is later than every time in use.
@@ -101,6 +105,8 @@
 	usage    usage
 	// progressed is when a place was last taken or freed.
 	progressed time.Duration
+	// waitedUntil is about when a request last waited.
+	waitedUntil time.Duration
 	// longest is the longest time that a request lately had until its deadline.
 	longest time.Duration
 	// criticalUntil and urgentUntil are the values of useful up to which scoring requests have to be served now: critical ones get the
@@ -242,7 +248,7 @@
 		rate := max(leastLateRate, 1-queue.usage.ofPlaces(queue.limit, inTime, critical))
 		work = freshWork + criticalWork + float64(ahead+1)*interactive/rate
 	}
-	return time.Duration(interval + slower*work/places)
+	return time.Duration(min(interval+slower*work/places, float64(time.Hour)))
 }
 
 // count returns the number of waiting requests of a class that are late, or are not.
@@ -295,10 +301,9 @@
 	return flow.fresh
 }
 
-// compareTickets orders the requests of a flow: interactive ones by deadline, scoring ones by the time until which they are useful. A
-// request that comes back after a refusal has an earlier deadline than new ones, and goes before them.
+// compareTickets orders the requests of a flow: by the time until which they are useful, late interactive ones by deadline.
 func compareTickets(a, b *ticket) int {
-	if a.class == Scoring && a.useful != b.useful {
+	if a.useful != b.useful && (a.class == Scoring || !a.late) {
 		return compareDurations(a.useful, b.useful)
 	}
 	if a.deadline != b.deadline {
@@ -356,6 +361,7 @@
 
 // add queues a request or refuses it. room reports whether size more bytes may be held.
 func (queue *queue) add(request *ticket, flowName string, priority int, room func(size int64) bool, now time.Duration) {
+	queue.endRush(now)
 	queue.refreshCritical(now)
 	level := queue.levelOf(request.class, priority)
 	request.flow = level.flowOf(flowName)
@@ -367,10 +373,10 @@
 		level.forget(request.flow)
 		return
 	}
-	queue.longest = max(queue.longest, min(request.deadline-now, time.Minute))
-	for queue.waiting >= queue.bound() || !room(request.size) {
+	queue.longest = max(queue.longest, min(request.deadline-now, longestWait))
+	if queue.waiting >= queue.bound() || !room(request.size) {
 		victim := queue.leastUrgent()
-		if victim == nil || !queue.givesWay(victim, request) {
+		if victim == nil || !queue.givesWay(victim, request) || !room(request.size-victim.size) {
 			queue.refuse(request, reasonQueueFull, now)
 			level.forget(request.flow)
 			return
@@ -381,6 +387,22 @@
 	queue.insert(request)
 }
 
+// endRush forgets the slot time that flows used once no request has waited for a while, so that a flow owes nothing for what it used while
+// the others went without waiting.
+func (queue *queue) endRush(now time.Duration) {
+	if queue.waiting > 0 || now-queue.waitedUntil < forgetUsageAfter {
+		return
+	}
+	for _, level := range queue.levels {
+		for _, flow := range level.flows {
+			level.virtual = max(level.virtual, flow.finish)
+		}
+		for _, flow := range level.flows {
+			level.forget(flow)
+		}
+	}
+}
+
 // expected returns the time until a newly arrived request is expected to have been served. A request that would wait beyond the time of
 // its full value becomes late at once, so that the next one finds it among the late ones.
 func (queue *queue) expected(request *ticket, now time.Duration) time.Duration {
@@ -507,6 +529,7 @@
 	}
 	request.waiting = false
 	queue.waiting--
+	queue.waitedUntil = max(queue.waitedUntil, queue.progressed)
 	queue.bytes -= request.size
 	if flow.waiting() == 0 {
 		active := flow.level.active
@@ -555,7 +578,7 @@
 // over half of that time, so that callers that were refused together do not come back together.
 func (queue *queue) retryAfter(class Class, left, now time.Duration) time.Duration {
 	drain := queue.wait(class, false, queue.count(class, false)+queue.count(class, true), now)
-	longest := min(time.Duration(retrySpread*float64(drain)), time.Duration(heededShare*float64(min(left, time.Minute))))
+	longest := min(time.Duration(retrySpread*float64(drain)), time.Duration(heededShare*float64(min(left, longestWait))))
 	longest = max(longest, minRetryAfter)
 	return longest/2 + time.Duration(queue.chance()*float64(longest/2))
 }
@@ -734,7 +757,7 @@
 				}
 				any = true
 				request := list[round]
-				queue.longest = max(queue.longest, min(request.deadline-now, time.Minute))
+				queue.longest = max(queue.longest, min(request.deadline-now, longestWait))
 				expected := service
 				if queue.timesKnown() {
 					expected += queue.wait(class, isLate, before+served, now)
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -136,7 +136,7 @@
 	queue *queue
 	timer *time.Timer
 	armed bool
-	// rush describes the time since requests began to wait, for the log.
+	// rush describes the time since requests began to wait, for the log. It ends with the first sweep that finds none waiting.
 	rush struct {
 		began             time.Duration
 		admitted, refused int
@@ -212,7 +212,12 @@
 	limit := controller.room.Limit(own.name)
 	own.mu.Lock()
 	now := controller.now()
-	if grant, ok := own.queue.takeAtOnce(demand.Class, limit, now); ok {
+	grant, ok := own.queue.takeAtOnce(demand.Class, limit, now)
+	if !ok && own.queue.busy() < limit { // the room has grown, and those that wait do not know yet
+		controller.dispatch(own, limit, now)
+		grant, ok = own.queue.takeAtOnce(demand.Class, limit, now)
+	}
+	if ok {
 		own.mu.Unlock()
 		grant.controller, grant.service = controller, own
 		return grant, nil
@@ -234,7 +239,7 @@
 	if !demand.Useful.IsZero() {
 		request.useful = min(request.deadline, demand.Useful.Sub(controller.start))
 	}
-	if own.queue.waiting == 0 {
+	if own.queue.waiting == 0 && !own.armed {
 		own.rush.began, own.rush.admitted, own.rush.refused, own.rush.longest = now, 0, 0, 0
 	}
 	heldBefore := own.queue.bytes
--- a/internal/admission/service_test.go
+++ b/internal/admission/service_test.go
@@ -117,6 +117,31 @@
 	})
 }
 
+// Room that has grown unannounced is used by those that wait and by the next to arrive, which is not refused for a backlog that is gone.
+func TestRoomGrowsUnannounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		room := roomOf(1)
+		controller := NewController(room)
+		train(t, controller, 50*time.Millisecond)
+		_, err := controller.Admit(t.Context(), demandFor(time.Second))
+		must.NoError(t, err)
+		var waits sync.WaitGroup
+		for range 5 {
+			waits.Go(func() {
+				_, err := controller.Admit(t.Context(), demandFor(time.Hour))
+				must.NoError(t, err)
+			})
+		}
+		synctest.Wait()
+		room.limit.Store(20)
+		began := time.Now()
+		_, err = controller.Admit(t.Context(), demandFor(60*time.Millisecond))
+		must.NoError(t, err)
+		waits.Wait()
+		must.Eq(t, 0, time.Since(began))
+	})
+}
+
 // When replicas suddenly take ten times as long, those that wait in vain learn so before their deadlines, although no request has ended yet.
 func TestServiceTimesJump(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -193,6 +218,7 @@
 		demand.Size = waitingMemory
 		_, err = controller.Admit(ctx, demand)
 		must.NotNil(t, IsRefused(err))
+		must.Eq(t, load.Waiting, controller.Loads()[0].Waiting, must.Sprint("a body that does not fit evicts nothing"))
 		end()
 		waits.Wait()
 		grant.Release(Outcome{})
--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -10,7 +10,8 @@
 	"github.com/thistlewalk/thistlewalk/internal/admission"
 )
 
-// demand describes the request to admission. The time of full value counts from the arrival of the call, also for a further attempt.
+// demand describes the request to admission. The time of full value counts from the caller's first attempt, as far as its deadline tells
+// when that was: a request that came back is worth little more than a late one, and must not go before new ones as if it were new.
 func (run *run) demand() admission.Demand {
 	now := time.Now()
 	demand := admission.Demand{
@@ -18,7 +19,8 @@
 		Deadline: now.Add(run.remaining()), Size: len(run.call.Request.Body), Repeated: run.attempts > 0,
 	}
 	if run.route.Objective > 0 {
-		demand.Useful = run.started.Add(run.route.Objective)
+		run.elapsed = run.forwarder.deadlines.of(run.route.Name).elapsed(run.call.Deadline)
+		demand.Useful = run.started.Add(run.route.Objective - run.elapsed)
 	}
 	return demand
 }
@@ -52,9 +54,13 @@
 		}
 		return admission.Grant{}, false
 	}
-	if _, position := grant.Waited(); run.position == 0 {
+	waited, position := grant.Waited()
+	if run.position == 0 {
 		run.position = position
 	}
+	if waited == 0 && run.attempts == 0 && run.call.Deadline > 0 {
+		run.forwarder.deadlines.of(run.route.Name).learn(run.call.Deadline)
+	}
 	return grant, true
 }
 
@@ -94,7 +100,7 @@
 	if run.refusal != nil {
 		refused = run.refusal.Reason
 	}
-	return []any{"waited_ms", run.waited.Milliseconds(), "position", run.position, "not_admitted", refused}
+	return []any{"waited_ms", run.waited.Milliseconds(), "position", run.position, "elapsed_ms", run.elapsed.Milliseconds(), "not_admitted", refused}
 }
 
 // place is the grant of one attempt, released once. A nil place holds nothing.
--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -258,6 +258,55 @@
 	})
 }
 
+// A caller that comes back after a refusal gives what remains of its deadline. If callers of a route agree on their deadlines, its request
+// goes behind those that can still be in time, and otherwise nothing is concluded from a short deadline.
+func TestReturningCallersAreNotTakenForNew(t *testing.T) {
+	for _, check := range []struct {
+		name   string
+		usual  []time.Duration // deadlines of calls while there is room, in turn
+		behind bool
+	}{
+		{"all alike", []time.Duration{800 * time.Millisecond}, true},
+		{"a few came back", []time.Duration{800, 800, 800, 800, 800, 800, 800, 800, 800, 500}, true},
+		{"callers of two kinds", []time.Duration{800 * time.Millisecond, 500 * time.Millisecond}, false},
+		{"one patient caller long ago", append([]time.Duration{time.Hour}, make([]time.Duration, 2000)...), true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			admitted := newAdmitted(1, behaviour{after: 10 * time.Millisecond, status: http.StatusOK})
+			route := &catalog.Route{Name: "r", Kind: catalog.Safe, Targets: []catalog.RouteTarget{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: 1}
+			call := func(deadline time.Duration) {
+				admitted.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q"}, Deadline: deadline})
+			}
+			for turn := range max(200, len(check.usual)) {
+				deadline := check.usual[turn%len(check.usual)]
+				if deadline == 0 {
+					deadline = 800 * time.Millisecond
+				} else if deadline < time.Microsecond {
+					deadline *= time.Millisecond
+				}
+				call(deadline)
+			}
+			time.Sleep(5 * time.Second) // until the load of these calls is forgotten
+			grant := admitted.occupy(t)
+			var mu sync.Mutex
+			var order []time.Duration
+			var waits sync.WaitGroup
+			for _, deadline := range []time.Duration{500 * time.Millisecond, 800 * time.Millisecond} {
+				waits.Go(func() {
+					call(deadline)
+					mu.Lock()
+					defer mu.Unlock()
+					order = append(order, deadline)
+				})
+				synctest.Wait()
+			}
+			grant.Release(admission.Outcome{ServiceTime: 10 * time.Millisecond})
+			waits.Wait()
+			must.Eq(t, check.behind, order[0] == 800*time.Millisecond, must.Sprint(check.name))
+		})
+	}
+}
+
 // The rank of a request is that of its tenant, and of its route only without a tenant.
 func TestTenantsGoByTheirPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -78,6 +78,8 @@
 	// Clock measures the caller's remaining time; nil for a steady clock. It must advance while the machine is suspended, because the
 	// caller keeps waiting.
 	Clock clock.Clock
+
+	deadlines usualDeadlines
 }
 
 // PickTarget picks a target of a route at random by weight and returns its service; empty if no target has a weight.
--- a/internal/forwarding/run.go
+++ b/internal/forwarding/run.go
@@ -39,6 +39,8 @@
 	// waited is how long the request waited for places, position the number of requests expected before it when it first waited.
 	waited   time.Duration
 	position int
+	// elapsed is how long before this call its caller is taken to have sent the request first.
+	elapsed time.Duration
 	// refusal is set if the request was refused a place.
 	refusal *admission.RefusedError
 	// hedgeDenied is true if the service had no room for a hedge; it is not asked again.
