Admission: long scoring requests leave a place to interactive ones

Cause: at a node with two places and scoring of 200 ms, an interactive request of 150 ms objective found all places taken, and no order of the queue could help it. Change: scoring that is not urgent leaves the last of several places while interactive requests arrive (10 s), if its mean divided by the places exceeds theirs. HasRoom, and with it retries and hedges, speaks of interactive requests: scoring that is held back does not take their room.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -30,6 +30,8 @@
 	minQueueBound = 16
 	// longestWait is the longest deadline for which the queue makes room.
 	longestWait = time.Minute
+	// interactiveMemory is how long after an interactive request the next one is expected.
+	interactiveMemory = 10 * time.Second
 	// forgetUsageAfter is the time without waiting requests after which flows are equal again.
 	forgetUsageAfter = time.Second
 	// maxIdleFlows bounds the flows kept for the slot time that they used.
@@ -107,6 +109,8 @@
 	progressed time.Duration
 	// waitedUntil is about when a request last waited.
 	waitedUntil time.Duration
+	// interactiveAt is when an interactive request last arrived.
+	interactiveAt time.Duration
 	// longest is the longest time that a request lately had until its deadline.
 	longest time.Duration
 	// criticalUntil and urgentUntil are the values of useful up to which scoring requests have to be served now: critical ones get the
@@ -119,13 +123,29 @@
 }
 
 func newQueue(chance func() float64) *queue {
-	return &queue{chance: chance, limit: 1, criticalUntil: -1, urgentUntil: -1, criticalAt: -never}
+	return &queue{chance: chance, limit: 1, criticalUntil: -1, urgentUntil: -1, criticalAt: -never, interactiveAt: -never}
 }
 
 func (queue *queue) busy() int { return queue.inFlight[Interactive] + queue.inFlight[Scoring] }
 
-// hasRoom reports whether a request would be admitted at once.
-func (queue *queue) hasRoom(limit int) bool { return queue.waiting == 0 && queue.busy() < limit }
+// hasRoom reports whether a request of the class would be admitted at once. Scoring requests that are held back leave room for others.
+func (queue *queue) hasRoom(class Class, limit int, now time.Duration) bool {
+	switch {
+	case queue.busy() >= limit:
+		return false
+	case class == Interactive:
+		return queue.waiting == 0 || queue.holdsBack(limit, now) && queue.count(Interactive, false)+queue.count(Interactive, true) == 0
+	}
+	return queue.waiting == 0 && !queue.holdsBack(limit, now)
+}
+
+// holdsBack reports whether scoring requests that are not urgent have to leave the last place to interactive ones. It answers the load of
+// few places and scoring that takes long: an interactive request that finds all places taken by it would wait for longer than it takes
+// itself.
+func (queue *queue) holdsBack(limit int, now time.Duration) bool {
+	return limit > 1 && queue.inFlight[Scoring] >= limit-1 && now-queue.interactiveAt < interactiveMemory &&
+		queue.meanOf(Scoring) > queue.meanOf(Interactive)*float64(limit)
+}
 
 // take admits a request. flow is nil if it did not wait.
 func (queue *queue) take(class Class, kind kind, flow *flow, now time.Duration) Grant {
@@ -145,7 +165,10 @@
 // takeAtOnce admits a request if there is room, and reports whether it did.
 func (queue *queue) takeAtOnce(class Class, limit int, now time.Duration) (Grant, bool) {
 	queue.limit = max(limit, 1)
-	if !queue.hasRoom(queue.limit) {
+	if class == Interactive {
+		queue.interactiveAt = now
+	}
+	if !queue.hasRoom(class, queue.limit, now) {
 		return Grant{}, false
 	}
 	kind := inTime
@@ -612,6 +635,9 @@
 	queue.limit = max(limit, 1)
 	for queue.waiting > 0 && queue.busy() < queue.limit {
 		request, kind := queue.next(now)
+		if request == nil {
+			return
+		}
 		queue.remove(request)
 		if now >= request.deadline {
 			queue.refuse(request, reasonExpired, now)
@@ -623,11 +649,16 @@
 	}
 }
 
-// next returns the waiting request that is admitted next.
+// next returns the waiting request that is admitted next; nil if all that wait are held back.
 func (queue *queue) next(now time.Duration) (*ticket, kind) {
 	queue.refreshCritical(now)
 	interactive := queue.first(Interactive, false, never, now)
-	scoring := queue.first(Scoring, false, queue.criticalUntil, now)
+	holdsBack := queue.holdsBack(queue.limit, now)
+	until := queue.criticalUntil
+	if holdsBack {
+		until = queue.urgentUntil
+	}
+	scoring := queue.first(Scoring, false, until, now)
 	switch {
 	case interactive != nil && scoring != nil:
 		queue.usage.decay(now)
@@ -641,7 +672,11 @@
 	case scoring != nil:
 		return scoring, critical
 	}
-	interactive, scoring = queue.first(Interactive, true, never, now), queue.first(Scoring, true, never, now)
+	interactive = queue.first(Interactive, true, never, now)
+	if holdsBack {
+		return interactive, late
+	}
+	scoring = queue.first(Scoring, true, never, now)
 	if interactive != nil && (scoring == nil || queue.usage.scoringShare() >= 0.5) {
 		return interactive, late
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -261,6 +261,39 @@
 	must.GreaterEq(t, 0.9, onTime)
 }
 
+// Long scoring requests with time to spare leave one place to interactive ones while such arrive, which then wait for nothing. Urgent ones
+// do not.
+func TestLongScoringLeavesAPlace(t *testing.T) {
+	queue := newQueue(func() float64 { return 0.5 })
+	for class, took := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond} {
+		grant, _ := queue.takeAtOnce(Class(class), 3, 0)
+		queue.release(&grant, Outcome{ServiceTime: took}, 0)
+	}
+	now := time.Second
+	add := func(useful time.Duration) {
+		if _, ok := queue.takeAtOnce(Scoring, 3, now); !ok {
+			queue.add(&ticket{class: Scoring, useful: useful, deadline: time.Hour}, "m", 0, func(int64) bool { return true }, now)
+			queue.dispatch(3, now)
+		}
+	}
+	for range 4 {
+		add(time.Minute)
+	}
+	must.Eq(t, []int{2, 2}, []int{queue.inFlight[Scoring], queue.waiting})
+	grant, ok := queue.takeAtOnce(Interactive, 3, now)
+	must.True(t, ok)
+	_, ok = queue.takeAtOnce(Interactive, 3, now)
+	must.False(t, ok)
+	queue.release(&grant, Outcome{ServiceTime: 20 * time.Millisecond}, now)
+	queue.dispatch(3, now)
+	must.Eq(t, 2, queue.inFlight[Scoring])
+	add(now + 300*time.Millisecond)
+	must.Eq(t, 3, queue.inFlight[Scoring], must.Sprint("an urgent request takes the last place"))
+	queue.inFlight[Scoring]--
+	queue.dispatch(3, now+interactiveMemory)
+	must.Eq(t, 3, queue.inFlight[Scoring], must.Sprint("no interactive request arrives any more"))
+}
+
 // A tenant that floods a service takes nothing from the others.
 func TestFloodOfOneTenant(t *testing.T) {
 	others := func(flood float64) float64 {
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -380,7 +380,7 @@
 	limit := controller.room.Limit(name)
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	return own.queue.hasRoom(max(limit, 1))
+	return own.queue.hasRoom(Interactive, max(limit, 1), controller.now())
 }
 
 // AdmitHedge admits a second attempt beside a running one if the service has room and its budget of hedges is not exhausted.
@@ -389,7 +389,7 @@
 	limit := controller.room.Limit(own.name)
 	own.mu.Lock()
 	defer own.mu.Unlock()
-	if !own.queue.hasRoom(max(limit, 1)) || !own.hedges.Retry() {
+	if !own.queue.hasRoom(Interactive, max(limit, 1), controller.now()) || !own.hedges.Retry() {
 		return Grant{}, false
 	}
 	grant, ok := own.queue.takeAtOnce(demand.Class, limit, controller.now())
