Admission: callers whose request full replicas refused do not return within milliseconds

Cause: with no backlog at the node, RetryAfter after "not_executed" came from an empty queue: 10 to 20 ms, in which full replicas have not emptied (150 ms without admission). Change: RetryAfter takes the least time that it takes replicas to have room (150 ms), and spreads it as other refusals.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -200,80 +199,6 @@
 	return before
 }
 
-// meanOf returns the mean service time of a class in nanoseconds. A class without samples is taken to be like the other one.
-func (queue *queue) meanOf(class Class) float64 {
-	for _, candidate := range []Class{class, Interactive, Scoring} {
-		if queue.times[candidate].known {
-			return queue.times[candidate].mean
-		}
-	}
-	return float64(unknownServiceTime)
-}
-
-// meanTime returns the mean service time over both classes, weighted by the slot time that they used lately.
-func (queue *queue) meanTime() time.Duration {
-	share := queue.usage.scoringShare()
-	return time.Duration((1-share)*queue.meanOf(Interactive) + share*queue.meanOf(Scoring))
-}
-
-// likelyOf returns the time within which most requests of a class end; zero if nothing is known.
-func (queue *queue) likelyOf(class Class) time.Duration {
-	for _, candidate := range []Class{class, Interactive, Scoring} {
-		if queue.times[candidate].known {
-			return queue.times[candidate].likely()
-		}
-	}
-	return 0
-}
-
-// timesKnown reports whether a service time was measured. Without one no wait can be estimated, and nothing is refused for its length.
-func (queue *queue) timesKnown() bool {
-	return queue.times[Interactive].known || queue.times[Scoring].known
-}
-
-// interval returns the expected time until a place is free, and the factor by which places are slower than measured. Requests in flight
-// beyond the limit, which has shrunk, end beside each other before a place is free.
-func (queue *queue) interval(now time.Duration) (interval, slower float64) {
-	busy := queue.busy()
-	mean := queue.meanOf(Interactive)
-	if busy > 0 {
-		mean = (float64(queue.inFlight[Interactive])*queue.meanOf(Interactive) + float64(queue.inFlight[Scoring])*queue.meanOf(Scoring)) / float64(busy)
-	}
-	slot := mean / float64(max(queue.limit, busy))
-	slower = max(1, (float64(now-queue.progressed)-mean)/slot-stallIntervals+1)
-	interval = mean / float64(queue.limit)
-	if busy > queue.limit {
-		interval += mean * math.Log(float64(busy)/float64(queue.limit))
-	}
-	return interval * slower, slower
-}
-
-// wait estimates how long a request waits that has the given number of requests of its own kind ahead.
-func (queue *queue) wait(class Class, isLate bool, ahead int, now time.Duration) time.Duration {
-	queue.usage.decay(now)
-	interval, slower := queue.interval(now)
-	places := float64(queue.limit)
-	interactive, scoring := queue.meanOf(Interactive), queue.meanOf(Scoring)
-	criticalWork := float64(queue.criticalCount) * scoring
-	var work float64
-	switch {
-	case class == Scoring:
-		work = float64(ahead) * scoring / max(guaranteedShare, 1-queue.usage.ofPlaces(queue.limit, inTime))
-	case !isLate:
-		others := guaranteedShare
-		if queue.urgentUntil >= 0 {
-			others = 1 - guaranteedShare
-		}
-		own := float64(ahead) * interactive
-		work = min(own+criticalWork, own/(1-others))
-	default:
-		freshWork := float64(queue.count(Interactive, false)) * interactive
-		rate := max(leastLateRate, 1-queue.usage.ofPlaces(queue.limit, inTime, critical))
-		work = freshWork + criticalWork + float64(ahead+1)*interactive/rate
-	}
-	return time.Duration(min(interval+slower*work/places, float64(time.Hour)))
-}
-
 // count returns the number of waiting requests of a class that are late, or are not.
 func (queue *queue) count(class Class, isLate bool) int {
 	total := 0
@@ -439,12 +364,6 @@
 	return total
 }
 
-// uncertainty is how far an estimated wait may be off. A request starts to wait only if it is in time by that much, and is given up only if
-// it is late by that much, so that chance does not push it out while it waits.
-func (queue *queue) uncertainty(request *ticket) time.Duration {
-	return time.Duration(waitUncertainty * float64(max(0, request.useful-request.arrived)))
-}
-
 // bound returns how many requests may wait: as many as can be served in the longest time that one of them has.
 func (queue *queue) bound() int {
 	if !queue.timesKnown() {
@@ -584,52 +503,11 @@
 func (queue *queue) refuse(request *ticket, reason string, now time.Duration) {
 	queue.refused++
 	request.refusal = &RefusedError{
-		Reason: reason, RetryAfter: queue.retryAfter(request.class, request.deadline-now, now), Waited: now - request.arrived, Position: request.position,
+		Reason: reason, RetryAfter: queue.retryAfter(request.class, 0, request.deadline-now, now), Waited: now - request.arrived, Position: request.position,
 	}
 	queue.decided = append(queue.decided, request)
 }
 
-const (
-	// heededShare is the part of its remaining time up to which a caller heeds the time after which it may return.
-	heededShare   = 1.0 / 3
-	minRetryAfter = 20 * time.Millisecond
-	// retrySpread is the greatest time to return in drain times of the backlog; the least is half of it.
-	retrySpread = 1.5
-)
-
-// retryAfter returns when a refused caller may return: when the backlog has drained, but no later than the caller would heed, at random
-// over half of that time, so that callers that were refused together do not come back together.
-func (queue *queue) retryAfter(class Class, left, now time.Duration) time.Duration {
-	drain := queue.wait(class, false, queue.count(class, false)+queue.count(class, true), now)
-	longest := min(time.Duration(retrySpread*float64(drain)), time.Duration(heededShare*float64(min(left, longestWait))))
-	longest = max(longest, minRetryAfter)
-	return longest/2 + time.Duration(queue.chance()*float64(longest/2))
-}
-
-// refreshCritical determines which scoring requests have to be served now. The requests due until some time are critical if the guaranteed
-// share of the places is only just enough to serve all of them by then, and urgent if that is so of all places but the other class's share.
-func (queue *queue) refreshCritical(now time.Duration) {
-	if now-queue.criticalAt < criticalRefresh {
-		return
-	}
-	queue.criticalAt, queue.criticalUntil, queue.urgentUntil, queue.criticalCount = now, -1, -1, 0
-	if len(queue.due) == 0 {
-		return
-	}
-	each := queue.meanOf(Scoring) / float64(queue.limit)
-	fixed := max(queue.likelyOf(Scoring), 0) + criticalMargin
-	for index, request := range queue.due {
-		left := float64(request.useful - now - fixed)
-		work := float64(index+1) * each
-		if left < work/guaranteedShare {
-			queue.criticalUntil, queue.criticalCount = request.useful, index+1
-		}
-		if left < work/(1-guaranteedShare) {
-			queue.urgentUntil = request.useful
-		}
-	}
-}
-
 // dispatch admits waiting requests while there is room.
 func (queue *queue) dispatch(limit int, now time.Duration) {
 	queue.limit = max(limit, 1)
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -407,15 +407,15 @@
 	return controller.HasRoom(name) && controller.serviceOf(name).retries.Retry()
 }
 
-// RetryAfter returns when a caller that is refused for another reason than room may return, by the backlog of the service. left is the time
-// until the caller's deadline.
-func (controller *Controller) RetryAfter(name string, left time.Duration) time.Duration {
+// RetryAfter returns when a caller that replicas refused may return, by the backlog of the service and the least time that it takes the
+// replicas to have room. left is the time until the caller's deadline.
+func (controller *Controller) RetryAfter(name string, least, left time.Duration) time.Duration {
 	own := controller.serviceOf(name)
 	limit := controller.room.Limit(name)
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	own.queue.limit = max(limit, 1)
-	return own.queue.retryAfter(Interactive, left, controller.now())
+	return own.queue.retryAfter(Interactive, least, left, controller.now())
 }
 
 // RoomChanged admits waiting requests after the room has changed, and refuses those that can't be served any more.
--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -105,7 +105,11 @@
 			result := admitted.call(t.Context(), catalog.Safe, nil)
 			synctest.Wait()
 			must.Eq(t, check.status, result.Status, must.Sprint(check.name))
-			must.Eq(t, check.status == http.StatusServiceUnavailable, result.RetryAfter > 0, must.Sprint(check.name))
+			if check.status == http.StatusServiceUnavailable {
+				must.GreaterEq(t, 100*time.Millisecond, result.RetryAfter, must.Sprint(check.name, ": not back before the replicas can have room"))
+			} else {
+				must.Eq(t, 0, result.RetryAfter, must.Sprint(check.name))
+			}
 			inFlight, waiting := admitted.load()
 			must.Eq(t, 0, inFlight+waiting, must.Sprint(check.name))
 			var full, timed int
--- a/internal/forwarding/answer.go
+++ b/internal/forwarding/answer.go
@@ -30,7 +30,7 @@
 	}
 	refused := run.refuse("not_executed")
 	if controller := run.forwarder.Admission; controller != nil {
-		refused.RetryAfter = controller.RetryAfter(run.service, run.remaining())
+		refused.RetryAfter = controller.RetryAfter(run.service, RetryAfter, run.remaining())
 	}
 	return refused
 }
