Scoring asks admission for its places, and the next text gets each

Cause: a node makes 8 scoring calls at a time, whatever room its service has. The 160 texts of a step at 200 ms each take 4 s, two steps twice that.

Change: with Options.Admission each text that waits for its score asks for a place. A granted place goes to the text that is first in order then: jobs by due time with a share for each, groups nearest to completion, and steps with enough only into room that nobody waits for. A place is held during one call; refused, failed and held texts wait for another. The time limit of a call follows the times of its service. A complete text of 16 events and more is saved as complete, so that another owner only scores it. Without Admission nothing changes but new keys in `job ended`.

--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -113,6 +113,13 @@
 	}
 }
 
+// GroupOf returns whether the trainer waits for the group of an item however many others are complete, and the number of unfinished items
+// of the group.
+func (progress *Progress) GroupOf(itemID string) (required bool, missing int) {
+	group := progress.groupOf[itemID]
+	return progress.required[group], progress.remaining[group]
+}
+
 // Finished reports whether an item is finished.
 func (progress *Progress) Finished(itemID string) bool { return progress.finished[itemID] }
 
--- a/internal/batchrun/backup.go
+++ b/internal/batchrun/backup.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// queueSaveComplete queues the text of a complete item that waits for its score, so that another owner of the job only scores it. A text
+// shorter than minBackupEvents is generated again as soon as it is read.
+func (running *task) queueSaveComplete() {
+	if running.lastEvent < minBackupEvents {
+		return
+	}
+	partial := &batchv1.Partial{ItemId: running.item.GetId(), Text: running.text, LastEvent: running.lastEvent, Versions: running.versions, Whole: true}
+	owned := running.job
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	owned.grown[partial.GetItemId()] = partial
+	owned.unfinished[partial.GetItemId()] = partial
+	if owned.unsavedSince.IsZero() {
+		owned.unsavedSince = time.Now()
+		owned.wakeFlush()
+	}
+}
+
 // takeUnsaved returns the unfinished texts to save in the log along with the given results, longest first, up to
 // maxUnfinishedBytes. It returns nil if no text has grown since the last call.
 func (owned *job) takeUnsaved(results []*batchv1.Result) []*batchv1.Partial {
--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -79,7 +79,8 @@
 	spent := runner.timingOf(owned)
 	runner.Logger.Info("job ended", "job", owned.id(), "listed", len(owned.listed), "items", len(owned.items), "step", owned.definition.GetStep(),
 		"here_ms", spent.elapsed.Milliseconds(), "enough_ms", spent.enough.Milliseconds(), "bound_ms", spent.lowerBound.Milliseconds(),
-		"longest", spent.longest, "events", spent.events, "error", err)
+		"longest", spent.longest, "events", spent.events, "scored", spent.scored.count, "scoring_ms", spent.scored.last.Milliseconds(),
+		"scoring_longest_ms", spent.scored.longest.Milliseconds(), "error", err)
 	runner.remove(owned)
 	if err != nil {
 		return errors.Mark(err, ErrUncertain)
--- a/internal/batchrun/engines_test.go
+++ b/internal/batchrun/engines_test.go
@@ -34,6 +34,8 @@
 	// failing selects, by replica, the items that the replica answers with 500 at once; failed counts these answers.
 	failing map[string]func(item string) bool
 	failed  int
+	// scorer answers scoring requests; nil answers at once.
+	scorer *scorers
 }
 
 // fails reports whether a replica is to fail an item, and counts the failure.
@@ -110,6 +112,9 @@
 
 // Send implements backend.Sender.
 func (engines *engines) Send(ctx context.Context, replica *catalog.Replica, request *backend.Request) (*backend.Response, error) {
+	if replica.Service == "scorer" && engines.scorer != nil {
+		return engines.scorer.send(ctx, replica, request)
+	}
 	if replica.Service == "scorer" {
 		return answer(http.StatusOK, "score of "+request.ID, strings.NewReader("")), nil
 	}
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -134,6 +134,7 @@
 func (runner *Runner) terminate(running *task, reason string) {
 	runner.Logger.Warn("item given up", "request", running.item.GetId(), "job", running.job.id(), "reason", reason, "failures", running.failures, "rejected", running.rejected)
 	running.job.finish(&batchv1.Result{ItemId: running.item.GetId(), Terminated: true})
+	runner.scoresChanged(running.job)
 }
 
 // attempt sends an item to a replica and reads the stream.
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -42,6 +42,7 @@
 	lastAppend       time.Time // when results were last made durable
 	itemsQueued      bool
 	itemsQueuedAt    time.Time // when the items were added to the scheduler
+	scored           scoringSummary
 	wantedCompleteAt time.Time // when the groups that the trainer waits for were complete; zero before
 	ending           bool
 	leaving          bool          // being handed over to another node, which may have listed more results
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -100,7 +100,8 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	scheduler *scheduler
-	scoring   chan struct{} // limits the scoring requests in flight
+	scoring   chan struct{} // limits the scoring requests in flight without Admission
+	scores    *scoringQueue
 
 	mu          sync.Mutex
 	jobs        map[string]*job
@@ -130,6 +131,7 @@
 		sweeps: newSweepSchedule(),
 	}
 	runner.scheduler = newScheduler(runner)
+	runner.scores = newScoringQueue(runner)
 	return runner
 }
 
--- a/internal/batchrun/score.go
+++ b/internal/batchrun/score.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
@@ -17,24 +19,33 @@
 	scoreRetryDelay = 40 * time.Millisecond
 	// scoreReadLimit bounds how much of a scorer's response body is read. Only its signature is used.
 	scoreReadLimit = 1 << 20
-	scoreTimeout   = 1500 * time.Millisecond
 )
 
 // score requests the score of a complete text and finishes the item. It is called at the end of the item's last attempt.
 func (runner *Runner) score(done *task) {
 	signature, scored := "", true
-	if done.item.GetScorer() != nil {
+	started := time.Now()
+	switch {
+	case done.item.GetScorer() == nil:
+	case runner.Admission != nil:
+		done.queueSaveComplete()
+		signature, scored = runner.scoreAdmitted(done)
+	default:
 		signature, scored = runner.callScorer(done)
 	}
 	if done.job.ctx.Err() != nil {
 		runner.keep(done, true)
 		return
 	}
+	if done.item.GetScorer() != nil {
+		done.job.recordScored(time.Since(started))
+	}
 	if !scored {
 		runner.terminate(done, reasonScorer)
 		return
 	}
 	done.job.finish(&batchv1.Result{ItemId: done.item.GetId(), Text: done.text, Versions: done.versions, Score: signature})
+	runner.scoresChanged(done.job)
 }
 
 // callScorer returns the scorer's signature, or false if the scorer failed as often as its route allows. A call occupies one of
@@ -64,6 +75,8 @@
 	scorer             *batchv1.Scorer
 	tried              []string
 	attempts, failures int
+	// admitted is used if places are granted by admission.
+	admitted
 }
 
 // try calls one replica after the other. held is true if the request is on hold because replicas crashed while running it.
@@ -77,7 +90,12 @@
 			continue
 		}
 		call.attempts++
-		status, signature, err := runner.scoreOnce(call.done, call.scorer, route, replica)
+		limit := scoreTimeout
+		if route.Timeout > 0 {
+			limit = min(limit, route.Timeout)
+		}
+		answer := runner.scoreOnce(call.done, call.scorer, replica, limit)
+		status, signature, err := answer.status, answer.signature, answer.err
 		if backend.IsHeld(err) {
 			return "", false, true
 		}
@@ -115,18 +133,30 @@
 	return route, picker.Pick(runner.Catalog.Replicas().Service(service), tried, time.Now())
 }
 
-// scoreOnce sends one scoring request and returns the status and the signature. It returns status 0 and an error without a
-// complete response.
-func (runner *Runner) scoreOnce(done *task, scorer *batchv1.Scorer, route *catalog.Route, replica *catalog.Replica) (status int, signature string, err error) {
-	limit := scoreTimeout
-	if route.Timeout > 0 {
-		limit = min(limit, route.Timeout)
-	}
+// scoreAnswer is the answer to one scoring request. status is 0 without a complete response, for the reason in err.
+type scoreAnswer struct {
+	status    int
+	signature string
+	err       error
+	// refused is true if the replica did not run the request, full if that was for lack of room.
+	refused, full bool
+	// timedOut is true if the request ran into its time limit.
+	timedOut bool
+	took     time.Duration
+}
+
+// scoreOnce sends one scoring request, which may take as long as limit.
+func (runner *Runner) scoreOnce(done *task, scorer *batchv1.Scorer, replica *catalog.Replica, limit time.Duration) (answer scoreAnswer) {
 	ctx, cancel := context.WithTimeout(done.job.ctx, limit)
 	defer cancel()
-	runner.Loads.Begin(replica.ID, time.Now())
+	started := time.Now()
+	runner.Loads.Begin(replica.ID, started)
 	ended := backend.Failed
-	defer func() { runner.Loads.End(replica.ID, ended, time.Now()) }()
+	defer func() {
+		runner.Loads.End(replica.ID, ended, time.Now())
+		answer.took = time.Since(started)
+		answer.timedOut = answer.err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded)
+	}()
 	response, err := runner.Sender.Send(ctx, replica, &backend.Request{
 		ID: scorer.GetId(), Method: http.MethodPost, Host: scorer.GetHost(), Target: scorer.GetPath(), Header: http.Header{},
 		Body: scorer.GetBody(), Deadline: limit, Priority: -1, Exclusive: true,
@@ -135,15 +165,16 @@
 		if backend.IsHeld(err) {
 			ended = backend.Unknown
 		}
-		return 0, "", err
+		return scoreAnswer{err: err}
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, scoreReadLimit)); err != nil {
-		return 0, "", err
+		return scoreAnswer{err: err}
 	}
 	ended = backend.Served
 	if response.NotExecuted {
-		return http.StatusServiceUnavailable, "", nil
+		full := response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests
+		return scoreAnswer{status: http.StatusServiceUnavailable, refused: true, full: full}
 	}
-	return response.Status, response.Signature, nil
+	return scoreAnswer{status: response.Status, signature: response.Signature}
 }
--- /dev/null
+++ b/internal/batchrun/scoreadmitted.go
@@ -0,0 +1,256 @@
+package batchrun
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/thistlewalk/thistlewalk/internal/admission"
+	"github.com/thistlewalk/thistlewalk/internal/backend"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
+)
+
+const (
+	// maxScoreRetryDelay bounds the pause of a text that full replicas refused again and again.
+	maxScoreRetryDelay = 640 * time.Millisecond
+	// routeCheckInterval is how often a waiting text checks that its route still leads to the service at which it waits.
+	routeCheckInterval = 500 * time.Millisecond
+)
+
+// admitted is the state of a text whose calls are admitted.
+type admitted struct {
+	target  string // the name of the service
+	service *scoringService
+	flow    scoringFlow
+	since   time.Time
+	granted chan admission.Grant
+	// timeouts counts the attempts that ran into their time limit, refusals those that full replicas refused in a row.
+	timeouts, refusals int
+	// rank is the number of texts that had waited longer than this one when it got its place, besides the number of this node's scoring
+	// calls at the service, this one included.
+	rank, besides int
+	waited        time.Duration // for the last place
+}
+
+// scoreAdmitted returns the scorer's signature, or false if the scorer failed as often as its route allows. A text holds a place only while a
+// replica works on it: after a refusal, a failure or a hold it waits for another.
+func (runner *Runner) scoreAdmitted(done *task) (signature string, scored bool) {
+	call := &scoringCall{runner: runner, done: done, scorer: done.item.GetScorer()}
+	call.since, call.granted = time.Now(), make(chan admission.Grant, 1)
+	ctx := done.job.ctx
+	for ctx.Err() == nil {
+		route := call.chooseTarget()
+		if call.target == "" {
+			wait.Pause(ctx, scoreRetryDelay)
+			continue
+		}
+		call.flow = scoringFlow{job: done.job, priority: route.Priority}
+		grant, granted := call.awaitPlace(ctx)
+		if !granted {
+			continue
+		}
+		answer, pause, over := call.attempt(ctx, grant)
+		if over {
+			return answer.signature, answer.signature != ""
+		}
+		wait.Pause(ctx, pause)
+	}
+	return "", false
+}
+
+// scoresChanged is called when an item of a job has a result.
+func (runner *Runner) scoresChanged(owned *job) {
+	if runner.Admission != nil && owned.hasEnough() {
+		runner.scores.reconsider(owned)
+	}
+}
+
+// hasEnough reports whether all groups that the trainer waits for are complete.
+func (owned *job) hasEnough() bool {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	return owned.progress.WantedComplete()
+}
+
+// groupOf returns whether the trainer waits for the group of an item in any case, and how many items of the group are unfinished.
+func (owned *job) groupOf(item string) (required bool, missing int) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	return owned.progress.GroupOf(item)
+}
+
+// chooseTarget returns the scorer's route and sets the service that scores the text, which stays the same while the route has it.
+func (call *scoringCall) chooseTarget() *catalog.Route {
+	call.target = ""
+	configuration := call.runner.Catalog.Configuration()
+	if configuration == nil {
+		return nil
+	}
+	route := configuration.FindRoute(call.scorer.GetHost(), call.scorer.GetPath())
+	if route == nil {
+		return nil
+	}
+	drawn := ""
+	if call.service != nil {
+		drawn = call.service.name
+	}
+	call.target = chooseService(route, drawn)
+	return route
+}
+
+// awaitPlace waits for a place. It returns false without one if the job has ended or the route leads to another service.
+func (call *scoringCall) awaitPlace(ctx context.Context) (grant admission.Grant, granted bool) {
+	began := time.Now()
+	call.runner.scores.add(call)
+	ticker := time.NewTicker(routeCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case grant := <-call.granted:
+			call.waited = time.Since(began)
+			call.runner.Metrics.ScoringWait(call.waited)
+			return grant, true
+		case <-ctx.Done():
+		case <-ticker.C:
+			if call.routeLeadsTo(call.service.name) {
+				continue
+			}
+		}
+		if call.runner.scores.remove(call) {
+			return admission.Grant{}, false
+		}
+		call.runner.scores.release(call, <-call.granted, admission.Outcome{})
+		return admission.Grant{}, false
+	}
+}
+
+func (call *scoringCall) routeLeadsTo(service string) bool {
+	configuration := call.runner.Catalog.Configuration()
+	if configuration == nil {
+		return true
+	}
+	route := configuration.FindRoute(call.scorer.GetHost(), call.scorer.GetPath())
+	return route != nil && slices.ContainsFunc(route.Targets, func(target catalog.RouteTarget) bool { return target.Service == service && target.Weight > 0 })
+}
+
+// attempt makes one call in a granted place, which it returns. over is true if the text is scored or may not be tried again; otherwise the
+// text waits for a place again after the pause.
+func (call *scoringCall) attempt(ctx context.Context, grant admission.Grant) (answer scoreAnswer, pause time.Duration, over bool) {
+	runner := call.runner
+	outcome := admission.Outcome{}
+	defer func() { runner.scores.release(call, grant, outcome) }()
+	route, replica := call.replica()
+	if ctx.Err() != nil || route == nil {
+		return scoreAnswer{}, 0, false
+	}
+	if replica == nil {
+		call.tried = nil
+		return scoreAnswer{}, scoreRetryDelay, false
+	}
+	limit := runner.scores.limit(call)
+	if route.Timeout > 0 {
+		limit = min(limit, route.Timeout)
+	}
+	call.attempts++
+	answer = runner.scoreOnce(call.done, call.scorer, replica, limit)
+	if ctx.Err() != nil {
+		return answer, 0, false
+	}
+	result := answer.result()
+	runner.Metrics.ScoringCall(result.String(), answer.took)
+	if result == scoreHeld {
+		return answer, pauseAfterHold, false
+	}
+	call.tried = append(call.tried, replica.ID)
+	pause = scoreRetryDelay
+	if result == scoreFull {
+		outcome.Full = true
+		pause = call.pauseAfterRefusal()
+	} else {
+		call.refusals = 0
+	}
+	switch result {
+	case scoreServed:
+		outcome.ServiceTime = answer.took
+		runner.scores.observe(call.service, answer.took)
+	case scoreFailed:
+		outcome.ServiceTime = answer.took
+	case scoreTimedOut:
+		call.timeouts++
+		pause = 0
+	}
+	if result == scoreServed {
+		return answer, 0, true
+	}
+	runner.Logger.Info("scorer call", "request", call.scorer.GetId(), "item", call.done.item.GetId(), "job", call.done.job.id(), "replica", replica.ID, "status", answer.status,
+		"outcome", result, "attempt", call.attempts, "waited_ms", call.waited.Milliseconds(), "took_ms", answer.took.Milliseconds(), "limit_ms", limit.Milliseconds(),
+		"in_flight", call.besides, "rank", call.rank, "error", answer.err)
+	if result == scoreFailed {
+		call.failures++
+		return scoreAnswer{}, pause, call.failures >= max(route.MaxAttempts, 1)
+	}
+	return answer, pause, false
+}
+
+// replica picks the replica for the next attempt. It returns no route if the route no longer leads to the service of the place.
+func (call *scoringCall) replica() (*catalog.Route, *catalog.Replica) {
+	configuration := call.runner.Catalog.Configuration()
+	if configuration == nil {
+		return nil, nil
+	}
+	route := configuration.FindRoute(call.scorer.GetHost(), call.scorer.GetPath())
+	if route == nil || !call.routeLeadsTo(call.service.name) {
+		return nil, nil
+	}
+	picker := backend.Picker{Loads: call.runner.Loads, Zone: call.runner.Zone}
+	return route, picker.Pick(call.runner.Catalog.Replicas().Service(call.service.name), call.tried, time.Now())
+}
+
+// pauseAfterRefusal doubles with each refusal in a row, with chance in it, so that texts that were refused together do not return together.
+func (call *scoringCall) pauseAfterRefusal() time.Duration {
+	delay := min(scoreRetryDelay<<min(call.refusals, 8), maxScoreRetryDelay)
+	call.refusals++
+	return delay/2 + rand.N(delay/2)
+}
+
+// scoreResult classifies the end of a scoring call.
+type scoreResult int
+
+const (
+	scoreServed   scoreResult = iota
+	scoreFailed               // status 500
+	scoreFull                 // the replica had no room
+	scoreRefused              // not run for another reason
+	scoreTimedOut             // cut off at the time limit, here or by the replica
+	scoreBroken               // no complete response
+	scoreUnusable             // another status, or no signature
+	scoreHeld                 // not sent: the request is held after crashes of replicas
+)
+
+var scoreResultNames = [...]string{"served", "failed", "full", "refused", "timed_out", "broken", "unusable", "held"}
+
+// String returns the name used in logs and metrics.
+func (result scoreResult) String() string { return scoreResultNames[result] }
+
+func (answer *scoreAnswer) result() scoreResult {
+	switch {
+	case backend.IsHeld(answer.err):
+		return scoreHeld
+	case answer.full:
+		return scoreFull
+	case answer.refused:
+		return scoreRefused
+	case answer.timedOut, answer.status == http.StatusGatewayTimeout:
+		return scoreTimedOut
+	case answer.err != nil:
+		return scoreBroken
+	case answer.status == http.StatusInternalServerError:
+		return scoreFailed
+	case answer.status >= http.StatusOK && answer.status < http.StatusMultipleChoices && answer.signature != "":
+		return scoreServed
+	}
+	return scoreUnusable
+}
--- a/internal/batchrun/timing.go
+++ b/internal/batchrun/timing.go
@@ -15,13 +15,29 @@
 	lowerBound time.Duration
 	// longest is the number of events of the longest listed item, events that of all listed items.
 	longest, events int
+	scored          scoringSummary
+}
+
+// scoringSummary tells how long the scores of a job took, from the end of a text until its score was there or given up.
+type scoringSummary struct {
+	count int
+	// last is the time of the last score, longest the longest.
+	last, longest time.Duration
+}
+
+func (owned *job) recordScored(took time.Duration) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	owned.scored.count++
+	owned.scored.last = took
+	owned.scored.longest = max(owned.scored.longest, took)
 }
 
 // timingOf returns the timing of a job whose items have been cancelled.
 func (runner *Runner) timingOf(owned *job) jobTiming {
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
-	timing := jobTiming{}
+	timing := jobTiming{scored: owned.scored}
 	if !owned.itemsQueuedAt.IsZero() {
 		timing.elapsed = time.Since(owned.itemsQueuedAt)
 	}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/admission"
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
@@ -48,6 +49,8 @@
 	takeOverDelay, keptDelay time.Duration
 	// refusesTakeOver is the node that rejects takeovers, as a stopping node does.
 	refusesTakeOver string
+	// room is the room of each node at the services; nil if scoring is not admitted.
+	room admission.Room
 	// noAnnouncements suppresses the announcements of jobs.
 	noAnnouncements bool
 }
@@ -99,8 +102,13 @@
 	world.lastIncarnation++
 	store := nodeStore{Store: world.store, world: world, node: name}
 	health := metadata.NewHealth(store, log.New(io.Discard))
+	var admitted *admission.Controller
+	if world.room != nil {
+		admitted = admission.NewController(world.room)
+	}
 	runner := batchrun.New(batchrun.Options{
-		Node: name, Incarnation: world.lastIncarnation, Catalog: world.catalog, Loads: backend.NewLoads(), Sender: world.engines, Decoder: lineDecoder{},
+		Admission: admitted,
+		Node:      name, Incarnation: world.lastIncarnation, Catalog: world.catalog, Loads: backend.NewLoads(), Sender: world.engines, Decoder: lineDecoder{},
 		Log: &batchlog.Log{Store: store, Health: health, Node: name, Incarnation: world.lastIncarnation}, Peers: &worldPeers{world, name}, Logger: log.New(&world.lines),
 		Flush: batch.FlushPolicy{MinInterval: 50 * time.Millisecond, MaxWait: 200 * time.Millisecond},
 	})
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -36,6 +36,8 @@
 	suspicionsCleared prometheus.Counter
 	quarantined       prometheus.Gauge
 	suspensions       prometheus.Counter
+	scoringWaits      *prometheus.HistogramVec
+	scoringCalls      *prometheus.HistogramVec
 }
 
 // latencyBuckets are upper bounds in seconds. They cover the range from calls to the metadata store to the longest batch items.
@@ -78,11 +80,13 @@
 	metrics.suspicionsCleared = single("suspicions_cleared_total", "Requests that a replica answered after others had ended under them.")
 	metrics.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "requests_quarantined", Help: "Requests that are not sent to replicas any more."})
 	metrics.suspensions = single("suspensions_total", "Times that the machine was suspended while this process ran.")
+	metrics.scoringWaits = histogram("scoring_wait_seconds", "Time that texts waited for a place at a scoring service.")
+	metrics.scoringCalls = histogram("scoring_call_seconds", "Time of scoring calls by outcome.", "outcome")
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
 	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost, metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable, metrics.usageSent, metrics.usageReports,
-		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, lines)
+		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, metrics.scoringWaits, metrics.scoringCalls, lines)
 	return metrics
 }
 
@@ -105,6 +109,20 @@
 	}
 }
 
+// ScoringWait counts a text that got a place at a scoring service.
+func (metrics *Metrics) ScoringWait(waited time.Duration) {
+	if metrics != nil {
+		metrics.scoringWaits.WithLabelValues().Observe(waited.Seconds())
+	}
+}
+
+// ScoringCall counts a call to a scoring service.
+func (metrics *Metrics) ScoringCall(outcome string, took time.Duration) {
+	if metrics != nil {
+		metrics.scoringCalls.WithLabelValues(outcome).Observe(took.Seconds())
+	}
+}
+
 // Job counts an event of a batch job.
 func (metrics *Metrics) Job(event string) {
 	if metrics != nil {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -19,6 +19,8 @@
 	metrics.Order("started")
 	metrics.Published("ok", time.Millisecond)
 	metrics.StoreReadStarted("no_beacon")
+	metrics.ScoringWait(time.Millisecond)
+	metrics.ScoringCall("full", time.Millisecond)
 	recorder := httptest.NewRecorder()
 	metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	for _, line := range []string{
@@ -26,6 +28,7 @@
 		`thistlewalk_job_events_total{event="accepted"} 1`, `thistlewalk_store_seconds_count{call="commit",result="conflict"} 1`,
 		`thistlewalk_orders_total{reply="started"} 1`, `thistlewalk_log_lines_dropped_total 7`,
 		`thistlewalk_publish_seconds_count{result="ok"} 1`, `thistlewalk_store_readings_total{reason="no_beacon"} 1`,
+		`thistlewalk_scoring_wait_seconds_count 1`, `thistlewalk_scoring_call_seconds_count{outcome="full"} 1`,
 	} {
 		must.StrContains(t, recorder.Body.String(), line)
 	}
@@ -40,4 +43,6 @@
 	metrics.Order("held")
 	metrics.Published("failed", 0)
 	metrics.StoreReadStarted("behind")
+	metrics.ScoringWait(0)
+	metrics.ScoringCall("served", 0)
 }
