--- a/internal/batchrun/scoreadmitted.go
+++ b/internal/batchrun/scoreadmitted.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// maxScoreRetryDelay bounds the pause of a text that full replicas refused again and again.
+	// maxScoreRetryDelay bounds the pause of a text whose calls fail again and again.
 	maxScoreRetryDelay = 640 * time.Millisecond
 	// routeCheckInterval is how often a waiting text checks that its route still leads to the service at which it waits.
 	routeCheckInterval = 500 * time.Millisecond
@@ -27,8 +27,8 @@
 	flow    scoringFlow
 	since   time.Time
 	granted chan admission.Grant
-	// timeouts counts the attempts that ran into their time limit, refusals those that full replicas refused in a row.
-	timeouts, refusals int
+	// timeouts counts the attempts that ran into their time limit, setbacks those that found no replica or no usable answer.
+	timeouts, setbacks int
 	// rank is the number of texts that had waited longer than this one when it got its place, besides the number of this node's scoring
 	// calls at the service, this one included.
 	rank, besides int
@@ -148,7 +148,7 @@
 	}
 	if replica == nil {
 		call.tried = nil
-		return scoreAnswer{}, scoreRetryDelay, false
+		return scoreAnswer{}, call.backOff(), false
 	}
 	limit := runner.scores.limit(call)
 	if route.Timeout > 0 {
@@ -165,34 +165,28 @@
 		return answer, pauseAfterHold, false
 	}
 	call.tried = append(call.tried, replica.ID)
-	pause = scoreRetryDelay
-	if result == scoreFull {
-		outcome.Full = true
-		pause = call.pauseAfterRefusal()
-	} else {
-		call.refusals = 0
-	}
 	switch result {
 	case scoreServed:
 		outcome.ServiceTime = answer.took
 		runner.scores.observe(call.service, answer.took)
+		return answer, 0, true
 	case scoreFailed:
 		outcome.ServiceTime = answer.took
+		call.failures++
+		over, pause = call.failures >= max(route.MaxAttempts, 1), scoreRetryDelay
 	case scoreTimedOut:
 		call.timeouts++
-		pause = 0
-	}
-	if result == scoreServed {
-		return answer, 0, true
+		if !answer.timedOut { // the replica cut it off, perhaps at once
+			pause = call.backOff()
+		}
+	default:
+		outcome.Full = result == scoreFull
+		pause = call.backOff()
 	}
 	runner.Logger.Info("scorer call", "request", call.scorer.GetId(), "item", call.done.item.GetId(), "job", call.done.job.id(), "replica", replica.ID, "status", answer.status,
 		"outcome", result, "attempt", call.attempts, "waited_ms", call.waited.Milliseconds(), "took_ms", answer.took.Milliseconds(), "limit_ms", limit.Milliseconds(),
 		"in_flight", call.besides, "rank", call.rank, "error", answer.err)
-	if result == scoreFailed {
-		call.failures++
-		return scoreAnswer{}, pause, call.failures >= max(route.MaxAttempts, 1)
-	}
-	return answer, pause, false
+	return scoreAnswer{}, pause, over
 }
 
 // replica picks the replica for the next attempt. It returns no route if the route no longer leads to the service of the place.
@@ -209,11 +203,16 @@
 	return route, picker.Pick(call.runner.Catalog.Replicas().Service(call.service.name), call.tried, time.Now())
 }
 
-// pauseAfterRefusal doubles with each refusal in a row, with chance in it, so that texts that were refused together do not return together.
-func (call *scoringCall) pauseAfterRefusal() time.Duration {
-	delay := min(scoreRetryDelay<<min(call.refusals, 8), maxScoreRetryDelay)
-	call.refusals++
-	return delay/2 + rand.N(delay/2)
+func (call *scoringCall) backOff() time.Duration {
+	call.setbacks++
+	return scoreBackoff(call.setbacks, rand.Float64())
+}
+
+// scoreBackoff returns the pause after a number of setbacks. chance, from 0 to 1, spreads texts that failed together. Without it all texts of a
+// step would call a service that fails at once as fast as their places allow.
+func scoreBackoff(setbacks int, chance float64) time.Duration {
+	longest := min(scoreRetryDelay<<min(setbacks-1, 8), maxScoreRetryDelay)
+	return longest/2 + time.Duration(chance*float64(longest/2))
 }
 
 // scoreResult classifies the end of a scoring call.
--- a/internal/batchrun/scorequeue.go
+++ b/internal/batchrun/scorequeue.go
@@ -80,7 +80,7 @@
 		if len(queue.services) >= maxScoringServices {
 			maps.DeleteFunc(queue.services, func(_ string, other *scoringService) bool { return other.idle() })
 		}
-		service = &scoringService{name: name, asks: make(map[scoringFlow][]*scoringAsk), waitingOf: make(map[scoringFlow]int)}
+		service = &scoringService{name: name, asks: make(map[scoringFlow][]*scoringAsk), waitingOf: make(map[scoringFlow]int), loggedLimit: scoreTimeout}
 		queue.services[name] = service
 	}
 	return service
--- a/internal/batchrun/scoring_demand_test.go
+++ b/internal/batchrun/scoring_demand_test.go
@@ -129,6 +129,23 @@
 	})
 }
 
+// Guards against spare texts that overtake a text of another step, which waits to ask again.
+func TestSpareScoresWaitForRefusedOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner, refusing, done := newScoringRunner(t)
+		refusing.refuse = 2
+		done.job.finish(&batchv1.Result{ItemId: "other"})
+		definition := &batchv1.Job{Id: "k", Host: "h", Path: "/jobs/k", Model: "m", Items: done.job.definition.GetItems()}
+		waiting := &task{job: newJob(runner.ctx, definition, 8*time.Second), item: done.item}
+		go runner.scoreAdmitted(waiting)
+		synctest.Wait()
+		began := time.Now()
+		_, scored := runner.scoreAdmitted(done)
+		must.True(t, scored)
+		must.Between(t, 1400*time.Millisecond, time.Since(began), 1400*time.Millisecond+spareInterval)
+	})
+}
+
 // Guards against requests that stay in line for texts of a step whose trainer has got enough.
 func TestEnoughWithdrawsRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/batchrun/scoring_rules_test.go
+++ b/internal/batchrun/scoring_rules_test.go
@@ -103,3 +103,12 @@
 	old := known(20 * ms)
 	must.Eq(t, scoreTimeout, old.limit(0, 7*time.Second, now.Add(2*scoreTimesTTL)))
 }
+
+// Guards against pauses that overflow, or that all texts end at the same moment.
+func TestScoreBackoff(t *testing.T) {
+	must.Eq(t, scoreRetryDelay/2, scoreBackoff(1, 0))
+	must.Eq(t, scoreRetryDelay, scoreBackoff(1, 1))
+	must.Eq(t, 2*scoreRetryDelay, scoreBackoff(2, 1))
+	must.Eq(t, maxScoreRetryDelay, scoreBackoff(1000, 1))
+	must.Eq(t, maxScoreRetryDelay/2, scoreBackoff(1000, 0))
+}
--- a/internal/batchrun/scoring_test.go
+++ b/internal/batchrun/scoring_test.go
@@ -49,6 +49,7 @@
 	full, failing  int
 	hanging        string // a replica that does not answer
 	fullAt         string // a replica that refuses each call
+	unusable       bool   // calls are answered with 404 at once
 	held           string // a request that is held until heldUntil
 	heldUntil      time.Time
 	inFlight, most int
@@ -75,6 +76,8 @@
 	case refused:
 		scorers.full--
 		took, status = time.Millisecond, http.StatusServiceUnavailable
+	case scorers.unusable:
+		took, status = time.Millisecond, http.StatusNotFound
 	case scorers.failing > 0:
 		scorers.failing--
 		status = http.StatusInternalServerError
@@ -291,6 +294,18 @@
 	})
 }
 
+// Guards against calling a service that fails at once as fast as there are places.
+func TestScoresOfAServiceThatFailsAtOnce(t *testing.T) {
+	inScoringWorld(t, 200, 50*time.Millisecond, func(t *testing.T, world *world, scorers *scorers) {
+		scorers.set(func() { scorers.unusable = true })
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 40, 1), jobRoute))
+		time.Sleep(5 * time.Second)
+		must.Between(t, 40*5, len(scorers.callsOf("job")), 40*15)
+		scorers.set(func() { scorers.unusable = false })
+		checkResults(t, await(t, world.node("a"), "job", 40, 1500*time.Millisecond), 1)
+	})
+}
+
 // Guards against giving up a text before its scorer has failed as often as the route allows, and against calls after that.
 func TestScoresThatFail(t *testing.T) {
 	inScoringWorld(t, 10, 50*time.Millisecond, func(t *testing.T, world *world, scorers *scorers) {
--- a/internal/batchrun/timing.go
+++ b/internal/batchrun/timing.go
@@ -21,7 +21,7 @@
 // scoringSummary tells how long the scores of a job took, from the end of a text until its score was there or given up.
 type scoringSummary struct {
 	count int
-	// last is the time of the last score, longest the longest.
+	// last is the time of the last score, longest the longest. Scores that came after the trainer had enough are left out.
 	last, longest time.Duration
 }
 
@@ -29,6 +29,9 @@
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
 	owned.scored.count++
+	if !owned.wantedCompleteAt.IsZero() {
+		return
+	}
 	owned.scored.last = took
 	owned.scored.longest = max(owned.scored.longest, took)
 }
