--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -82,11 +82,12 @@
 	metrics.suspensions = single("suspensions_total", "Times that the machine was suspended while this process ran.")
 	metrics.scoringWaits = histogram("scoring_wait_seconds", "Time that texts waited for a place at a scoring service.")
 	metrics.scoringCalls = histogram("scoring_call_seconds", "Time of scoring calls by outcome.", "outcome")
+	metrics.registry.MustRegister(metrics.scoringWaits, metrics.scoringCalls)
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
 	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost, metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable, metrics.usageSent, metrics.usageReports,
-		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, metrics.scoringWaits, metrics.scoringCalls, lines)
+		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, lines)
 	return metrics
 }
 
