--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -39,6 +39,8 @@
 	admissionWaits    *prometheus.HistogramVec
 	admissionRefusals *prometheus.CounterVec
 	admissionQueue    *prometheus.GaugeVec
+	scoringWaits      *prometheus.HistogramVec
+	scoringCalls      *prometheus.HistogramVec
 }
 
 // latencyBuckets are upper bounds in seconds. They cover the range from calls to the metadata store to the longest batch items.
@@ -84,6 +86,9 @@
 	metrics.admissionWaits = histogram("admission_wait_seconds", "Time that requests waited for room at their service, by class and how the wait ended.", "class", "end")
 	metrics.admissionRefusals = counter("admission_refused_total", "Requests that were not admitted to their service, by class and reason.", "class", "reason")
 	metrics.admissionQueue = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "admission_waiting", Help: "Requests of this node that wait for room, by service."}, []string{"service"})
+	metrics.scoringWaits = histogram("scoring_wait_seconds", "Time that texts waited for a place at a scoring service.")
+	metrics.scoringCalls = histogram("scoring_call_seconds", "Time of scoring calls by outcome.", "outcome")
+	metrics.registry.MustRegister(metrics.scoringWaits, metrics.scoringCalls)
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
@@ -112,6 +117,20 @@
 	}
 }
 
+// ScoringWait counts a text that got a place at a scoring service.
+func (metrics *Metrics) ScoringWait(waited time.Duration) {
+	if metrics != nil {
+		metrics.scoringWaits.WithLabelValues().Observe(waited.Seconds())
+	}
+}
+
+// ScoringCall counts a call to a scoring service.
+func (metrics *Metrics) ScoringCall(outcome string, took time.Duration) {
+	if metrics != nil {
+		metrics.scoringCalls.WithLabelValues(outcome).Observe(took.Seconds())
+	}
+}
+
 // Job counts an event of a batch job.
 func (metrics *Metrics) Job(event string) {
 	if metrics != nil {
