Room: slots of the catalog and a window that refusals narrow

Cause: admission needs to know how many requests a node may have in flight at a service, and had no implementation of admission.Room.

Change: package room.

Tests of room, catalog, backend and role pass, once with and once without -race.

Conclusion: nothing changes while OverloadControl is off. Loads of other nodes are not exchanged yet.

--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -138,6 +138,22 @@
 	return list
 }
 
+// Ejected returns the replicas that are ejected. Its cost follows the number of replicas that this node has used lately.
+func (loads *Loads) Ejected(now time.Time) []string {
+	var list []string
+	for index := range loads.shards {
+		shard := &loads.shards[index]
+		shard.mu.Lock()
+		for id, entry := range shard.replicas {
+			if now.Before(entry.ejectedUntil) {
+				list = append(list, id)
+			}
+		}
+		shard.mu.Unlock()
+	}
+	return list
+}
+
 // evict removes the evictable entries. The caller holds the shard's mu.
 func (shard *loadShard) evict(now time.Time) {
 	maps.DeleteFunc(shard.replicas, func(_ string, entry *load) bool { return entry.evictable(now) })
--- a/internal/catalog/replicalist.go
+++ b/internal/catalog/replicalist.go
@@ -17,14 +17,14 @@
 	chunks []chunk
 	starts []int
 	size   int
-	// working is the number of replicas that are not draining.
-	working int
+	// working is the number of replicas that are not draining, slots the number of their slots.
+	working, slots int
 }
 
 // chunk is a contiguous part of a list.
 type chunk struct {
-	replicas []*Replica
-	working  int
+	replicas       []*Replica
+	working, slots int
 }
 
 func newChunk(replicas []*Replica) chunk {
@@ -32,6 +32,7 @@
 	for _, replica := range replicas {
 		if !replica.Draining {
 			created.working++
+			created.slots += max(replica.Slots, 1)
 		}
 	}
 	return created
@@ -61,6 +62,7 @@
 		list.starts = append(list.starts, list.size)
 		list.size += len(chunk.replicas)
 		list.working += chunk.working
+		list.slots += chunk.slots
 	}
 	return list
 }
@@ -71,6 +73,9 @@
 // Working returns the number of replicas that are not draining.
 func (list ReplicaList) Working() int { return list.working }
 
+// Slots returns the number of slots of the replicas that are not draining, at least one for each replica.
+func (list ReplicaList) Slots() int { return list.slots }
+
 // At returns the replica at a position, counted from 0.
 func (list ReplicaList) At(position int) *Replica {
 	index, found := slices.BinarySearch(list.starts, position)
--- a/internal/catalog/replicaset_test.go
+++ b/internal/catalog/replicaset_test.go
@@ -33,7 +33,7 @@
 				}
 				replica := catalog.Replica{
 					ID: id, Service: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"),
-					Draining: rapid.Bool().Draw(t, "draining"), Models: []catalog.ModelVersion{{Model: "m", Version: rapid.Int64Range(1, 2).Draw(t, "version")}},
+					Draining: rapid.Bool().Draw(t, "draining"), Slots: rapid.IntRange(0, 9).Draw(t, "slots"), Models: []catalog.ModelVersion{{Model: "m", Version: rapid.Int64Range(1, 2).Draw(t, "version")}},
 				}
 				known[id] = replica
 				changes = append(changes, catalog.ReplicaChange{ID: id, Replica: &replica})
@@ -60,13 +60,15 @@
 		must.Eq(t, known[id], *set.Find(id))
 	}
 	must.Nil(t, set.Find("s"))
-	working := 0
+	working, slots := 0, 0
 	for replica := range set.All().Each() {
 		if !replica.Draining {
 			working++
+			slots += max(replica.Slots, 1)
 		}
 	}
 	must.Eq(t, working, set.All().Working())
+	must.Eq(t, slots, set.All().Slots())
 	for place, replica := range values(set.All()) {
 		must.Eq(t, replica, *set.All().At(place))
 	}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -14,6 +14,7 @@
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/admission"
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
@@ -91,6 +92,8 @@
 	// requests, so that they outlast this process.
 	guard       *quarantine.Guard
 	recordStore *quarantine.RecordStore
+	// loadExchange is nil if requests are not held back by the room of their service.
+	loadExchange *loadExchange
 }
 
 // Parameters of batch.FlushPolicy.
@@ -109,11 +112,16 @@
 	front := &Front{FrontOptions: options, loads: loads, owners: newOwners(), health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	front.guard, front.recordStore = front.newGuard()
-	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics, Clock: options.Clock}
+	var admitted *admission.Controller
+	if options.OverloadControl {
+		front.loadExchange = front.newLoadExchange()
+		admitted = front.loadExchange.admission
+	}
+	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics, Admission: admitted, Clock: options.Clock}
 	front.Runner = batchrun.New(batchrun.Options{
 		Node: options.Node, Incarnation: options.Incarnation, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: front.guard,
 		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node, Incarnation: options.Incarnation}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
-		Flush: batch.FlushPolicy{MinInterval: flushInterval, MaxWait: flushMaxDelay, FinalMinInterval: flushFinalInterval},
+		Flush: batch.FlushPolicy{MinInterval: flushInterval, MaxWait: flushMaxDelay, FinalMinInterval: flushFinalInterval}, Admission: admitted,
 	})
 	front.health.Nodes = front.Registry.Count
 	front.health.OnRecovered = front.announceStoreAnswers
@@ -163,6 +171,9 @@
 	if front.usage != nil {
 		go front.usage.tallySender.Run(front.ctx)
 	}
+	if front.loadExchange != nil {
+		go front.loadExchange.Run(front.ctx)
+	}
 	front.Runner.Start()
 	return nil
 }
--- /dev/null
+++ b/internal/room/window.go
@@ -0,0 +1,91 @@
+package room
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// toleratedFull is the share of requests that replicas may refuse without narrowing a window. Uneven replicas refuse some requests
+	// while others are free, and a refusal costs its request only a few milliseconds.
+	toleratedFull = 0.05
+	// fullWeight is the weight of one request in the share of refused requests.
+	fullWeight = 1.0 / 32
+	// maxDecrease is the smallest part of a window that the refusals of one epoch leave.
+	maxDecrease = 0.5
+	// windowTTL is the time without a refusal after which a window no longer binds.
+	windowTTL = 5 * time.Second
+)
+
+// window limits the requests in flight at a service by what its replicas answer. It answers the load of callers that this node knows
+// nothing of. It is unbounded until replicas refuse more than a tolerated share of requests. Each refusal then narrows it below what was
+// in flight; in one epoch, the time of one request, it loses at most half. It widens while requests succeed at full use, at first
+// slowly and faster with each epoch without a refusal, since room that has come back is found only that way.
+type window struct {
+	// size is the number of requests; zero if the window does not bind.
+	size float64
+	// share is the moving average of the share of refused requests.
+	share    float64
+	lastFull time.Duration
+	// floor is the size below which the window does not fall in this epoch; calm is the number of epochs without a refusal.
+	floor      float64
+	epochStart time.Duration
+	calm       int
+}
+
+// observe records the end of a request that counted among inFlight requests, while the limit was the given one.
+func (window *window) observe(full bool, inFlight, limit int, epoch, now time.Duration) {
+	outcome := 0.0
+	if full {
+		outcome = 1
+	}
+	window.share += (outcome - window.share) * fullWeight
+	window.expire(now)
+	tolerated := window.share <= toleratedFull
+	switch {
+	case full && !tolerated:
+		if window.size == 0 {
+			window.size = float64(limit)
+		}
+		if window.floor == 0 || now-window.epochStart >= epoch {
+			window.floor, window.epochStart = max(1, window.size*maxDecrease), now
+		}
+		window.size = max(window.floor, min(window.size, float64(inFlight-1)))
+		window.lastFull, window.calm = now, 0
+	case window.size == 0:
+	case !full && tolerated && inFlight >= limit:
+		if now-window.epochStart >= epoch {
+			window.epochStart, window.floor = now, 0
+			window.calm++
+		}
+		window.size += window.increase() / window.size
+	}
+}
+
+// increase returns the number of requests by which the window widens in an epoch of full use.
+func (window *window) increase() float64 {
+	return min(window.size, math.Ldexp(0.25, min(window.calm, 16)))
+}
+
+// expire ends a window that no refusal has confirmed for windowTTL.
+func (window *window) expire(now time.Duration) {
+	if window.size > 0 && now-window.lastFull > windowTTL {
+		window.size, window.floor, window.calm = 0, 0, 0
+	}
+}
+
+// narrowTo makes the window bind at a size, as if it had been found by a refusal.
+func (window *window) narrowTo(size float64, now time.Duration) {
+	if window.size == 0 || window.size > size {
+		window.size = max(1, size)
+	}
+	window.floor, window.lastFull, window.epochStart, window.calm = 0, now, now, 0
+}
+
+// scale adapts the window to a change of the service's slots.
+func (window *window) scale(before, after int) {
+	if window.size > 0 && before > 0 && after > 0 {
+		window.size = max(1, window.size*float64(after)/float64(before))
+		window.floor = min(window.floor, window.size)
+	}
+}
