Room: nodes report their loads and learn what the others have at each service

Cause: nodes that share a service with too little room each took what they could; a window alone finds its place only by refusals.

Change: each node with requests reports them each 250 ms to the summing node of its zone, the first by rendezvous hashing of the strong nodes that registered CAPABILITY_SERVICE_LOADS (cluster.Registry.Capable). Without word of others (silent summing node, cut, restart, former build) the window goes on from the last share; its first refusal in an epoch gives up a tenth of what was in flight, so that nodes with many requests leave room to those with few. A process registers the capability only with OverloadControl.

Not measured on a deployment.

--- a/internal/capability/capability.go
+++ b/internal/capability/capability.go
@@ -15,6 +15,7 @@
 		clusterv1.Capability_CAPABILITY_PACKED_UPDATES,
 		clusterv1.Capability_CAPABILITY_RELAYS,
 		clusterv1.Capability_CAPABILITY_SNAPSHOTS,
+		clusterv1.Capability_CAPABILITY_SERVICE_LOADS,
 	}
 }
 
--- a/internal/cluster/choice_test.go
+++ b/internal/cluster/choice_test.go
@@ -90,3 +90,31 @@
 		registry = newRegistryOf(t, fleet[0], fleet)
 	}
 }
+
+// The nodes of a zone that are given a task are strong ones which have registered that they support it, in the same order at all nodes, and
+// follow the registry.
+func TestCapableNodes(t *testing.T) {
+	const wanted = clusterv1.Capability_CAPABILITY_SERVICE_LOADS
+	fleet := []*clusterv1.NodeRecord{front("a", "north", 0.8), front("b", "north", 0.8), front("c", "north", 0.8), front("d", "north", 0.2), front("e", "south", 0.8), front("f", "west", 0.8)}
+	for _, record := range fleet[1:5] {
+		record.Capabilities = []clusterv1.Capability{wanted}
+	}
+	names := func(registry *cluster.Registry, zone string) (list []string) {
+		for _, record := range registry.Capable(zone, "key", wanted) {
+			list = append(list, record.GetName())
+		}
+		return list
+	}
+	registry := newRegistryOf(t, fleet[4], fleet)
+	north := names(registry, "north")
+	must.SliceContainsAll(t, []string{"b", "c"}, north)
+	for _, self := range fleet {
+		must.Eq(t, north, names(newRegistryOf(t, self, fleet), "north"))
+	}
+	must.Eq(t, []string{"e"}, names(registry, "south"))
+	must.SliceEmpty(t, names(registry, "west"))
+	must.Eq(t, []string{"north", "south", "west"}, registry.Zones())
+	registry.Apply([]metadata.Event{{Item: metadata.Item{Key: cluster.Prefix + north[0]}, Deleted: true}, {Item: metadata.Item{Key: cluster.Prefix + "f"}, Deleted: true}}, 2)
+	must.Eq(t, north[1:], names(registry, "north"))
+	must.Eq(t, []string{"north", "south"}, registry.Zones())
+}
--- a/internal/cluster/views.go
+++ b/internal/cluster/views.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/capability"
 )
 
 // views caches values derived from all records of a registry. Each value is computed on first use and dropped when the
@@ -20,6 +21,9 @@
 	// name of all zones by key.
 	preferred         map[string][]string
 	preferredAnywhere map[string]string
+	// capable caches the records of the highest-ranked nodes by zone, key and capability; zones are the zones of this node's role.
+	capable map[capableKey][]*clusterv1.NodeRecord
+	zones   []string
 	// remotePeer is the result of RemotePeer; it is valid if remotePeerKnown is true, and may be nil.
 	remotePeer      *clusterv1.NodeRecord
 	remotePeerKnown bool
@@ -104,6 +108,49 @@
 	return views.preferredAnywhere[key]
 }
 
+type capableKey struct {
+	zone, key string
+	wanted    clusterv1.Capability
+}
+
+// Capable returns the records of the strong nodes of this node's role in a zone that have registered a capability and rank highest for a
+// key, the highest first. The caller must not modify the slice.
+func (registry *Registry) Capable(zone, key string, wanted clusterv1.Capability) []*clusterv1.NodeRecord {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	views, cached := &registry.views, capableKey{zone, key, wanted}
+	if known, ok := views.capable[cached]; ok {
+		return known
+	}
+	if views.capable == nil || len(views.capable) >= maxCachedKeys {
+		views.capable = make(map[capableKey][]*clusterv1.NodeRecord)
+	}
+	views.capable[cached] = nil // also if there is none
+	strong := registry.strongOf(func(record *clusterv1.NodeRecord) bool {
+		return record.GetZone() == zone && capability.Has(record, wanted)
+	})
+	for _, name := range highestRanked(strong, key, preferredCount) {
+		views.capable[cached] = append(views.capable[cached], registry.nodes[name])
+	}
+	return views.capable[cached]
+}
+
+// Zones returns the names of the zones with nodes of this node's role, in order. The caller must not modify the slice.
+func (registry *Registry) Zones() []string {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if registry.views.zones == nil {
+		for _, record := range registry.nodes {
+			if record.GetRole() == registry.self.GetRole() {
+				registry.views.zones = append(registry.views.zones, record.GetZone())
+			}
+		}
+		slices.Sort(registry.views.zones)
+		registry.views.zones = slices.Compact(registry.views.zones)
+	}
+	return registry.views.zones
+}
+
 // minCoreShare is the fraction of the strongest node's cores that a node needs to count as strong. Work that any node can
 // do is given to strong nodes only.
 const minCoreShare = 0.75
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,7 +109,7 @@
 	options.Clock = clock.OrMonotonic(options.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
 	loads := backend.NewLoads()
-	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Incarnation, Cores: options.Cores, Capabilities: capability.Own()}
+	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Incarnation, Cores: options.Cores, Capabilities: options.capabilities()}
 	front := &Front{FrontOptions: options, loads: loads, owners: newOwners(), health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	front.guard, front.recordStore = front.newGuard()
@@ -137,6 +138,13 @@
 	return front
 }
 
+// capabilities returns what this process registers. It handles reports of loads only with OverloadControl.
+func (options FrontOptions) capabilities() []clusterv1.Capability {
+	return slices.DeleteFunc(capability.Own(), func(own clusterv1.Capability) bool {
+		return own == clusterv1.Capability_CAPABILITY_SERVICE_LOADS && !options.OverloadControl
+	})
+}
+
 // Start opens the front's sockets, and starts to follow the deployment, monitor other nodes and run jobs.
 func (front *Front) Start() error {
 	packets, err := net.ListenPacket("udp4", front.PeerAddress)
@@ -154,13 +162,18 @@
 	go front.health.Run(front.ctx)
 	go front.join()
 	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.Runner.TakeOverNode, AwaitStore: front.awaitStore}
-	go front.datagrams.Receive(front.ctx, cluster.Handlers{
+	handlers := cluster.Handlers{
 		Any:       func() { front.Registry.RecordContact(time.Now()) },
 		Heartbeat: monitor.HandleHeartbeat, Beacon: front.handleBeacon, RelayReport: front.handleRelayReport, Loads: front.handleLoads,
 		StoreAnswers: func(*clusterv1.StoreAnswers) { front.health.NotifyRecovered() },
 		Suspicions:   func(suspicions *clusterv1.Suspicions) { front.guard.HandleNotice(decodeNotice(suspicions)) },
 		JobOwner:     front.handleJobOwner,
-	})
+	}
+	if front.loadExchange != nil {
+		handlers.ServiceReport, handlers.ServiceTotals = front.loadExchange.handleReport, front.loadExchange.handleTotals
+		go front.loadExchange.Run(front.ctx)
+	}
+	go front.datagrams.Receive(front.ctx, handlers)
 	go monitor.Run(front.ctx)
 	go front.guard.Run(front.ctx)
 	go (&clock.SuspensionDetector{Clock: front.Clock, Logger: front.Logger, Metrics: front.Metrics, OnResume: front.handleResume}).Run(front.ctx)
@@ -171,9 +184,6 @@
 	if front.usage != nil {
 		go front.usage.tallySender.Run(front.ctx)
 	}
-	if front.loadExchange != nil {
-		go front.loadExchange.Run(front.ctx)
-	}
 	front.Runner.Start()
 	return nil
 }
--- a/internal/room/window.go
+++ b/internal/room/window.go
@@ -9,9 +9,11 @@
 	// toleratedFull is the share of requests that replicas may refuse without narrowing a window. Uneven replicas refuse some requests
 	// while others are free, and a refusal costs its request only a few milliseconds.
 	toleratedFull = 0.05
-	// fullWeight is the weight of one request in the share of refused requests.
-	fullWeight = 1.0 / 32
-	// maxDecrease is the smallest part of a window that the refusals of one epoch leave.
+	// minWeight is the smallest weight of one request in the share of refused requests. The share follows the last two limits of requests.
+	minWeight = 1.0 / 32
+	// decrease is the part of a window that the first refusal of an epoch leaves. What nodes with many requests give up is found by those
+	// with few. maxDecrease is the smallest part that all refusals of an epoch leave.
+	decrease    = 0.9
 	maxDecrease = 0.5
 	// windowTTL is the time without a refusal after which a window no longer binds.
 	windowTTL = 5 * time.Second
@@ -39,18 +41,20 @@
 	if full {
 		outcome = 1
 	}
-	window.share += (outcome - window.share) * fullWeight
+	window.share += (outcome - window.share) * max(minWeight, 1/(2*float64(limit)))
 	window.expire(now)
 	tolerated := window.share <= toleratedFull
 	switch {
 	case full && !tolerated:
-		if window.size == 0 {
-			window.size = float64(limit)
+		if window.size == 0 || window.size > float64(limit) {
+			window.size = float64(limit) // another bound was in force
 		}
+		reached := min(window.size, float64(inFlight-1))
 		if window.floor == 0 || now-window.epochStart >= epoch {
-			window.floor, window.epochStart = max(1, window.size*maxDecrease), now
+			window.floor, window.epochStart = max(1, reached*maxDecrease), now
+			reached *= decrease
 		}
-		window.size = max(window.floor, min(window.size, float64(inFlight-1)))
+		window.size = max(window.floor, reached)
 		window.lastFull, window.calm = now, 0
 	case window.size == 0:
 	case !full && tolerated && inFlight >= limit:
@@ -64,7 +68,7 @@
 
 // increase returns the number of requests by which the window widens in an epoch of full use.
 func (window *window) increase() float64 {
-	return min(window.size, math.Ldexp(0.25, min(window.calm, 16)))
+	return min(window.size, math.Ldexp(0.125, min(window.calm, 16)))
 }
 
 // expire ends a window that no refusal has confirmed for windowTTL.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -36,6 +36,9 @@
 	suspicionsCleared prometheus.Counter
 	quarantined       prometheus.Gauge
 	suspensions       prometheus.Counter
+	roomLimit         *prometheus.GaugeVec
+	roomOthers        *prometheus.GaugeVec
+	loadMessages      *prometheus.CounterVec
 }
 
 // latencyBuckets are upper bounds in seconds. They cover the range from calls to the metadata store to the longest batch items.
@@ -78,11 +81,17 @@
 	metrics.suspicionsCleared = single("suspicions_cleared_total", "Requests that a replica answered after others had ended under them.")
 	metrics.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "requests_quarantined", Help: "Requests that are not sent to replicas any more."})
 	metrics.suspensions = single("suspensions_total", "Times that the machine was suspended while this process ran.")
+	gauge := func(name, help string, labels ...string) *prometheus.GaugeVec {
+		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: name, Help: help}, labels)
+	}
+	metrics.roomLimit = gauge("room_limit", "Requests that this node may have in flight at a service.", "service")
+	metrics.roomOthers = gauge("room_others", "Requests that other nodes have at a service, in flight or waiting; absent while they are not known.", "service", "state")
+	metrics.loadMessages = counter("load_messages_total", "Messages on the loads of services by kind and event.", "kind", "event")
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
 	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost, metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable, metrics.usageSent, metrics.usageReports,
-		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, lines)
+		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, metrics.roomLimit, metrics.roomOthers, metrics.loadMessages, lines)
 	return metrics
 }
 
@@ -258,3 +267,40 @@
 	}
 	return "failed"
 }
+
+// RoomLimit records the limit of requests in flight at a service.
+func (metrics *Metrics) RoomLimit(service string, limit int) {
+	if metrics != nil {
+		metrics.roomLimit.WithLabelValues(service).Set(float64(limit))
+	}
+}
+
+// RoomOthers records the requests that other nodes have at a service.
+func (metrics *Metrics) RoomOthers(service string, inFlight, waiting int) {
+	if metrics != nil {
+		metrics.roomOthers.WithLabelValues(service, "in_flight").Set(float64(inFlight))
+		metrics.roomOthers.WithLabelValues(service, "waiting").Set(float64(waiting))
+	}
+}
+
+// RoomOthersUnknown removes the requests that other nodes have at a service.
+func (metrics *Metrics) RoomOthersUnknown(service string) {
+	if metrics != nil {
+		metrics.roomOthers.DeletePartialMatch(prometheus.Labels{"service": service})
+	}
+}
+
+// RoomRemoved removes the metrics of a service that is no longer used.
+func (metrics *Metrics) RoomRemoved(service string) {
+	if metrics != nil {
+		metrics.roomLimit.DeleteLabelValues(service)
+		metrics.RoomOthersUnknown(service)
+	}
+}
+
+// LoadMessages counts messages on the loads of services.
+func (metrics *Metrics) LoadMessages(kind, event string, count int) {
+	if metrics != nil && count > 0 {
+		metrics.loadMessages.WithLabelValues(kind, event).Add(float64(count))
+	}
+}
