--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/admission"
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
@@ -91,6 +93,8 @@
 	// requests, so that they outlast this process.
 	guard       *quarantine.Guard
 	recordStore *quarantine.RecordStore
+	// loadExchange is nil if requests are not held back by the room of their service.
+	loadExchange *loadExchange
 }
 
 // Parameters of batch.FlushPolicy.
@@ -105,15 +109,20 @@
 	options.Clock = clock.OrMonotonic(options.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
 	loads := backend.NewLoads()
-	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Incarnation, Cores: options.Cores, Capabilities: capability.Own()}
+	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Zone: options.Zone, Role: options.Role, Life: options.Incarnation, Cores: options.Cores, Capabilities: options.capabilities()}
 	front := &Front{FrontOptions: options, loads: loads, owners: newOwners(), health: metadata.NewHealth(options.Store, options.Logger), ctx: ctx, cancel: cancel}
 	front.Registry = cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	front.guard, front.recordStore = front.newGuard()
-	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics, Clock: options.Clock}
+	var admitted *admission.Controller
+	if options.OverloadControl {
+		front.loadExchange = front.newLoadExchange()
+		admitted = front.loadExchange.admission
+	}
+	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics, Admission: admitted, Clock: options.Clock}
 	front.Runner = batchrun.New(batchrun.Options{
 		Node: options.Node, Incarnation: options.Incarnation, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: front.guard,
 		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node, Incarnation: options.Incarnation}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
-		Flush: batch.FlushPolicy{MinInterval: flushInterval, MaxWait: flushMaxDelay, FinalMinInterval: flushFinalInterval},
+		Flush: batch.FlushPolicy{MinInterval: flushInterval, MaxWait: flushMaxDelay, FinalMinInterval: flushFinalInterval}, Admission: admitted,
 	})
 	front.health.Nodes = front.Registry.Count
 	front.health.OnRecovered = front.announceStoreAnswers
@@ -129,6 +138,13 @@
 	return front
 }
 
+// capabilities returns what this process registers. It handles reports of loads only with OverloadControl.
+func (options FrontOptions) capabilities() []clusterv1.Capability {
+	return slices.DeleteFunc(capability.Own(), func(own clusterv1.Capability) bool {
+		return own == clusterv1.Capability_CAPABILITY_SERVICE_LOADS && !options.OverloadControl
+	})
+}
+
 // Start opens the front's sockets, and starts to follow the deployment, monitor other nodes and run jobs.
 func (front *Front) Start() error {
 	packets, err := net.ListenPacket("udp4", front.PeerAddress)
@@ -146,13 +162,18 @@
 	go front.health.Run(front.ctx)
 	go front.join()
 	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.Runner.TakeOverNode, AwaitStore: front.awaitStore}
-	go front.datagrams.Receive(front.ctx, cluster.Handlers{
+	handlers := cluster.Handlers{
 		Any:       func() { front.Registry.RecordContact(time.Now()) },
 		Heartbeat: monitor.HandleHeartbeat, Beacon: front.handleBeacon, RelayReport: front.handleRelayReport, Loads: front.handleLoads,
 		StoreAnswers: func(*clusterv1.StoreAnswers) { front.health.NotifyRecovered() },
 		Suspicions:   func(suspicions *clusterv1.Suspicions) { front.guard.HandleNotice(decodeNotice(suspicions)) },
 		JobOwner:     front.handleJobOwner,
-	})
+	}
+	if front.loadExchange != nil {
+		handlers.ServiceReport, handlers.ServiceTotals = front.loadExchange.handleReport, front.loadExchange.handleTotals
+		go front.loadExchange.Run(front.ctx)
+	}
+	go front.datagrams.Receive(front.ctx, handlers)
 	go monitor.Run(front.ctx)
 	go front.guard.Run(front.ctx)
 	go (&clock.SuspensionDetector{Clock: front.Clock, Logger: front.Logger, Metrics: front.Metrics, OnResume: front.handleResume}).Run(front.ctx)
