--- a/internal/role/room.go
+++ b/internal/role/room.go
@@ -34,8 +34,10 @@
 // newLoadExchange returns the exchange of a front, whose admission controller the forwarder and the runner share.
 func (front *Front) newLoadExchange() *loadExchange {
 	shared := room.New(front.Node, front.Catalog, front.Clock)
+	controller := admission.NewController(shared)
+	controller.Logger, controller.Metrics = front.Logger, front.Metrics
 	return &loadExchange{
-		front: front, room: shared, admission: admission.NewController(shared), exchange: room.NewExchange(front.Node, front.Zone, front.Incarnation, shared),
+		front: front, room: shared, admission: controller, exchange: room.NewExchange(front.Node, front.Zone, front.Incarnation, shared),
 		heard: make(chan struct{}, 1),
 	}
 }
