--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -130,12 +130,12 @@
 		sweeps: newSweepSchedule(),
 	}
 	runner.scheduler = newScheduler(runner)
-	runner.Log.OnEndedForOwner = runner.notifyOwnerOfEnd
 	return runner
 }
 
 // Start starts the background loops.
 func (runner *Runner) Start() {
+	runner.Log.OnEndedForOwner = runner.notifyOwnerOfEnd
 	go runner.scheduler.run(runner.ctx)
 	go runner.shareLoads(runner.ctx)
 	go runner.sweep(runner.ctx)
