--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -138,6 +138,7 @@
 
 // Start starts the background loops.
 func (runner *Runner) Start() {
+	runner.Log.OnEndedForOwner = runner.notifyOwnerOfEnd
 	go runner.scheduler.run(runner.ctx)
 	go runner.shareLoads(runner.ctx)
 	go runner.sweep(runner.ctx)
