--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -131,7 +131,6 @@
 		sweeps: newSweepSchedule(),
 	}
 	runner.scheduler = newScheduler(runner)
-	runner.Log.OnEndedForOwner = runner.notifyOwnerOfEnd
 	runner.scores = newScoringQueue(runner)
 	return runner
 }
