--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -20,21 +20,42 @@
 		return Fingerprint{}, false
 	}
 	if entry.computedAt != tracker.changes {
-		entry.culprit, entry.attributed = tracker.findCulprit(fingerprint, entry, now)
+		tracker.compareWithOthers(fingerprint, entry, now)
 		entry.computedAt = tracker.changes
 	}
 	return entry.culprit, entry.attributed
 }
 
-// findCulprit searches all suspected requests. It must be called with mu held.
-func (tracker *Tracker) findCulprit(fingerprint Fingerprint, entry *entry, now time.Time) (Fingerprint, bool) {
+// compareWithOthers compares a quarantined request with all others that the same newest crash interrupted. It must be called
+// with mu held.
+//
+// Of these, only one at a time may be tried: a crash in a trial that another request spoils would use up the only trial of
+// a request. The turns are ordered by fingerprint, the most suspected last. A request whose trial is over, because it was
+// answered or has crashed a replica, no longer takes a turn. Whether the trial of another request is over is taken from its
+// stored record, which all nodes share: a node that knows of a crash that others have missed would otherwise expect no
+// trial where another node makes one.
+func (tracker *Tracker) compareWithOthers(fingerprint Fingerprint, entry *entry, now time.Time) {
+	entry.culprit, entry.attributed, entry.turn = Fingerprint{}, false, 0
 	newest := entry.events[len(entry.events)-1].Replica
 	for other, suspected := range tracker.entries {
-		if suspected.quarantined(now) && suspected.hasCrash(newest) && moreSuspected(other, suspected, fingerprint, entry) {
-			return other, true
+		if other == fingerprint || !suspected.quarantined(now) || !suspected.hasCrash(newest) {
+			continue
+		}
+		if moreSuspected(other, suspected, fingerprint, entry) {
+			entry.culprit, entry.attributed = other, true
+		}
+		if suspected.sharedCrashes() < trialLimit && bytes.Compare(other[:], fingerprint[:]) > 0 {
+			entry.turn++
 		}
 	}
-	return Fingerprint{}, false
+}
+
+// sharedCrashes returns the number of crashes in the stored record, or what this node has counted if there is no record.
+func (entry *entry) sharedCrashes() int {
+	if entry.storedCrashes > 0 {
+		return entry.storedCrashes
+	}
+	return entry.crashes
 }
 
 // moreSuspected is a strict order by the number of crashes, so that of requests with the same crashes at most one is
--- a/internal/quarantine/attribution_test.go
+++ b/internal/quarantine/attribution_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,3 +158,76 @@
 }
 
 func bodyOf(number int) string { return fmt.Sprint("harmless ", number) }
+
+// restoreRecord restores the stored record of a request on some nodes.
+func restoreRecord(body, reporter string, now time.Time, replicas []string, trackers ...*quarantine.Tracker) {
+	stored := quarantine.Suspicion{Crashes: len(replicas), Reporter: reporter, Until: now.Add(quarantineDuration)}
+	for _, replica := range replicas {
+		stored.Events = append(stored.Events, quarantine.CrashEvent{Replica: replica})
+	}
+	for _, tracker := range trackers {
+		tracker.Restore(fingerprintOf(body), stored, now)
+	}
+}
+
+// A harmless request must not lose its trial because two nodes have counted different crashes of the request that ran beside
+// it, and each tries the other one of the two. The outcome must not depend on which request has the lower fingerprint.
+func TestNodesWithDifferentCountsTryOneRequest(t *testing.T) {
+	for number := range 20 {
+		now := time.Now()
+		crashing, other := strings.Repeat("c", number+1), strings.Repeat("h", number+2) // lengths decide the order of fingerprints
+		informed, restarted := quarantine.NewTracker("informed", now), quarantine.NewTracker("restarted", now)
+		recordCrashes(informed, crashing, "gone", now.Add(-10*time.Second), "r1", "r2", "r3", "r4")
+		both := []*quarantine.Tracker{informed, restarted}
+		restoreRecord(crashing, "restarted", now, []string{"r3", "r4", "r5"}, both...)
+		restoreRecord(other, "informed", now, []string{"r3", "r4", "r5"}, both...)
+		due := now.Add(holdDuration)
+		trialOfOther := informed.Admit(fingerprintOf(other), quarantine.Claim{}, due).Trial
+		trialOfCrashing := restarted.Admit(fingerprintOf(crashing), quarantine.Claim{}, due).Trial
+		must.False(t, trialOfOther && trialOfCrashing, must.Sprint(number))
+		if trialOfOther {
+			continue
+		}
+		restoreRecord(crashing, "restarted", due, []string{"r3", "r4", "r5", "r6"}, both...)
+		must.True(t, informed.Admit(fingerprintOf(other), quarantine.Claim{}, due.Add(time.Second)).Trial, must.Sprint(number))
+	}
+}
+
+// Of several requests that the same crashes interrupted, one at a time is tried: the next one follows when the trial of the
+// first is over, or after its turn if nobody asks for the first.
+func TestTrialsTakeTurns(t *testing.T) {
+	const turn = 8 * time.Second
+	for _, answered := range []bool{true, false} {
+		now := time.Now()
+		tracker := quarantine.NewTracker("node", now)
+		bodies := []string{culprit, bodyOf(0), bodyOf(1), bodyOf(2)}
+		for _, body := range bodies {
+			recordCrashes(tracker, body, "node", now, "r1", "r2", "r3")
+		}
+		due := now.Add(holdDuration)
+		for remaining := len(bodies); remaining > 1; remaining-- {
+			var tried []string
+			for _, body := range bodies {
+				if tracker.Admit(fingerprintOf(body), quarantine.Claim{}, due).Trial {
+					tried = append(tried, body)
+				}
+			}
+			must.Len(t, 1, tried, must.Sprintf("%d remain, answered: %t", remaining, answered))
+			if answered {
+				tracker.Clear(fingerprintOf(tried[0]))
+				continue
+			}
+			bodies = slices.DeleteFunc(bodies, func(body string) bool { return body == tried[0] }) // asked for no more
+			due = due.Add(turn)
+		}
+	}
+}
+
+// Histories with several harmless requests that have failed before must pass. The outcome depends on scheduling, so each runs
+// several times.
+func TestFailedHistoriesOfCompany(t *testing.T) {
+	for range 30 {
+		// Two nodes had counted different crashes and tried both requests at one replica.
+		(&history{15577, []string{killNode, killAll, noFault}, time.Second, 3, justStarted}).runWithHarmless(t, 4)
+	}
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -21,6 +21,9 @@
 	// sooner, but that node may be gone, and a datagram that cleared the request may be lost.
 	deputyTrialDelay  = 2 * holdDuration
 	anyNodeTrialDelay = 3 * holdDuration
+	// trialTurn is how long a quarantined request waits for each other one that is tried before it. It covers a trial by the
+	// reporter and one by the deputy.
+	trialTurn = 2 * holdDuration
 	// quarantineThreshold is the number of crashes from which a request is quarantined.
 	quarantineThreshold = 3
 	// trialLimit is the number of crashes from which a request gets no further trial. A quarantined request gets one,
@@ -89,10 +92,14 @@
 	lastSeen  time.Time    // when this node learned of the last crash that counts
 	lastTrial time.Time    // when this node last tried the request
 	until     time.Time    // the end of the quarantine; zero outside
+	// storedCrashes is the number in the stored record, zero for none. It may be lower than crashes.
+	storedCrashes int
 
-	// Cached result of attribution, valid while the tracker's changes equals computedAt.
+	// Cached result of compareWithOthers, valid while the tracker's changes equals computedAt. turn is how many requests are
+	// tried before this one.
 	culprit    Fingerprint
 	attributed bool
+	turn       int
 	computedAt uint64
 }
 
@@ -157,6 +164,7 @@
 		known.setCrashes(stored.Crashes, stored.Reporter, now, stored.Until)
 	}
 	known.until = stored.Until
+	known.storedCrashes = max(known.storedCrashes, stored.Crashes)
 }
 
 // hasCrash reports whether the crash of a replica is recorded.
@@ -321,15 +329,18 @@
 		return false
 	}
 	mayTryFirst := claim.Exclusive || entry.reporter == tracker.node
-	deputyMayTry := claim.Deputy && sinceLastCrash >= deputyTrialDelay
+	if entry.crashes < quarantineThreshold {
+		return mayTryFirst || (claim.Deputy && sinceLastCrash >= deputyTrialDelay) || sinceLastCrash >= anyNodeTrialDelay
+	}
+	sinceTurn := sinceLastCrash - time.Duration(entry.turn)*trialTurn
 	switch {
-	case entry.crashes < quarantineThreshold:
-		return mayTryFirst || deputyMayTry || sinceLastCrash >= anyNodeTrialDelay
+	case sinceTurn < holdDuration:
+		return false
 	case attributed: // trials by all nodes at once would exceed the one that is allowed
-		return mayTryFirst || deputyMayTry
+		return mayTryFirst || (claim.Deputy && sinceTurn >= deputyTrialDelay)
 	case entry.crashes < trialLimit:
 		observedLongEnough := entry.firstSeen.Sub(tracker.started) >= suspicionDuration
-		return claim.Exclusive || (claim.Deputy && observedLongEnough && sinceLastCrash >= quarantineTrialDelay)
+		return claim.Exclusive || (claim.Deputy && observedLongEnough && sinceTurn >= quarantineTrialDelay)
 	default:
 		return false
 	}
