--- a/internal/dissemination/push.go
+++ b/internal/dissemination/push.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,7 +20,7 @@
 	// maxConcurrentRetries bounds the concurrent pushes to nodes whose last push failed. Such a node may be unreachable and take the whole
 	// publishTimeout.
 	maxConcurrentRetries = 8
-	// maxPushCalls bounds the calls of one push: one asks for the receiver's revisions, and one sends what the receiver lacks.
+	// maxPushCalls bounds the calls of one push: one asks for the receiver's revisions and capabilities, and one sends what the receiver lacks.
 	maxPushCalls = 2
 )
 
@@ -73,7 +74,9 @@
 	return false
 }
 
-// push brings a process up to date in a lane. If the process has not reported its revisions yet, the first call asks for them.
+// push brings a process up to date in a lane. If the process has not reported its revisions yet, the first call asks for them. Packed updates
+// are sent only after a response of the same push that lists the capability: the node may have restarted since it registered, with a build
+// that ignores them.
 func (publisher *Publisher) push(ctx context.Context, key process, lane lane) {
 	state, slots := publisher.receiverFor(key, lane)
 	if state == nil {
@@ -88,12 +91,18 @@
 	case <-ctx.Done():
 		return
 	}
+	confirmed := false
 	for range maxPushCalls {
 		request, timeout, err := publisher.nextRequest(state, lane)
 		if err != nil {
 			publisher.Logger.Error("update not encoded", "node", key.node, "error", err)
 			return
 		}
+		request.AskCapabilities = encodingFor(state.record) == packed
+		if !confirmed {
+			request.Updates = slices.DeleteFunc(request.Updates, isPacked)
+		}
+		publisher.countBytes(request)
 		started := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		response, err := client.Publish(callCtx, request)
@@ -105,6 +114,7 @@
 		}
 		publisher.Metrics.Published("ok", time.Since(started))
 		publisher.logPush(key, request, response)
+		confirmed = publisher.confirm(state, request, response)
 		if publisher.handleResponse(state, lane, request, response) {
 			break
 		}
@@ -112,15 +122,36 @@
 	failed = false
 }
 
+func isPacked(update *clusterv1.PrefixUpdate) bool { return len(update.GetPacked()) > 0 }
+
+func (publisher *Publisher) countBytes(request *clusterv1.PublishRequest) {
+	for _, update := range request.GetUpdates() {
+		publisher.Metrics.PublishedBytes(update.GetPrefix(), update.GetWhole(), proto.Size(update))
+	}
+}
+
+// confirm reports whether the process that has responded decodes packed updates.
+func (publisher *Publisher) confirm(state *receiver, request *clusterv1.PublishRequest, response *clusterv1.PublishResponse) bool {
+	confirmed := encodingFor(response) == packed
+	publisher.mu.Lock()
+	defer publisher.mu.Unlock()
+	if request.GetAskCapabilities() && !confirmed && !state.unconfirmed {
+		publisher.Logger.Warn("registered encoding not confirmed", "node", state.record.GetName(), "life", state.record.GetLife(),
+			"packed_sent", slices.ContainsFunc(request.GetUpdates(), isPacked))
+	}
+	state.unconfirmed = !confirmed
+	return confirmed
+}
+
 // logPush logs the snapshots and packed updates of a push, with the revision that the receiver reports afterwards. Updates of single
 // changes are too frequent to log; the handlers of the topics log these changes.
 func (publisher *Publisher) logPush(key process, request *clusterv1.PublishRequest, response *clusterv1.PublishResponse) {
 	for _, update := range request.GetUpdates() {
-		if !update.GetWhole() && len(update.GetPacked()) == 0 {
+		if !update.GetWhole() && !isPacked(update) {
 			continue
 		}
 		publisher.Logger.Info("update pushed", "node", key.node, "life", key.incarnation, "prefix", update.GetPrefix(), "base", update.GetBaseRevision(),
-			"revision", update.GetRevision(), "whole", update.GetWhole(), "packed", len(update.GetPacked()) > 0, "bytes", proto.Size(update),
+			"revision", update.GetRevision(), "whole", update.GetWhole(), "packed", isPacked(update), "bytes", proto.Size(update),
 			"known", knownRevision(response, update.GetPrefix()))
 	}
 }
@@ -168,7 +199,6 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		publisher.Metrics.PublishedBytes(topic.Prefix(), update.GetWhole(), proto.Size(update))
 		request.Updates = append(request.Updates, update)
 		if update.GetWhole() {
 			timeout += time.Duration(topic.Count()) * perItemTimeout
--- a/internal/dissemination/receiver.go
+++ b/internal/dissemination/receiver.go
@@ -25,8 +25,11 @@
 	known map[string]metadata.Revision
 	// plainOnly is true if the process could not read an update in the encoding that it registered. It is sent plain updates from then on.
 	plainOnly bool
-	lanes     [laneCount]laneState
-	relay     relayState
+	// unconfirmed is true if the last response did not list the capability to decode packed updates. Another process may have started at the
+	// address, so it is sent plain updates.
+	unconfirmed bool
+	lanes       [laneCount]laneState
+	relay       relayState
 }
 
 // laneState is the state of the pushes to a process in one lane.
@@ -77,7 +80,7 @@
 
 // encoding returns the encoding of updates that are sent to the process.
 func (state *receiver) encoding() encoding {
-	if state.plainOnly {
+	if state.plainOnly || state.unconfirmed {
 		return plain
 	}
 	return encodingFor(state.record)
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/capability"
 	"github.com/thistlewalk/thistlewalk/internal/clock"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
@@ -91,6 +92,9 @@
 // Publish applies updates and returns the revisions that this node has afterwards.
 func (subscriber *Subscriber) Publish(_ context.Context, request *clusterv1.PublishRequest) (*clusterv1.PublishResponse, error) {
 	response := &clusterv1.PublishResponse{}
+	if request.GetAskCapabilities() {
+		response.Capabilities = capability.Own()
+	}
 	for _, update := range request.GetUpdates() {
 		if err := subscriber.applyUpdate(update); err != nil {
 			response.Unread = append(response.Unread, update.GetPrefix())
