Scoring: a slower service is not cut off again near the due time; groups are read once a job

Cause (review): half of the time left also bounded the doubled limit, so that a service at 600 ms with 1.2 s left was cut off three times and scored a text after 1.8 s. A choice locked its job for each of the texts that wait. Change: after a timeout a text may use all of the time left. Each job is locked once a choice, and the buffers are reused.

--- a/internal/batchrun/scoreadmitted.go
+++ b/internal/batchrun/scoreadmitted.go
@@ -75,13 +75,6 @@
 	return owned.progress.WantedComplete()
 }
 
-// groupOf returns whether the trainer waits for the group of an item in any case, and how many items of the group are unfinished.
-func (owned *job) groupOf(item string) (required bool, missing int) {
-	owned.mu.Lock()
-	defer owned.mu.Unlock()
-	return owned.progress.GroupOf(item)
-}
-
 // chooseTarget returns the scorer's route and sets the service that scores the text, which stays the same while the route has it.
 func (call *scoringCall) chooseTarget() *catalog.Route {
 	call.target = ""
--- a/internal/batchrun/scorelimit.go
+++ b/internal/batchrun/scorelimit.go
@@ -44,16 +44,20 @@
 }
 
 // limit returns the time limit of a call that is the attempt after timeouts calls of the same text were cut off. left is the time in which the
-// step can use the score. A call gets at most half of it, so that another can follow, but never less than calls usually take. Each
-// earlier timeout doubles the limit.
+// step can use the score. The first call gets at most half of it, so that another can follow, but never less than calls usually take. Each
+// earlier timeout doubles the limit: a service that became slower would otherwise have each call of a text cut off.
 func (times *scoreTimes) limit(timeouts int, left time.Duration, now time.Time) time.Duration {
 	usual, least := scoreTimeout, minScoreTimeout
 	if times.known(now) {
 		least = max(minScoreTimeout, scoreMeans*times.mean)
 		usual = max(least, times.mean+scoreDeviations*times.deviation)
 	}
+	if timeouts == 0 {
+		return min(usual, max(least, left/2))
+	}
+	least <<= min(timeouts, maxTimeoutDoublings)
 	usual <<= min(timeouts, maxTimeoutDoublings)
-	return min(usual, max(least, left/2))
+	return min(usual, max(least, left))
 }
 
 // maxTimeoutDoublings bounds the doublings of the time limit.
--- a/internal/batchrun/scorequeue.go
+++ b/internal/batchrun/scorequeue.go
@@ -59,6 +59,9 @@
 	times       scoreTimes
 	loggedLimit time.Duration
 	loggedAt    time.Time // when a refusal was last logged
+	// ranked and textsOf are buffers of ranks.
+	ranked  []scoringText
+	textsOf map[*job][]int
 }
 
 // scoringFlow is what requests for a place have in common, so that one of them can stand for another.
@@ -80,7 +83,7 @@
 		if len(queue.services) >= maxScoringServices {
 			maps.DeleteFunc(queue.services, func(_ string, other *scoringService) bool { return other.idle() })
 		}
-		service = &scoringService{name: name, asks: make(map[scoringFlow][]*scoringAsk), waitingOf: make(map[scoringFlow]int), loggedLimit: scoreTimeout}
+		service = &scoringService{name: name, asks: make(map[scoringFlow][]*scoringAsk), waitingOf: make(map[scoringFlow]int), loggedLimit: scoreTimeout, textsOf: make(map[*job][]int)}
 		queue.services[name] = service
 	}
 	return service
@@ -229,21 +232,30 @@
 	return true
 }
 
-// ranks returns what the order depends on for each waiting text. It must be called with mu held.
+// ranks returns what the order depends on for each waiting text, in a slice that the next call reuses. It must be called with mu held.
 func (queue *scoringQueue) ranks(service *scoringService, now time.Time) []scoringText {
-	texts := make([]scoringText, len(service.waiting))
-	spare := make(map[*job]bool)
+	service.ranked = slices.Grow(service.ranked[:0], len(service.waiting))[:len(service.waiting)]
 	for index, call := range service.waiting {
-		owned := call.done.job
-		isSpare, known := spare[owned]
-		if !known {
-			isSpare = queue.isSpare(owned, now)
-			spare[owned] = isSpare
-		}
-		texts[index] = scoringText{job: owned.id(), useful: queue.usefulUntil(owned), since: call.since, spare: isSpare}
-		texts[index].required, texts[index].missing = owned.groupOf(call.done.item.GetId())
+		service.textsOf[call.done.job] = append(service.textsOf[call.done.job], index)
+	}
+	for owned, indexes := range service.textsOf {
+		queue.rankJob(service, owned, indexes, now)
+	}
+	clear(service.textsOf)
+	return service.ranked
+}
+
+// rankJob fills in the ranks of one job's waiting texts.
+func (queue *scoringQueue) rankJob(service *scoringService, owned *job, indexes []int, now time.Time) {
+	isSpare, useful := queue.isSpare(owned, now), queue.usefulUntil(owned)
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	for _, index := range indexes {
+		call := service.waiting[index]
+		text := scoringText{job: owned.id(), useful: useful, since: call.since, spare: isSpare}
+		text.required, text.missing = owned.progress.GroupOf(call.done.item.GetId())
+		service.ranked[index] = text
 	}
-	return texts
 }
 
 // release returns the place of a text.
