Room: tests of shares and of the exchange; a node that begins gets its share at once

The test of the delay showed a fault: a node without requests that had word of a full service got its share only with the delay of a request once it had some.

Change: shares of all nodes sum up to the slots (rapid), free slots, the exchange of one node, the choice of a summing node, the delay. Without an exchange each node must also get a tenth of an equal part. A node that begins gets its share at once. A condition of the window that its bound on what was in flight had made needless is gone.

--- /dev/null
+++ b/internal/room/exchange_test.go
@@ -0,0 +1,162 @@
+package room_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/room"
+)
+
+var oneInFlight = []room.NamedLoad{{Service: "s", Load: room.Load{InFlight: 1, Nodes: 1}}}
+
+// reports returns the receivers of the reports among messages, by whether the report has loads.
+func reports(messages []room.Message) (loaded, empty []string) {
+	for _, message := range messages {
+		switch {
+		case message.Report == nil:
+		case len(message.Report.GetServices()) > 0:
+			loaded = append(loaded, message.Node)
+		default:
+			empty = append(empty, message.Node)
+		}
+	}
+	return loaded, empty
+}
+
+func sumsOf(node string, number int64, inFlight int32) *clusterv1.ServiceTotals {
+	return &clusterv1.ServiceTotals{Node: node, Life: 1, Number: number, Zones: []*clusterv1.ZoneLoad{
+		{Zone: "b", Services: []*clusterv1.ServiceLoad{{Service: "s", InFlight: inFlight, Nodes: 1}}},
+	}}
+}
+
+// A node without requests sends nothing, except once after its last request.
+func TestIdleNodesSendNothing(t *testing.T) {
+	rooms, _, manual := newRoom(8)
+	exchange := room.NewExchange("x", "a", 1, rooms)
+	nodes := room.Nodes{Ranked: []string{"first", "second", "x"}, Peers: []string{"first", "other"}}
+	tick := func(loads []room.NamedLoad) []room.Message {
+		manual.now += room.Interval
+		messages, _ := exchange.Tick(loads, nodes)
+		return messages
+	}
+	must.SliceEmpty(t, tick(nil))
+	loaded, empty := reports(tick(oneInFlight))
+	must.Eq(t, []string{"first"}, loaded)
+	must.SliceEmpty(t, empty)
+	loaded, empty = reports(tick(nil))
+	must.SliceEmpty(t, loaded)
+	must.Eq(t, []string{"first"}, empty)
+	must.SliceEmpty(t, tick(nil))
+}
+
+// A node moves from a silent summing node to the next one, tells the former one that it no longer counts there, takes no late reply of it for sums, and
+// comes back after a while.
+func TestNodeMovesFromASilentSummingNode(t *testing.T) {
+	rooms, _, manual := newRoom(64)
+	rooms.Limit("s")
+	exchange := room.NewExchange("x", "a", 1, rooms)
+	nodes := room.Nodes{Ranked: []string{"first", "x"}}
+	var moved []room.Message
+	for range 60 {
+		manual.now += room.Interval
+		messages, _ := exchange.Tick(oneInFlight, nodes)
+		if exchange.Target() == "x" {
+			moved = messages
+			break
+		}
+	}
+	must.Eq(t, "x", exchange.Target())
+	_, empty := reports(moved)
+	must.Eq(t, []string{"first"}, empty)
+
+	must.False(t, exchange.HandleTotals(sumsOf("first", 1, 40), nil))
+	exchange.HandleReport(&clusterv1.ServiceReport{Node: "y", Life: 1, Number: 1, Services: []*clusterv1.ServiceLoad{{Service: "s", InFlight: 2, Nodes: 1}}}, address("y"))
+	for range 2 * room.WordTTL / room.Interval {
+		manual.now += room.Interval
+		_, _ = exchange.Tick(oneInFlight, nodes)
+	}
+	must.Eq(t, 62, rooms.Limit("s"), must.Sprint("without the two of y; the late reply did not count"))
+	for range 60 {
+		manual.now += room.Interval
+		_, _ = exchange.Tick(oneInFlight, nodes)
+		if exchange.Target() == "first" {
+			return
+		}
+	}
+	t.Fatal("the first summing node is not tried again")
+}
+
+// A node to which others report sums up its own load as well, and takes the totals of others for their sums.
+func TestNodeWithReportsReportsToItself(t *testing.T) {
+	rooms, _, manual := newRoom(64)
+	rooms.Limit("s")
+	exchange := room.NewExchange("x", "a", 1, rooms)
+	nodes := room.Nodes{Ranked: []string{"first", "x"}, Peers: []string{"first"}}
+	tick := func(number int64) []room.Message {
+		manual.now += room.Interval
+		exchange.HandleReport(&clusterv1.ServiceReport{Node: "y", Life: 1, Number: number, Services: []*clusterv1.ServiceLoad{{Service: "s", InFlight: 2, Nodes: 1}}}, address("y"))
+		messages, _ := exchange.Tick(oneInFlight, nodes)
+		return messages
+	}
+	var messages []room.Message
+	for number := range int64(5) {
+		messages = tick(number + 1)
+	}
+	must.Eq(t, "x", exchange.Target())
+	told := make(map[string]int64)
+	for _, message := range messages {
+		told[message.Node] = int64(message.Totals.GetZones()[0].GetServices()[0].GetInFlight())
+	}
+	must.Eq(t, map[string]int64{"y": 1, "first": 3, "": 3}, told, must.Sprint("the reporter is told of others, the peer and the publisher of all"))
+	must.False(t, exchange.HandleTotals(sumsOf("first", 1, 30), address("first")))
+	tick(6)
+	must.Eq(t, 32, others(rooms).InFlight)
+}
+
+// others returns what a room knows of the other nodes' load.
+func others(rooms *room.Room) room.Load {
+	return rooms.Refresh(map[string]room.Load{"s": {InFlight: 1, Nodes: 1}}, nil)[0].Others
+}
+
+// While the load of others is known, refusals by replicas still narrow the limit, from what was in force: a backlog is not refused one by one.
+func TestRefusalsNarrowAKnownLimit(t *testing.T) {
+	rooms, _, manual := newRoom(64)
+	rooms.Limit("s")
+	narrow(rooms, manual, 8)
+	serveAtFullUse(rooms, manual, 9) // the window grows
+	must.Greater(t, 12, rooms.Limit("s"))
+	rooms.HandleReply(sumsOf("sum", 1, 54))
+	rooms.Refresh(map[string]room.Load{"s": {InFlight: 10, Nodes: 1}}, nil)
+	limit := rooms.Limit("s")
+	must.LessEq(t, 12, limit)
+	manual.now += time.Second
+	refused := 0
+	for running := limit / 2; running < rooms.Limit("s") && refused < 100; refused++ {
+		full(rooms, running+1)
+	}
+	must.LessEq(t, 3, refused)
+}
+
+// While slots are scarce, a share follows the loads with the delay of a request: what one node gives up is in use until its requests end.
+func TestScarceSharesFollowWithDelay(t *testing.T) {
+	rooms, _, manual := newRoom(64)
+	rooms.Limit("s")
+	tell := func(number int64, waiting int32) int {
+		sums := sumsOf("sum", number, 32)
+		sums.Zones[0].Services[0].Waiting = waiting
+		rooms.HandleReply(sums)
+		rooms.Refresh(map[string]room.Load{"s": {InFlight: 32, Waiting: 64, Nodes: 1}}, nil)
+		return rooms.Limit("s")
+	}
+	must.Between(t, 31, tell(1, 64), 32)
+	manual.now += room.Interval
+	must.Between(t, 34, tell(2, 0), 44, must.Sprint("on the way to 47"))
+	for number := range int64(20) {
+		manual.now += room.Interval
+		tell(number+3, 0)
+	}
+	must.Between(t, 46, tell(30, 0), 48)
+}
--- a/internal/room/failure_test.go
+++ b/internal/room/failure_test.go
@@ -80,6 +80,7 @@
 	must.Greater(t, 0, lone.served)
 	world.cut = nil
 	world.run(12 * time.Second) // until it tries the first summing node again
+	must.Eq(t, "front-2", lone.exchange.Target())
 	checkShared(t, world)
 }
 
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -272,6 +272,9 @@
 		state.mu.Lock()
 		state.update(replicas.Service(name).Slots(), now)
 		before := state.available()
+		if state.own.demand() == 0 {
+			state.scarce = false // a node that begins gets its share at once
+		}
 		state.own, state.ejected = own[name], ejected[name]
 		if state.available() != before {
 			state.rescale(before, now)
--- a/internal/room/sharing_test.go
+++ b/internal/room/sharing_test.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// Without any exchange, the windows of the nodes find what there is room for. The aim is that nine of ten sends succeed.
+// Without any exchange, the windows of the nodes find what there is room for, and leave some of it to each. The aim is that nine of ten sends succeed.
 func TestWindowsConverge(t *testing.T) {
 	for _, count := range []int{2, 4, 8, 16} {
 		world := newWorld(64, 4, equal(count, 2)...)
@@ -104,6 +104,9 @@
 		t.Logf("%d nodes: %+v: refused %.3f", count, counts, counts.refusals())
 		must.Less(t, 0.1, counts.refusals())
 		must.Greater(t, minUse, world.use(counts.served, 20*time.Second))
+		for _, node := range world.nodes {
+			must.Greater(t, 0.1, float64(node.served)*float64(count)/float64(counts.served), must.Sprint("part of an equal share of ", node.name))
+		}
 	}
 }
 
--- a/internal/room/summing_test.go
+++ b/internal/room/summing_test.go
@@ -241,6 +241,27 @@
 	must.Between(t, 5, lines, 11)
 }
 
+// A node that reports to the second summing node of its zone, which answers, tries the first one again after a while, and at once if there is
+// another first one.
+func TestReturnToTheFirstSummingNode(t *testing.T) {
+	chosen, now, heardAt := target{}, time.Hour, time.Duration(0)
+	choose := func(ranked ...string) string {
+		now += Interval
+		return chosen.choose(ranked, heardAt, now)
+	}
+	for choose("a", "b") == "a" {
+	}
+	must.LessEq(t, WordTTL+2*Interval, now-time.Hour)
+	moved := now
+	for heardAt = now; choose("a", "b") == "b"; heardAt = now {
+	}
+	must.Between(t, returnAfter, now-moved, returnAfter+2*Interval)
+	for choose("a", "b") == "a" {
+	}
+	must.Eq(t, "c", choose("c", "b"))
+	must.Eq(t, "", choose())
+}
+
 // BenchmarkRound measures a round of a summing node with 300 reporting nodes at eight services and six other zones.
 func BenchmarkRound(b *testing.B) {
 	summing := newSummingNode()
--- a/internal/room/window.go
+++ b/internal/room/window.go
@@ -46,8 +46,8 @@
 	tolerated := window.share <= toleratedFull
 	switch {
 	case full && !tolerated:
-		if window.size == 0 || window.size > float64(limit) {
-			window.size = float64(limit) // another bound was in force
+		if window.size == 0 {
+			window.size = float64(limit)
 		}
 		reached := min(window.size, float64(inFlight-1))
 		if window.floor == 0 || now-window.epochStart >= epoch {
