--- a/internal/role/room.go
+++ b/internal/role/room.go
@@ -136,11 +136,20 @@
 	} else {
 		metrics.RoomOthersUnknown(status.Service)
 	}
-	if status.Event != "" {
-		exchange.front.Logger.Info(string(status.Event), "service", status.Service, "limit", status.Limit, "previous", status.Previous, "slots", status.Slots,
+	log := func(message string) {
+		exchange.front.Logger.Info(message, "service", status.Service, "limit", status.Limit, "previous", status.Previous, "slots", status.Slots,
 			"in_flight", status.Own.InFlight, "waiting", status.Own.Waiting, "others_known", status.Known,
 			"others_in_flight", status.Others.InFlight, "others_waiting", status.Others.Waiting, "others", status.Others.Nodes)
 	}
+	switch status.Event {
+	case room.Known:
+		log("room known")
+	case room.Lost:
+		log("room lost")
+	case room.Changed:
+		log("room changed")
+	case room.None:
+	}
 }
 
 // logTarget logs a change of the node to which this front reports.
--- a/internal/role/room_test.go
+++ b/internal/role/room_test.go
@@ -33,7 +33,10 @@
 			ConfigurationPrefix: "configuration/", ConfigurationHandler: metadata.Handlers{}, ReplicaPrefix: "replicas/", ReplicaHandler: metadata.Handlers{},
 		})
 		must.NoError(t, front.Start())
-		t.Cleanup(front.cancel)
+		t.Cleanup(func() {
+			front.cancel()
+			_ = front.datagrams.Conn.Close()
+		})
 		fronts = append(fronts, front)
 	}
 	return fronts
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -232,23 +232,25 @@
 	Own, Others  Load
 	// Previous is the limit that was last logged.
 	Previous int
-	// Event is what is to be logged; empty for nothing.
+	// Event is what is to be logged.
 	Event Event
 	// Removed is true if the service's state has been removed.
 	Removed bool
 }
 
 // Event is a change of the room of a service.
-type Event string
+type Event int
 
-// Events of which one line is logged for a service in logInterval.
+// Events, of which one is reported for a service in logInterval.
 const (
+	// None means that nothing is to be logged.
+	None Event = iota
 	// Known means that the load of other nodes is known again.
-	Known Event = "room known"
+	Known
 	// Lost means that the load of other nodes is no longer known.
-	Lost Event = "room lost"
-	// Changed means that the limit has changed by at least half.
-	Changed Event = "room changed"
+	Lost
+	// Changed means that the limit has halved or doubled.
+	Changed
 )
 
 const logInterval = 10 * time.Second
--- a/internal/room/summing_test.go
+++ b/internal/room/summing_test.go
@@ -233,7 +233,7 @@
 		if index%20 < 10 {
 			room.HandleReply(&clusterv1.ServiceTotals{Node: "sum", Number: int64(index), Zones: []*clusterv1.ZoneLoad{{Services: []*clusterv1.ServiceLoad{{Service: "s"}}}}})
 		}
-		if room.Refresh(map[string]Load{"s": {InFlight: 1, Nodes: 1}}, nil)[0].Event != "" {
+		if room.Refresh(map[string]Load{"s": {InFlight: 1, Nodes: 1}}, nil)[0].Event != None {
 			lines++
 		}
 		now += Interval
