Calls under the orderer's lease: one place for their rules

Cause: orders for replicas need the same discipline as usage reports: a margin before a call, and an end of the call soon after the lease is lost. Change: the term, the margin and the context of a call move from metering to internal/leadership. No behaviour changes. Conclusion: both callers share one rule, so that a change reaches both.

--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	meteringv1 "github.com/thistlewalk/thistlewalk/api/metering/v1"
+	"github.com/thistlewalk/thistlewalk/internal/leadership"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 	"github.com/thistlewalk/thistlewalk/internal/wait"
@@ -32,12 +33,9 @@
 	collectDelay = 1200 * time.Millisecond
 	// deliveryAllowance is the time after the end of a window within which its tallies are delivered, including a retry.
 	deliveryAllowance = 600 * time.Millisecond
-	// leaseMargin is the remaining lease time that is required to start a call. It covers a pause of this process between the check of
-	// the lease and the call.
-	leaseMargin   = 450 * time.Millisecond
-	reportTimeout = 2 * time.Second
-	roundInterval = 100 * time.Millisecond
-	storeTimeout  = 900 * time.Millisecond
+	reportTimeout     = 2 * time.Second
+	roundInterval     = 100 * time.Millisecond
+	storeTimeout      = 900 * time.Millisecond
 	// maxRemovedKeys limits the reports that one transaction removes.
 	maxRemovedKeys = 16
 	// maxUnsent limits the reports that are retained while the platform accepts none, to those of one hour with windows of 5 s. Older
@@ -52,16 +50,6 @@
 	Report(ctx context.Context, holder string, fence int64, report *meteringv1.Report) error
 }
 
-// Term is a lease that entitles this node to send reports.
-type Term interface {
-	// Valid reports whether the lease remains valid for at least the margin.
-	Valid(margin time.Duration) bool
-	// Remaining returns the time until the lease expires unless it is renewed.
-	Remaining() time.Duration
-	// Condition returns a condition that holds in the metadata store until another term starts.
-	Condition() metadata.Condition
-}
-
 // Reporter sends the usage reports during the terms of this node.
 type Reporter struct {
 	Node    string
@@ -85,7 +73,7 @@
 type termWork struct {
 	*Reporter
 	fence     int64
-	term      Term
+	term      leadership.Term
 	startedAt time.Time
 	// next is the first window whose report is not stored yet. unsent holds the stored reports that have not been accepted in this term.
 	next   int64
@@ -95,7 +83,7 @@
 }
 
 // Run sends reports until the context ends, which it does at the end of the term.
-func (reporter *Reporter) Run(ctx context.Context, fence int64, term Term) {
+func (reporter *Reporter) Run(ctx context.Context, fence int64, term leadership.Term) {
 	work := &termWork{Reporter: reporter, fence: fence, term: term, startedAt: time.Now()}
 	for !work.resume(ctx) {
 		if wait.Pause(ctx, roundInterval); ctx.Err() != nil {
@@ -149,10 +137,10 @@
 // round stores the reports that are due and sends the stored ones. It does neither unless the lease is valid: a store that does not renew
 // the lease would not store a report either.
 func (work *termWork) round(ctx context.Context) {
-	if work.term.Valid(leaseMargin) && work.hasCollected() {
+	if work.term.Valid(leadership.Margin) && work.hasCollected() {
 		work.collectedAt = work.Clock.Now()
 	}
-	for work.term.Valid(leaseMargin) && work.isDue() && work.store(ctx) {
+	for work.term.Valid(leadership.Margin) && work.isDue() && work.store(ctx) {
 		work.next++
 	}
 	for len(work.unsent) > maxUnsent {
@@ -228,29 +216,12 @@
 	return sum
 }
 
-// callContext returns the context of a report call. A call may take longer than the remaining lease at its start, so the context does not end
-// while the lease is renewed. It ends after reportTimeout, or when CallGrace has passed since the expiry of the lease.
-func (work *termWork) callContext(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(parent, reportTimeout)
-	go func() {
-		for ctx.Err() == nil {
-			remaining := work.term.Remaining() + work.CallGrace
-			if remaining <= 0 {
-				cancel()
-				return
-			}
-			wait.Pause(ctx, remaining)
-		}
-	}()
-	return ctx, cancel
-}
-
 // send sends a report if the lease is valid, and reports whether the report was accepted.
 func (work *termWork) send(ctx context.Context, report *meteringv1.Report) bool {
-	if !work.term.Valid(leaseMargin) {
+	if !work.term.Valid(leadership.Margin) {
 		return false
 	}
-	callCtx, cancel := work.callContext(ctx)
+	callCtx, cancel := leadership.CallContext(ctx, work.term, reportTimeout, work.CallGrace)
 	defer cancel()
 	started := time.Now()
 	err := work.Sink.Report(callCtx, work.Node, work.fence, report)
