Replicas are ordered by the holder of the orderer's lease

Cause: the number of replicas was fixed. Callers of a service with too little room were refused for as long as the load lasted, and idle replicas were paid for. Change: internal/provisioning decides, for each service that the configuration lets scale, how many replicas of both kinds each zone has, and orders them under the term's lease and fence. Conclusion: the core stands; nothing sends loads to the orderer yet.

--- a/cmd/thistlewalk-rollout/main.go
+++ b/cmd/thistlewalk-rollout/main.go
@@ -153,6 +153,9 @@
 	if window := settings.UsageWindow(); window > 0 {
 		fmt.Println("duty: usage of tenants is reported each", window, "to", settings.Cloud.Address)
 	}
+	if settings.OrdersReplicas() {
+		fmt.Println("duty: replicas of services that may be scaled are ordered from", settings.Cloud.Address)
+	}
 	for _, duty := range settings.UnsupportedDuties() {
 		fmt.Println("duty not done by this version:", duty)
 	}
--- a/cmd/thistlewalk-rollout/orderer.go
+++ b/cmd/thistlewalk-rollout/orderer.go
@@ -36,17 +36,22 @@
 func startOrderer(process *process, portOffset int) (*role.Orderer, error) {
 	settings := process.settings
 	table := catalog.NewTable()
-	orderer := role.NewOrderer(role.OrdererOptions{
+	cloud := platform.NewCloud(settings.Cloud.Address, dialer())
+	options := role.OrdererOptions{
 		Node: settings.Node, Role: settings.Role, Incarnation: process.incarnation, PeerAddress: settings.PeerAddress(portOffset), PeerClient: peerClient(),
 		Store: process.instrumentedStore(), Replicas: platform.NewReplicas(dialer()), Retire: process.store, Logger: process.logger, Metrics: process.metrics, Catalog: table,
 		OperatorPrefix: platform.PrefixOperator, ConfigurationPrefix: platform.KeyConfiguration, ReplicaPrefix: platform.PrefixReplicas,
 		ReplicaHandler: &platform.ReplicaHandler{Logger: process.logger, Catalog: table, Metrics: process.metrics},
 		Retention:      settings.Retention() + retentionSlack,
-		UsageWindow:    settings.UsageWindow(), UsageSink: platform.NewCloud(settings.Cloud.Address, dialer()), CallGrace: callGrace, Clock: process.clock,
+		UsageWindow:    settings.UsageWindow(), UsageSink: cloud, CallGrace: callGrace, Clock: process.clock,
 		Election: weights.ElectionSettings{
 			Lease: max(minElectionLease, settings.MinLease()), Renew: electionRenewInterval, HandoverWait: settings.HandoverWait() + handoverSlack,
 		},
-	})
+	}
+	if settings.OrdersReplicas() {
+		options.ReplicaSink = cloud
+	}
+	orderer := role.NewOrderer(options)
 	handler := process.operatorHandler(table)
 	handler.OnVersion = orderer.Weights.SetTarget
 	handler.OnRetire = orderer.ConfirmRetired
--- /dev/null
+++ b/internal/provisioning/provisioner_test.go
@@ -0,0 +1,311 @@
+package provisioning_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+	"github.com/thistlewalk/thistlewalk/internal/provisioning"
+)
+
+// play runs a test with interactive requests, or with batch jobs that are due after the span, at replicas that are there from the start.
+func play(t *testing.T, perZone int, span time.Duration, scenario func(*testing.T, *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(newCloud(perZone, deskConfiguration(span)))
+		defer cluster.end()
+		scenario(t, cluster)
+		must.SliceEmpty(t, cluster.cloud.violations)
+	})
+}
+
+// Callers that the present replicas can't serve must wait for no longer than it takes to confirm the load and to boot. Two replicas in each of three
+// zones serve 120 requests a second, and 200 come.
+func TestLoadAboveTheReplicas(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		refused, _ := cluster.call(80, 30*time.Second)
+		must.Zero(t, refused)
+		must.SliceEmpty(t, cluster.cloud.given(), must.Sprint("the replicas are adequate"))
+		refused, last := cluster.call(200, time.Minute)
+		must.Less(t, 8*time.Second, last)
+		must.Less(t, 80*8.0, refused, must.Sprint("without orders 80 a second are refused"))
+		must.Eq(t, []string{"a5", "b5", "c5"}, cluster.cloud.given(), must.Sprint("200 a second need 100 slots, which are 70%"))
+	})
+}
+
+// Load that comes and goes must not order and give up replicas by turns. Load that is gone must give them up.
+func TestLoadThatComesAndGoes(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		refused := 0.0
+		for range 10 {
+			first, _ := cluster.call(200, 20*time.Second)
+			second, _ := cluster.call(20, 20*time.Second)
+			refused += first + second
+		}
+		must.Less(t, 80*12.0, refused, must.Sprint("only the first peak finds too few"))
+		must.Len(t, 3, cluster.cloud.given())
+		cluster.call(20, 50*time.Second)
+		must.Eq(t, []string{"c1", "b1", "a1"}, sortedBackwards(cluster.cloud.given()[3:]))
+		refused, _ = cluster.call(20, time.Minute)
+		must.Zero(t, refused)
+		must.Len(t, 6, cluster.cloud.given())
+	})
+}
+
+func sortedBackwards(list []string) []string {
+	slices.Sort(list)
+	slices.Reverse(list)
+	return list
+}
+
+// A burst that is over before a replica boots must order nothing.
+func TestBurst(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(80, 15*time.Second)
+		cluster.call(200, 1500*time.Millisecond)
+		cluster.call(80, 15*time.Second)
+		must.SliceEmpty(t, cluster.cloud.given())
+	})
+}
+
+// A job that the present replicas would complete late must be complete in time. Its 300 items of 2 s take 30 slots 20 s, and are due after 15 s.
+func TestJobAboveTheReplicas(t *testing.T) {
+	play(t, 1, 15*time.Second, func(t *testing.T, cluster *cluster) {
+		time.Sleep(10 * time.Second)
+		took := cluster.work("job", 300, 2*time.Second)
+		must.Less(t, 15*time.Second, took)
+		spot := slices.ContainsFunc(cluster.cloud.given(), func(order string) bool { return strings.HasPrefix(order, "spot") })
+		must.True(t, spot, must.Sprint("items can move"))
+	})
+}
+
+// A zone that has none to give must not be asked again at once, and others must give in its place.
+func TestNoneAvailable(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.cloud.none[subject{"a", false}] = true
+		cluster.call(80, 15*time.Second)
+		_, last := cluster.call(250, 30*time.Second)
+		must.Less(t, 10*time.Second, last)
+		must.Eq(t, []string{"a6", "b6", "c6", "b8", "c8"}, cluster.cloud.given())
+	})
+}
+
+// An order whose answer was lost must be sent again with the same number, and not on top of the first.
+func TestLostAnswer(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(80, 15*time.Second)
+		cluster.cloud.set(func() { cluster.cloud.lost = true })
+		cluster.call(200, 9*time.Second)
+		cluster.cloud.set(func() { cluster.cloud.lost = false })
+		cluster.call(200, 30*time.Second)
+		given := cluster.cloud.given()
+		must.Greater(t, 3, len(given))
+		slices.Sort(given)
+		must.Eq(t, []string{"a5", "b5", "c5"}, slices.Compact(given))
+		must.Eq(t, 150, cluster.cloud.slots())
+	})
+}
+
+// A holder that is killed after an order was stored must be followed by one that sends this order, and nothing else.
+func TestHolderKilledBeforeTheCall(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(80, 15*time.Second)
+		cluster.cloud.set(func() {
+			cluster.cloud.onCall = func() {
+				cluster.cloud.set(func() { cluster.cloud.onCall = nil })
+				cluster.kill(cluster.holder())
+			}
+		})
+		cluster.call(200, 5*time.Second)
+		must.SliceEmpty(t, cluster.cloud.given(), must.Sprint("the call was not made"))
+		_, last := cluster.call(200, 30*time.Second)
+		must.Less(t, 12*time.Second, last, must.Sprint("election, wait for the former holder, and boot time"))
+		given := cluster.cloud.given()
+		slices.Sort(given)
+		must.Eq(t, []string{"a5", "b5", "c5"}, given)
+	})
+}
+
+// A successor must not take back what was just ordered, even if it sees no load that needs it.
+func TestSuccessorRightAfterAnOrder(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(80, 15*time.Second)
+		cluster.call(200, 5*time.Second)
+		must.Len(t, 3, cluster.cloud.given())
+		cluster.kill(cluster.holder())
+		cluster.call(20, 44*time.Second)
+		must.Len(t, 3, cluster.cloud.given())
+		must.Eq(t, 150, cluster.cloud.slots())
+		cluster.call(20, 30*time.Second)
+		must.Len(t, 6, cluster.cloud.given(), must.Sprint("its own observation allows it"))
+	})
+}
+
+// While the store does not answer, no order may be given, since none can be stored. Afterwards the need must be met.
+func TestStoreAway(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(80, 15*time.Second)
+		cluster.store.SetFaults(memstore.Faults{Down: true})
+		cluster.call(80, 2*time.Second)
+		cluster.call(200, 20*time.Second)
+		must.SliceEmpty(t, cluster.cloud.given())
+		cluster.store.SetFaults(memstore.Faults{})
+		_, last := cluster.call(200, 30*time.Second)
+		must.Less(t, 15*time.Second, last)
+		must.Len(t, 3, cluster.cloud.given())
+	})
+}
+
+// An order whose write to the store may have been applied must not be lost, nor written over by a different one.
+func TestLostAnswerOfTheStore(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(80, 15*time.Second)
+		cluster.call(200, 1900*time.Millisecond)
+		cluster.store.SetFaults(memstore.Faults{LoseResponses: 1})
+		_, last := cluster.call(200, 30*time.Second)
+		must.Less(t, 12*time.Second, last)
+		given := cluster.cloud.given()
+		slices.Sort(given)
+		must.Eq(t, []string{"a5", "b5", "c5"}, slices.Compact(given))
+	})
+}
+
+// A zone whose spot replicas are all reclaimed must be replaced elsewhere at once, and not be asked for spot replicas again soon.
+func TestReclaim(t *testing.T) {
+	play(t, 1, 15*time.Second, func(t *testing.T, cluster *cluster) {
+		time.Sleep(10 * time.Second)
+		cluster.work("first", 300, 2*time.Second)
+		before := len(cluster.cloud.given())
+		must.Positive(t, len(cluster.cloud.replicas[subject{"a", true}]))
+		cluster.cloud.reclaim("a")
+		took := cluster.work("second", 300, 2*time.Second)
+		must.Less(t, 15*time.Second, took)
+		after := cluster.cloud.given()[before:]
+		must.SliceNotEmpty(t, after)
+		must.False(t, slices.ContainsFunc(after, func(order string) bool { return strings.HasPrefix(order, "spot-a") }), must.Sprint(after))
+	})
+}
+
+// Replicas that crash and return within a few seconds must cause no order, nor must the replacement of replicas one by one.
+func TestReplicasThatReturn(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(80, 15*time.Second)
+		for _, count := range []int{1, 2, 3, 2, 0, 2} {
+			cluster.cloud.set(func() { cluster.cloud.resize(subject{"b", false}, count) })
+			cluster.call(80, 4*time.Second)
+		}
+		must.SliceEmpty(t, cluster.cloud.given())
+	})
+}
+
+// supersededTerm is a term that looks valid to its holder although another term has started.
+type supersededTerm struct{}
+
+func (supersededTerm) Valid(time.Duration) bool { return true }
+
+func (supersededTerm) Remaining() time.Duration { return time.Hour }
+
+func (supersededTerm) Condition() metadata.Condition {
+	return metadata.Condition{Key: "holder", Revision: 1}
+}
+
+// A former holder that does not know that its term has ended must neither store nor send an order.
+func TestFormerHolderOrdersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, cloud := memstore.New(), newCloud(2, deskConfiguration(0))
+		for _, holder := range []string{"former", "present"} {
+			_, err := store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "holder", Value: []byte(holder)}}})
+			must.NoError(t, err)
+		}
+		loads := provisioning.NewLoads()
+		cluster := &cluster{store: store, cloud: cloud, loads: map[string]*provisioning.Loads{"former": loads}}
+		provisioner := &provisioning.Provisioner{Node: "former", Store: store, Sink: cloud, Catalog: cloud.table, Loads: loads, Logger: log.New(io.Discard)}
+		ctx, cancel := context.WithCancel(t.Context())
+		go provisioner.Run(ctx, 1, supersededTerm{})
+		cluster.call(200, 20*time.Second)
+		cancel()
+		synctest.Wait()
+		must.SliceEmpty(t, cloud.given())
+		listing, err := store.List(t.Context(), "")
+		must.NoError(t, err)
+		must.Len(t, 1, listing.Items)
+	})
+}
+
+// Under any faults, no fence may decrease, the calls of two holders must be separated by minHolderGap, every order must be within the bounds, and
+// once the faults have ended, the replicas must serve the load.
+func TestDrawnHistoriesOfOrders(t *testing.T) {
+	rapid.Check(t, func(drawn *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom([]string{
+			"calm", "kill holder", "isolate holder", "store down", "store answers lost", "cloud down", "cloud answers lost", "none in a", "reclaim",
+		}), 3, 8).Draw(drawn, "faults")
+		rates := rapid.SliceOfN(rapid.SampledFrom([]float64{10, 80, 150, 250}), len(faults), len(faults)).Draw(drawn, "rates")
+		synctest.Test(t, func(t *testing.T) {
+			cluster := newCluster(newCloud(2, deskConfiguration(0)))
+			cluster.call(80, 8*time.Second)
+			for index, fault := range faults {
+				cluster.inject(fault)
+				cluster.call(rates[index], 8*time.Second)
+				cluster.repair()
+				cluster.call(rates[index], 4*time.Second)
+			}
+			cluster.call(200, 45*time.Second)
+			refused, _ := cluster.call(200, 5*time.Second)
+			cluster.end()
+			if len(cluster.cloud.violations) > 0 || refused > 0 {
+				t.Fatalf("%v %v: %s, %g requests refused", faults, rates, fmt.Sprint(cluster.cloud.violations), refused)
+			}
+		})
+	})
+}
+
+func (cluster *cluster) inject(fault string) {
+	cloud := cluster.cloud
+	switch fault {
+	case "kill holder":
+		cluster.kill(cluster.holder())
+	case "isolate holder":
+		cluster.isolate(cluster.holder(), true)
+	case "store down":
+		cluster.store.SetFaults(memstore.Faults{Down: true})
+	case "store answers lost":
+		cluster.store.SetFaults(memstore.Faults{LoseResponses: 3})
+	case "cloud down":
+		cloud.set(func() { cloud.down = true })
+	case "cloud answers lost":
+		cloud.set(func() { cloud.lost = true })
+	case "none in a":
+		cloud.set(func() { cloud.none[subject{"a", false}] = true })
+	case "reclaim":
+		cloud.reclaim("b")
+	}
+}
+
+// repair ends all faults and starts killed candidates.
+func (cluster *cluster) repair() {
+	cluster.store.SetFaults(memstore.Faults{})
+	cluster.cloud.set(func() {
+		cluster.cloud.down, cluster.cloud.lost = false, false
+		clear(cluster.cloud.none)
+	})
+	for _, name := range []string{"orderer-1", "orderer-2"} {
+		cluster.isolate(name, false)
+		cluster.mu.Lock()
+		running := cluster.loads[name] != nil
+		cluster.mu.Unlock()
+		if !running {
+			cluster.start(name)
+		}
+	}
+}
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -18,6 +18,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/dissemination"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metering"
+	"github.com/thistlewalk/thistlewalk/internal/provisioning"
 	"github.com/thistlewalk/thistlewalk/internal/quarantine"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 	"github.com/thistlewalk/thistlewalk/internal/weights"
@@ -50,6 +51,8 @@
 	// UsageWindow is the length of the windows for usage reports to UsageSink; zero disables them.
 	UsageWindow time.Duration
 	UsageSink   metering.Sink
+	// ReplicaSink takes orders for the replicas of services that the configuration lets scale; nil disables them.
+	ReplicaSink provisioning.Sink
 	// CallGrace is how long a call to the cloud may continue after the end of a term.
 	CallGrace time.Duration
 	// Clock keeps running while the machine is suspended, as the leases do; nil means the process's monotonic clock.
@@ -71,9 +74,11 @@
 	publisher atomic.Pointer[dissemination.Publisher]
 	// reporter reports usage while this node holds the lease; nil if usage is not reported.
 	reporter *metering.Reporter
-	ctx      context.Context
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	// provisioner orders replicas while this node holds the lease; nil if their numbers are fixed.
+	provisioner *provisioning.Provisioner
+	ctx         context.Context
+	cancel      context.CancelFunc
+	done        sync.WaitGroup
 }
 
 // loadShare is the fraction of a service's replicas that may load weights at the same time without slowing each other
@@ -112,6 +117,12 @@
 			Sink: options.UsageSink, Logger: options.Logger, Metrics: options.Metrics, CallGrace: options.CallGrace,
 		}
 	}
+	if options.ReplicaSink != nil {
+		orderer.provisioner = &provisioning.Provisioner{
+			Node: options.Node, Store: options.Store, Sink: options.ReplicaSink, Catalog: options.Catalog, Loads: provisioning.NewLoads(),
+			Logger: options.Logger, Metrics: options.Metrics, CallGrace: options.CallGrace,
+		}
+	}
 	return orderer
 }
 
@@ -136,6 +147,14 @@
 			orderer.Weights.RecordDemand(weights.Demand{
 				Job: demand.GetJobId(), Model: demand.GetModel(), Minimum: demand.GetMinimumVersion(), Work: demand.GetWork(), Items: int(demand.GetItems()),
 			})
+			if orderer.provisioner != nil {
+				orderer.provisioner.Loads.RecordDemand(demand, time.Now())
+			}
+		},
+		ServiceTotals: func(totals *clusterv1.ServiceTotals, _ net.Addr) {
+			if orderer.provisioner != nil {
+				orderer.provisioner.Loads.RecordTotals(totals, time.Now())
+			}
 		},
 	})
 	orderer.operator = operator
@@ -176,12 +195,15 @@
 func (orderer *Orderer) lead(ctx context.Context, term *weights.Term) {
 	orderer.publish(ctx, term.Fence)
 	go orderer.collectGarbage(ctx)
-	var reporting sync.WaitGroup
+	var calling sync.WaitGroup
 	if orderer.reporter != nil {
-		reporting.Go(func() { orderer.reporter.Run(ctx, term.Fence, term) })
+		calling.Go(func() { orderer.reporter.Run(ctx, term.Fence, term) })
+	}
+	if orderer.provisioner != nil {
+		calling.Go(func() { orderer.provisioner.Run(ctx, term.Fence, term) })
 	}
 	orderer.Weights.RunTerm(ctx, term)
-	reporting.Wait() // the next term must not begin before the reporter has stopped
+	calling.Wait() // the next term must not begin before the calls of this one have ended
 }
 
 // publishBeforeTerm publishes before this node holds the lease, while the lease of its earlier process has not yet
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -31,6 +31,7 @@
 	entriesUnusable   prometheus.Counter
 	usageSent         *prometheus.CounterVec
 	usageReports      *prometheus.HistogramVec
+	replicaOrders     *prometheus.HistogramVec
 	replicaCrashes    prometheus.Counter
 	requestsHeld      prometheus.Counter
 	suspicionsCleared prometheus.Counter
@@ -63,6 +64,7 @@
 	metrics.snapshots = counter("snapshots_total", "Calls that ask a neighbour for all that it knows of a topic, by result.", "result")
 	metrics.usageSent = counter("usage_told_total", "Calls that tell tallies of usage to another node, by its role and result.", "role", "result")
 	metrics.usageReports = histogram("usage_report_seconds", "Time of calls that report usage, by result.", "result")
+	metrics.replicaOrders = histogram("replica_order_seconds", "Time of calls that order replicas from the platform, by answer.", "answer")
 	single := func(name, help string) prometheus.Counter {
 		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "thistlewalk", Name: name, Help: help})
 	}
@@ -81,7 +83,7 @@
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost, metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable, metrics.usageSent, metrics.usageReports,
+	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost, metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable, metrics.usageSent, metrics.usageReports, metrics.replicaOrders,
 		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, lines)
 	return metrics
 }
@@ -217,6 +219,13 @@
 	}
 }
 
+// ReplicasOrdered counts a call that orders replicas from the platform.
+func (metrics *Metrics) ReplicasOrdered(answer string, took time.Duration) {
+	if metrics != nil {
+		metrics.replicaOrders.WithLabelValues(answer).Observe(took.Seconds())
+	}
+}
+
 // ReplicaCrashed counts a replica that crashed while it ran a request of this node.
 func (metrics *Metrics) ReplicaCrashed() {
 	if metrics != nil {
