Orders for replicas: unknown service times, old orders, and tests that guard each rule

Items whose service time is unknown could have led to orders for all replicas. Change: items that fill every slot lead to no order while it is unknown how long they take. An unanswered order of more than ten minutes ago is not sent again. Tests for what was not seen: a stored order that its successor would not give, bounds that changed before the call, the notice of a reclaim, silence of all nodes, replicas that register late, the end of a call with its term, loads and jobs.

--- a/internal/provisioning/decision_test.go
+++ b/internal/provisioning/decision_test.go
@@ -148,6 +148,8 @@
 		{"a backlog that is not", interactive, provisioning.Load{InFlight: 40, Waiting: 104, ServiceTime: second, Patience: 30 * second}, reported(44)},
 		{"a backlog whose callers give up before", interactive, provisioning.Load{InFlight: 60, Waiting: 200, ServiceTime: second, Patience: 2 * second}, reported(60)},
 		{"unknown service time", interactive, provisioning.Load{InFlight: 60, Waiting: 5}, reported(65)},
+		{"items whose service time is unknown", batch, provisioning.Load{InFlight: 60, Waiting: 400, Jobs: []provisioning.Job{job}}, reported(0)},
+		{"items of jobs that are unknown", batch, provisioning.Load{InFlight: 60, Waiting: 400}, reported(51)},
 		{"a job", batch, provisioning.Load{InFlight: 60, Waiting: 40, ServiceTime: second / 2, Jobs: []provisioning.Job{job}}, jobs(10)},
 		{"a job of a model", models, provisioning.Load{InFlight: 60, ServiceTime: second / 2, Jobs: []provisioning.Job{job}}, jobs(20)},
 		{"a job that ends before a replica boots", batch, provisioning.Load{ServiceTime: second / 2, Jobs: []provisioning.Job{late}}, jobs(0)},
--- a/internal/provisioning/need.go
+++ b/internal/provisioning/need.go
@@ -44,15 +44,10 @@
 
 // Measure returns the room that a load needs, if the present replicas run the given number of requests at the same time.
 func (service *Service) Measure(load Load, slots float64) Need {
-	if load.ServiceTime <= 0 {
-		return Need{Reported: float64(load.InFlight + load.Waiting)} // how fast the backlog shrinks is unknown
-	}
-	seconds := load.ServiceTime.Seconds()
-	need := Need{Reported: float64(load.InFlight) + float64(load.Refused)*seconds}
-	need.Reported += backlogSlots(float64(load.Waiting)*seconds, slots-need.Reported, load.Patience, service.Scaling.BootTime)
+	need := service.measureReported(load, slots)
 	for _, job := range load.Jobs {
 		if job.Left > service.Scaling.BootTime || job.Follows {
-			need.Jobs += float64(job.Items) * seconds / (jobSpanShare * job.Span.Seconds())
+			need.Jobs += float64(job.Items) * load.ServiceTime.Seconds() / (jobSpanShare * job.Span.Seconds())
 		}
 	}
 	if service.HasModels {
@@ -68,6 +63,16 @@
 	return need
 }
 
+// measureReported returns the need of the requests that nodes report.
+func (service *Service) measureReported(load Load, slots float64) Need {
+	if load.ServiceTime <= 0 {
+		return Need{Reported: float64(load.InFlight + load.Waiting)} // how fast the backlog shrinks is unknown
+	}
+	seconds := load.ServiceTime.Seconds()
+	need := float64(load.InFlight) + float64(load.Refused)*seconds
+	return Need{Reported: need + backlogSlots(float64(load.Waiting)*seconds, slots-need, load.Patience, service.Scaling.BootTime)}
+}
+
 // backlogSlots returns how many further slots a backlog needs, given its work in seconds of a slot and the free slots of the present replicas.
 // It returns zero if the present replicas work it off before a new replica serves, and if its callers give up before.
 func backlogSlots(work, free float64, patience, bootTime time.Duration) float64 {
--- a/internal/provisioning/pool.go
+++ b/internal/provisioning/pool.go
@@ -42,6 +42,8 @@
 	deliverySlack = 5 * time.Second
 	// missingPatience is how long registered replicas may be fewer than ordered. It is longer than a replica takes to restart after a crash.
 	missingPatience = 5 * time.Second
+	// staleAfter is the age from which an unanswered order is not sent again at the start of a term: the load that it was decided on is gone.
+	staleAfter = 10 * time.Minute
 	// minUnavailable and maxUnavailable bound the time for which a pool that had none to give, or lost some, gets no order. The time doubles until
 	// an order is fulfilled.
 	minUnavailable = 10 * time.Second
@@ -86,6 +88,9 @@
 		return poolKey{}, nil, errors.Newf("the replica order of %s in %s is negative", key.service, key.zone)
 	}
 	pool := &poolState{order: order, revision: item.Revision, orderedAt: now.Add(-since(order.GetOrderedUnixMs(), now))}
+	if pool.unanswered() && pool.age(now) > staleAfter {
+		pool.settle(false, now)
+	}
 	if order.GetState() == provisioningv1.State_STATE_REFUSED {
 		pool.backoff = minUnavailable
 		pool.unavailableUntil = now.Add(minUnavailable - since(order.GetRefusedUnixMs(), now))
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -278,10 +279,13 @@
 		expected += pool.Expected
 	}
 	return append(first, "service", observed.service, "ordered", ordered, "expected", expected, "slots", situation.Slots, "in_flight", load.InFlight, "waiting", load.Waiting,
-		"refused", load.Refused, "service_time_us", load.ServiceTime.Microseconds(), "jobs", len(load.Jobs), "need_reported", situation.Need.Reported,
-		"need_jobs", situation.Need.Jobs, "peak", situation.Peak.Slots(), "peak_known", situation.PeakKnown)
+		"refused", load.Refused, "service_time_us", load.ServiceTime.Microseconds(), "jobs", len(load.Jobs), "need_reported", tenths(situation.Need.Reported),
+		"need_jobs", tenths(situation.Need.Jobs), "peak", tenths(situation.Peak.Slots()), "peak_known", situation.PeakKnown)
 }
 
+// tenths rounds a number for a log line.
+func tenths(number float64) float64 { return math.Round(10*number) / 10 }
+
 // expectations returns by when the jobs of a service are due after their submission, how long its callers wait, and whether all its requests are
 // items of jobs.
 func expectations(configuration *catalog.Configuration, service string) (span, patience time.Duration, batchOnly bool) {
--- a/internal/provisioning/provisioner_test.go
+++ b/internal/provisioning/provisioner_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	provisioningv1 "github.com/thistlewalk/thistlewalk/api/provisioning/v1"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 	"github.com/thistlewalk/thistlewalk/internal/provisioning"
@@ -117,23 +119,94 @@
 	})
 }
 
-// A holder that is killed after an order was stored must be followed by one that sends this order, and nothing else.
+// killAtTheCall has the holder killed when it first calls the platform, under a load that needs more replicas. The order is stored then.
+func (cluster *cluster) killAtTheCall() {
+	cluster.call(80, 15*time.Second)
+	cluster.cloud.set(func() {
+		cluster.cloud.onCall = func() {
+			cluster.cloud.set(func() { cluster.cloud.onCall = nil })
+			cluster.kill(cluster.holder())
+		}
+	})
+	cluster.call(200, 3*time.Second)
+}
+
+// A holder that is killed after an order was stored must be followed by one that sends this order, and nothing else, also if it would decide
+// differently.
 func TestHolderKilledBeforeTheCall(t *testing.T) {
-	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
-		cluster.call(80, 15*time.Second)
-		cluster.cloud.set(func() {
-			cluster.cloud.onCall = func() {
-				cluster.cloud.set(func() { cluster.cloud.onCall = nil })
-				cluster.kill(cluster.holder())
-			}
+	for _, rate := range []float64{200, 80} {
+		play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+			cluster.killAtTheCall()
+			must.SliceEmpty(t, cluster.cloud.given(), must.Sprint("the call was not made"))
+			_, last := cluster.call(rate, 30*time.Second)
+			must.Less(t, 14*time.Second, last, must.Sprint("election, wait for the former holder, and boot time"))
+			given := cluster.cloud.given()
+			slices.Sort(given)
+			must.Eq(t, []string{"a5", "b5", "c5"}, given)
 		})
-		cluster.call(200, 5*time.Second)
-		must.SliceEmpty(t, cluster.cloud.given(), must.Sprint("the call was not made"))
-		_, last := cluster.call(200, 30*time.Second)
-		must.Less(t, 12*time.Second, last, must.Sprint("election, wait for the former holder, and boot time"))
+	}
+}
+
+// A stored order that the bounds do not allow any more must not be sent.
+func TestBoundsChangedBeforeTheCall(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.killAtTheCall()
+		narrower := deskConfiguration(0)
+		narrower.Version = 2
+		narrower.Services[service].Scaling.Maximum = 4
+		narrower.Index()
+		cluster.cloud.table.SetConfiguration(narrower)
+		cluster.call(200, 30*time.Second)
 		given := cluster.cloud.given()
 		slices.Sort(given)
-		must.Eq(t, []string{"a5", "b5", "c5"}, given)
+		must.Eq(t, []string{"a4", "b4", "c4"}, given)
+	})
+}
+
+// An unanswered order must be sent by the next holder, but not after the load that it was decided on is long gone.
+func TestAgeOfUnansweredOrders(t *testing.T) {
+	for age, want := range map[time.Duration][]string{time.Minute: {"b5"}, time.Hour: {}} {
+		play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+			order := &provisioningv1.ReplicaOrder{Service: service, Zone: "b", Count: 5, Previous: 2, OrderedUnixMs: time.Now().Add(-age).UnixMilli()}
+			content, err := proto.Marshal(order)
+			must.NoError(t, err)
+			_, err = cluster.store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "provisioning/desk/b/on-demand", Value: content}}})
+			must.NoError(t, err)
+			cluster.call(80, 20*time.Second)
+			must.Eq(t, want, cluster.cloud.given(), must.Sprint(age))
+		})
+	}
+}
+
+// While no node reports any load, as when the holder is cut off from all of them, no replicas may be given up.
+func TestSilence(t *testing.T) {
+	play(t, 6, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(60, 20*time.Second)
+		time.Sleep(5 * time.Minute)
+		must.SliceEmpty(t, cluster.cloud.given())
+		cluster.call(60, time.Minute)
+		must.Len(t, 3, cluster.cloud.given(), must.Sprint("the load is known again"))
+	})
+}
+
+// At the start of a term, and when the store answers again, replicas that have not registered yet must not be taken for missing: an order for the
+// minimum would take away what is there.
+func TestReplicasThatRegisterLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		configuration := deskConfiguration(0)
+		configuration.Services[service].Scaling.Minimum = 2
+		cloud := newCloud(3, configuration)
+		late := cloud.replicas[subject{"b", false}]
+		cloud.resize(subject{"b", false}, 1)
+		cluster := newCluster(cloud)
+		defer cluster.end()
+		cluster.call(80, 2500*time.Millisecond)
+		cloud.set(func() {
+			cloud.replicas[subject{"b", false}] = late
+			cloud.register()
+		})
+		cluster.call(80, 10*time.Second)
+		must.SliceEmpty(t, cloud.given())
 	})
 }
 
@@ -186,13 +259,18 @@
 	play(t, 1, 15*time.Second, func(t *testing.T, cluster *cluster) {
 		time.Sleep(10 * time.Second)
 		cluster.work("first", 300, 2*time.Second)
-		before := len(cluster.cloud.given())
+		time.Sleep(5 * time.Second)
 		must.Positive(t, len(cluster.cloud.replicas[subject{"a", true}]))
-		cluster.cloud.reclaim("a")
-		took := cluster.work("second", 300, 2*time.Second)
+		before, soon := 0, 0
+		time.AfterFunc(2*time.Second, func() {
+			before = len(cluster.cloud.given())
+			cluster.cloud.reclaim("a")
+		})
+		time.AfterFunc(3*time.Second, func() { soon = len(cluster.cloud.given()) })
+		took := cluster.work("second", 330, 2*time.Second)
 		must.Less(t, 15*time.Second, took)
+		must.Greater(t, before, soon, must.Sprint("the notice itself leads to an order"))
 		after := cluster.cloud.given()[before:]
-		must.SliceNotEmpty(t, after)
 		must.False(t, slices.ContainsFunc(after, func(order string) bool { return strings.HasPrefix(order, "spot-a") }), must.Sprint(after))
 	})
 }
