Items leave a replica that has announced its end

Cause: items went on at a reclaimed replica until it was gone. A replica that ends without closing its connections kept them until the stall was noticed. Change: an item that would not be complete by then moves to another replica with a free slot, from its last event on (internal/batchrun/departure.go). Only replicas that announce when they end (LeavesAfter) are concerned; others that drain keep their items as before.

--- a/internal/batchrun/move.go
+++ b/internal/batchrun/move.go
@@ -74,7 +74,9 @@
 	if capacity.now.Sub(scheduler.candidatesFoundAt) >= moveInterval {
 		scheduler.candidatesFoundAt = capacity.now
 		scheduler.findMoveCandidates(capacity.now)
+		scheduler.updateDepartures(capacity.now)
 	}
+	scheduler.planDepartures(capacity)
 	for _, candidate := range scheduler.moveCandidates {
 		if _, running := scheduler.running[candidate]; running && candidate.target == nil {
 			scheduler.move(candidate, capacity)
@@ -133,10 +135,15 @@
 	if best == nil {
 		return
 	}
-	capacity.reserve(best.ID)
-	scheduler.runner.Loads.Begin(best.ID, time.Now())
-	started.target = best
 	started.task.moves++
+	scheduler.moveTo(started, best, capacity)
+}
+
+// moveTo continues an item at another replica, where it reserves a slot. It must be called with mu held.
+func (scheduler *scheduler) moveTo(started *attempt, target *catalog.Replica, capacity *capacity) {
+	capacity.reserve(target.ID)
+	scheduler.runner.Loads.Begin(target.ID, time.Now())
+	started.target = target
 	started.cancel(errMoved)
 }
 
--- a/internal/batchrun/move_test.go
+++ b/internal/batchrun/move_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
 )
 
 // Guards against items that stay at a slow replica although a faster one has free slots, and against moves that lose text.
@@ -32,6 +34,32 @@
 	})
 }
 
+// Guards against items that stay at a replica that announced its end, and then wait until its silence is noticed.
+func TestItemsLeaveReplicasThatAreReclaimed(t *testing.T) {
+	inWorld(t, 21, func(t *testing.T, world *world) {
+		definition := newDefinition(longJob, 4, 1)
+		began := time.Now()
+		must.NoError(t, world.node("a").Submit(t.Context(), definition, jobRoute))
+		time.Sleep(600 * time.Millisecond)
+		var replicas []catalog.Replica
+		for replica := range world.catalog.Replicas().All().Each() {
+			changed := *replica
+			if changed.ID == "e1" {
+				changed.Draining, changed.LeavesAfter = true, 500*time.Millisecond
+			}
+			replicas = append(replicas, changed)
+		}
+		world.catalog.SetReplicas(replicas, world.catalog.Replicas().Revision+1)
+		time.Sleep(500 * time.Millisecond)
+		world.engines.mu.Lock()
+		world.engines.gaps["e1"] = time.Hour
+		world.engines.mu.Unlock()
+		results := await(t, world.node("a"), longJob, 4, 10*time.Second)
+		must.Less(t, longEvents*defaultGap+500*time.Millisecond, time.Since(began))
+		checkResults(t, results, 1)
+	})
+}
+
 // Guards against wrong timings in the log line of a job's end: the time until enough groups were complete, and its lower bound.
 func TestEndTellsTheTimeBesideItsBound(t *testing.T) {
 	inWorld(t, 18, func(t *testing.T, world *world) {
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -65,6 +65,8 @@
 	// moveCandidates are the attempts for which a move may gain the most, as of candidatesFoundAt.
 	moveCandidates    []*attempt
 	candidatesFoundAt time.Time
+	// departures are the times at which replicas that announced their end will have gone.
+	departures map[string]time.Time
 }
 
 const (
@@ -76,7 +78,7 @@
 func newScheduler(runner *Runner) *scheduler {
 	return &scheduler{
 		runner: runner, wake: make(chan struct{}, 1), groupReplica: make(map[string]string), refusals: make(map[string]*refusal), failures: make(map[string]int),
-		suitable: newSuitability(runner), latencies: newLatencyTable(), running: make(map[*attempt]struct{}),
+		suitable: newSuitability(runner), latencies: newLatencyTable(), running: make(map[*attempt]struct{}), departures: make(map[string]time.Time),
 	}
 }
 
