Orders for replicas: a refused order is not sent for ever, and new bounds count replicas anew

Cause: an order that the platform finds wrong (a 4xx other than 409, as for a zone that an entry of another writer names) was sent again each 8 s. A service that got bounds while its replicas did not change had no pools, so nothing was ordered for it. Replicas are counted anew when the configuration changes.

--- a/internal/provisioning/cluster_test.go
+++ b/internal/provisioning/cluster_test.go
@@ -47,7 +47,7 @@
 	lastHolder string
 	fence      int64
 	violations []string
-	// none makes orders for a zone and kind fail with ErrNoneAvailable. lost makes calls fail after the order was accepted, down before.
+	// none makes orders for a zone and kind fail with ErrRefused. lost makes calls fail after the order was accepted, down before.
 	none       map[subject]bool
 	lost, down bool
 	// onCall is called before each order is handled.
@@ -137,7 +137,7 @@
 	case cloud.down:
 		return errNoResponse
 	case cloud.none[subject]:
-		return provisioning.ErrNoneAvailable
+		return provisioning.ErrRefused
 	}
 	cloud.accepted++
 	if order.Count < len(cloud.replicas[subject]) {
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -50,13 +50,13 @@
 	Count         int
 }
 
-// ErrNoneAvailable says that the platform has no replicas to give at present.
-var ErrNoneAvailable = errors.New("no replicas available at present")
+// ErrRefused says that the platform does not carry out an order, as it has no replicas to give at present or finds the order wrong.
+var ErrRefused = errors.New("the platform refused the order")
 
 // Sink takes orders for replicas.
 type Sink interface {
-	// Order sends an order on behalf of the holder of a term, with the fence of that term. After an error other than ErrNoneAvailable, the
-	// order may or may not have been accepted.
+	// Order sends an order on behalf of the holder of a term, with the fence of that term. After an error other than ErrRefused, the order
+	// may or may not have been accepted.
 	Order(ctx context.Context, holder string, fence int64, order Order) error
 }
 
@@ -83,7 +83,9 @@
 	validSince time.Time
 	pools      map[poolKey]*poolState
 	services   map[string]*serviceState
-	counted    *catalog.ReplicaSet // the set from which the pools' replicas were counted
+	// counted and countedFor are the replicas and the configuration from which the pools were counted.
+	counted    *catalog.ReplicaSet
+	countedFor *catalog.Configuration
 	forgotAt   time.Time
 }
 
@@ -171,10 +173,10 @@
 // countReplicas counts the registered replicas of each pool, if they have changed.
 func (work *termWork) countReplicas(configuration *catalog.Configuration) {
 	replicas := work.Catalog.Replicas()
-	if replicas == work.counted {
+	if replicas == work.counted && configuration == work.countedFor {
 		return
 	}
-	work.counted = replicas
+	work.counted, work.countedFor = replicas, configuration
 	for _, pool := range work.pools {
 		pool.present, pool.reclaimed = 0, 0
 	}
@@ -427,9 +429,9 @@
 		work.Logger.Info("replicas ordered", fields...)
 		work.Metrics.ReplicasOrdered("accepted", took)
 		work.settle(ctx, key, true)
-	case errors.Is(err, ErrNoneAvailable):
+	case errors.Is(err, ErrRefused):
 		pool.makeUnavailable(time.Now())
-		work.Logger.Warn("replica order refused", append(fields, "backoff_ms", pool.backoff.Milliseconds())...)
+		work.Logger.Warn("replica order refused", append(fields, "backoff_ms", pool.backoff.Milliseconds(), "error", err)...)
 		work.Metrics.ReplicasOrdered("refused", took)
 		work.settle(ctx, key, false)
 	default:
--- a/internal/provisioning/provisioner_test.go
+++ b/internal/provisioning/provisioner_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	provisioningv1 "github.com/thistlewalk/thistlewalk/api/provisioning/v1"
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 	"github.com/thistlewalk/thistlewalk/internal/provisioning"
@@ -163,6 +164,23 @@
 	})
 }
 
+// A service that gets bounds while its replicas don't change must be counted.
+func TestServiceThatGetsBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixed, scaled := deskConfiguration(0), deskConfiguration(0)
+		fixed.Services[service] = catalog.Service{Name: service}
+		cluster := newCluster(newCloud(2, fixed))
+		defer cluster.end()
+		cluster.call(200, 15*time.Second)
+		must.SliceEmpty(t, cluster.cloud.given())
+		scaled.Version = 2
+		scaled.Index()
+		cluster.cloud.table.SetConfiguration(scaled)
+		cluster.call(200, 15*time.Second)
+		must.Eq(t, []string{"a5", "b5", "c5"}, cluster.cloud.given())
+	})
+}
+
 // An unanswered order must be sent by the next holder, but not after the load that it was decided on is long gone.
 func TestAgeOfUnansweredOrders(t *testing.T) {
 	for age, want := range map[time.Duration][]string{time.Minute: {"b5"}, time.Hour: {}} {
