Orders for replicas: counting replicas takes at most half a percent of a core

Cause: each change of any replica, such as a load of weights, had all replicas of scaled services counted anew in the next round. Change: after a count, the next waits for 200 times as long as it took. Conclusion: the cost no longer grows with replicas and their changes together.

--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -40,6 +40,9 @@
 	// forgetAfter is the age from which the stored order of a service that is no longer scaled is removed.
 	forgetAfter    = time.Hour
 	forgetInterval = time.Minute
+	// After a count of the replicas, the next one waits for countPauseFactor times as long as it took: half a percent of a core at most, however
+	// many replicas change their versions.
+	countPauseFactor = 200
 )
 
 // Order is an order for the replicas of one kind that a service has in a zone. Count is their number and not a difference, so that an order can be
@@ -86,6 +89,7 @@
 	// counted and countedFor are the replicas and the configuration from which the pools were counted.
 	counted    *catalog.ReplicaSet
 	countedFor *catalog.Configuration
+	countNext  time.Time // not before
 	forgotAt   time.Time
 }
 
@@ -173,9 +177,11 @@
 // countReplicas counts the registered replicas of each pool, if they have changed.
 func (work *termWork) countReplicas(configuration *catalog.Configuration) {
 	replicas := work.Catalog.Replicas()
-	if replicas == work.counted && configuration == work.countedFor {
+	begun := time.Now()
+	if (replicas == work.counted && configuration == work.countedFor) || begun.Before(work.countNext) {
 		return
 	}
+	defer func() { work.countNext = time.Now().Add(countPauseFactor * time.Since(begun)) }()
 	work.counted, work.countedFor = replicas, configuration
 	for _, pool := range work.pools {
 		pool.present, pool.reclaimed = 0, 0
