Soak: real processes order replicas, one at a time and within the bounds

Cause: orders for replicas were tested in simulated time only. Change: the stand-in of the platform's calls takes orders too, and has none of the highest number; every configuration of a deployment with tenants asks for another number of application replicas, so that each change leads to an order, with whatever faults are there. A sixteenth promise: one node at a time orders, within the bounds. The check of holders is shared with that of usage reports, unchanged. scripts/mutations.sh follows the moved code and has six more.

--- a/internal/lab/platform/soak/deployment.go
+++ b/internal/lab/platform/soak/deployment.go
@@ -31,6 +31,13 @@
 	applicationName = "application"
 	hostName        = "soak.example"
 
+	zoneName = "zone"
+
+	// minReplicas and maxReplicas bound the numbers of application replicas that the configurations ask for. The platform never has maxReplicas.
+	minReplicas = applicationCount
+	maxReplicas = applicationCount + 3
+	bootTime    = 200 * time.Millisecond
+
 	eventTime = 60 * time.Millisecond
 	loadTime  = 400 * time.Millisecond
 	workTime  = 25 * time.Millisecond
@@ -81,11 +88,11 @@
 	// programs are the paths of the programs. builds are the builds on which the nodes start, by index; empty if all start on the current one.
 	programs map[Build]string
 	builds   []Build
-	// tenants is true if the deployment has tenants and usage reports, which the build in production does not support.
+	// tenants is true if the deployment has tenants, usage reports and orders for replicas, which the build in production does not support.
 	tenants    bool
 	Store      *memstore.Store
 	Executions *site.Executions
-	Cloud      *site.UsageEndpoint
+	Cloud      *site.CloudEndpoint
 	Members    []*Member
 	Nodes      []*Node
 	storeHTTP  *httptest.Server
@@ -101,7 +108,7 @@
 
 // newDeployment starts the stand-ins and writes the settings of the nodes. It starts no process.
 func newDeployment(options Options, report func(Violation)) (*Deployment, error) {
-	store, cloud := memstore.New(), &site.UsageEndpoint{}
+	store, cloud := memstore.New(), &site.CloudEndpoint{MaxReplicas: maxReplicas - 1}
 	deployment := &Deployment{
 		folder: options.Folder, programs: map[Build]string{BuildCurrent: options.Binary, BuildProduction: options.Production}, builds: options.Plan.Builds,
 		tenants: len(options.Plan.Builds) == 0, Store: store, Executions: site.NewExecutions(), report: report,
@@ -151,6 +158,9 @@
 	}
 	member.Link = link
 	replica := site.NewReplica(name+"-0", service, model)
+	if service == applicationName && deployment.tenants {
+		replica.Zone = zoneName // orders name the zone
+	}
 	replica.EventTime, replica.LoadTime, replica.WorkTime, replica.Log = eventTime, loadTime, workTime, deployment.Executions
 	replica.CrashBody, replica.CrashDelay = crashBody, crashDelay
 	member.install(replica)
@@ -284,14 +294,14 @@
 	deployment.Nodes = append(deployment.Nodes, node)
 	duties := []string{}
 	if deployment.tenants {
-		duties = append(duties, "usage")
+		duties = append(duties, "usage", "autoscale")
 	}
 	return node.writeSettings(listen, addresses[2].Port, deployment.cloudHTTP.Listener.Addr().String(), duties)
 }
 
 func (node *Node) writeSettings(listen map[string]string, peerPort int, cloud string, duties []string) error {
 	content, err := json.Marshal(map[string]any{
-		"node-name": node.Name, "role": node.Process.role, "ip": "127.0.0.1", "zone": "zone", "listen": listen, "internal-ports": []int{peerPort, peerPort + 1},
+		"node-name": node.Name, "role": node.Process.role, "ip": "127.0.0.1", "zone": zoneName, "listen": listen, "internal-ports": []int{peerPort, peerPort + 1},
 		"limits": map[string]int{"memory-mb": 200},
 		"bounds": map[string]any{"grace-s": gracePeriod.Seconds(), "lease-ms": leaseDuration.Milliseconds(), "status-s": 120, "report-window-s": usageWindow.Seconds()},
 		"cloud":  map[string]any{"address": cloud, "duties": duties},
@@ -344,11 +354,16 @@
 	}
 	if tenants {
 		document["tenants"] = tenantsAt(version)
+		application := document["services"].([]map[string]any)[0]
+		application["scaling"] = map[string]any{"min": replicasAt(version), "max": replicasAt(version), "boot-s": bootTime.Seconds(), "zone-prices": map[string]any{zoneName: 1}}
 	}
 	content, _ := json.Marshal(document) // plain values: cannot fail
 	return content
 }
 
+// replicasAt returns the number of application replicas that the configuration at a version asks for. Every configuration asks for another number.
+func replicasAt(version int64) int { return minReplicas + int(version)%(maxReplicas-minReplicas+1) }
+
 func markPrefix(version int64) string { return fmt.Sprint("/mark-", version, "/") }
 
 func route(name, prefix, kind, service string, attempts int) map[string]any {
--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -103,9 +103,9 @@
 	case KindConfigure:
 		deployment.Configure()
 	case KindCloudDown, KindCloudLost:
-		deployment.Cloud.SetFaults(site.UsageFaults{Down: event.Kind == KindCloudDown, Lost: event.Kind == KindCloudLost})
+		deployment.Cloud.SetFaults(site.CloudFaults{Down: event.Kind == KindCloudDown, Lost: event.Kind == KindCloudLost})
 		time.Sleep(event.For)
-		deployment.Cloud.SetFaults(site.UsageFaults{})
+		deployment.Cloud.SetFaults(site.CloudFaults{})
 	default:
 		injector.injectStoreFault(event)
 	}
--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -28,6 +28,7 @@
 	binary := filepath.Join(t.TempDir(), "rollout")
 	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "github.com/thistlewalk/thistlewalk/cmd/thistlewalk-rollout").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(output)))
+	replicaOrders := 0
 	for _, fixed := range fixedSeeds {
 		plan := soak.Draw(fixed.seed, fixed.length)
 		report, err := soak.Run(t.Context(), soak.Options{Binary: binary, Folder: t.TempDir(), Plan: plan})
@@ -36,7 +37,9 @@
 		must.SliceEmpty(t, report.Violations, must.Sprint(report, "\n", plan))
 		must.Positive(t, report.Served)
 		must.Positive(t, report.Items)
+		replicaOrders += report.ReplicaOrders
 	}
+	must.Positive(t, replicaOrders, must.Sprint("no plan leaves a term in peace for long enough to order replicas"))
 }
 
 // overlappingSeeds are the plans of TestSoakOverlapping. A seed that failed is added with its cause.
--- a/internal/lab/platform/soak/violation.go
+++ b/internal/lab/platform/soak/violation.go
@@ -24,6 +24,7 @@
 	PromiseOneOrders     Promise = "one node at a time orders a replica"
 	PromiseTenant        Promise = "a request runs for the tenant of its key, and a tenant's jobs are its own"
 	PromiseUsage         Promise = "each window's usage is reported in one way, by one node at a time"
+	PromiseReplicaOrders Promise = "one node at a time orders replicas from the platform, within the bounds"
 	PromiseContained     Promise = "a request under which three replicas have ended reaches few more"
 	PromiseProcess       Promise = "a process does not end by itself"
 )
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -64,7 +64,17 @@
 mutate 'all nodes run a job in an outage' internal/batchrun/delegation.go 'if delegation.local.Load() {' 'if delegation.target == "" {' ./internal/batchrun
 mutate 'two nodes defer a job mutually' internal/batchrun/delegation.go 'owned.delegation.local.Store(true)' '_ = owned' ./internal/batchrun
 mutate 'holder waits for known tallies' internal/metering/reporter.go ' || !work.collectedAt.Before(end.Add(deliveryAllowance)))' ')' ./internal/metering
-mutate 'call outlasts a lost lease' internal/metering/reporter.go 'remaining := work.term.Remaining() + work.CallGrace' 'remaining := work.term.Remaining() + work.CallGrace + time.Hour' ./internal/metering
+mutate 'call outlasts a lost lease' internal/leadership/leadership.go 'remaining := term.Remaining() + grace' 'remaining := term.Remaining() + grace + time.Hour' ./internal/metering
+mutate 'replica order stored by a former holder' internal/provisioning/provisioner.go 'txn := metadata.Txn{Conditions: []metadata.Condition{work.term.Condition()}}
+	var stored' 'txn := metadata.Txn{}
+	var stored' ./internal/provisioning
+mutate 'stored replica orders forgotten' internal/provisioning/provisioner.go '		work.pools[key] = pool
+		if pool.unanswered' '		_ = key
+		if pool.unanswered' ./internal/provisioning
+mutate 'replica order with a lost answer taken for accepted' internal/provisioning/provisioner.go 'pool.retryLater(time.Now())' 'work.settle(ctx, key, true)' ./internal/provisioning
+mutate 'replicas given up although just ordered' internal/provisioning/decision.go 'pool.Unanswered || pool.Age < lowerAfter' 'pool.Unanswered || pool.Age < 0*lowerAfter' ./internal/provisioning
+mutate 'replicas given up in silence' internal/provisioning/provisioner.go 'now.Sub(work.Loads.LastHeard()) > maxSilence ||' '' ./internal/provisioning
+mutate 'items stay at a replica that is reclaimed' internal/batchrun/move.go 'scheduler.planDepartures(capacity)' '' ./internal/batchrun
 mutate 'refusal not confirmed' internal/delivery/service.go 'if err := served.log.Append(ctx, nil, nil); err != nil {' 'if err := served.log.Failed(); err != nil {' ./internal/delivery
 mutate 'hanging probe not abandoned' internal/metadata/health.go 'if notified || health.Good() {' 'if !notified || health.Good() {' ./internal/metadata
 mutate 'slow probe abandoned repeatedly' internal/metadata/health.go 'if notified || health.Good() {' 'if health.Good() {' ./internal/metadata
