--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -93,7 +93,6 @@
 	metrics.admissionQueue = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "admission_waiting", Help: "Requests of this node that wait for room, by service."}, []string{"service"})
 	metrics.scoringWaits = histogram("scoring_wait_seconds", "Time that texts waited for a place at a scoring service.")
 	metrics.scoringCalls = histogram("scoring_call_seconds", "Time of scoring calls by outcome.", "outcome")
-	metrics.registry.MustRegister(metrics.scoringWaits, metrics.scoringCalls)
 	gauge := func(name, help string, labels ...string) *prometheus.GaugeVec {
 		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: name, Help: help}, labels)
 	}
@@ -103,12 +102,14 @@
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
-	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost, metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable, metrics.usageSent, metrics.usageReports,
-		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions,
-		metrics.admissionWaits, metrics.admissionRefusals, metrics.admissionQueue,
-		metrics.roomLimit, metrics.roomOthers, metrics.loadMessages, lines)
-	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost, metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable, metrics.usageSent, metrics.usageReports, metrics.replicaOrders,
-		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, lines)
+	metrics.registry.MustRegister(
+		metrics.scoringWaits, metrics.scoringCalls, metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders,
+		metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost,
+		metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable,
+		metrics.usageSent, metrics.usageReports, metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared,
+		metrics.quarantined, metrics.suspensions, metrics.admissionWaits, metrics.admissionRefusals, metrics.admissionQueue,
+		metrics.roomLimit, metrics.roomOthers, metrics.loadMessages, metrics.replicaOrders, lines,
+	)
 	return metrics
 }
 
