Replica orders: owners of jobs report how long items take and how many are left

Cause: engines run items, which are no requests that nodes report, so the need of a service of engines was never known and nothing was ordered for its load. Change: Demand carries the mean time of an item of the model and the unfinished items; need counts these, and models no longer double it. Tests: TestNeedFollowsTheTimesOfItems.

--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -129,6 +129,9 @@
 	return progress.complete >= progress.wanted && len(progress.required) == 0
 }
 
+// Remaining returns the number of unfinished items.
+func (progress *Progress) Remaining() int { return len(progress.groupOf) - len(progress.finished) }
+
 // Done reports whether every item is finished.
 func (progress *Progress) Done() bool { return len(progress.finished) == len(progress.groupOf) }
 
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -66,6 +66,9 @@
 	}
 	runner.scheduler.wakeUp()
 	runner.Metrics.Item(ended.String(), time.Since(started))
+	if ended == outcomeComplete && from == 0 {
+		runner.itemTimes.observe(running.item.GetModel(), time.Since(started))
+	}
 	runner.Logger.Info("item", "request", running.item.GetId(), "job", running.job.id(), "replica", replica.ID, "outcome", ended,
 		"status", status, "from", from, "events", running.lastEvent, "versions", running.versions, "minimum", running.job.definition.GetMinimumVersion(),
 		"took_ms", time.Since(started).Milliseconds())
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -102,6 +102,7 @@
 	scheduler *scheduler
 	scoring   chan struct{} // limits the scoring requests in flight without Admission
 	scores    *scoringQueue
+	itemTimes itemTimes
 
 	mu          sync.Mutex
 	jobs        map[string]*job
--- a/internal/provisioning/decision.go
+++ b/internal/provisioning/decision.go
@@ -32,8 +32,8 @@
 	Scaling catalog.Scaling
 	// Slots is the number of requests that a replica runs at a time.
 	Slots int
-	// HasModels is true for a service whose replicas load weights. BatchOnly is true if all its requests are items of jobs, which can move.
-	HasModels, BatchOnly bool
+	// BatchOnly is true if all requests of the service are items of jobs, which can move.
+	BatchOnly bool
 }
 
 // Situation is what a decision about one service rests on.
--- a/internal/provisioning/loads.go
+++ b/internal/provisioning/loads.go
@@ -32,6 +32,8 @@
 	// busySince is when the uninterrupted series of open jobs of a model began.
 	busySince map[string]time.Time
 	lastOpen  map[string]time.Time
+	// itemTimes are the last known times that a replica takes for an item, by model.
+	itemTimes map[string]time.Duration
 	prunedAt  time.Time
 }
 
@@ -54,7 +56,7 @@
 func NewLoads() *Loads {
 	return &Loads{
 		reports: make(map[reportKey]serviceReport), serviceTimes: make(map[string]time.Duration), jobs: make(map[string]openJob),
-		busySince: make(map[string]time.Time), lastOpen: make(map[string]time.Time),
+		busySince: make(map[string]time.Time), lastOpen: make(map[string]time.Time), itemTimes: make(map[string]time.Duration),
 	}
 }
 
@@ -93,6 +95,12 @@
 		job.first = now
 	}
 	job.model, job.items, job.latest = demand.GetModel(), int(demand.GetItems()), now
+	if demand.RemainingItems != nil {
+		job.items = min(job.items, int(max(0, demand.GetRemainingItems())))
+	}
+	if micros := demand.GetItemTimeUs(); micros > 0 {
+		loads.itemTimes[job.model] = time.Duration(micros) * time.Microsecond
+	}
 	loads.jobs[demand.GetJobId()] = job
 	if latest, open := loads.lastOpen[job.model]; !open || now.Sub(latest) > followGap {
 		loads.busySince[job.model] = now
@@ -110,6 +118,7 @@
 	maps.DeleteFunc(loads.jobs, func(_ string, job openJob) bool { return now.Sub(job.latest) > jobExpiry })
 	maps.DeleteFunc(loads.lastOpen, func(_ string, latest time.Time) bool { return now.Sub(latest) > followGap })
 	maps.DeleteFunc(loads.busySince, func(model string, _ time.Time) bool { return loads.lastOpen[model].IsZero() })
+	maps.DeleteFunc(loads.itemTimes, func(model string, _ time.Duration) bool { return loads.lastOpen[model].IsZero() })
 }
 
 // LastHeard returns when the latest report of services arrived; zero for never.
@@ -151,7 +160,7 @@
 		for _, model := range models {
 			if job.model == model && now.Sub(job.latest) <= jobExpiry {
 				load.Jobs = append(load.Jobs, Job{
-					Items: job.items, Span: span, Left: span - now.Sub(job.first), Follows: now.Sub(loads.busySince[model]) > bootTime,
+					Items: job.items, ItemTime: loads.itemTimes[model], Span: span, Left: span - now.Sub(job.first), Follows: now.Sub(loads.busySince[model]) > bootTime,
 				})
 				break
 			}
--- a/internal/provisioning/need.go
+++ b/internal/provisioning/need.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -19,12 +20,27 @@
 // Job is an open batch job.
 type Job struct {
 	Items int
+	// ItemTime is the mean time that a replica takes for an item of the job's model; zero if it is unknown.
+	ItemTime time.Duration
 	// Span is the time from the submission of the job until its results are due, Left the rest of it.
 	Span, Left time.Duration
 	// Follows is true if the service has had open jobs for longer than a replica takes to boot, so that further jobs are expected.
 	Follows bool
 }
 
+// itemTime returns the mean time that a replica takes for an item of a job; zero if it is unknown.
+func (load *Load) itemTime(job Job) time.Duration {
+	if job.ItemTime > 0 {
+		return job.ItemTime
+	}
+	return load.ServiceTime
+}
+
+// hasUnknownTimes reports whether it is unknown how long the items of a job take.
+func (load *Load) hasUnknownTimes() bool {
+	return slices.ContainsFunc(load.Jobs, func(job Job) bool { return load.itemTime(job) == 0 })
+}
+
 // Need is the room that a service needs, in requests that run at the same time.
 type Need struct {
 	// Reported is what the nodes report, Jobs what open jobs need in order to be complete in time.
@@ -34,25 +50,18 @@
 // Slots returns the needed room. Nodes report the running items of jobs too, so the parts are not added.
 func (need Need) Slots() float64 { return max(need.Reported, need.Jobs) }
 
-const (
-	// jobSpanShare is the part of a job's time in which its items are to be complete. A trainer waits for the slowest item, which takes a multiple
-	// of the mean, and may have to run again after a failure.
-	jobSpanShare = 0.5
-	// modelShare is the part of the replicas of a service with models that can run a job, as a version of the weights is loaded by half of them.
-	modelShare = 0.5
-)
+// jobSpanShare is the part of a job's time in which its items are to be complete. A trainer waits for the slowest item, which takes a multiple of
+// the mean, and may have to run again after a failure.
+const jobSpanShare = 0.5
 
 // Measure returns the room that a load needs, if the present replicas run the given number of requests at the same time.
 func (service *Service) Measure(load Load, slots float64) Need {
 	need := service.measureReported(load, slots)
 	for _, job := range load.Jobs {
 		if job.Left > service.Scaling.BootTime || job.Follows {
-			need.Jobs += float64(job.Items) * load.ServiceTime.Seconds() / (jobSpanShare * job.Span.Seconds())
+			need.Jobs += float64(job.Items) * load.itemTime(job).Seconds() / (jobSpanShare * job.Span.Seconds())
 		}
 	}
-	if service.HasModels {
-		need.Jobs /= modelShare
-	}
 	switch {
 	case service.BatchOnly && len(load.Jobs) > 0:
 		need.Reported = 0
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -247,7 +247,7 @@
 	load := work.Loads.Read(service.Name, service.Models, span, service.Scaling.BootTime, now)
 	load.Patience = patience
 	observed := &demand{service: service.Name, load: load, situation: Situation{Service: Service{
-		Scaling: *service.Scaling, Slots: state.slots, HasModels: len(service.Models) > 0, BatchOnly: batchOnly,
+		Scaling: *service.Scaling, Slots: state.slots, BatchOnly: batchOnly,
 	}}}
 	total := 0
 	for _, key := range work.poolsOf(service) {
@@ -261,7 +261,7 @@
 	}
 	need := observed.situation.Measure(load, float64(total*max(1, state.slots)))
 	state.sustained.add(need, now)
-	if now.Sub(work.Loads.LastHeard()) > maxSilence || (load.ServiceTime == 0 && len(load.Jobs) > 0) {
+	if now.Sub(work.Loads.LastHeard()) > maxSilence || load.hasUnknownTimes() {
 		state.peak.reset() // the need is unknown, so nothing is given up
 	} else {
 		state.peak.add(need, now)
--- a/internal/role/peers.go
+++ b/internal/role/peers.go
@@ -71,6 +71,10 @@
 	if publisher := front.subscriber.Publisher(); publisher != nil {
 		demand := &clusterv1.Demand{
 			JobId: job.GetId(), Model: job.GetModel(), MinimumVersion: job.GetMinimumVersion(), Work: batch.ExpectedOutput(job), Items: int32(len(job.GetItems())),
+			ItemTimeUs: front.Runner.ItemTime(job.GetModel()).Microseconds(),
+		}
+		if remaining, known := front.Runner.RemainingItems(job.GetId()); known {
+			demand.RemainingItems = proto.Int32(int32(remaining))
 		}
 		front.datagrams.SendTo(&clusterv1.Datagram{Kind: &clusterv1.Datagram_Demand{Demand: demand}}, publisher)
 	}
