Forwarding: the test of a suspended call has no data race

The test's variable of the time suspended was written by a timer's goroutine and read by the clock in the call's. Under -race TestSuspendedCallIsNotRetried failed by that, not by what it checks. The variable is atomic now; what the test plays and checks is unchanged and as strict.

--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,17 +165,17 @@
 		{5 * time.Second, 1, http.StatusServiceUnavailable},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			suspended := time.Duration(0)
+			var suspended atomic.Int64 // nanoseconds
 			steady := clock.Monotonic()
 			sender := &scripted{script: []behaviour{{after: 20 * time.Millisecond, status: http.StatusServiceUnavailable, notExecuted: true}, {status: http.StatusOK}}}
 			table := catalog.NewTable()
 			table.SetReplicas([]catalog.Replica{{ID: "r1", Service: "s", Slots: 6}, {ID: "r2", Service: "s", Slots: 6}}, 1)
 			forwarder := &forwarding.Forwarder{
 				Catalog: table, Loads: backend.NewLoads(), Sender: sender, Logger: log.New(io.Discard),
-				Clock: clock.Func(func() time.Duration { return steady.Elapsed() + suspended }),
+				Clock: clock.Func(func() time.Duration { return steady.Elapsed() + time.Duration(suspended.Load()) }),
 			}
 			route := &catalog.Route{Kind: catalog.Safe, Targets: []catalog.RouteTarget{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: 3}
-			time.AfterFunc(10*time.Millisecond, func() { suspended = check.suspended })
+			time.AfterFunc(10*time.Millisecond, func() { suspended.Store(int64(check.suspended)) })
 			result := forwarder.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q"}, Deadline: 900 * time.Millisecond})
 			synctest.Wait()
 			must.Eq(t, check.status, result.Status)
