Admission: a flow that runs empty owes the slot time that it used

A tenant with one waiting request at a time was never charged: the queue took the request out first, which dropped the flow, and charged an orphan; its release could drop the live successor of the same name. With one place, a tenant of 30 waiting requests of 50 ms got 5 s and one with a single request of 500 ms at a time 50 s (test before the mend).

The place is taken before the request leaves the queue, an expired one is refused before that, and a flow is dropped only if it is the one in the map. Now 27.45 s and 27.5 s in the same test.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -302,7 +302,7 @@
 
 // forget removes a flow that has nothing waiting or in flight and used no more than its share.
 func (level *level) forget(flow *flow) {
-	if flow.inFlight == 0 && flow.waiting() == 0 && flow.finish <= level.virtual {
+	if flow.inFlight == 0 && flow.waiting() == 0 && flow.finish <= level.virtual && level.flows[flow.name] == flow {
 		delete(level.flows, flow.name)
 	}
 }
@@ -516,12 +516,13 @@
 		if request == nil {
 			return
 		}
-		queue.remove(request)
 		if now >= request.deadline {
+			queue.remove(request)
 			queue.refuse(request, reasonExpired, now)
 			continue
 		}
 		request.grant = queue.take(request.class, kind, request.flow, now)
+		queue.remove(request) // after take, so that a flow that runs empty is kept for what it owes
 		request.grant.waited, request.grant.position = now-request.arrived, request.position
 		queue.decided = append(queue.decided, request)
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -340,6 +340,44 @@
 	must.Between(t, 0.45, used["long"].Seconds()/(used["long"]+used["short"]).Seconds(), 0.55)
 }
 
+// A flow that runs empty each time owes the slot time that it used all the same: a tenant with one request at a time gets no more than one
+// with many waiting.
+func TestFlowsThatRunEmptyShareSlotTime(t *testing.T) {
+	for _, together := range []int{1, 2} {
+		took := map[string]time.Duration{"many": 50 * time.Millisecond, "few": 500 * time.Millisecond}
+		queue := newQueue(func() float64 { return 0.5 })
+		used := make(map[string]time.Duration)
+		add := func(flow string, now time.Duration) {
+			queue.add(&ticket{useful: time.Hour, deadline: time.Hour}, flow, 0, func(int64) bool { return true }, now)
+		}
+		grant, _ := queue.takeAtOnce(Interactive, 1, 0)
+		for range 30 {
+			add("many", 0)
+		}
+		for range together {
+			add("few", 0)
+		}
+		for now := time.Duration(0); now < 55*time.Second; {
+			served := 50 * time.Millisecond
+			if grant.flow != nil {
+				served = took[grant.flow.name]
+				used[grant.flow.name] += served
+			}
+			now += served
+			queue.release(&grant, Outcome{ServiceTime: served}, now)
+			queue.dispatch(1, now)
+			last := grant.flow
+			grant, queue.decided = queue.decided[0].grant, nil
+			if last != nil {
+				add(last.name, now)
+			}
+		}
+		t.Log(used)
+		must.Between(t, 0.45, used["few"].Seconds()/(used["few"]+used["many"]).Seconds(), 0.55)
+		must.Eq(t, 2, len(queue.levels[0].flows))
+	}
+}
+
 // A flow owes what it used while others waited, and owes nothing once none has waited for a while.
 func TestDebtOfAFlowEndsWithTheRush(t *testing.T) {
 	for _, check := range []struct {
