Admission: what waits at one service does not shut the queues of others

The 24 MiB for waiting requests were shared by all services, and the request to evict was sought at the own service only: a queue full of scoring requests at one service had requests of all others refused (queue_full).

Scoring requests may hold half of the memory, and a queue with fewer than minQueueBound small requests takes one more in whatever others hold.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -64,6 +64,14 @@
 	decided chan struct{}
 }
 
+// scoringSize is what the request counts towards scoringMemory.
+func (request *ticket) scoringSize() int64 {
+	if request.class == Scoring {
+		return request.size
+	}
+	return 0
+}
+
 // flow is a tenant's or a model's requests of one class and priority. fresh holds requests that can still be useful in full, late the
 // others; both are sorted.
 type flow struct {
@@ -98,12 +106,14 @@
 	limit    int
 	inFlight [2]int // by class
 	waiting  int
-	bytes    int64
-	refused  int64
-	levels   []*level  // by class, then priority
-	due      []*ticket // fresh scoring requests by useful
-	times    [2]serviceTime
-	usage    usage
+	small    int // waiting requests of at most smallRequest
+	// bytes is what waiting requests hold, scoringBytes the part of scoring requests.
+	bytes, scoringBytes int64
+	refused             int64
+	levels              []*level  // by class, then priority
+	due                 []*ticket // fresh scoring requests by useful
+	times               [2]serviceTime
+	usage               usage
 	// progressed is when a place was last taken or freed.
 	progressed time.Duration
 	// waitedUntil is about when a request last waited.
@@ -307,8 +317,8 @@
 	}
 }
 
-// add queues a request or refuses it. room reports whether size more bytes may be held.
-func (queue *queue) add(request *ticket, flowName string, priority int, room func(size int64) bool, now time.Duration) {
+// add queues a request or refuses it. room reports whether size more bytes may be held, of them the given ones by scoring requests.
+func (queue *queue) add(request *ticket, flowName string, priority int, room func(size, scoring int64) bool, now time.Duration) {
 	queue.endRush(now)
 	queue.refreshCritical(now)
 	level := queue.levelOf(request.class, priority)
@@ -322,9 +332,12 @@
 		return
 	}
 	queue.longest = max(queue.longest, min(request.deadline-now, longestWait))
-	if queue.waiting >= queue.bound() || !room(request.size) {
-		victim := queue.leastUrgent()
-		if victim == nil || !queue.givesWay(victim, request) || !room(request.size-victim.size) {
+	reserved := queue.small < minQueueBound && request.size <= smallRequest
+	if queue.waiting >= queue.bound() || !reserved && !room(request.size, request.scoringSize()) {
+		// Only a scoring request makes room for another one if scoring requests hold all that they may.
+		victim := queue.leastUrgent(!reserved && room(request.size, 0))
+		if victim == nil || !queue.givesWay(victim, request) ||
+			!reserved && !room(request.size-victim.size, request.scoringSize()-victim.scoringSize()) {
 			queue.refuse(request, reasonQueueFull, now)
 			level.forget(request.flow)
 			return
@@ -390,10 +403,10 @@
 
 // leastUrgent returns the waiting request to evict first: of the least urgent kind and priority the one served last of the longest flow.
 // Neither in-time interactive nor critical scoring requests lose their guaranteed share of the queue to the other.
-func (queue *queue) leastUrgent() *ticket {
+func (queue *queue) leastUrgent(scoringOnly bool) *ticket {
 	var worst *ticket
 	for _, level := range queue.levels {
-		if !queue.evictable(level) {
+		if scoringOnly && level.class != Scoring || !queue.evictable(level) {
 			continue
 		}
 		for _, flow := range level.active {
@@ -453,7 +466,7 @@
 	}
 	request.waiting = true
 	queue.waiting++
-	queue.bytes += request.size
+	queue.hold(request, 1)
 }
 
 // remove takes a request out of the queue.
@@ -472,7 +485,7 @@
 	request.waiting = false
 	queue.waiting--
 	queue.waitedUntil = max(queue.waitedUntil, queue.progressed)
-	queue.bytes -= request.size
+	queue.hold(request, -1)
 	if flow.waiting() == 0 {
 		active := flow.level.active
 		index := slices.Index(active, flow)
@@ -483,6 +496,15 @@
 	}
 }
 
+// hold counts what a request holds: 1 when it is queued, -1 when it leaves.
+func (queue *queue) hold(request *ticket, times int) {
+	queue.bytes += int64(times) * request.size
+	queue.scoringBytes += int64(times) * request.scoringSize()
+	if request.size <= smallRequest {
+		queue.small += times
+	}
+}
+
 func insertSorted(list []*ticket, request *ticket) []*ticket {
 	index, _ := slices.BinarySearchFunc(list, request, compareTickets)
 	for index < len(list) && compareTickets(list[index], request) == 0 {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -84,7 +84,7 @@
 	}
 	call.ticket = &ticket{class: call.class, useful: call.first + call.useful, deadline: call.first + call.deadline, size: 1}
 	play.waiting[call.ticket] = call
-	play.queue.add(call.ticket, call.flow, call.priority, func(int64) bool { return true }, now)
+	play.queue.add(call.ticket, call.flow, call.priority, ample, now)
 	play.queue.dispatch(limit, now)
 	play.settle(now)
 }
@@ -141,7 +141,7 @@
 		next.do(next.at)
 	}
 	must.Eq(play.t, 0, play.queue.waiting)
-	must.Eq(play.t, 0, play.queue.bytes)
+	must.Eq(play.t, 0, play.queue.bytes+play.queue.scoringBytes+int64(play.queue.small))
 	must.Eq(play.t, 0, play.queue.busy())
 	must.MapEmpty(play.t, play.waiting)
 }
@@ -171,6 +171,9 @@
 	return total / float64(max(count, 1))
 }
 
+// ample is memory without a bound.
+func ample(_, _ int64) bool { return true }
+
 func places(count int) func(time.Duration) int { return func(time.Duration) int { return count } }
 
 // around returns service times that vary by half around the mean of the class.
@@ -272,7 +275,7 @@
 	now := time.Second
 	add := func(useful time.Duration) {
 		if _, ok := queue.takeAtOnce(Scoring, 3, now); !ok {
-			queue.add(&ticket{class: Scoring, useful: useful, deadline: time.Hour}, "m", 0, func(int64) bool { return true }, now)
+			queue.add(&ticket{class: Scoring, useful: useful, deadline: time.Hour}, "m", 0, ample, now)
 			queue.dispatch(3, now)
 		}
 	}
@@ -348,7 +351,7 @@
 		queue := newQueue(func() float64 { return 0.5 })
 		used := make(map[string]time.Duration)
 		add := func(flow string, now time.Duration) {
-			queue.add(&ticket{useful: time.Hour, deadline: time.Hour}, flow, 0, func(int64) bool { return true }, now)
+			queue.add(&ticket{useful: time.Hour, deadline: time.Hour}, flow, 0, ample, now)
 		}
 		grant, _ := queue.takeAtOnce(Interactive, 1, 0)
 		for range 30 {
@@ -396,7 +399,7 @@
 			return decided.flow.name
 		}
 		add := func(flow string, useful time.Duration) {
-			queue.add(&ticket{useful: now + useful, deadline: time.Hour}, flow, 0, func(int64) bool { return true }, now)
+			queue.add(&ticket{useful: now + useful, deadline: time.Hour}, flow, 0, ample, now)
 		}
 		for range 20 {
 			add("old", time.Minute)
@@ -463,7 +466,7 @@
 	var returns []time.Duration
 	for range 500 {
 		request := &ticket{useful: left, deadline: left}
-		queue.add(request, "a", 0, func(int64) bool { return true }, 0)
+		queue.add(request, "a", 0, ample, 0)
 		if request.refusal != nil {
 			returns = append(returns, request.refusal.RetryAfter)
 		}
@@ -479,7 +482,7 @@
 	}
 	// A refusal close to the deadline does not send the caller beyond it.
 	request := &ticket{useful: 40 * time.Millisecond, deadline: 60 * time.Millisecond}
-	queue.add(request, "b", 0, func(int64) bool { return true }, 0)
+	queue.add(request, "b", 0, ample, 0)
 	must.LessEq(t, minRetryAfter, request.refusal.RetryAfter)
 }
 
@@ -493,7 +496,7 @@
 	add := func(name string, class Class, flow string, priority int, useful, deadline time.Duration) {
 		request := &ticket{class: class, useful: useful, deadline: deadline}
 		names[request] = name
-		queue.add(request, flow, priority, func(int64) bool { return true }, 0)
+		queue.add(request, flow, priority, ample, 0)
 		must.Nil(t, request.refusal, must.Sprint(name))
 	}
 	const second = time.Second
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -98,10 +98,15 @@
 }
 
 const (
-	// waitingMemory bounds what the requests that wait on a node hold, in bytes, counting waitingOverhead for each one's connection and
-	// goroutine. It is a small part of the smallest node's memory.
-	waitingMemory   = 24 << 20
-	waitingOverhead = 16 << 10
+	// waitingMemory bounds what the requests that wait on a node hold, in bytes. It is a small part of the smallest node's memory.
+	waitingMemory = 24 << 20
+	// scoringMemory is the part of waitingMemory that scoring requests may hold. They wait for longer than interactive ones.
+	scoringMemory = waitingMemory / 2
+	// interactiveOverhead is what an interactive request holds beside its body: a connection and goroutines. A scoring request has a goroutine
+	// only.
+	interactiveOverhead, scoringOverhead = 16 << 10, 6 << 10
+	// smallRequest is the size, with the overhead, up to which a request is taken in by a short queue whatever others hold.
+	smallRequest = 32 << 10
 	// maxServices bounds the services whose state is kept. Beyond it those without requests are forgotten.
 	maxServices = 1024
 	// retryShare and retryReserve limit the retries of requests that may have run, hedgeShare and hedgeReserve the hedges, as a share of
@@ -119,8 +124,8 @@
 
 	room  Room
 	start time.Time
-	// held is the memory that waiting requests hold at all services.
-	held atomic.Int64
+	// held is the memory that waiting requests hold at all services, scoringHeld the part of scoring requests.
+	held, scoringHeld atomic.Int64
 
 	// services is replaced whole under mu, and read without a lock.
 	services atomic.Pointer[map[string]*service]
@@ -134,6 +139,9 @@
 
 	mu    sync.Mutex
 	queue *queue
+	// counted and scoringCounted are the queue's part of the controller's held and scoringHeld.
+	counted, scoringCounted int64
+
 	timer *time.Timer
 	armed bool
 	// rush describes the time since requests began to wait, for the log. It ends with the first sweep that finds none waiting.
@@ -229,8 +237,9 @@
 
 // enqueue must be called with the service's mu held.
 func (controller *Controller) enqueue(own *service, demand *Demand, limit int, now time.Duration) *ticket {
-	request := &ticket{
-		class: demand.Class, size: int64(demand.Size) + waitingOverhead, decided: make(chan struct{}), useful: never, deadline: never,
+	request := &ticket{class: demand.Class, size: int64(demand.Size) + interactiveOverhead, decided: make(chan struct{}), useful: never, deadline: never}
+	if demand.Class == Scoring {
+		request.size = int64(demand.Size) + scoringOverhead
 	}
 	if !demand.Deadline.IsZero() {
 		request.deadline = demand.Deadline.Sub(controller.start)
@@ -242,11 +251,10 @@
 	if own.queue.waiting == 0 && !own.armed {
 		own.rush.began, own.rush.admitted, own.rush.refused, own.rush.longest = now, 0, 0, 0
 	}
-	heldBefore := own.queue.bytes
-	own.queue.add(request, demand.Flow, demand.Priority, func(size int64) bool {
-		return controller.held.Load()-heldBefore+own.queue.bytes+size <= waitingMemory
+	own.queue.add(request, demand.Flow, demand.Priority, func(size, scoring int64) bool {
+		return controller.held.Load()+size <= waitingMemory && (scoring <= 0 || controller.scoringHeld.Load()+scoring <= scoringMemory)
 	}, now)
-	controller.held.Add(own.queue.bytes - heldBefore)
+	controller.countHeld(own)
 	controller.dispatch(own, limit, now)
 	controller.logNoRoom(own, now)
 	controller.arm(own)
@@ -265,7 +273,6 @@
 	if request.waiting {
 		now := controller.now()
 		own.queue.remove(request)
-		controller.held.Add(-request.size)
 		controller.dispatch(own, limit, now)
 		own.mu.Unlock()
 		controller.Metrics.AdmissionWaited(request.class.String(), "left", now-request.arrived)
@@ -293,12 +300,18 @@
 
 // dispatch admits waiting requests and passes the decisions on. It must be called with the service's mu held.
 func (controller *Controller) dispatch(own *service, limit int, now time.Duration) {
-	before := own.queue.bytes
 	own.queue.dispatch(limit, now)
-	controller.held.Add(own.queue.bytes - before)
+	controller.countHeld(own)
 	controller.announce(own)
 }
 
+// countHeld counts what the service's queue holds now. It must be called with the service's mu held, after each change of the queue.
+func (controller *Controller) countHeld(own *service) {
+	controller.held.Add(own.queue.bytes - own.counted)
+	controller.scoringHeld.Add(own.queue.scoringBytes - own.scoringCounted)
+	own.counted, own.scoringCounted = own.queue.bytes, own.queue.scoringBytes
+}
+
 // announce passes decisions on. It must be called with the service's mu held.
 func (controller *Controller) announce(own *service) {
 	for index, request := range own.queue.decided {
@@ -341,9 +354,7 @@
 	own.mu.Lock()
 	defer own.mu.Unlock()
 	now := controller.now()
-	before := own.queue.bytes
 	own.queue.sweep(limit, now)
-	controller.held.Add(own.queue.bytes - before)
 	controller.dispatch(own, limit, now)
 	controller.Metrics.AdmissionQueue(own.name, own.queue.waiting)
 	controller.logRoomAgain(own, now)
--- a/internal/admission/service_test.go
+++ b/internal/admission/service_test.go
@@ -207,7 +207,7 @@
 		}
 		synctest.Wait()
 		load := controller.Loads()[0]
-		must.Eq(t, waitingMemory/waitingOverhead, load.Waiting)
+		must.Eq(t, waitingMemory/interactiveOverhead, load.Waiting)
 		must.LessEq(t, waitingMemory, controller.held.Load())
 		// A small flow's request is taken in, a large body is not.
 		demand.Flow = "b"
@@ -227,6 +227,68 @@
 	})
 }
 
+// What waits at one service does not shut the queue of another: scoring requests hold at most half of the memory, and a queue with few small
+// requests takes one in whatever others hold.
+func TestQueuesShareMemory(t *testing.T) {
+	for _, class := range []Class{Scoring, Interactive} {
+		synctest.Test(t, func(t *testing.T) {
+			controller := NewController(roomOf(1))
+			ctx, end := context.WithCancel(t.Context())
+			var waits sync.WaitGroup
+			admit := func(service string, class Class, size, count int) int64 {
+				demand := demandFor(time.Hour)
+				demand.Service, demand.Class, demand.Size = service, class, size
+				before := controller.refusals(service)
+				for range count {
+					waits.Go(func() { _, _ = controller.Admit(ctx, demand) })
+				}
+				synctest.Wait()
+				return controller.refusals(service) - before
+			}
+			const large = 1 << 20
+			must.Positive(t, admit("flooded", class, large, 40))
+			must.LessEq(t, waitingMemory, controller.held.Load())
+			must.LessEq(t, scoringMemory, controller.scoringHeld.Load())
+			if class == Scoring {
+				must.Eq(t, 0, admit("other", Interactive, large, 1+scoringMemory/large*9/10), must.Sprint("scoring leaves half"))
+				must.Positive(t, admit("other", Scoring, large, 1))
+			} else {
+				must.Positive(t, admit("other", Interactive, large, 2))
+			}
+			must.Eq(t, 0, admit("third", Interactive, 0, 1+minQueueBound), must.Sprint("one is in flight, the others wait"))
+			must.Eq(t, 0, admit("fourth", Scoring, 0, 1+minQueueBound))
+			end()
+			waits.Wait()
+			must.Eq(t, 0, controller.held.Load()+controller.scoringHeld.Load())
+		})
+	}
+}
+
+// A scoring request that has no body counts less than a caller's connection, so that a step of many texts can wait.
+func TestScoringRequestsCountWhatTheyHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := NewController(roomOf(1))
+		ctx, end := context.WithCancel(t.Context())
+		demand := demandFor(time.Hour)
+		demand.Class = Scoring
+		var waits sync.WaitGroup
+		for range 1500 {
+			waits.Go(func() { _, _ = controller.Admit(ctx, demand) })
+		}
+		synctest.Wait()
+		must.Eq(t, 0, controller.refusals("s"))
+		end()
+		waits.Wait()
+	})
+}
+
+func (controller *Controller) refusals(service string) int64 {
+	if own := controller.find(service); own != nil {
+		return own.queue.refused
+	}
+	return 0
+}
+
 // Retries and hedges are a share of first attempts, and need room. A request that has not run may always be sent again.
 func TestRetriesAndHedgesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -291,6 +353,7 @@
 	queue := controller.find("s").queue
 	must.Eq(t, 0, queue.waiting+queue.busy())
 	must.SliceEmpty(t, queue.due)
+	must.Eq(t, 0, controller.scoringHeld.Load())
 }
 
 // BenchmarkAdmitWithRoom measures the admission of a request that need not wait.
@@ -328,7 +391,7 @@
 			}
 			arrive := func(number int) {
 				class, useful := Class(number%2), time.Duration(1+number%7)*time.Second
-				queue.add(&ticket{class: class, useful: now + useful, deadline: now + time.Hour, size: 1}, fmt.Sprint(number%flows), number%3, func(int64) bool { return true }, now)
+				queue.add(&ticket{class: class, useful: now + useful, deadline: now + time.Hour, size: 1}, fmt.Sprint(number%flows), number%3, ample, now)
 			}
 			for number := range 1000 {
 				arrive(number)
@@ -363,7 +426,7 @@
 	queue.release(&grant, Outcome{ServiceTime: 20 * time.Millisecond}, 0)
 	queue.takeAtOnce(Interactive, 1, 0)
 	for number := range 1000 {
-		queue.add(&ticket{class: Class(number % 2), useful: time.Hour, deadline: time.Hour, size: 1}, fmt.Sprint(number%70), number%3, func(int64) bool { return true }, 0)
+		queue.add(&ticket{class: Class(number % 2), useful: time.Hour, deadline: time.Hour, size: 1}, fmt.Sprint(number%70), number%3, ample, 0)
 	}
 	for b.Loop() {
 		queue.sweep(1, 0)
