Admission: a pause of the process or the first answers of a burst are no stall

And places taken together, whose first answers take 1.6 means, counted as a stall in intervals: with 12 places a waiting request became late at 40 ms.

A stall of five means is still seen in both tests.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -130,8 +130,18 @@
 	return queue.times[Interactive].known || queue.times[Scoring].known
 }
 
+// paused returns by how long the sweep is overdue while requests wait. A process that is not scheduled sweeps late, and sees answers late as
+// well, which says nothing about the service.
+func (queue *queue) paused(now time.Duration) time.Duration {
+	if queue.waiting == 0 {
+		return 0
+	}
+	return max(0, now-queue.sweptAt-sweepInterval)
+}
+
 // interval returns the expected time until a place is free, and the factor by which places are slower than measured. Requests in flight
-// beyond the limit, which has shrunk, end beside each other before a place is free.
+// beyond the limit, which has shrunk, end beside each other before a place is free. Places that were taken together end together, so that a
+// time without a freed place counts in service times as well as in intervals.
 func (queue *queue) interval(now time.Duration) (interval, slower float64) {
 	busy := queue.busy()
 	mean := queue.meanOf(Interactive)
@@ -139,7 +149,8 @@
 		mean = (float64(queue.inFlight[Interactive])*queue.meanOf(Interactive) + float64(queue.inFlight[Scoring])*queue.meanOf(Scoring)) / float64(busy)
 	}
 	slot := mean / float64(max(queue.limit, busy))
-	slower = max(1, (float64(now-queue.progressed)-mean)/slot-stallIntervals+1)
+	stalled := float64(now - queue.progressed - queue.paused(now))
+	slower = max(1, min((stalled-mean)/slot-stallIntervals+1, stalled/mean))
 	interval = mean / float64(queue.limit)
 	if busy > queue.limit {
 		interval += mean * math.Log(float64(busy)/float64(queue.limit))
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -114,8 +114,10 @@
 	due                 []*ticket // fresh scoring requests by useful
 	times               [2]serviceTime
 	usage               usage
-	// progressed is when a place was last taken or freed.
+	// progressed is when a place was last taken or freed, moved forward by pauses of the process since.
 	progressed time.Duration
+	// sweptAt is when the queue was last swept, or began to hold requests.
+	sweptAt time.Duration
 	// waitedUntil is about when a request last waited.
 	waitedUntil time.Duration
 	// interactiveAt is when an interactive request last arrived.
@@ -464,6 +466,9 @@
 			queue.criticalAt = -never
 		}
 	}
+	if queue.waiting == 0 {
+		queue.sweptAt = request.arrived
+	}
 	request.waiting = true
 	queue.waiting++
 	queue.hold(request, 1)
@@ -642,6 +647,8 @@
 // deadline are refused.
 func (queue *queue) sweep(limit int, now time.Duration) {
 	queue.limit = max(limit, 1)
+	queue.progressed = min(now, queue.progressed+queue.paused(now))
+	queue.sweptAt = now
 	queue.criticalAt = -never
 	queue.refreshCritical(now)
 	queue.longest = 0
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -520,6 +520,77 @@
 	must.Eq(t, []string{"critical scoring", "first of b", "came back to a", "second of b", "first of a", "lower priority", "late", "spare scoring"}, order)
 }
 
+// stalled returns a queue of the given places, all taken at time 0 with a mean of 25 ms, and as many waiting interactive requests.
+func stalled(places int) (*queue, []*ticket) {
+	queue := newQueue(func() float64 { return 0.5 })
+	grant, _ := queue.takeAtOnce(Interactive, places, 0)
+	queue.release(&grant, Outcome{ServiceTime: 25 * time.Millisecond}, 0)
+	for range places {
+		queue.takeAtOnce(Interactive, places, 0)
+	}
+	var waiting []*ticket
+	for range places {
+		request := &ticket{useful: 150 * time.Millisecond, deadline: 400 * time.Millisecond}
+		queue.add(request, "a", 0, ample, 0)
+		waiting = append(waiting, request)
+	}
+	return queue, waiting
+}
+
+func countTickets(list []*ticket, selected func(*ticket) bool) int {
+	count := 0
+	for _, request := range list {
+		if selected(request) {
+			count++
+		}
+	}
+	return count
+}
+
+func isLate(request *ticket) bool    { return request.late }
+func isRefused(request *ticket) bool { return request.refusal != nil }
+
+// A pause of the node's own process is no stall of the service: neither requests that wait nor the next to arrive are refused or late for
+// it. A stall of the same length while the process runs is one.
+func TestPauseOfTheProcessIsNoStall(t *testing.T) {
+	const pause = 80 * time.Millisecond
+	for _, paused := range []bool{true, false} {
+		queue, waiting := stalled(2)
+		for now := sweepInterval; now <= pause+sweepInterval; now += sweepInterval {
+			if !paused {
+				queue.sweep(2, now)
+			}
+		}
+		arriving := &ticket{useful: pause + 130*time.Millisecond, deadline: pause + 400*time.Millisecond}
+		queue.add(arriving, "b", 0, ample, pause+sweepInterval)
+		must.Eq(t, !paused, arriving.late || arriving.refusal != nil, must.Sprint("arriving, paused: ", paused))
+		queue.sweep(2, pause+sweepInterval)
+		must.Eq(t, !paused, countTickets(waiting, isLate)+countTickets(waiting, isRefused) > 0, must.Sprint("waiting, paused: ", paused))
+	}
+	// The same while a queue was empty between two sweeps: the time without waiting requests is no pause, nor is it time without progress.
+	queue, _ := stalled(2)
+	for now := time.Second; queue.waiting > 0; now += sweepInterval {
+		queue.sweep(2, now)
+	}
+	queue.add(&ticket{useful: time.Hour, deadline: time.Hour}, "a", 0, ample, 10*time.Second)
+	progressed := queue.progressed
+	queue.sweep(2, 10*time.Second+sweepInterval)
+	must.Eq(t, progressed, queue.progressed)
+}
+
+// Places that were taken together also end together: answers that take somewhat longer than the mean are no stall.
+func TestFirstAnswersOfABurstAreNoStall(t *testing.T) {
+	queue, waiting := stalled(12)
+	for _, now := range []time.Duration{20 * time.Millisecond, 40 * time.Millisecond} {
+		queue.sweep(12, now)
+	}
+	must.Eq(t, 0, countTickets(waiting, isLate))
+	for now := 60 * time.Millisecond; now <= 140*time.Millisecond; now += sweepInterval {
+		queue.sweep(12, now)
+	}
+	must.Positive(t, countTickets(waiting, isLate), must.Sprint("five means without an answer are a stall"))
+}
+
 // Requests that are cut off at their deadlines tell that replicas take longer, although none of them ends. Refused and quick ones tell
 // nothing.
 func TestRequestsCutOffRaiseTheServiceTime(t *testing.T) {
