Forwarding: retries and hedges that can't start take nothing from the budgets

A retry's token was taken before the number of attempts, the key and the time left were looked at, and a hedge's before a replica was picked; with no other replica the hedge's timer fired again and took another.

Whether an attempt may start, and for one that may have run whether there is a replica, is checked before the budget is asked. A hedge picks first, and is not asked again if there is none.

--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -64,10 +64,16 @@
 	return grant, true
 }
 
-// mayRetry reports whether admission allows a further attempt.
+// mayRetry reports whether admission allows a further attempt. Only one that could start takes from the budget of retries.
 func (run *run) mayRetry() bool {
 	controller := run.forwarder.Admission
-	return controller == nil || controller.AllowRetry(run.service, run.mayHaveRun)
+	if controller == nil {
+		return true
+	}
+	if !run.mayStart() || run.mayHaveRun && run.pick() == nil {
+		return false
+	}
+	return controller.AllowRetry(run.service, run.mayHaveRun)
 }
 
 // notStarted returns the result of a call whose first attempt did not start.
--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -232,6 +232,54 @@
 	}
 }
 
+// A retry or hedge that can't start takes nothing from the budgets, which other requests need.
+func TestBudgetsPayOnlyForWhatIsSent(t *testing.T) {
+	broken, slow := behaviour{broken: true}, behaviour{after: 700 * time.Millisecond, status: http.StatusOK}
+	for _, check := range []struct {
+		name     string
+		first    behaviour
+		kind     catalog.Kind
+		attempts int
+		replicas int
+		valid    int // how often the key is found valid
+	}{
+		{"no attempt left", broken, catalog.Safe, 1, 3, 100},
+		{"key revoked", broken, catalog.Safe, 3, 3, 2},
+		{"no time left", behaviour{after: 853 * time.Millisecond, broken: true}, catalog.Batch, 3, 3, 100},
+		{"no other replica for a retry", broken, catalog.Batch, 3, 1, 100},
+		{"no other replica for a hedge", slow, catalog.Safe, 3, 1, 100},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			admitted := newAdmitted(4, check.first)
+			admitted.Catalog.SetReplicas([]catalog.Replica{{ID: "r1", Service: "s", Slots: 6}, {ID: "r2", Service: "s", Slots: 6}, {ID: "r3", Service: "s", Slots: 6}}[:check.replicas], 2)
+			route := &catalog.Route{Kind: check.kind, Targets: []catalog.RouteTarget{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: check.attempts}
+			const calls = 12
+			for range calls {
+				valid := check.valid
+				admitted.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q"}, Deadline: 900 * time.Millisecond, KeyValid: func() bool {
+					valid--
+					return valid >= 0
+				}})
+				synctest.Wait()
+			}
+			must.Len(t, calls, admitted.sender.sent, must.Sprint(check.name))
+			retries, hedges := 0, 0
+			for admitted.Admission.AllowRetry("s", true) {
+				retries++
+			}
+			for {
+				grant, ok := admitted.Admission.AdmitHedge(admission.Demand{Service: "s"})
+				if !ok {
+					break
+				}
+				grant.Release(admission.Outcome{})
+				hedges++
+			}
+			must.Eq(t, []int{20, 10}, []int{retries, hedges}, must.Sprint(check.name, ": retries and hedges left"))
+		})
+	}
+}
+
 // streaming is a sender whose answers are streams.
 type streaming struct{}
 
--- a/internal/forwarding/run.go
+++ b/internal/forwarding/run.go
@@ -43,7 +43,7 @@
 	elapsed time.Duration
 	// refusal is set if the request was refused a place.
 	refusal *admission.RefusedError
-	// hedgeDenied is true if the service had no room for a hedge; it is not asked again.
+	// hedgeDenied is true if the service had no room or no replica for a hedge; it is not asked again.
 	hedgeDenied bool
 }
 
@@ -122,7 +122,24 @@
 		return false
 	}
 	grant, ok := run.admit(ctx)
-	return ok && run.send(ctx, grant)
+	if !ok {
+		return false
+	}
+	// The key and the remaining time are checked again, since the request may have waited for its place.
+	if run.mayStart() {
+		if replica := run.pick(); replica != nil {
+			run.send(ctx, replica, grant)
+			return true
+		}
+	}
+	grant.Release(admission.Outcome{})
+	return false
+}
+
+// pick returns a replica that was not tried before; nil if none is left.
+func (run *run) pick() *catalog.Replica {
+	picker := backend.Picker{Loads: run.forwarder.Loads, Zone: run.forwarder.Zone}
+	return picker.Pick(run.forwarder.Catalog.Replicas().Service(run.service), run.tried, time.Now())
 }
 
 // startHedge sends the request a second time if the service has room.
@@ -130,29 +147,22 @@
 	if !run.mayStart() {
 		return
 	}
-	var grant admission.Grant
+	replica := run.pick()
+	grant := admission.Grant{}
 	if controller := run.forwarder.Admission; controller != nil {
-		var ok bool
-		if grant, ok = controller.AdmitHedge(run.demand()); !ok {
-			run.hedgeDenied = true
-			return
+		ok := false
+		if replica != nil {
+			grant, ok = controller.AdmitHedge(run.demand())
 		}
+		run.hedgeDenied = !ok
+	}
+	if replica != nil && !run.hedgeDenied {
+		run.send(ctx, replica, grant)
 	}
-	run.send(ctx, grant)
 }
 
-// send sends the request to a replica that was not tried before, and reports whether it did. It releases the grant otherwise. The key and
-// the remaining time are checked again, since the request may have waited for its place.
-func (run *run) send(ctx context.Context, grant admission.Grant) bool {
-	var replica *catalog.Replica
-	if run.mayStart() {
-		picker := backend.Picker{Loads: run.forwarder.Loads, Zone: run.forwarder.Zone}
-		replica = picker.Pick(run.forwarder.Catalog.Replicas().Service(run.service), run.tried, time.Now())
-	}
-	if replica == nil {
-		grant.Release(admission.Outcome{})
-		return false
-	}
+// send starts an attempt at a replica.
+func (run *run) send(ctx context.Context, replica *catalog.Replica, grant admission.Grant) {
 	run.tried = append(run.tried, replica.ID)
 	run.lastReplica = replica.ID
 	run.attempts++
@@ -161,7 +171,6 @@
 	request.Deadline = run.remaining()
 	request.Priority = -1
 	go run.runAttempt(ctx, replica, &request, grant)
-	return true
 }
 
 // runAttempt sends the request once and reads the answer up to the buffer limit. Its result goes to run.results. The grant is released
