Admission: only requests that replicas served tell the service time

The end of a request that never ran (no replica, connection refused, held, left before it was sent) counted as a lower bound of the service time, and set it while none was known. An answer of 500 or more counted as a service time, so that a replica that fails in 1 ms made a full service look fast, and a stream whose caller left counted as a whole one.

Outcome{} tells nothing. Outcome.AtLeast says that a request had its place for that long and was cut off or failed: it raises the mean and never lowers it; while nothing is known it counts only above unknownServiceTime. Forwarding sets it for what may have run, for 500 and more, and for streams that were not read to their end.

Tests: TestRequestsCutOffRaiseTheServiceTime passed Outcome{} for cut-off requests, which is AtLeast now, and checks besides that Outcome{} tells nothing. TestStreamKeepsItsPlace closed a stream unread and called that a service time; it reads to the end now, and the one whose caller left is checked to be a lower bound. TestPlacesAreReleased counts lower bounds and checks the number of service times exactly.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -33,9 +33,10 @@
 	average.deviation += serviceTimeWeight * (math.Abs(difference) - average.deviation)
 }
 
-// observeAtLeast records a request that was cut off: its service time is unknown but no shorter than took.
+// observeAtLeast records a request that was cut off: its service time is unknown but no shorter than took. One that was cut off early tells
+// nothing, also if no service time is known.
 func (average *serviceTime) observeAtLeast(took time.Duration) {
-	if float64(took) > average.mean {
+	if average.known && float64(took) > average.mean || !average.known && took > unknownServiceTime {
 		average.observe(took)
 	}
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -198,8 +198,8 @@
 	switch {
 	case outcome.ServiceTime > 0:
 		queue.times[grant.class].observe(outcome.ServiceTime)
-	case !outcome.Full:
-		queue.times[grant.class].observeAtLeast(held)
+	case outcome.AtLeast > 0:
+		queue.times[grant.class].observeAtLeast(outcome.AtLeast)
 	}
 	correction := float64(held) - grant.charged
 	queue.usage.add(grant.kind, correction, now)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -599,12 +599,18 @@
 		grant, _ := queue.takeAtOnce(Interactive, 1, 0)
 		queue.release(&grant, outcome, held)
 	}
-	end(20*time.Millisecond, Outcome{ServiceTime: 20 * time.Millisecond})
 	end(time.Millisecond, Outcome{})
+	end(time.Second, Outcome{})
+	end(time.Second, Outcome{Full: true})
+	end(time.Millisecond, Outcome{AtLeast: time.Millisecond})
+	must.False(t, queue.timesKnown(), must.Sprint("nothing is known by a request that never ran, or was cut off early"))
+	end(20*time.Millisecond, Outcome{ServiceTime: 20 * time.Millisecond})
+	end(time.Millisecond, Outcome{AtLeast: time.Millisecond})
+	end(time.Second, Outcome{})
 	end(time.Second, Outcome{Full: true})
 	must.Eq(t, 20*time.Millisecond, time.Duration(queue.meanOf(Interactive)))
 	for range 30 {
-		end(800*time.Millisecond, Outcome{})
+		end(800*time.Millisecond, Outcome{AtLeast: 800 * time.Millisecond})
 	}
 	must.Between(t, 700*time.Millisecond, time.Duration(queue.meanOf(Interactive)), 800*time.Millisecond)
 }
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -52,8 +52,11 @@
 
 // Outcome is how an admitted request ended, as far as it tells about the service.
 type Outcome struct {
-	// ServiceTime is how long the replica took; zero if no replica is known to have run the request.
+	// ServiceTime is how long the replica took to serve the request; zero if it did not, or if that is unknown.
 	ServiceTime time.Duration
+	// AtLeast is how long a request had its place that may have run but was cut off or failed. It raises the mean service time but never
+	// lowers it.
+	AtLeast time.Duration
 	// Full is true if a replica refused the request because it had no room.
 	Full bool
 }
--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/thistlewalk/thistlewalk/internal/admission"
@@ -115,18 +116,20 @@
 	started time.Time
 	once    sync.Once
 	outcome admission.Outcome
-	// served is true if the replica's answer is being read, so that the time until the release is the service time.
-	served bool
+	// What the time until the release tells: that is the service time if served, and a lower bound of it if cutOff.
+	served, cutOff atomic.Bool
 }
 
 // ended records what the end of the attempt tells about the service.
 func (place *place) ended(result *attemptResult) {
 	switch {
-	case result.err != nil:
-	case result.response.NotExecuted:
+	case result.err == nil && result.response.NotExecuted:
 		place.outcome.Full = result.response.Status == http.StatusServiceUnavailable || result.response.Status == http.StatusTooManyRequests
+	case result.hasNotRun():
+	case result.err != nil || result.rest != nil || result.response.Status >= http.StatusInternalServerError:
+		place.cutOff.Store(true)
 	default:
-		place.served = true
+		place.served.Store(true)
 	}
 }
 
@@ -135,30 +138,42 @@
 		return
 	}
 	place.once.Do(func() {
-		if place.served {
-			place.outcome.ServiceTime = time.Since(place.started)
+		switch took := time.Since(place.started); {
+		case place.served.Load():
+			place.outcome.ServiceTime = took
+		case place.cutOff.Load():
+			place.outcome.AtLeast = took
 		}
 		place.grant.Release(place.outcome)
 	})
 }
 
-// until returns a reader of the rest of an answer that releases the place when it is closed, or at the latest when the context ends.
-func (place *place) until(ctx context.Context, rest io.ReadCloser) io.ReadCloser {
-	stop := context.AfterFunc(ctx, place.release)
-	return &placeHolder{ReadCloser: rest, close: func() {
-		stop()
-		place.release()
-	}}
+// until returns a reader of the rest of an answer of the given status that releases the place when it is closed, or at the latest when the
+// context ends. The answer counts as served once it has been read to its end; otherwise its caller left, or the replica broke off.
+func (place *place) until(ctx context.Context, rest io.ReadCloser, status int) io.ReadCloser {
+	return &placeHolder{ReadCloser: rest, place: place, status: status, stop: context.AfterFunc(ctx, place.release)}
 }
 
 // placeHolder is the rest of an answer whose place is released when it is closed.
 type placeHolder struct {
 	io.ReadCloser
-	close func()
+	place  *place
+	status int
+	stop   func() bool
+}
+
+// Read implements io.Reader.
+func (holder *placeHolder) Read(buffer []byte) (int, error) {
+	count, err := holder.ReadCloser.Read(buffer)
+	if err == io.EOF && holder.status < http.StatusInternalServerError {
+		holder.place.served.Store(true)
+	}
+	return count, err
 }
 
 // Close implements io.Closer.
 func (holder *placeHolder) Close() error {
-	defer holder.close()
+	defer holder.place.release()
+	holder.stop()
 	return holder.ReadCloser.Close()
 }
--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -88,17 +88,18 @@
 		script       []behaviour
 		status, ends int
 		full, timed  int
+		cutOff       int // outcomes that tell a lower bound of the service time
 	}{
-		{"served", []behaviour{served}, 200, 1, 0, 1},
-		{"full, then served", []behaviour{full, served}, 200, 2, 1, 1},
-		{"full everywhere", []behaviour{full}, 503, 3, 3, 0},
-		{"moved on, then served", []behaviour{{status: http.StatusMisdirectedRequest, notExecuted: true}, served}, 200, 2, 0, 1},
-		{"not sent, then served", []behaviour{{notSent: true}, served}, 200, 2, 0, 1},
-		{"broken, then served", []behaviour{{broken: true}, served}, 200, 2, 0, 1},
-		{"failed, then served", []behaviour{{status: 500}, served}, 200, 2, 0, 1},
-		{"held", []behaviour{{held: true}}, 503, 1, 0, 0},
-		{"hedged", []behaviour{{after: time.Hour}, served}, 200, 2, 0, 1},
-		{"no answer", []behaviour{{after: time.Hour}}, 504, 2, 0, 0},
+		{"served", []behaviour{served}, 200, 1, 0, 1, 0},
+		{"full, then served", []behaviour{full, served}, 200, 2, 1, 1, 0},
+		{"full everywhere", []behaviour{full}, 503, 3, 3, 0, 0},
+		{"moved on, then served", []behaviour{{status: http.StatusMisdirectedRequest, notExecuted: true}, served}, 200, 2, 0, 1, 0},
+		{"not sent, then served", []behaviour{{notSent: true}, served}, 200, 2, 0, 1, 0},
+		{"broken, then served", []behaviour{{after: time.Millisecond, broken: true}, served}, 200, 2, 0, 1, 1},
+		{"failed, then served", []behaviour{{after: time.Millisecond, status: 500}, served}, 200, 2, 0, 1, 1},
+		{"held", []behaviour{{held: true}}, 503, 1, 0, 0, 0},
+		{"hedged", []behaviour{{after: time.Hour}, served}, 200, 2, 0, 1, 1},
+		{"no answer", []behaviour{{after: time.Hour}}, 504, 2, 0, 0, 2},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			admitted := newAdmitted(4, check.script...)
@@ -112,7 +113,7 @@
 			}
 			inFlight, waiting := admitted.load()
 			must.Eq(t, 0, inFlight+waiting, must.Sprint(check.name))
-			var full, timed int
+			var full, timed, cutOff int
 			for _, outcome := range admitted.room.outcomes {
 				if outcome.Full {
 					full++
@@ -120,9 +121,11 @@
 				if outcome.ServiceTime > 0 {
 					timed++
 				}
+				if outcome.AtLeast > 0 {
+					cutOff++
+				}
 			}
-			must.Eq(t, []int{check.ends, check.full}, []int{len(admitted.room.outcomes), full}, must.Sprint(check.name))
-			must.GreaterEq(t, check.timed, timed, must.Sprint(check.name))
+			must.Eq(t, []int{check.ends, check.full, check.timed, check.cutOff}, []int{len(admitted.room.outcomes), full, timed, cutOff}, must.Sprint(check.name))
 		})
 	}
 }
@@ -297,16 +300,19 @@
 		inFlight, _ := admitted.load()
 		must.Eq(t, 2, inFlight)
 		time.Sleep(100 * time.Millisecond)
+		_, err := io.Copy(io.Discard, first.Rest)
+		must.NoError(t, err)
 		must.NoError(t, first.Rest.Close())
 		inFlight, _ = admitted.load()
 		must.Eq(t, 1, inFlight)
-		must.Eq(t, 100*time.Millisecond, admitted.room.outcomes[0].ServiceTime)
+		must.Eq(t, admission.Outcome{ServiceTime: 100 * time.Millisecond}, admitted.room.outcomes[0])
 		disconnect()
 		synctest.Wait()
 		inFlight, _ = admitted.load()
 		must.Eq(t, 0, inFlight)
 		must.NoError(t, second.Rest.Close())
 		must.Len(t, 2, admitted.room.outcomes)
+		must.Eq(t, admission.Outcome{AtLeast: 100 * time.Millisecond}, admitted.room.outcomes[1], must.Sprint("its caller left"))
 	})
 }
 
--- a/internal/forwarding/run.go
+++ b/internal/forwarding/run.go
@@ -200,7 +200,7 @@
 	loads.End(replica.ID, outcome, time.Now())
 	place.ended(&result)
 	if result.rest != nil && run.forwarder.Admission != nil {
-		result.rest = place.until(ctx, result.rest)
+		result.rest = place.until(ctx, result.rest, result.response.Status)
 		place = nil
 	}
 	place.release() // before the result is handled, so that a retry finds the place free
