--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -64,6 +64,14 @@
 	decided chan struct{}
 }
 
+// scoringSize is what the request counts towards scoringMemory.
+func (request *ticket) scoringSize() int64 {
+	if request.class == Scoring {
+		return request.size
+	}
+	return 0
+}
+
 // flow is a tenant's or a model's requests of one class and priority. fresh holds requests that can still be useful in full, late the
 // others; both are sorted.
 type flow struct {
@@ -98,14 +106,18 @@
 	limit    int
 	inFlight [2]int // by class
 	waiting  int
-	bytes    int64
-	refused  int64
-	levels   []*level  // by class, then priority
-	due      []*ticket // fresh scoring requests by useful
-	times    [2]serviceTime
-	usage    usage
-	// progressed is when a place was last taken or freed.
+	small    int // waiting requests of at most smallRequest
+	// bytes is what waiting requests hold, scoringBytes the part of scoring requests.
+	bytes, scoringBytes int64
+	refused             int64
+	levels              []*level  // by class, then priority
+	due                 []*ticket // fresh scoring requests by useful
+	times               [2]serviceTime
+	usage               usage
+	// progressed is when a place was last taken or freed, moved forward by pauses of the process since.
 	progressed time.Duration
+	// sweptAt is when the queue was last swept, or began to hold requests.
+	sweptAt time.Duration
 	// waitedUntil is about when a request last waited.
 	waitedUntil time.Duration
 	// interactiveAt is when an interactive request last arrived.
@@ -186,8 +198,8 @@
 	switch {
 	case outcome.ServiceTime > 0:
 		queue.times[grant.class].observe(outcome.ServiceTime)
-	case !outcome.Full:
-		queue.times[grant.class].observeAtLeast(held)
+	case outcome.AtLeast > 0:
+		queue.times[grant.class].observeAtLeast(outcome.AtLeast)
 	}
 	correction := float64(held) - grant.charged
 	queue.usage.add(grant.kind, correction, now)
@@ -302,13 +314,13 @@
 
 // forget removes a flow that has nothing waiting or in flight and used no more than its share.
 func (level *level) forget(flow *flow) {
-	if flow.inFlight == 0 && flow.waiting() == 0 && flow.finish <= level.virtual {
+	if flow.inFlight == 0 && flow.waiting() == 0 && flow.finish <= level.virtual && level.flows[flow.name] == flow {
 		delete(level.flows, flow.name)
 	}
 }
 
-// add queues a request or refuses it. room reports whether size more bytes may be held.
-func (queue *queue) add(request *ticket, flowName string, priority int, room func(size int64) bool, now time.Duration) {
+// add queues a request or refuses it. room reports whether size more bytes may be held, of them the given ones by scoring requests.
+func (queue *queue) add(request *ticket, flowName string, priority int, room func(size, scoring int64) bool, now time.Duration) {
 	queue.endRush(now)
 	queue.refreshCritical(now)
 	level := queue.levelOf(request.class, priority)
@@ -322,9 +334,12 @@
 		return
 	}
 	queue.longest = max(queue.longest, min(request.deadline-now, longestWait))
-	if queue.waiting >= queue.bound() || !room(request.size) {
-		victim := queue.leastUrgent()
-		if victim == nil || !queue.givesWay(victim, request) || !room(request.size-victim.size) {
+	reserved := queue.small < minQueueBound && request.size <= smallRequest
+	if queue.waiting >= queue.bound() || !reserved && !room(request.size, request.scoringSize()) {
+		// Only a scoring request makes room for another one if scoring requests hold all that they may.
+		victim := queue.leastUrgent(!reserved && room(request.size, 0))
+		if victim == nil || !queue.givesWay(victim, request) ||
+			!reserved && !room(request.size-victim.size, request.scoringSize()-victim.scoringSize()) {
 			queue.refuse(request, reasonQueueFull, now)
 			level.forget(request.flow)
 			return
@@ -390,10 +405,10 @@
 
 // leastUrgent returns the waiting request to evict first: of the least urgent kind and priority the one served last of the longest flow.
 // Neither in-time interactive nor critical scoring requests lose their guaranteed share of the queue to the other.
-func (queue *queue) leastUrgent() *ticket {
+func (queue *queue) leastUrgent(scoringOnly bool) *ticket {
 	var worst *ticket
 	for _, level := range queue.levels {
-		if !queue.evictable(level) {
+		if scoringOnly && level.class != Scoring || !queue.evictable(level) {
 			continue
 		}
 		for _, flow := range level.active {
@@ -451,9 +466,12 @@
 			queue.criticalAt = -never
 		}
 	}
+	if queue.waiting == 0 {
+		queue.sweptAt = request.arrived
+	}
 	request.waiting = true
 	queue.waiting++
-	queue.bytes += request.size
+	queue.hold(request, 1)
 }
 
 // remove takes a request out of the queue.
@@ -472,7 +490,7 @@
 	request.waiting = false
 	queue.waiting--
 	queue.waitedUntil = max(queue.waitedUntil, queue.progressed)
-	queue.bytes -= request.size
+	queue.hold(request, -1)
 	if flow.waiting() == 0 {
 		active := flow.level.active
 		index := slices.Index(active, flow)
@@ -483,6 +501,15 @@
 	}
 }
 
+// hold counts what a request holds: 1 when it is queued, -1 when it leaves.
+func (queue *queue) hold(request *ticket, times int) {
+	queue.bytes += int64(times) * request.size
+	queue.scoringBytes += int64(times) * request.scoringSize()
+	if request.size <= smallRequest {
+		queue.small += times
+	}
+}
+
 func insertSorted(list []*ticket, request *ticket) []*ticket {
 	index, _ := slices.BinarySearchFunc(list, request, compareTickets)
 	for index < len(list) && compareTickets(list[index], request) == 0 {
@@ -516,12 +543,13 @@
 		if request == nil {
 			return
 		}
-		queue.remove(request)
 		if now >= request.deadline {
+			queue.remove(request)
 			queue.refuse(request, reasonExpired, now)
 			continue
 		}
 		request.grant = queue.take(request.class, kind, request.flow, now)
+		queue.remove(request) // after take, so that a flow that runs empty is kept for what it owes
 		request.grant.waited, request.grant.position = now-request.arrived, request.position
 		queue.decided = append(queue.decided, request)
 	}
@@ -619,6 +647,8 @@
 // deadline are refused.
 func (queue *queue) sweep(limit int, now time.Duration) {
 	queue.limit = max(limit, 1)
+	queue.progressed = min(now, queue.progressed+queue.paused(now))
+	queue.sweptAt = now
 	queue.criticalAt = -never
 	queue.refreshCritical(now)
 	queue.longest = 0
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -84,7 +84,7 @@
 	}
 	call.ticket = &ticket{class: call.class, useful: call.first + call.useful, deadline: call.first + call.deadline, size: 1}
 	play.waiting[call.ticket] = call
-	play.queue.add(call.ticket, call.flow, call.priority, func(int64) bool { return true }, now)
+	play.queue.add(call.ticket, call.flow, call.priority, ample, now)
 	play.queue.dispatch(limit, now)
 	play.settle(now)
 }
@@ -141,7 +141,7 @@
 		next.do(next.at)
 	}
 	must.Eq(play.t, 0, play.queue.waiting)
-	must.Eq(play.t, 0, play.queue.bytes)
+	must.Eq(play.t, 0, play.queue.bytes+play.queue.scoringBytes+int64(play.queue.small))
 	must.Eq(play.t, 0, play.queue.busy())
 	must.MapEmpty(play.t, play.waiting)
 }
@@ -171,6 +171,9 @@
 	return total / float64(max(count, 1))
 }
 
+// ample is memory without a bound.
+func ample(_, _ int64) bool { return true }
+
 func places(count int) func(time.Duration) int { return func(time.Duration) int { return count } }
 
 // around returns service times that vary by half around the mean of the class.
@@ -272,7 +275,7 @@
 	now := time.Second
 	add := func(useful time.Duration) {
 		if _, ok := queue.takeAtOnce(Scoring, 3, now); !ok {
-			queue.add(&ticket{class: Scoring, useful: useful, deadline: time.Hour}, "m", 0, func(int64) bool { return true }, now)
+			queue.add(&ticket{class: Scoring, useful: useful, deadline: time.Hour}, "m", 0, ample, now)
 			queue.dispatch(3, now)
 		}
 	}
@@ -340,6 +343,44 @@
 	must.Between(t, 0.45, used["long"].Seconds()/(used["long"]+used["short"]).Seconds(), 0.55)
 }
 
+// A flow that runs empty each time owes the slot time that it used all the same: a tenant with one request at a time gets no more than one
+// with many waiting.
+func TestFlowsThatRunEmptyShareSlotTime(t *testing.T) {
+	for _, together := range []int{1, 2} {
+		took := map[string]time.Duration{"many": 50 * time.Millisecond, "few": 500 * time.Millisecond}
+		queue := newQueue(func() float64 { return 0.5 })
+		used := make(map[string]time.Duration)
+		add := func(flow string, now time.Duration) {
+			queue.add(&ticket{useful: time.Hour, deadline: time.Hour}, flow, 0, ample, now)
+		}
+		grant, _ := queue.takeAtOnce(Interactive, 1, 0)
+		for range 30 {
+			add("many", 0)
+		}
+		for range together {
+			add("few", 0)
+		}
+		for now := time.Duration(0); now < 55*time.Second; {
+			served := 50 * time.Millisecond
+			if grant.flow != nil {
+				served = took[grant.flow.name]
+				used[grant.flow.name] += served
+			}
+			now += served
+			queue.release(&grant, Outcome{ServiceTime: served}, now)
+			queue.dispatch(1, now)
+			last := grant.flow
+			grant, queue.decided = queue.decided[0].grant, nil
+			if last != nil {
+				add(last.name, now)
+			}
+		}
+		t.Log(used)
+		must.Between(t, 0.45, used["few"].Seconds()/(used["few"]+used["many"]).Seconds(), 0.55)
+		must.Eq(t, 2, len(queue.levels[0].flows))
+	}
+}
+
 // A flow owes what it used while others waited, and owes nothing once none has waited for a while.
 func TestDebtOfAFlowEndsWithTheRush(t *testing.T) {
 	for _, check := range []struct {
@@ -358,7 +399,7 @@
 			return decided.flow.name
 		}
 		add := func(flow string, useful time.Duration) {
-			queue.add(&ticket{useful: now + useful, deadline: time.Hour}, flow, 0, func(int64) bool { return true }, now)
+			queue.add(&ticket{useful: now + useful, deadline: time.Hour}, flow, 0, ample, now)
 		}
 		for range 20 {
 			add("old", time.Minute)
@@ -425,7 +466,7 @@
 	var returns []time.Duration
 	for range 500 {
 		request := &ticket{useful: left, deadline: left}
-		queue.add(request, "a", 0, func(int64) bool { return true }, 0)
+		queue.add(request, "a", 0, ample, 0)
 		if request.refusal != nil {
 			returns = append(returns, request.refusal.RetryAfter)
 		}
@@ -441,7 +482,7 @@
 	}
 	// A refusal close to the deadline does not send the caller beyond it.
 	request := &ticket{useful: 40 * time.Millisecond, deadline: 60 * time.Millisecond}
-	queue.add(request, "b", 0, func(int64) bool { return true }, 0)
+	queue.add(request, "b", 0, ample, 0)
 	must.LessEq(t, minRetryAfter, request.refusal.RetryAfter)
 }
 
@@ -455,7 +496,7 @@
 	add := func(name string, class Class, flow string, priority int, useful, deadline time.Duration) {
 		request := &ticket{class: class, useful: useful, deadline: deadline}
 		names[request] = name
-		queue.add(request, flow, priority, func(int64) bool { return true }, 0)
+		queue.add(request, flow, priority, ample, 0)
 		must.Nil(t, request.refusal, must.Sprint(name))
 	}
 	const second = time.Second
@@ -479,6 +520,77 @@
 	must.Eq(t, []string{"critical scoring", "first of b", "came back to a", "second of b", "first of a", "lower priority", "late", "spare scoring"}, order)
 }
 
+// stalled returns a queue of the given places, all taken at time 0 with a mean of 25 ms, and as many waiting interactive requests.
+func stalled(places int) (*queue, []*ticket) {
+	queue := newQueue(func() float64 { return 0.5 })
+	grant, _ := queue.takeAtOnce(Interactive, places, 0)
+	queue.release(&grant, Outcome{ServiceTime: 25 * time.Millisecond}, 0)
+	for range places {
+		queue.takeAtOnce(Interactive, places, 0)
+	}
+	var waiting []*ticket
+	for range places {
+		request := &ticket{useful: 150 * time.Millisecond, deadline: 400 * time.Millisecond}
+		queue.add(request, "a", 0, ample, 0)
+		waiting = append(waiting, request)
+	}
+	return queue, waiting
+}
+
+func countTickets(list []*ticket, selected func(*ticket) bool) int {
+	count := 0
+	for _, request := range list {
+		if selected(request) {
+			count++
+		}
+	}
+	return count
+}
+
+func isLate(request *ticket) bool    { return request.late }
+func isRefused(request *ticket) bool { return request.refusal != nil }
+
+// A pause of the node's own process is no stall of the service: neither requests that wait nor the next to arrive are refused or late for
+// it. A stall of the same length while the process runs is one.
+func TestPauseOfTheProcessIsNoStall(t *testing.T) {
+	const pause = 80 * time.Millisecond
+	for _, paused := range []bool{true, false} {
+		queue, waiting := stalled(2)
+		for now := sweepInterval; now <= pause+sweepInterval; now += sweepInterval {
+			if !paused {
+				queue.sweep(2, now)
+			}
+		}
+		arriving := &ticket{useful: pause + 130*time.Millisecond, deadline: pause + 400*time.Millisecond}
+		queue.add(arriving, "b", 0, ample, pause+sweepInterval)
+		must.Eq(t, !paused, arriving.late || arriving.refusal != nil, must.Sprint("arriving, paused: ", paused))
+		queue.sweep(2, pause+sweepInterval)
+		must.Eq(t, !paused, countTickets(waiting, isLate)+countTickets(waiting, isRefused) > 0, must.Sprint("waiting, paused: ", paused))
+	}
+	// The same while a queue was empty between two sweeps: the time without waiting requests is no pause, nor is it time without progress.
+	queue, _ := stalled(2)
+	for now := time.Second; queue.waiting > 0; now += sweepInterval {
+		queue.sweep(2, now)
+	}
+	queue.add(&ticket{useful: time.Hour, deadline: time.Hour}, "a", 0, ample, 10*time.Second)
+	progressed := queue.progressed
+	queue.sweep(2, 10*time.Second+sweepInterval)
+	must.Eq(t, progressed, queue.progressed)
+}
+
+// Places that were taken together also end together: answers that take somewhat longer than the mean are no stall.
+func TestFirstAnswersOfABurstAreNoStall(t *testing.T) {
+	queue, waiting := stalled(12)
+	for _, now := range []time.Duration{20 * time.Millisecond, 40 * time.Millisecond} {
+		queue.sweep(12, now)
+	}
+	must.Eq(t, 0, countTickets(waiting, isLate))
+	for now := 60 * time.Millisecond; now <= 140*time.Millisecond; now += sweepInterval {
+		queue.sweep(12, now)
+	}
+	must.Positive(t, countTickets(waiting, isLate), must.Sprint("five means without an answer are a stall"))
+}
+
 // Requests that are cut off at their deadlines tell that replicas take longer, although none of them ends. Refused and quick ones tell
 // nothing.
 func TestRequestsCutOffRaiseTheServiceTime(t *testing.T) {
@@ -487,12 +599,18 @@
 		grant, _ := queue.takeAtOnce(Interactive, 1, 0)
 		queue.release(&grant, outcome, held)
 	}
-	end(20*time.Millisecond, Outcome{ServiceTime: 20 * time.Millisecond})
 	end(time.Millisecond, Outcome{})
+	end(time.Second, Outcome{})
+	end(time.Second, Outcome{Full: true})
+	end(time.Millisecond, Outcome{AtLeast: time.Millisecond})
+	must.False(t, queue.timesKnown(), must.Sprint("nothing is known by a request that never ran, or was cut off early"))
+	end(20*time.Millisecond, Outcome{ServiceTime: 20 * time.Millisecond})
+	end(time.Millisecond, Outcome{AtLeast: time.Millisecond})
+	end(time.Second, Outcome{})
 	end(time.Second, Outcome{Full: true})
 	must.Eq(t, 20*time.Millisecond, time.Duration(queue.meanOf(Interactive)))
 	for range 30 {
-		end(800*time.Millisecond, Outcome{})
+		end(800*time.Millisecond, Outcome{AtLeast: 800 * time.Millisecond})
 	}
 	must.Between(t, 700*time.Millisecond, time.Duration(queue.meanOf(Interactive)), 800*time.Millisecond)
 }
