--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -112,6 +112,6 @@
 mutate 'own report counted as others' internal/room/totals.go 'others.InFlight -= own.InFlight' 'others.InFlight -= 0' ./internal/room
 mutate 'incomplete sums told' internal/room/summing.go 'return now >= summing.settled && ' 'return ' ./internal/room
 mutate 'late replies taken for sums' internal/room/exchange.go 'if !late {' 'if !late || !isReply {' ./internal/room
-mutate 'windows do not fall' internal/room/window.go 'window.size = max(window.floor, reached)' 'window.size = max(window.floor, window.size)' ./internal/room
+mutate 'windows fall without a bound' internal/room/window.go 'reached*maxDecrease' 'reached*0.1*maxDecrease' ./internal/room
 mutate 'silent summing node kept' internal/room/target.go 'if now-max(heard, target.since) > WordTTL {' 'if now-max(heard, target.since) > 100*WordTTL {' ./internal/room
 exit "$missed"
