--- a/internal/role/front_test.go
+++ b/internal/role/front_test.go
@@ -51,8 +51,27 @@
 	stopUnderCalls(t, store, 7*time.Second)
 }
 
+// slowListener returns each connection some time after it was accepted, as a process does that is interrupted in between.
+type slowListener struct{ net.Listener }
+
+func (listener slowListener) Accept() (net.Conn, error) {
+	connection, err := listener.Listener.Accept()
+	time.Sleep(80 * time.Millisecond) // longer than the interval between two calls, so that the shutdown meets such a connection
+	return connection, err
+}
+
+// A connection that is accepted while the server shuts down is not known to the server yet. It must be served all the same.
+func TestStopServesConnectionsThatAreBeingAccepted(t *testing.T) {
+	stopUnderCallsAt(t, memstore.New(), 6*time.Second, func(listener net.Listener) net.Listener { return slowListener{listener} })
+}
+
 // stopUnderCalls stops a front under a stream of calls and requires that every call is answered.
 func stopUnderCalls(t *testing.T, store metadata.Store, grace time.Duration) {
+	t.Helper()
+	stopUnderCallsAt(t, store, grace, func(listener net.Listener) net.Listener { return listener })
+}
+
+func stopUnderCallsAt(t *testing.T, store metadata.Store, grace time.Duration, wrap func(net.Listener) net.Listener) {
 	t.Helper()
 	front := role.NewFront(role.FrontOptions{
 		Node: "front-1", PeerAddress: freeAddress(t), Store: store, PeerClient: http.DefaultClient, Logger: log.New(io.Discard),
@@ -65,7 +84,7 @@
 	}))}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	go func() { _ = server.Serve(listener) }() // returns when the server is closed
+	go func() { _ = server.Serve(wrap(listener)) }() // returns when the server is closed
 	stopped := make(chan struct{})
 	go func() {
 		front.Stop(grace, server)
