A stopping front closes its listeners before it shuts its servers down

Cause: http.Server drops a request that it reads after its shutdown began, also on a connection that was accepted before. Change: the listeners close, the servers read the requests of accepted connections for 150 ms, then they shut down. Front.Stop gets each server's listener; the tests pass it, their checks are as they were.

--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -36,7 +36,7 @@
 }
 
 // startFront creates and starts a front. It returns the front and the server for callers.
-func startFront(process *process) (*role.Front, *http.Server, error) {
+func startFront(process *process) (*role.Front, role.Server, error) {
 	settings := process.settings
 	table := catalog.NewTable()
 	replicas := platform.NewReplicas(dialer())
@@ -59,16 +59,17 @@
 		Stopping: front.Stopping, UpToDate: front.UpToDate,
 	}
 	if err := front.Start(); err != nil {
-		return nil, nil, err
+		return nil, role.Server{}, err
 	}
 	callerServer := platform.NewServer(front.CountCalls(ingress), awaitServerLimits(table, limits.StartTimeout+storeReadSlack))
-	if err := process.serve("callers", settings.Listen["front"], callerServer); err != nil {
-		return nil, nil, err
+	listener, err := process.serve("callers", settings.Listen["front"], callerServer)
+	if err != nil {
+		return nil, role.Server{}, err
 	}
-	if err := process.serve("ready", settings.Listen["ready"], &http.Server{Handler: platform.ReadyHandler(front.Ready)}); err != nil {
-		return nil, nil, err
+	if _, err := process.serve("ready", settings.Listen["ready"], &http.Server{Handler: platform.ReadyHandler(front.Ready)}); err != nil {
+		return nil, role.Server{}, err
 	}
-	return front, callerServer, nil
+	return front, role.Server{Server: callerServer, Listener: listener}, nil
 }
 
 // standbyStarter returns a function that starts a standby orderer in this process, or nil if the node has no internal port for it.
--- a/cmd/thistlewalk-rollout/main.go
+++ b/cmd/thistlewalk-rollout/main.go
@@ -142,7 +142,8 @@
 // serveMetrics serves the metrics of this process on the given port, at every path.
 func (process *process) serveMetrics(port int) error {
 	address := net.JoinHostPort(process.settings.IP, strconv.Itoa(port))
-	return process.serve("metrics", address, &http.Server{Handler: process.metrics.Handler(), ReadHeaderTimeout: metricsHeaderTimeout})
+	_, err := process.serve("metrics", address, &http.Server{Handler: process.metrics.Handler(), ReadHeaderTimeout: metricsHeaderTimeout})
+	return err
 }
 
 const metricsHeaderTimeout = 3 * time.Second
@@ -185,16 +186,16 @@
 }
 
 // serve listens on an address and serves requests in the background until the process ends.
-func (process *process) serve(name, address string, server *http.Server) error {
+func (process *process) serve(name, address string, server *http.Server) (net.Listener, error) {
 	listener, err := listen(address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	go func() {
 		err := server.Serve(listener)
 		process.logger.Warn("server ended", "server", name, "error", err)
 	}()
-	return nil
+	return listener, nil
 }
 
 // awaitStop waits for SIGTERM or an interrupt. It reloads the settings on SIGHUP and when the settings file changes.
--- a/cmd/thistlewalk-rollout/site_test.go
+++ b/cmd/thistlewalk-rollout/site_test.go
@@ -58,7 +58,7 @@
 
 type runningFront struct {
 	front        *role.Front
-	callerServer *http.Server
+	callerServer role.Server
 	address      string
 	ready        string
 }
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -249,7 +249,7 @@
 
 // Stop shuts the front down within the grace period. The front reports itself as not ready, hands its jobs over, and
 // serves calls until none arrive any more; then it shuts the servers down gracefully.
-func (front *Front) Stop(grace time.Duration, servers ...*http.Server) {
+func (front *Front) Stop(grace time.Duration, servers ...Server) {
 	started := time.Now()
 	front.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
@@ -267,6 +267,7 @@
 	if handedOver { // concurrently, because a store that does not answer would use up the grace period
 		leaving.Go(func() { front.Registry.Leave(ctx) })
 	}
+	closeListeners(ctx, servers)
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
 			front.Logger.Warn("calls cut", "calls", front.activeCalls.Load(), "error", err)
@@ -277,3 +278,24 @@
 	front.Runner.Close()
 	front.cancel()
 }
+
+// Server is an HTTP server with the listener that it serves.
+type Server struct {
+	*http.Server
+	Listener net.Listener
+}
+
+// acceptSlack is the time within which a server reads the first request of a connection that it has accepted.
+const acceptSlack = 150 * time.Millisecond
+
+// closeListeners has the servers accept no further connections, and waits until they have read the requests of those that they have accepted.
+// From its shutdown on, http.Server closes a connection unanswered whose first request it then reads.
+func closeListeners(ctx context.Context, servers []Server) {
+	for _, server := range servers {
+		_ = server.Listener.Close() // the shutdown closes it again
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(acceptSlack):
+	}
+}
--- a/internal/role/front_test.go
+++ b/internal/role/front_test.go
@@ -84,10 +84,11 @@
 	}))}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	go func() { _ = server.Serve(wrap(listener)) }() // returns when the server is closed
+	listener = wrap(listener)
+	go func() { _ = server.Serve(listener) }() // returns when the listener is closed
 	stopped := make(chan struct{})
 	go func() {
-		front.Stop(grace, server)
+		front.Stop(grace, role.Server{Server: server, Listener: listener})
 		server.Close() // as at the end of the process
 		close(stopped)
 	}()
