Admission: only scoring with time to spare leaves the last place

A late scoring request was held back as well as one with time to spare, and left the last place idle while its step waited (test before the mend: one of two places taken). Critical ones were held back until they were urgent.

Only scoring with time to spare is held back.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -150,7 +150,7 @@
 	return queue.waiting == 0 && !queue.holdsBack(limit, now)
 }
 
-// holdsBack reports whether scoring requests that are not urgent have to leave the last place to interactive ones. It answers the load of
+// holdsBack reports whether scoring requests with time to spare have to leave the last place to interactive ones. It answers the load of
 // few places and scoring that takes long: an interactive request that finds all places taken by it would wait for longer than it takes
 // itself.
 func (queue *queue) holdsBack(limit int, now time.Duration) bool {
@@ -555,16 +555,11 @@
 	}
 }
 
-// next returns the waiting request that is admitted next; nil if all that wait are held back.
+// next returns the waiting request that is admitted next; nil if all that wait are held back, which only scoring with time to spare is.
 func (queue *queue) next(now time.Duration) (*ticket, kind) {
 	queue.refreshCritical(now)
 	interactive := queue.first(Interactive, false, never, now)
-	holdsBack := queue.holdsBack(queue.limit, now)
-	until := queue.criticalUntil
-	if holdsBack {
-		until = queue.urgentUntil
-	}
-	scoring := queue.first(Scoring, false, until, now)
+	scoring := queue.first(Scoring, false, queue.criticalUntil, now)
 	switch {
 	case interactive != nil && scoring != nil:
 		queue.usage.decay(now)
@@ -579,9 +574,6 @@
 		return scoring, critical
 	}
 	interactive = queue.first(Interactive, true, never, now)
-	if holdsBack {
-		return interactive, late
-	}
 	scoring = queue.first(Scoring, true, never, now)
 	if interactive != nil && (scoring == nil || queue.usage.scoringShare() >= 0.5) {
 		return interactive, late
@@ -589,6 +581,9 @@
 	if scoring != nil {
 		return scoring, late
 	}
+	if queue.holdsBack(queue.limit, now) {
+		return nil, spare
+	}
 	return queue.first(Scoring, false, never, now), spare
 }
 
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -297,6 +297,28 @@
 	must.Eq(t, 3, queue.inFlight[Scoring], must.Sprint("no interactive request arrives any more"))
 }
 
+// Only scoring with time to spare leaves the last place idle: a step that is late, or about to be, takes it.
+func TestLateScoringTakesTheLastPlace(t *testing.T) {
+	for _, check := range []struct {
+		name   string
+		useful time.Duration
+		taken  int
+	}{{"late", 100 * time.Millisecond, 2}, {"critical", 600 * time.Millisecond, 2}, {"time to spare", time.Minute, 1}} {
+		queue := newQueue(func() float64 { return 0.5 })
+		for class, took := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond} {
+			grant, _ := queue.takeAtOnce(Class(class), 2, 0)
+			queue.release(&grant, Outcome{ServiceTime: took}, 0)
+		}
+		_, ok := queue.takeAtOnce(Scoring, 2, 0)
+		must.True(t, ok)
+		_, ok = queue.takeAtOnce(Scoring, 2, 0)
+		must.False(t, ok)
+		queue.add(&ticket{class: Scoring, useful: check.useful, deadline: time.Hour}, "m", 0, ample, 0)
+		queue.dispatch(2, 0)
+		must.Eq(t, check.taken, queue.inFlight[Scoring], must.Sprint(check.name))
+	}
+}
+
 // A tenant that floods a service takes nothing from the others.
 func TestFloodOfOneTenant(t *testing.T) {
 	others := func(flood float64) float64 {
