Forwarding: usual deadlines are learnt by route and tenant

A tenant whose deadlines are shorter than those of most callers of a route was taken to come back, and its new requests were late on arrival: one tenant with 400 ms beside five with 800 ms was taken to be 393 ms old once the deadlines were learnt (test before the mend). And deadlines that differ beyond the route's timeout were taken to differ, so that nothing was concluded.

--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -20,12 +20,24 @@
 		Deadline: now.Add(run.remaining()), Size: len(run.call.Request.Body), Repeated: run.attempts > 0,
 	}
 	if run.route.Objective > 0 {
-		run.elapsed = run.forwarder.deadlines.of(run.route.Name).elapsed(run.call.Deadline)
+		run.elapsed = run.usualDeadline().elapsed(run.givenDeadline())
 		demand.Useful = run.started.Add(run.route.Objective - run.elapsed)
 	}
 	return demand
 }
 
+func (run *run) usualDeadline() *usualDeadline {
+	return run.forwarder.deadlines.of(callers{route: run.route.Name, tenant: run.call.Request.Tenant})
+}
+
+// givenDeadline returns the caller's deadline, as far as the route's timeout does not end the call before.
+func (run *run) givenDeadline() time.Duration {
+	if run.route.Timeout > 0 {
+		return min(run.call.Deadline, run.route.Timeout)
+	}
+	return run.call.Deadline
+}
+
 // priority returns the rank of the request: that of its tenant, or else of its route.
 func (run *run) priority() int {
 	if configuration := run.forwarder.Catalog.Configuration(); configuration != nil {
@@ -60,7 +72,7 @@
 		run.position = position
 	}
 	if waited == 0 && run.attempts == 0 && run.call.Deadline > 0 {
-		run.forwarder.deadlines.of(run.route.Name).learn(run.call.Deadline)
+		run.usualDeadline().learn(run.givenDeadline())
 	}
 	return grant, true
 }
--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -365,6 +365,32 @@
 	}
 }
 
+// A tenant that gives shorter deadlines than most is not taken to come back, and one whose deadlines differ beyond the route's timeout, which
+// ends them all, still is.
+func TestDeadlinesAreLearntByTenant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		admitted := newAdmitted(1, behaviour{after: 10 * time.Millisecond, status: http.StatusOK})
+		route := &catalog.Route{Name: "r", Kind: catalog.Safe, Targets: []catalog.RouteTarget{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: 1}
+		elapsed := func(tenant string, deadline time.Duration) string {
+			admitted.lines.Reset()
+			admitted.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q", Tenant: tenant}, Deadline: deadline})
+			_, after, _ := strings.Cut(admitted.lines.String(), "elapsed_ms=")
+			return strings.Fields(after)[0]
+		}
+		for turn := range 200 {
+			for tenant := range 5 {
+				elapsed(fmt.Sprint("long", tenant), 800*time.Millisecond)
+			}
+			must.Eq(t, "0", elapsed("short", 400*time.Millisecond))
+			elapsed("patient", time.Duration(2+turn%7)*time.Second)
+		}
+		must.Eq(t, "100", elapsed("short", 300*time.Millisecond))
+		must.Eq(t, "400", elapsed("long0", 400*time.Millisecond))
+		must.Eq(t, "500", elapsed("patient", 500*time.Millisecond))
+		must.Eq(t, "0", elapsed("patient", time.Minute))
+	})
+}
+
 // The rank of a request is that of its tenant, and of its route only without a tenant.
 func TestTenantsGoByTheirPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forwarding/deadlines.go
+++ b/internal/forwarding/deadlines.go
@@ -10,16 +10,16 @@
 	deadlineTolerance = 0.02
 	// deadlineWeight is the weight of one call in the share of calls with the usual deadline.
 	deadlineWeight = 1.0 / 64
-	// uniformShare is the share of a route's calls that must have the usual deadline for a shorter one to tell that a caller came back. It is
+	// uniformShare is the share of a tenant's calls on a route that must have the usual deadline for a shorter one to tell that a caller came back. It is
 	// well over a half, so that callers of two kinds are not taken for one.
 	uniformShare = 0.75
 	// outlierShare is the share under which the longest deadline was given by so few that it is forgotten step by step.
 	outlierShare = 0.1
-	// maxDeadlineRoutes bounds the routes with a known deadline. Beyond it all are forgotten.
-	maxDeadlineRoutes = 1024
+	// maxUsualDeadlines bounds the routes and tenants with a known deadline. Beyond it all are forgotten.
+	maxUsualDeadlines = 4096
 )
 
-// usualDeadline learns the deadline with which callers first send a route's requests. A caller that comes back after a refusal gives only
+// usualDeadline learns the deadline with which a tenant's callers first send a route's requests. A caller that comes back after a refusal gives only
 // what remains of it, so that the difference is the time since its first attempt. It learns only from calls that found room at once: in a
 // rush many calls are such returns.
 type usualDeadline struct {
@@ -60,28 +60,31 @@
 	return usual.longest - deadline
 }
 
-// usualDeadlines are the usual deadlines by route. The zero value is empty. It is safe for concurrent use.
+// callers are the callers that are taken to give the same deadline. Tenants differ in theirs.
+type callers struct{ route, tenant string }
+
+// usualDeadlines are the usual deadlines by route and tenant. The zero value is empty. It is safe for concurrent use.
 type usualDeadlines struct {
-	mu     sync.RWMutex
-	routes map[string]*usualDeadline
+	mu    sync.RWMutex
+	known map[callers]*usualDeadline
 }
 
-func (deadlines *usualDeadlines) of(route string) *usualDeadline {
+func (deadlines *usualDeadlines) of(key callers) *usualDeadline {
 	deadlines.mu.RLock()
-	own := deadlines.routes[route]
+	own := deadlines.known[key]
 	deadlines.mu.RUnlock()
 	if own != nil {
 		return own
 	}
 	deadlines.mu.Lock()
 	defer deadlines.mu.Unlock()
-	if own := deadlines.routes[route]; own != nil {
+	if own := deadlines.known[key]; own != nil {
 		return own
 	}
-	if deadlines.routes == nil || len(deadlines.routes) >= maxDeadlineRoutes {
-		deadlines.routes = make(map[string]*usualDeadline)
+	if deadlines.known == nil || len(deadlines.known) >= maxUsualDeadlines {
+		deadlines.known = make(map[callers]*usualDeadline)
 	}
 	own = &usualDeadline{}
-	deadlines.routes[route] = own
+	deadlines.known[key] = own
 	return own
 }
