Admission: a grant released twice frees one place; pages and tests say what is true of a panic

A second Release of a grant took the place of another request, or made the requests in flight negative, silently. Each grant now has a turn of its own at a place of its service, and a release of another turn has no effect and is logged once for a service.

The page said that the place of an attempt that panics is released. Nothing recovers a panic there: the process ends. The test ends the goroutine by runtime.Goexit and is named after that; what it checks is unchanged. A call that got its place with too little time left for an attempt was refused with no_replica, and has no_room now.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -98,6 +98,41 @@
 	late    int
 }
 
+// placeID tells the places of all grants of a service apart: a place has a new turn for each grant.
+type placeID struct {
+	index int
+	turn  uint64
+}
+
+// placeTable tells which grants are in use, so that one that is released twice frees no place of another. It grows to the greatest number of
+// requests in flight.
+type placeTable struct {
+	turns []uint64 // by index; odd while in use
+	free  []int
+}
+
+func (places *placeTable) take() placeID {
+	if len(places.free) == 0 {
+		places.free = append(places.free, len(places.turns))
+		places.turns = append(places.turns, 0)
+	}
+	last := len(places.free) - 1
+	index := places.free[last]
+	places.free = places.free[:last]
+	places.turns[index]++
+	return placeID{index: index, turn: places.turns[index]}
+}
+
+// release reports whether the place was in use.
+func (places *placeTable) release(place placeID) bool {
+	if place.turn == 0 || places.turns[place.index] != place.turn {
+		return false
+	}
+	places.turns[place.index]++
+	places.free = append(places.free, place.index)
+	return true
+}
+
 // queue decides which requests get the places of one service: which is sent at once, which waits, which of those that wait is next, and
 // which is refused. It answers the load of a service with less room than demand: places go to the requests that are worth most, and what
 // can't be served by its deadline learns so early enough to go elsewhere. It is a plain value without locks, timers or I/O; its caller
@@ -105,6 +140,7 @@
 type queue struct {
 	limit    int
 	inFlight [2]int // by class
+	places   placeTable
 	waiting  int
 	small    int // waiting requests of at most smallRequest
 	// bytes is what waiting requests hold, scoringBytes the part of scoring requests.
@@ -170,7 +206,7 @@
 		flow.level.virtual = start
 		flow.finish = start + charged
 	}
-	return Grant{class: class, kind: kind, flow: flow, charged: charged, since: now}
+	return Grant{class: class, kind: kind, flow: flow, charged: charged, since: now, place: queue.places.take()}
 }
 
 // takeAtOnce admits a request if there is room, and reports whether it did.
@@ -189,9 +225,13 @@
 	return queue.take(class, kind, nil, now), true
 }
 
-// release frees the place of an admitted request. It returns the number of requests in flight until then.
-func (queue *queue) release(grant *Grant, outcome Outcome, now time.Duration) int {
-	before := queue.busy()
+// release frees the place of an admitted request. It returns the number of requests in flight until then, and false if the place was freed
+// before.
+func (queue *queue) release(grant *Grant, outcome Outcome, now time.Duration) (before int, ok bool) {
+	before = queue.busy()
+	if !queue.places.release(grant.place) {
+		return before, false
+	}
 	queue.inFlight[grant.class]--
 	queue.progressed = now
 	held := now - grant.since
@@ -208,7 +248,7 @@
 		flow.finish += correction
 		flow.level.forget(flow)
 	}
-	return before
+	return before, true
 }
 
 // count returns the number of waiting requests of a class that are late, or are not.
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -154,6 +154,8 @@
 		longest           time.Duration
 	}
 	loggedAt time.Duration
+	// releasedTwice is true once a grant was released twice.
+	releasedTwice bool
 }
 
 // NewController returns a controller for the given room.
@@ -172,6 +174,7 @@
 	kind       kind
 	charged    float64
 	since      time.Duration
+	place      placeID
 	waited     time.Duration
 	position   int
 }
@@ -385,6 +388,14 @@
 		"admitted", own.rush.admitted, "refused", own.rush.refused, "longest_wait_ms", own.rush.longest.Milliseconds())
 }
 
+// logReleasedTwice logs once for a service that a grant was released again. It must be called with the service's mu held.
+func (controller *Controller) logReleasedTwice(own *service) {
+	if controller.Logger != nil && !own.releasedTwice {
+		controller.Logger.Error("place released twice", "service", own.name, "in_flight", own.queue.busy())
+	}
+	own.releasedTwice = true
+}
+
 // HasRoom reports whether a further request would be admitted at once. Hedges and other optional requests are sent only then.
 func (controller *Controller) HasRoom(name string) bool {
 	own := controller.find(name)
@@ -461,14 +472,20 @@
 	return loads
 }
 
-// Release records the end of the request and admits the next one. It does nothing for the zero Grant.
+// Release records the end of the request and admits the next one. It does nothing for the zero Grant, and nothing but a log line if the grant
+// was released before.
 func (grant Grant) Release(outcome Outcome) {
 	controller, own := grant.controller, grant.service
 	if own == nil {
 		return
 	}
 	own.mu.Lock()
-	before := own.queue.release(&grant, outcome, controller.now())
+	before, ok := own.queue.release(&grant, outcome, controller.now())
+	if !ok {
+		controller.logReleasedTwice(own)
+		own.mu.Unlock()
+		return
+	}
 	waiting := own.queue.waiting > 0
 	own.mu.Unlock()
 	controller.room.Observe(own.name, outcome, before)
--- a/internal/admission/service_test.go
+++ b/internal/admission/service_test.go
@@ -1,16 +1,19 @@
 package admission
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/shoenig/test/must"
 )
 
@@ -320,6 +323,26 @@
 	})
 }
 
+// A grant that is released twice frees one place, also while others are in flight, and is logged once.
+func TestGrantReleasedTwice(t *testing.T) {
+	var lines bytes.Buffer
+	controller := NewController(roomOf(2))
+	controller.Logger = log.New(&lines)
+	first, err := controller.Admit(t.Context(), demandFor(time.Hour))
+	must.NoError(t, err)
+	first.Release(Outcome{})
+	second, err := controller.Admit(t.Context(), demandFor(time.Hour))
+	must.NoError(t, err)
+	for range 3 {
+		first.Release(Outcome{ServiceTime: time.Second})
+	}
+	must.Eq(t, ServiceLoad{Service: "s", InFlight: 1}, controller.Loads()[0])
+	second.Release(Outcome{})
+	second.Release(Outcome{})
+	must.Eq(t, 0, controller.find("s").queue.busy())
+	must.Eq(t, 1, strings.Count(lines.String(), "place released twice"))
+}
+
 // Concurrent use, for the race detector: nothing is lost or held over.
 func TestConcurrentUse(t *testing.T) {
 	room := roomOf(4)
--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -96,7 +96,7 @@
 		return run.unauthorized()
 	case run.refusal != nil:
 		return run.refuseNoRoom()
-	case ctx.Err() != nil && run.waited > 0:
+	case run.waited > 0 && (ctx.Err() != nil || run.remaining() < minAttempt):
 		return run.refuse(reasonNoRoom)
 	}
 	return run.refuse("no_replica")
--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// exiting is a sender whose goroutine ends without returning, as it does in a panic.
+// exiting is a sender whose goroutine ends without returning.
 type exiting struct{}
 
 func (exiting) Send(context.Context, *catalog.Replica, *backend.Request) (*backend.Response, error) {
@@ -138,8 +138,8 @@
 	return nil, nil
 }
 
-// The place of an attempt that ends in a panic is not lost.
-func TestPlaceOfAnAttemptThatPanics(t *testing.T) {
+// The place of an attempt whose goroutine ends without a result is not lost. A panic there is not recovered and ends the process.
+func TestPlaceOfAnAttemptThatExits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		admitted := newAdmitted(1)
 		admitted.Sender = exiting{}
@@ -180,6 +180,19 @@
 	})
 }
 
+// A call that gets its place when too little time is left for an attempt had no room; replicas there were.
+func TestPlaceInTheLastMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		admitted := newAdmitted(1, behaviour{status: http.StatusOK})
+		grant := admitted.occupy(t)
+		time.AfterFunc(853*time.Millisecond, func() { grant.Release(admission.Outcome{}) })
+		must.Eq(t, "no_room", admitted.call(t.Context(), catalog.Safe, nil).Reason)
+		must.SliceEmpty(t, admitted.sender.sent)
+		inFlight, _ := admitted.load()
+		must.Eq(t, 0, inFlight)
+	})
+}
+
 // A call whose caller disconnects leaves the queue at once, and one whose key was revoked while it waited is not sent.
 func TestWaitingCallIsWithdrawn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
