--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -613,6 +613,67 @@
 	must.Positive(t, countTickets(waiting, isLate), must.Sprint("five means without an answer are a stall"))
 }
 
+// The request that is evicted from a full queue: of the least urgent kind, then the lowest priority, of the longest flow the last. A class
+// that holds no more than its share of the queue loses nothing to the other one.
+func TestEviction(t *testing.T) {
+	const second = time.Second
+	interactive := func(flow string, priority int, useful time.Duration) *call {
+		return &call{class: Interactive, flow: flow, priority: priority, useful: useful}
+	}
+	scoring := func(useful time.Duration) *call { return &call{class: Scoring, flow: "m", useful: useful} }
+	for _, check := range []struct {
+		name    string
+		waiting []*call
+		arrives *call
+		evicted int // index in waiting; that of arrives if it is refused
+	}{
+		{"spare scoring before interactive in time", []*call{interactive("a", 0, 50*second), interactive("a", 0, 60*second), scoring(10 * second), scoring(20 * second)}, interactive("a", 0, 70*second), 3},
+		{"late interactive before one in time", []*call{interactive("a", 1, 50*second), interactive("a", 1, 60*second), interactive("b", 0, time.Millisecond), interactive("a", 1, 70*second)}, interactive("a", 1, 80*second), 2},
+		{"spare scoring before a late one", []*call{scoring(10 * second), scoring(time.Millisecond), scoring(30 * second), scoring(20 * second)}, scoring(5 * second), 2},
+		{"low priority", []*call{interactive("a", 0, 50*second), interactive("a", 0, 60*second), interactive("b", 1, 10*second), interactive("a", 0, 70*second)}, interactive("a", 0, 80*second), 2},
+		{"lower priority arrives", []*call{interactive("a", 0, 50*second), interactive("a", 0, 60*second), interactive("a", 0, 70*second), interactive("a", 0, 80*second)}, interactive("b", 1, 10*second), 4},
+		{"the longest flow", []*call{interactive("a", 0, 50*second), interactive("b", 0, 60*second), interactive("a", 0, 55*second), interactive("c", 0, 80*second)}, interactive("d", 0, 90*second), 2},
+		{"scoring keeps its share", []*call{interactive("a", 0, 50*second), interactive("a", 0, 70*second), interactive("a", 0, 60*second), scoring(10 * second)}, interactive("a", 0, 40*second), 1},
+		{"interactive keeps its share", []*call{interactive("a", 0, time.Millisecond), scoring(10 * second), scoring(20 * second), scoring(15 * second)}, scoring(5 * second), 2},
+	} {
+		queue := newQueue(func() float64 { return 0.5 })
+		grant, _ := queue.takeAtOnce(Interactive, 1, 0)
+		queue.release(&grant, Outcome{ServiceTime: 10 * time.Millisecond}, 0)
+		queue.takeAtOnce(Interactive, 1, 0)
+		const size = smallRequest + 1
+		all := append(check.waiting, check.arrives)
+		for _, call := range all {
+			call.ticket = &ticket{class: call.class, useful: call.useful, deadline: 1000 * second, size: size}
+			queue.add(call.ticket, call.flow, call.priority, func(more, _ int64) bool { return queue.bytes+more <= int64(len(check.waiting))*size }, 0)
+		}
+		for index, call := range all {
+			must.Eq(t, index == check.evicted, call.ticket.refusal != nil, must.Sprint(check.name, ": ", index))
+		}
+		if check.evicted < len(check.waiting) {
+			must.Eq(t, reasonEvicted, all[check.evicted].ticket.refusal.Reason)
+		} else {
+			must.Eq(t, reasonQueueFull, check.arrives.ticket.refusal.Reason)
+		}
+	}
+}
+
+// Late requests of the two classes share the slot time that is left over: the class that used less goes first.
+func TestLateScoringAndLateCallersTakeTurns(t *testing.T) {
+	for _, used := range []Class{Interactive, Scoring} {
+		queue := newQueue(func() float64 { return 0.5 })
+		grant, _ := queue.takeAtOnce(used, 1, 0)
+		for _, class := range []Class{Interactive, Scoring} {
+			queue.add(&ticket{class: class, useful: time.Millisecond, deadline: time.Hour}, "a", 0, ample, 5*time.Millisecond)
+		}
+		for range 2 {
+			queue.release(&grant, Outcome{}, 10*time.Millisecond)
+			queue.dispatch(1, 10*time.Millisecond)
+			grant = queue.decided[len(queue.decided)-1].grant
+		}
+		must.Eq(t, []Class{1 - used, used}, []Class{queue.decided[0].class, queue.decided[1].class})
+	}
+}
+
 // Requests that are cut off at their deadlines tell that replicas take longer, although none of them ends. Refused and quick ones tell
 // nothing.
 func TestRequestsCutOffRaiseTheServiceTime(t *testing.T) {
