Admission: the queue in four files, one name for one thing

Requests in time were called fresh or inTime: inTime. late was a field, a list, a count and a kind: isLate, late, lateCount, kindLate.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -51,10 +51,10 @@
 
 // Kinds in the order in which they are served, apart from the shares that keep the first two from starving each other.
 const (
-	inTime   kind = iota // interactive, can still be answered with full value
-	critical             // scoring, its step is about to miss its due time
-	late                 // past the time of full value
-	spare                // scoring with time to spare
+	kindInTime   kind = iota // interactive, can still be answered with full value
+	kindCritical             // scoring, its step is about to miss its due time
+	kindLate                 // past the time of full value
+	kindSpare                // scoring with time to spare
 	kindCount
 )
 
@@ -83,8 +83,8 @@
 
 // scoringShare returns the part of the used slot time that scoring requests used; a half if none was used.
 func (usage *usage) scoringShare() float64 {
-	scoring := usage.used[critical] + usage.used[spare]
-	total := scoring + usage.used[inTime] + usage.used[late]
+	scoring := usage.used[kindCritical] + usage.used[kindSpare]
+	total := scoring + usage.used[kindInTime] + usage.used[kindLate]
 	if total <= 0 {
 		return 0.5
 	}
@@ -169,7 +169,7 @@
 	var work float64
 	switch {
 	case class == Scoring:
-		work = float64(ahead) * scoring / max(guaranteedShare, 1-queue.usage.ofPlaces(queue.limit, inTime))
+		work = float64(ahead) * scoring / max(guaranteedShare, 1-queue.usage.ofPlaces(queue.limit, kindInTime))
 	case !isLate:
 		others := guaranteedShare
 		if queue.urgentUntil >= 0 {
@@ -178,9 +178,9 @@
 		own := float64(ahead) * interactive
 		work = min(own+criticalWork, own/(1-others))
 	default:
-		freshWork := float64(queue.count(Interactive, false)) * interactive
-		rate := max(leastLateRate, 1-queue.usage.ofPlaces(queue.limit, inTime, critical))
-		work = freshWork + criticalWork + float64(ahead+1)*interactive/rate
+		inTimeWork := float64(queue.count(Interactive, false)) * interactive
+		rate := max(leastLateRate, 1-queue.usage.ofPlaces(queue.limit, kindInTime, kindCritical))
+		work = inTimeWork + criticalWork + float64(ahead+1)*interactive/rate
 	}
 	return time.Duration(min(interval+slower*work/places, float64(time.Hour)))
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -22,19 +22,10 @@
 	criticalMargin = 2 * sweepInterval
 	// criticalRefresh is how long the result of refreshCritical holds.
 	criticalRefresh = 5 * time.Millisecond
-	// sweepInterval is the time between two looks at all waiting requests.
-	sweepInterval = 20 * time.Millisecond
-	// maxWaiting and minQueueBound limit the bound on the queue's length.
-	maxWaiting    = 2048
-	minQueueBound = 16
-	// longestWait is the longest deadline for which the queue makes room.
-	longestWait = time.Minute
 	// interactiveMemory is how long after an interactive request the next one is expected.
 	interactiveMemory = 10 * time.Second
 	// forgetUsageAfter is the time without waiting requests after which flows are equal again.
 	forgetUsageAfter = time.Second
-	// maxIdleFlows bounds the flows kept for the slot time that they used.
-	maxIdleFlows = 1024
 	// never is later than every time in use.
 	never = time.Duration(1 << 62)
 )
@@ -47,57 +38,6 @@
 	reasonQueueFull = "queue_full" // as many wait as can be served, and it is the least urgent
 )
 
-// ticket is a request that waits for a place. Times are measured from the start of the controller.
-type ticket struct {
-	class            Class
-	flow             *flow
-	useful, deadline time.Duration
-	arrived          time.Duration
-	size             int64
-	late             bool
-	waiting          bool
-	// position is the number of requests that were expected to be served before it when it arrived.
-	position int
-	// Set when the wait ends: either grant or refusal.
-	grant   Grant
-	refusal *RefusedError
-	decided chan struct{}
-}
-
-// scoringSize is what the request counts towards scoringMemory.
-func (request *ticket) scoringSize() int64 {
-	if request.class == Scoring {
-		return request.size
-	}
-	return 0
-}
-
-// flow is a tenant's or a model's requests of one class and priority. fresh holds requests that can still be useful in full, late the
-// others; both are sorted.
-type flow struct {
-	name     string
-	level    *level
-	fresh    []*ticket
-	late     []*ticket
-	inFlight int
-	// finish is the flow's virtual finish time: where its next request starts if the flow is backlogged.
-	finish float64
-}
-
-func (flow *flow) waiting() int { return len(flow.fresh) + len(flow.late) }
-
-// level is the requests of one class and priority. Its flows share slot time by start-time fair queuing.
-type level struct {
-	class    Class
-	priority int
-	// virtual is the start tag of the request admitted last. A flow that was idle starts there, so that it gathers no credit.
-	virtual float64
-	flows   map[string]*flow
-	active  []*flow // those with waiting requests
-	fresh   int
-	late    int
-}
-
 // placeID tells the places of all grants of a service apart: a place has a new turn for each grant.
 type placeID struct {
 	index int
@@ -147,7 +87,7 @@
 	bytes, scoringBytes int64
 	refused             int64
 	levels              []*level  // by class, then priority
-	due                 []*ticket // fresh scoring requests by useful
+	due                 []*ticket // scoring requests in time by useful
 	times               [2]serviceTime
 	usage               usage
 	// progressed is when a place was last taken or freed, moved forward by pauses of the process since.
@@ -218,9 +158,9 @@
 	if !queue.hasRoom(class, queue.limit, now) {
 		return Grant{}, false
 	}
-	kind := inTime
+	kind := kindInTime
 	if class == Scoring {
-		kind = spare
+		kind = kindSpare
 	}
 	return queue.take(class, kind, nil, now), true
 }
@@ -259,9 +199,9 @@
 			continue
 		}
 		if isLate {
-			total += level.late
+			total += level.lateCount
 		} else {
-			total += level.fresh
+			total += level.inTimeCount
 		}
 	}
 	return total
@@ -279,9 +219,9 @@
 		}
 		if level.priority < own.level.priority {
 			if isLate {
-				total += level.late
+				total += level.lateCount
 			} else {
-				total += level.fresh
+				total += level.inTimeCount
 			}
 			continue
 		}
@@ -294,71 +234,6 @@
 	return total
 }
 
-func (flow *flow) list(isLate bool) []*ticket {
-	if isLate {
-		return flow.late
-	}
-	return flow.fresh
-}
-
-// compareTickets orders the requests of a flow: by the time until which they are useful, late interactive ones by deadline.
-func compareTickets(a, b *ticket) int {
-	if a.useful != b.useful && (a.class == Scoring || !a.late) {
-		return compareDurations(a.useful, b.useful)
-	}
-	if a.deadline != b.deadline {
-		return compareDurations(a.deadline, b.deadline)
-	}
-	return compareDurations(a.arrived, b.arrived)
-}
-
-func compareDurations(a, b time.Duration) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
-// levelOf returns the level of a class and priority, and adds it if there is none.
-func (queue *queue) levelOf(class Class, priority int) *level {
-	index, found := slices.BinarySearchFunc(queue.levels, priority, func(other *level, priority int) int {
-		if other.class != class {
-			return int(other.class) - int(class)
-		}
-		return other.priority - priority
-	})
-	if !found {
-		queue.levels = slices.Insert(queue.levels, index, &level{class: class, priority: priority, flows: make(map[string]*flow)})
-	}
-	return queue.levels[index]
-}
-
-func (level *level) flowOf(name string) *flow {
-	own := level.flows[name]
-	if own == nil {
-		if len(level.flows) >= maxIdleFlows {
-			for name, other := range level.flows {
-				if other.inFlight == 0 && other.waiting() == 0 {
-					delete(level.flows, name)
-				}
-			}
-		}
-		own = &flow{name: name, level: level}
-		level.flows[name] = own
-	}
-	return own
-}
-
-// forget removes a flow that has nothing waiting or in flight and used no more than its share.
-func (level *level) forget(flow *flow) {
-	if flow.inFlight == 0 && flow.waiting() == 0 && flow.finish <= level.virtual && level.flows[flow.name] == flow {
-		delete(level.flows, flow.name)
-	}
-}
-
 // add queues a request or refuses it. room reports whether size more bytes may be held, of them the given ones by scoring requests.
 func (queue *queue) add(request *ticket, flowName string, priority int, room func(size, scoring int64) bool, now time.Duration) {
 	queue.endRush(now)
@@ -366,8 +241,8 @@
 	level := queue.levelOf(request.class, priority)
 	request.flow = level.flowOf(flowName)
 	request.arrived = now
-	request.late = now+queue.likelyOf(request.class) > request.useful
-	request.position = queue.ahead(request, request.late)
+	request.isLate = now+queue.likelyOf(request.class) > request.useful
+	request.position = queue.ahead(request, request.isLate)
 	if queue.timesKnown() && now+queue.expected(request, now) > request.deadline || now >= request.deadline {
 		queue.refuse(request, reasonBacklog, now)
 		level.forget(request.flow)
@@ -410,84 +285,25 @@
 // its full value becomes late at once, so that the next one finds it among the late ones.
 func (queue *queue) expected(request *ticket, now time.Duration) time.Duration {
 	service := queue.likelyOf(request.class)
-	total := queue.wait(request.class, request.late, request.position, now) + service
-	if request.class == Interactive && !request.late && now+total+queue.uncertainty(request) > request.useful {
-		request.late = true
+	total := queue.wait(request.class, request.isLate, request.position, now) + service
+	if request.class == Interactive && !request.isLate && now+total+queue.uncertainty(request) > request.useful {
+		request.isLate = true
 		request.position = queue.count(Interactive, false) + queue.ahead(request, true)
 		total = lateCaution*queue.wait(Interactive, true, queue.ahead(request, true), now) + service
 	}
 	return total
 }
 
-// bound returns how many requests may wait: as many as can be served in the longest time that one of them has.
-func (queue *queue) bound() int {
-	if !queue.timesKnown() {
-		return maxWaiting
-	}
-	shortest := queue.meanOf(Interactive)
-	if queue.times[Scoring].known {
-		shortest = min(shortest, queue.times[Scoring].mean)
-	}
-	return int(min(maxWaiting, max(minQueueBound, float64(queue.limit)*float64(queue.longest)/max(shortest, 1))))
-}
-
 func (queue *queue) kindOf(request *ticket) kind {
 	switch {
-	case request.late:
-		return late
+	case request.isLate:
+		return kindLate
 	case request.class == Interactive:
-		return inTime
+		return kindInTime
 	case request.useful <= queue.criticalUntil:
-		return critical
-	}
-	return spare
-}
-
-// leastUrgent returns the waiting request to evict first: of the least urgent kind and priority the one served last of the longest flow.
-// Neither in-time interactive nor critical scoring requests lose their guaranteed share of the queue to the other.
-func (queue *queue) leastUrgent(scoringOnly bool) *ticket {
-	var worst *ticket
-	for _, level := range queue.levels {
-		if scoringOnly && level.class != Scoring || !queue.evictable(level) {
-			continue
-		}
-		for _, flow := range level.active {
-			for _, list := range [][]*ticket{flow.fresh, flow.late} {
-				if len(list) == 0 {
-					continue
-				}
-				if last := list[len(list)-1]; worst == nil || queue.givesWay(last, worst) {
-					worst = last
-				}
-			}
-		}
+		return kindCritical
 	}
-	return worst
-}
-
-func (queue *queue) evictable(level *level) bool {
-	return float64(queue.count(level.class, false)+queue.count(level.class, true)) > guaranteedShare*float64(queue.waiting) ||
-		queue.count(1-level.class, false)+queue.count(1-level.class, true) == 0
-}
-
-// givesWay reports whether request is less urgent than other.
-func (queue *queue) givesWay(request, other *ticket) bool {
-	if own, others := queue.kindOf(request), queue.kindOf(other); own != others {
-		return own > others
-	}
-	if request.flow.level.priority != other.flow.level.priority {
-		return request.flow.level.priority > other.flow.level.priority
-	}
-	if request.flow != other.flow {
-		own, others := request.flow.waiting(), other.flow.waiting()
-		if !other.waiting {
-			others++
-		}
-		if own != others {
-			return own > others
-		}
-	}
-	return compareTickets(request, other) > 0
+	return kindSpare
 }
 
 func (queue *queue) insert(request *ticket) {
@@ -495,12 +311,12 @@
 	if flow.waiting() == 0 {
 		flow.level.active = append(flow.level.active, flow)
 	}
-	if request.late {
+	if request.isLate {
 		flow.late = insertSorted(flow.late, request)
-		flow.level.late++
+		flow.level.lateCount++
 	} else {
-		flow.fresh = insertSorted(flow.fresh, request)
-		flow.level.fresh++
+		flow.inTime = insertSorted(flow.inTime, request)
+		flow.level.inTimeCount++
 		if request.class == Scoring {
 			queue.due = insertSorted(queue.due, request)
 			queue.criticalAt = -never
@@ -517,12 +333,12 @@
 // remove takes a request out of the queue.
 func (queue *queue) remove(request *ticket) {
 	flow := request.flow
-	if request.late {
+	if request.isLate {
 		flow.late = removeSorted(flow.late, request)
-		flow.level.late--
+		flow.level.lateCount--
 	} else {
-		flow.fresh = removeSorted(flow.fresh, request)
-		flow.level.fresh--
+		flow.inTime = removeSorted(flow.inTime, request)
+		flow.level.inTimeCount--
 		if request.class == Scoring {
 			queue.due = removeSorted(queue.due, request)
 		}
@@ -550,22 +366,6 @@
 	}
 }
 
-func insertSorted(list []*ticket, request *ticket) []*ticket {
-	index, _ := slices.BinarySearchFunc(list, request, compareTickets)
-	for index < len(list) && compareTickets(list[index], request) == 0 {
-		index++
-	}
-	return slices.Insert(list, index, request)
-}
-
-func removeSorted(list []*ticket, request *ticket) []*ticket {
-	index, _ := slices.BinarySearchFunc(list, request, compareTickets)
-	for list[index] != request {
-		index++
-	}
-	return slices.Delete(list, index, index+1)
-}
-
 // refuse decides that a request that is not in the queue is not admitted.
 func (queue *queue) refuse(request *ticket, reason string, now time.Duration) {
 	queue.refused++
@@ -605,26 +405,26 @@
 		queue.usage.decay(now)
 		share := queue.usage.scoringShare()
 		if share < guaranteedShare || scoring.useful <= queue.urgentUntil && share < 1-guaranteedShare {
-			return scoring, critical
+			return scoring, kindCritical
 		}
-		return interactive, inTime
+		return interactive, kindInTime
 	case interactive != nil:
-		return interactive, inTime
+		return interactive, kindInTime
 	case scoring != nil:
-		return scoring, critical
+		return scoring, kindCritical
 	}
 	interactive = queue.first(Interactive, true, never, now)
 	scoring = queue.first(Scoring, true, never, now)
 	if interactive != nil && (scoring == nil || queue.usage.scoringShare() >= 0.5) {
-		return interactive, late
+		return interactive, kindLate
 	}
 	if scoring != nil {
-		return scoring, late
+		return scoring, kindLate
 	}
 	if queue.holdsBack(queue.limit, now) {
-		return nil, spare
+		return nil, kindSpare
 	}
-	return queue.first(Scoring, false, never, now), spare
+	return queue.first(Scoring, false, never, now), kindSpare
 }
 
 // first returns the request of a class to serve first: of the first priority, of the flow that used least, the earliest. Requests whose
@@ -655,109 +455,3 @@
 	}
 	return nil
 }
-
-// makeLate moves requests at the head of a level's flows to the late ones if they can't be served in time any more.
-func (queue *queue) makeLate(level *level, now time.Duration) {
-	inTimeUntil := now + queue.likelyOf(level.class)
-	for _, flow := range level.active {
-		for len(flow.fresh) > 0 && flow.fresh[0].useful < inTimeUntil {
-			queue.moveToLate(flow.fresh[0])
-		}
-	}
-}
-
-func (queue *queue) moveToLate(request *ticket) {
-	flow := request.flow
-	if request.class == Scoring {
-		queue.due = removeSorted(queue.due, request)
-	}
-	flow.fresh = removeSorted(flow.fresh, request)
-	flow.late = insertSorted(flow.late, request)
-	flow.level.fresh--
-	flow.level.late++
-	request.late = true
-}
-
-// sweep looks at all waiting requests: those that can't be served in time any more become late, and those that can't be served by their
-// deadline are refused.
-func (queue *queue) sweep(limit int, now time.Duration) {
-	queue.limit = max(limit, 1)
-	queue.progressed = min(now, queue.progressed+queue.paused(now))
-	queue.sweptAt = now
-	queue.criticalAt = -never
-	queue.refreshCritical(now)
-	queue.longest = 0
-	var doomed []*ticket
-	for _, level := range queue.levels {
-		inTimeUntil := now + queue.likelyOf(level.class)
-		for _, flow := range level.active {
-			for index := 0; index < len(flow.fresh); {
-				if request := flow.fresh[index]; request.useful < inTimeUntil {
-					queue.moveToLate(request)
-				} else {
-					index++
-				}
-			}
-		}
-	}
-	for _, isLate := range []bool{false, true} {
-		doomed = queue.appendDoomed(doomed, isLate, now)
-	}
-	for _, request := range doomed {
-		queue.remove(request)
-	}
-	for _, request := range doomed {
-		queue.refuse(request, reasonExpired, now)
-	}
-}
-
-// appendDoomed appends the waiting requests that are late, or are not, and can't be served by their deadline. A request counts as ahead of
-// another only if it isn't doomed itself.
-func (queue *queue) appendDoomed(doomed []*ticket, isLate bool, now time.Duration) []*ticket {
-	var missing []*ticket
-	before, class := 0, Class(-1)
-	for _, level := range queue.levels {
-		if level.class != class {
-			before, class = 0, level.class
-		}
-		service := queue.likelyOf(class)
-		if !queue.timesKnown() {
-			service = 0
-		}
-		// Flows take turns: round r serves the request number r of each flow.
-		served := 0
-		for round := 0; ; round++ {
-			any := false
-			for _, flow := range level.active {
-				list := flow.list(isLate)
-				if round >= len(list) {
-					continue
-				}
-				any = true
-				request := list[round]
-				queue.longest = max(queue.longest, min(request.deadline-now, longestWait))
-				expected := service
-				if queue.timesKnown() {
-					expected += queue.wait(class, isLate, before+served, now)
-					if class == Interactive && !isLate && now+expected-queue.uncertainty(request) > request.useful {
-						missing = append(missing, request)
-						continue
-					}
-				}
-				if now+expected > request.deadline {
-					doomed = append(doomed, request)
-				} else {
-					served++
-				}
-			}
-			if !any {
-				break
-			}
-		}
-		before += served
-	}
-	for _, request := range missing {
-		queue.moveToLate(request)
-	}
-	return doomed
-}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -569,7 +569,7 @@
 	return count
 }
 
-func isLate(request *ticket) bool    { return request.late }
+func wasLate(request *ticket) bool   { return request.isLate }
 func isRefused(request *ticket) bool { return request.refusal != nil }
 
 // A pause of the node's own process is no stall of the service: neither requests that wait nor the next to arrive are refused or late for
@@ -585,9 +585,9 @@
 		}
 		arriving := &ticket{useful: pause + 130*time.Millisecond, deadline: pause + 400*time.Millisecond}
 		queue.add(arriving, "b", 0, ample, pause+sweepInterval)
-		must.Eq(t, !paused, arriving.late || arriving.refusal != nil, must.Sprint("arriving, paused: ", paused))
+		must.Eq(t, !paused, arriving.isLate || arriving.refusal != nil, must.Sprint("arriving, paused: ", paused))
 		queue.sweep(2, pause+sweepInterval)
-		must.Eq(t, !paused, countTickets(waiting, isLate)+countTickets(waiting, isRefused) > 0, must.Sprint("waiting, paused: ", paused))
+		must.Eq(t, !paused, countTickets(waiting, wasLate)+countTickets(waiting, isRefused) > 0, must.Sprint("waiting, paused: ", paused))
 	}
 	// The same while a queue was empty between two sweeps: the time without waiting requests is no pause, nor is it time without progress.
 	queue, _ := stalled(2)
@@ -606,11 +606,11 @@
 	for _, now := range []time.Duration{20 * time.Millisecond, 40 * time.Millisecond} {
 		queue.sweep(12, now)
 	}
-	must.Eq(t, 0, countTickets(waiting, isLate))
+	must.Eq(t, 0, countTickets(waiting, wasLate))
 	for now := 60 * time.Millisecond; now <= 140*time.Millisecond; now += sweepInterval {
 		queue.sweep(12, now)
 	}
-	must.Positive(t, countTickets(waiting, isLate), must.Sprint("five means without an answer are a stall"))
+	must.Positive(t, countTickets(waiting, wasLate), must.Sprint("five means without an answer are a stall"))
 }
 
 // The request that is evicted from a full queue: of the least urgent kind, then the lowest priority, of the longest flow the last. A class
--- a/internal/admission/service_test.go
+++ b/internal/admission/service_test.go
@@ -217,7 +217,7 @@
 		waits.Go(func() { _, _ = controller.Admit(ctx, demand) })
 		synctest.Wait()
 		must.Eq(t, load.Refused+1, controller.Loads()[0].Refused)
-		must.Eq(t, 1, len(controller.find("s").queue.levels[0].flows["b"].fresh))
+		must.Eq(t, 1, len(controller.find("s").queue.levels[0].flows["b"].inTime))
 		demand.Size = waitingMemory
 		_, err = controller.Admit(ctx, demand)
 		must.NotNil(t, IsRefused(err))
