Admission: a queue that is full by its length evicts one of any class

The bound on what scoring requests hold sought the request to evict among scoring ones also where memory was there and only the length of the queue was at its bound: a more urgent request was refused in place of a less urgent interactive one. TestEvictionByLength fails without the mend. Now only a scoring request that finds the scoring half taken looks there.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -249,12 +249,12 @@
 		return
 	}
 	queue.longest = max(queue.longest, min(request.deadline-now, longestWait))
-	reserved := queue.small < minQueueBound && request.size <= smallRequest
-	if queue.waiting >= queue.bound() || !reserved && !room(request.size, request.scoringSize()) {
+	fits := queue.small < minQueueBound && request.size <= smallRequest || room(request.size, request.scoringSize())
+	if queue.waiting >= queue.bound() || !fits {
 		// Only a scoring request makes room for another one if scoring requests hold all that they may.
-		victim := queue.leastUrgent(!reserved && room(request.size, 0))
+		victim := queue.leastUrgent(!fits && room(request.size, 0))
 		if victim == nil || !queue.givesWay(victim, request) ||
-			!reserved && !room(request.size-victim.size, request.scoringSize()-victim.scoringSize()) {
+			!fits && !room(request.size-victim.size, request.scoringSize()-victim.scoringSize()) {
 			queue.refuse(request, reasonQueueFull, now)
 			level.forget(request.flow)
 			return
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -657,6 +657,21 @@
 	}
 }
 
+// A queue that holds as many requests as can be served evicts one of any class, although there is memory.
+func TestEvictionByLength(t *testing.T) {
+	queue := newQueue(func() float64 { return 0.5 })
+	grant, _ := queue.takeAtOnce(Interactive, 1, 0)
+	queue.release(&grant, Outcome{ServiceTime: 5 * time.Second}, 0)
+	queue.takeAtOnce(Interactive, 1, 0)
+	for number := range 4 * minQueueBound {
+		request := &ticket{useful: 500*time.Second - time.Duration(number), deadline: 1000 * time.Second, size: 1 + int64(number%2)*smallRequest}
+		queue.add(request, "a", 0, ample, 0)
+		must.True(t, request.waiting, must.Sprint(number))
+		must.LessEq(t, minQueueBound, queue.waiting)
+	}
+	must.Eq(t, 3*minQueueBound, countTickets(queue.decided, func(request *ticket) bool { return request.refusal.Reason == reasonEvicted }))
+}
+
 // Late requests of the two classes share the slot time that is left over: the class that used less goes first.
 func TestLateScoringAndLateCallersTakeTurns(t *testing.T) {
 	for _, used := range []Class{Interactive, Scoring} {
