--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -297,6 +297,28 @@
 	must.Eq(t, 3, queue.inFlight[Scoring], must.Sprint("no interactive request arrives any more"))
 }
 
+// Only scoring with time to spare leaves the last place idle: a step that is late, or about to be, takes it.
+func TestLateScoringTakesTheLastPlace(t *testing.T) {
+	for _, check := range []struct {
+		name   string
+		useful time.Duration
+		taken  int
+	}{{"late", 100 * time.Millisecond, 2}, {"critical", 600 * time.Millisecond, 2}, {"time to spare", time.Minute, 1}} {
+		queue := newQueue(func() float64 { return 0.5 })
+		for class, took := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond} {
+			grant, _ := queue.takeAtOnce(Class(class), 2, 0)
+			queue.release(&grant, Outcome{ServiceTime: took}, 0)
+		}
+		_, ok := queue.takeAtOnce(Scoring, 2, 0)
+		must.True(t, ok)
+		_, ok = queue.takeAtOnce(Scoring, 2, 0)
+		must.False(t, ok)
+		queue.add(&ticket{class: Scoring, useful: check.useful, deadline: time.Hour}, "m", 0, ample, 0)
+		queue.dispatch(2, 0)
+		must.Eq(t, check.taken, queue.inFlight[Scoring], must.Sprint(check.name))
+	}
+}
+
 // A tenant that floods a service takes nothing from the others.
 func TestFloodOfOneTenant(t *testing.T) {
 	others := func(flood float64) float64 {
@@ -547,7 +569,7 @@
 	return count
 }
 
-func isLate(request *ticket) bool    { return request.late }
+func wasLate(request *ticket) bool   { return request.isLate }
 func isRefused(request *ticket) bool { return request.refusal != nil }
 
 // A pause of the node's own process is no stall of the service: neither requests that wait nor the next to arrive are refused or late for
@@ -563,9 +585,9 @@
 		}
 		arriving := &ticket{useful: pause + 130*time.Millisecond, deadline: pause + 400*time.Millisecond}
 		queue.add(arriving, "b", 0, ample, pause+sweepInterval)
-		must.Eq(t, !paused, arriving.late || arriving.refusal != nil, must.Sprint("arriving, paused: ", paused))
+		must.Eq(t, !paused, arriving.isLate || arriving.refusal != nil, must.Sprint("arriving, paused: ", paused))
 		queue.sweep(2, pause+sweepInterval)
-		must.Eq(t, !paused, countTickets(waiting, isLate)+countTickets(waiting, isRefused) > 0, must.Sprint("waiting, paused: ", paused))
+		must.Eq(t, !paused, countTickets(waiting, wasLate)+countTickets(waiting, isRefused) > 0, must.Sprint("waiting, paused: ", paused))
 	}
 	// The same while a queue was empty between two sweeps: the time without waiting requests is no pause, nor is it time without progress.
 	queue, _ := stalled(2)
@@ -584,11 +606,87 @@
 	for _, now := range []time.Duration{20 * time.Millisecond, 40 * time.Millisecond} {
 		queue.sweep(12, now)
 	}
-	must.Eq(t, 0, countTickets(waiting, isLate))
+	must.Eq(t, 0, countTickets(waiting, wasLate))
 	for now := 60 * time.Millisecond; now <= 140*time.Millisecond; now += sweepInterval {
 		queue.sweep(12, now)
 	}
-	must.Positive(t, countTickets(waiting, isLate), must.Sprint("five means without an answer are a stall"))
+	must.Positive(t, countTickets(waiting, wasLate), must.Sprint("five means without an answer are a stall"))
+}
+
+// The request that is evicted from a full queue: of the least urgent kind, then the lowest priority, of the longest flow the last. A class
+// that holds no more than its share of the queue loses nothing to the other one.
+func TestEviction(t *testing.T) {
+	const second = time.Second
+	interactive := func(flow string, priority int, useful time.Duration) *call {
+		return &call{class: Interactive, flow: flow, priority: priority, useful: useful}
+	}
+	scoring := func(useful time.Duration) *call { return &call{class: Scoring, flow: "m", useful: useful} }
+	for _, check := range []struct {
+		name    string
+		waiting []*call
+		arrives *call
+		evicted int // index in waiting; that of arrives if it is refused
+	}{
+		{"spare scoring before interactive in time", []*call{interactive("a", 0, 50*second), interactive("a", 0, 60*second), scoring(10 * second), scoring(20 * second)}, interactive("a", 0, 70*second), 3},
+		{"late interactive before one in time", []*call{interactive("a", 1, 50*second), interactive("a", 1, 60*second), interactive("b", 0, time.Millisecond), interactive("a", 1, 70*second)}, interactive("a", 1, 80*second), 2},
+		{"spare scoring before a late one", []*call{scoring(10 * second), scoring(time.Millisecond), scoring(30 * second), scoring(20 * second)}, scoring(5 * second), 2},
+		{"low priority", []*call{interactive("a", 0, 50*second), interactive("a", 0, 60*second), interactive("b", 1, 10*second), interactive("a", 0, 70*second)}, interactive("a", 0, 80*second), 2},
+		{"lower priority arrives", []*call{interactive("a", 0, 50*second), interactive("a", 0, 60*second), interactive("a", 0, 70*second), interactive("a", 0, 80*second)}, interactive("b", 1, 10*second), 4},
+		{"the longest flow", []*call{interactive("a", 0, 50*second), interactive("b", 0, 60*second), interactive("a", 0, 55*second), interactive("c", 0, 80*second)}, interactive("d", 0, 90*second), 2},
+		{"scoring keeps its share", []*call{interactive("a", 0, 50*second), interactive("a", 0, 70*second), interactive("a", 0, 60*second), scoring(10 * second)}, interactive("a", 0, 40*second), 1},
+		{"interactive keeps its share", []*call{interactive("a", 0, time.Millisecond), scoring(10 * second), scoring(20 * second), scoring(15 * second)}, scoring(5 * second), 2},
+	} {
+		queue := newQueue(func() float64 { return 0.5 })
+		grant, _ := queue.takeAtOnce(Interactive, 1, 0)
+		queue.release(&grant, Outcome{ServiceTime: 10 * time.Millisecond}, 0)
+		queue.takeAtOnce(Interactive, 1, 0)
+		const size = smallRequest + 1
+		all := append(check.waiting, check.arrives)
+		for _, call := range all {
+			call.ticket = &ticket{class: call.class, useful: call.useful, deadline: 1000 * second, size: size}
+			queue.add(call.ticket, call.flow, call.priority, func(more, _ int64) bool { return queue.bytes+more <= int64(len(check.waiting))*size }, 0)
+		}
+		for index, call := range all {
+			must.Eq(t, index == check.evicted, call.ticket.refusal != nil, must.Sprint(check.name, ": ", index))
+		}
+		if check.evicted < len(check.waiting) {
+			must.Eq(t, reasonEvicted, all[check.evicted].ticket.refusal.Reason)
+		} else {
+			must.Eq(t, reasonQueueFull, check.arrives.ticket.refusal.Reason)
+		}
+	}
+}
+
+// A queue that holds as many requests as can be served evicts one of any class, although there is memory.
+func TestEvictionByLength(t *testing.T) {
+	queue := newQueue(func() float64 { return 0.5 })
+	grant, _ := queue.takeAtOnce(Interactive, 1, 0)
+	queue.release(&grant, Outcome{ServiceTime: 5 * time.Second}, 0)
+	queue.takeAtOnce(Interactive, 1, 0)
+	for number := range 4 * minQueueBound {
+		request := &ticket{useful: 500*time.Second - time.Duration(number), deadline: 1000 * time.Second, size: 1 + int64(number%2)*smallRequest}
+		queue.add(request, "a", 0, ample, 0)
+		must.True(t, request.waiting, must.Sprint(number))
+		must.LessEq(t, minQueueBound, queue.waiting)
+	}
+	must.Eq(t, 3*minQueueBound, countTickets(queue.decided, func(request *ticket) bool { return request.refusal.Reason == reasonEvicted }))
+}
+
+// Late requests of the two classes share the slot time that is left over: the class that used less goes first.
+func TestLateScoringAndLateCallersTakeTurns(t *testing.T) {
+	for _, used := range []Class{Interactive, Scoring} {
+		queue := newQueue(func() float64 { return 0.5 })
+		grant, _ := queue.takeAtOnce(used, 1, 0)
+		for _, class := range []Class{Interactive, Scoring} {
+			queue.add(&ticket{class: class, useful: time.Millisecond, deadline: time.Hour}, "a", 0, ample, 5*time.Millisecond)
+		}
+		for range 2 {
+			queue.release(&grant, Outcome{}, 10*time.Millisecond)
+			queue.dispatch(1, 10*time.Millisecond)
+			grant = queue.decided[len(queue.decided)-1].grant
+		}
+		must.Eq(t, []Class{1 - used, used}, []Class{queue.decided[0].class, queue.decided[1].class})
+	}
 }
 
 // Requests that are cut off at their deadlines tell that replicas take longer, although none of them ends. Refused and quick ones tell
--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// exiting is a sender whose goroutine ends without returning, as it does in a panic.
+// exiting is a sender whose goroutine ends without returning.
 type exiting struct{}
 
 func (exiting) Send(context.Context, *catalog.Replica, *backend.Request) (*backend.Response, error) {
@@ -138,8 +138,8 @@
 	return nil, nil
 }
 
-// The place of an attempt that ends in a panic is not lost.
-func TestPlaceOfAnAttemptThatPanics(t *testing.T) {
+// The place of an attempt whose goroutine ends without a result is not lost. A panic there is not recovered and ends the process.
+func TestPlaceOfAnAttemptThatExits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		admitted := newAdmitted(1)
 		admitted.Sender = exiting{}
@@ -180,6 +180,19 @@
 	})
 }
 
+// A call that gets its place when too little time is left for an attempt had no room; replicas there were.
+func TestPlaceInTheLastMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		admitted := newAdmitted(1, behaviour{status: http.StatusOK})
+		grant := admitted.occupy(t)
+		time.AfterFunc(853*time.Millisecond, func() { grant.Release(admission.Outcome{}) })
+		must.Eq(t, "no_room", admitted.call(t.Context(), catalog.Safe, nil).Reason)
+		must.SliceEmpty(t, admitted.sender.sent)
+		inFlight, _ := admitted.load()
+		must.Eq(t, 0, inFlight)
+	})
+}
+
 // A call whose caller disconnects leaves the queue at once, and one whose key was revoked while it waited is not sent.
 func TestWaitingCallIsWithdrawn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -365,6 +378,32 @@
 	}
 }
 
+// A tenant that gives shorter deadlines than most is not taken to come back, and one whose deadlines differ beyond the route's timeout, which
+// ends them all, still is.
+func TestDeadlinesAreLearntByTenant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		admitted := newAdmitted(1, behaviour{after: 10 * time.Millisecond, status: http.StatusOK})
+		route := &catalog.Route{Name: "r", Kind: catalog.Safe, Targets: []catalog.RouteTarget{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: 1}
+		elapsed := func(tenant string, deadline time.Duration) string {
+			admitted.lines.Reset()
+			admitted.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q", Tenant: tenant}, Deadline: deadline})
+			_, after, _ := strings.Cut(admitted.lines.String(), "elapsed_ms=")
+			return strings.Fields(after)[0]
+		}
+		for turn := range 200 {
+			for tenant := range 5 {
+				elapsed(fmt.Sprint("long", tenant), 800*time.Millisecond)
+			}
+			must.Eq(t, "0", elapsed("short", 400*time.Millisecond))
+			elapsed("patient", time.Duration(2+turn%7)*time.Second)
+		}
+		must.Eq(t, "100", elapsed("short", 300*time.Millisecond))
+		must.Eq(t, "400", elapsed("long0", 400*time.Millisecond))
+		must.Eq(t, "500", elapsed("patient", 500*time.Millisecond))
+		must.Eq(t, "0", elapsed("patient", time.Minute))
+	})
+}
+
 // The rank of a request is that of its tenant, and of its route only without a tenant.
 func TestTenantsGoByTheirPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
