--- a/internal/batchrun/scoreadmitted.go
+++ b/internal/batchrun/scoreadmitted.go
@@ -164,10 +164,10 @@
 		runner.scores.observe(call.service, answer.took)
 		return answer, 0, true
 	case scoreFailed:
-		outcome.ServiceTime = answer.took
 		call.failures++
 		over, pause = call.failures >= max(route.MaxAttempts, 1), scoreRetryDelay
 	case scoreTimedOut:
+		outcome.AtLeast = answer.took
 		call.timeouts++
 		if !answer.timedOut { // the replica cut it off, perhaps at once
 			pause = call.backOff()
