--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -77,6 +77,8 @@
 	Signature string
 	// WeightVersion is the version of the weights that produced the beginning of the answer; zero if unknown.
 	WeightVersion int64
+	// Load is what the replica says of its load.
+	Load ReportedLoad
 }
 
 // Sender sends a request to a replica exactly once, without retries. Its errors are ErrNotSent, ErrBroken, or the context's error if the
--- /dev/null
+++ b/internal/backend/balancing_test.go
@@ -0,0 +1,239 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func id(index int) string { return fmt.Sprintf("r%05d", index) }
+
+func constant(pace float64) func(time.Time) float64 {
+	return func(time.Time) float64 { return pace }
+}
+
+// A fifth of the replicas is four times slower. The slow ones must get little, the slowest percent of requests must not be theirs while the
+// others have room, and the requests of an overloaded service must still use them.
+func TestSlowReplicasGetLess(t *testing.T) {
+	play := func(seed uint64, balanced, reports bool, perSecond float64) (p99 time.Duration, slow, full float64) {
+		world := newWorld(seed, 39, balanced, "a", "b", "c")
+		for index := range 8 {
+			world.servers[id(index)].pace = constant(4)
+		}
+		for _, server := range world.servers {
+			server.reports = reports
+		}
+		// Each node finds the slow ones by its own answers, for which six nodes need a while at few requests a second.
+		world.play(perSecond, time.Duration(3600/perSecond*float64(time.Second)), world.anyNode)
+		start := world.now
+		world.play(perSecond, 8*time.Second, world.anyNode)
+		world.run(world.now.Add(2 * time.Second))
+		records := world.since(start)
+		return percentile(records, 0.99), share(records, func(record record) bool { return record.replica < id(8) }), share(records, func(record record) bool { return record.full })
+	}
+	for _, reports := range []bool{false, true} {
+		for _, perSecond := range []float64{60, 400, 1200, 1600} {
+			p99, slow, full := play(uint64(perSecond), true, reports, perSecond)
+			before, slowBefore, fullBefore := play(uint64(perSecond), false, reports, perSecond)
+			t.Logf("%v/s, reports %v: p99 %v, %.3f to slow ones, %.3f full; by requests in flight alone %v, %.3f, %.3f", perSecond, reports, p99.Round(time.Millisecond), slow, full, before.Round(time.Millisecond), slowBefore, fullBefore)
+			must.Less(t, 250*time.Millisecond, p99)
+			must.Less(t, 0.02, slow)
+			must.Greater(t, 400*time.Millisecond, before)
+		}
+		_, slow, full := play(7, true, reports, 1950)
+		_, _, fullBefore := play(7, false, reports, 1950)
+		t.Logf("1950/s: %.3f to slow ones, %.3f full; by requests in flight alone %.3f full", slow, full, fullBefore)
+		must.Greater(t, 0.02, slow, must.Sprint("the room of slow replicas is needed"))
+	}
+}
+
+// Work takes twice as long for moments of 50 ms, and one answer in 200 ten times as long. No replica may lose much of its share.
+func TestNoiseDoesNotUnbalance(t *testing.T) {
+	world := newWorld(3, 39, true, "a")
+	for index := range 39 {
+		server, offset := world.servers[id(index)], time.Duration(index)*37*time.Millisecond
+		server.pace = func(now time.Time) float64 {
+			switch {
+			case world.random.IntN(200) == 0:
+				return 10
+			case (time.Duration(now.UnixNano())+offset)%time.Second < 50*time.Millisecond:
+				return 2
+			}
+			return 1
+		}
+	}
+	world.play(800, 20*time.Second, world.anyNode)
+	got := make(map[string]int)
+	for _, record := range world.done {
+		got[record.replica]++
+	}
+	mean := float64(len(world.done)) / 39
+	for index := range 39 {
+		must.Between(t, 0.7*mean, float64(got[id(index)]), 1.3*mean, must.Sprint(id(index)))
+	}
+}
+
+// A replica turns slow and recovers. It must lose its share within about a second and have it back within ten.
+func TestReplicaSlowsDownAndReturns(t *testing.T) {
+	world := newWorld(4, 39, true, "a")
+	start := world.now
+	slowFrom, slowUntil := start.Add(3*time.Second), start.Add(9*time.Second)
+	world.servers[id(5)].pace = func(now time.Time) float64 {
+		if now.After(slowFrom) && now.Before(slowUntil) {
+			return 5
+		}
+		return 1
+	}
+	world.play(600, 25*time.Second, world.anyNode)
+	shareBetween := func(from, to time.Time) float64 {
+		count, mine := 0, 0
+		for _, record := range world.done {
+			if !record.at.Before(from) && record.at.Before(to) {
+				count++
+				if record.replica == id(5) {
+					mine++
+				}
+			}
+		}
+		return 39 * float64(mine) / float64(count)
+	}
+	before, during, after := shareBetween(start.Add(time.Second), slowFrom), shareBetween(slowFrom.Add(time.Second), slowUntil), shareBetween(start.Add(19*time.Second), start.Add(25*time.Second))
+	t.Logf("share of an even one: %.2f before, %.2f while slow, %.2f from 10 s after", before, during, after)
+	must.Greater(t, 0.7, before)
+	must.Less(t, 0.25, during)
+	must.Greater(t, 0.6, after)
+}
+
+// One replica fails a part of its requests at once, while the others have work to do: without a look at failures its short times draw more
+// requests to it.
+func TestFailingReplicaLosesItsShare(t *testing.T) {
+	for _, rate := range []float64{0.3, 1} {
+		play := func(balanced bool) (failed float64, after float64) {
+			world := newWorld(5, 39, balanced, "a")
+			start := world.now
+			world.servers[id(5)].fails = func() bool { return world.now.Before(start.Add(10*time.Second)) && world.random.Float64() < rate }
+			world.play(600, 30*time.Second, world.anyNode)
+			mine := share(world.since(start.Add(20*time.Second)), func(record record) bool { return record.replica == id(5) })
+			return share(world.done, func(record record) bool { return record.failed }), 39 * mine
+		}
+		failed, after := play(true)
+		before, _ := play(false)
+		t.Logf("fails %.1f: %.5f of requests failed, %.5f by requests in flight alone; share 10 s after %.2f", rate, failed, before, after)
+		must.Less(t, 0.4*before, failed)
+		must.Greater(t, 0.6, after, must.Sprint("it returns"))
+	}
+}
+
+// A replica accepts requests and never answers.
+func TestMuteReplicaIsHeld(t *testing.T) {
+	play := func(balanced bool) int {
+		world := newWorld(6, 39, balanced, "a")
+		start := world.now
+		world.play(600, 2*time.Second, world.anyNode)
+		world.servers[id(5)].mute = true
+		world.play(600, 10*time.Second, world.anyNode)
+		world.run(world.now.Add(2 * time.Second))
+		lost := 0
+		for _, record := range world.since(start.Add(2 * time.Second)) {
+			if record.failed {
+				lost++
+			}
+		}
+		return lost
+	}
+	lost, before := play(true), play(false)
+	t.Logf("%d of 6,000 requests lost, %d by requests in flight alone", lost, before)
+	must.Less(t, before/2, lost)
+}
+
+// All replicas turn slow, or all fail: it is the service. None may be held, and requests may not concentrate on a few.
+func TestWholeServiceInTroubleIsNotTheReplicas(t *testing.T) {
+	for name, trouble := range map[string]func(world *world, server *server){
+		"slow":    func(_ *world, server *server) { server.pace = constant(4) },
+		"failing": func(_ *world, server *server) { server.fails = func() bool { return true } },
+		"half of the answers fail": func(world *world, server *server) {
+			server.fails = func() bool { return world.random.IntN(2) == 0 }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			world := newWorld(7, 39, true, "a")
+			world.play(400, 2*time.Second, world.anyNode)
+			for _, server := range world.servers {
+				trouble(world, server)
+			}
+			start := world.now
+			world.play(400, 6*time.Second, world.anyNode)
+			for _, node := range world.nodes {
+				for id, state := range node.loads.balancer.service("app").replicas {
+					must.Nil(t, state.hold, must.Sprint(id))
+				}
+			}
+			got := make(map[string]int)
+			records := world.since(start.Add(2 * time.Second))
+			for _, record := range records {
+				got[record.replica]++
+			}
+			for index := range 39 {
+				must.LessEq(t, 3*float64(len(records))/39, float64(got[id(index)]), must.Sprint(id(index)))
+			}
+		})
+	}
+}
+
+// Most callers are in one zone. They must stay there while it has room, and go to the others before its queue is longer than theirs.
+func TestZonesWithUnevenDemand(t *testing.T) {
+	for _, check := range []struct {
+		perSecond  float64
+		away, full float64 // most requests of the busy zone that may leave it, and be refused
+		leastAway  float64
+	}{
+		{perSecond: 200, away: 0.01},
+		{perSecond: 300, away: 0.02},
+		{perSecond: 1100, away: 0.6, leastAway: 0.15, full: 0.005},
+	} {
+		for _, reports := range []bool{false, true} {
+			world := newWorld(8, 39, true, "a", "b", "c")
+			for _, server := range world.servers {
+				server.reports = reports
+			}
+			start := world.now
+			busy := []*worldNode{world.nodes[0], world.nodes[3]}
+			world.play(check.perSecond, 8*time.Second, func() *worldNode { return busy[world.random.IntN(2)] })
+			records := world.since(start.Add(2 * time.Second))
+			away := share(records, func(record record) bool { return world.servers[record.replica].replica.Zone != "a" })
+			full := share(records, func(record record) bool { return record.full })
+			t.Logf("%v/s in a zone of 780, reports %v: %.3f leave it, %.4f full, p99 %v", check.perSecond, reports, away, full, percentile(records, 0.99).Round(time.Millisecond))
+			must.LessEq(t, check.away, away)
+			must.GreaterEq(t, check.leastAway, away)
+			must.LessEq(t, check.full, full)
+		}
+	}
+}
+
+// Many nodes with few requests each see little of each other's load. They must not all choose the same replicas.
+func TestManyNodesDoNotHerd(t *testing.T) {
+	for _, reports := range []bool{false, true} {
+		zones := make([]string, 0, 25)
+		for range 25 {
+			zones = append(zones, "a")
+		}
+		play := func(balanced bool) (time.Duration, float64) {
+			world := newWorld(9, 39, balanced, zones...)
+			for index := range 39 {
+				world.servers[id(index)].reports = reports
+				world.servers[id(index)].pace = constant(0.8 + 0.01*float64(index))
+			}
+			start := world.now
+			world.play(1600, 8*time.Second, world.anyNode)
+			records := world.since(start.Add(2 * time.Second))
+			return percentile(records, 0.99), share(records, func(record record) bool { return record.full })
+		}
+		p99, full := play(true)
+		before, fullBefore := play(false)
+		t.Logf("reports %v: p99 %v, %.4f full; by requests in flight alone %v, %.4f", reports, p99.Round(time.Millisecond), full, before.Round(time.Millisecond), fullBefore)
+		must.LessEq(t, before+before/20, p99)
+		must.LessEq(t, fullBefore+0.002, full)
+	}
+}
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -23,8 +23,14 @@
 
 	mu     sync.Mutex
 	remote map[string]remoteLoads // by node
+
+	// balancer places requests at plain services; nil compares replicas by their requests in flight alone.
+	balancer *Balancer
 }
 
+// Balance places the requests to plain services with a balancer. It must be called before the loads are used.
+func (loads *Loads) Balance(balancer *Balancer) { loads.balancer = balancer }
+
 // remoteLoads is the last report of another node on its requests in flight.
 type remoteLoads struct {
 	inFlight map[string]int // by replica
@@ -216,6 +222,13 @@
 	return count
 }
 
+// hasRemote reports whether another node has reported its requests in flight.
+func (loads *Loads) hasRemote() bool {
+	loads.mu.Lock()
+	defer loads.mu.Unlock()
+	return len(loads.remote) > 0
+}
+
 // Snapshot serves decisions that compare many replicas: the reports of other nodes are summed up once, not for each replica.
 type Snapshot struct {
 	loads  *Loads
@@ -277,6 +290,8 @@
 	Loads *Loads
 	// Zone is the node's own zone, whose replicas are preferred at equal load.
 	Zone string
+	// Bytes is the size of the request's body. Only a balancer uses it.
+	Bytes int
 }
 
 // Pick returns the replica with the lowest cost that is neither excluded nor draining. It returns an ejected replica only if all of them
@@ -285,6 +300,9 @@
 // For more than maxSampled replicas, Pick compares those with an idle connection and a random sample, so that its work per request does
 // not grow with the fleet. If each of these is excluded, draining or ejected, Pick compares all replicas.
 func (picker *Picker) Pick(replicas catalog.ReplicaList, excluded []string, now time.Time) *catalog.Replica {
+	if balancer := picker.Loads.balancer; balancer != nil && replicas.Len() > 0 && len(replicas.At(0).Models) == 0 {
+		return balancer.pick(picker, replicas, excluded, now)
+	}
 	selection := &selection{picker: picker, excluded: excluded, now: now}
 	if replicas.Len() > maxSampled {
 		for _, id := range picker.Loads.idle(now) {
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -115,6 +115,12 @@
 		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node, Incarnation: options.Incarnation}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
 		Flush: batch.FlushPolicy{MinInterval: flushInterval, MaxWait: flushMaxDelay, FinalMinInterval: flushFinalInterval},
 	})
+	if options.OverloadControl {
+		balancer := backend.NewBalancer(options.Zone, options.Logger, options.Metrics)
+		loads.Balance(balancer)
+		front.Forwarder.Sender = balancer.Sender(front.guard)
+		front.Runner.Sender = front.Forwarder.Sender
+	}
 	front.health.Nodes = front.Registry.Count
 	front.health.OnRecovered = front.announceStoreAnswers
 	front.topics = newTopics(options.ConfigurationPrefix, options.ConfigurationHandler, options.ReplicaPrefix, options.ReplicaHandler, front.Registry, front.recordStore)
