--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -40,6 +40,7 @@
 	settings := process.settings
 	table := catalog.NewTable()
 	replicas := platform.NewReplicas(dialer())
+	replicas.Metrics = process.metrics
 	limits := dissemination.LimitsFor(settings.ConfigurationDeadline(), settings.FirstStart)
 	front := role.NewFront(role.FrontOptions{
 		Node: settings.Node, Zone: settings.Zone, Role: settings.Role, Incarnation: process.incarnation, Cores: settings.ProcessorCores(), PeerAddress: settings.PeerAddress(0),
--- a/internal/backend/balancer.go
+++ b/internal/backend/balancer.go
@@ -223,7 +223,7 @@
 	ownBest              candidate // of own
 }
 
-// pick returns the replica for a request; see Picker.Pick. bytes is the size of the request's body.
+// pick returns the replica for a request; see Picker.Pick.
 func (balancer *Balancer) pick(picker *Picker, replicas catalog.ReplicaList, excluded []string, now time.Time) *catalog.Replica {
 	service := balancer.service(replicas.At(0).Service)
 	service.mu.Lock()
@@ -245,13 +245,21 @@
 			place.consider(replica)
 		}
 	}
-	chosen := place.choose(float64(picker.Bytes))
+	chosen := place.choose(service.bytesOf(picker.Request))
 	if chosen != nil {
 		service.chosen(chosen, balancer.zone, now)
 	}
 	return chosen
 }
 
+// bytesOf returns the size of a request's body and of the answer to be expected. It must be called with mu held.
+func (service *balancedService) bytesOf(request *Request) float64 {
+	if request == nil {
+		return 0
+	}
+	return float64(len(request.Body)) + service.kinds[kindOf(request)].bytes
+}
+
 // chosen records that a request was placed at a replica, which may be a probe or a trial.
 func (service *balancedService) chosen(replica *catalog.Replica, zone string, now time.Time) {
 	service.sinceTrial++
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -290,8 +290,8 @@
 	Loads *Loads
 	// Zone is the node's own zone, whose replicas are preferred at equal load.
 	Zone string
-	// Bytes is the size of the request's body. Only a balancer uses it.
-	Bytes int
+	// Request is the request to place; nil if its size does not matter. Only a balancer uses it.
+	Request *Request
 }
 
 // Pick returns the replica with the lowest cost that is neither excluded nor draining. It returns an ejected replica only if all of them
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -69,8 +69,14 @@
 	return average.answers > 0 && average.value >= slowPace*typical
 }
 
+// negligible is the number of half-lives after which nothing counts.
+const negligible = 8
+
 // halved returns the share that is left at an age of what halves with each halfLife.
 func halved(age, halfLife time.Duration) float64 {
+	if age >= negligible*halfLife {
+		return 0
+	}
 	return math.Exp2(-age.Seconds() / halfLife.Seconds())
 }
 
--- a/internal/forwarding/run.go
+++ b/internal/forwarding/run.go
@@ -111,7 +111,7 @@
 		return false
 	}
 	now := time.Now()
-	picker := backend.Picker{Loads: run.forwarder.Loads, Zone: run.forwarder.Zone}
+	picker := backend.Picker{Loads: run.forwarder.Loads, Zone: run.forwarder.Zone, Request: &run.call.Request}
 	replica := picker.Pick(run.forwarder.Catalog.Replicas().Service(run.service), run.tried, now)
 	if replica == nil {
 		return false
