--- a/internal/backend/measure.go
+++ b/internal/backend/measure.go
@@ -241,11 +241,11 @@
 	slots, waiting := measurement.replica.Slots, 1
 	if state.report.at.Equal(now) {
 		slots, waiting = cmp.Or(state.report.load.Slots, slots), state.report.load.Waiting
-	} else {
-		// That it is full is a report as well.
+	} else { // that it is full is a report as well
 		state.report = report{load: ReportedLoad{Known: true, Running: slots, Waiting: waiting}, others: float64(max(0, slots+waiting-state.running)), at: now}
 		service.others.observe(state.report.others, now)
 	}
+	state.report.full = true
 	serviceTime := time.Duration(service.kinds[measurement.kind].seconds * state.pace.at(now, typicalPace) * float64(time.Second))
 	pause := expectedDrain(waiting, slots, serviceTime)
 	state.hold = &hold{reason: holdFull, until: now.Add(pause), pause: pause}
--- a/internal/backend/report.go
+++ b/internal/backend/report.go
@@ -12,8 +12,10 @@
 }
 
 const (
-	// reportHalfLife is the age at which half of a reported load still counts: other requests take a few tenths of a second.
-	reportHalfLife = 200 * time.Millisecond
+	// reportHalfLife is the age at which half of a reported load still counts: by then many of the requests that it counts have ended.
+	reportHalfLife = 100 * time.Millisecond
+	// fullHalfLife is that age for a replica that refused a request because it was full. Its queue has to drain before requests end.
+	fullHalfLife = 200 * time.Millisecond
 	// reportedPaceHalfLife is short because the reported pace changes many times a second.
 	reportedPaceHalfLife = 60 * time.Millisecond
 	// othersHalfLife is how long the mean load by others outlives the last report.
@@ -25,6 +27,7 @@
 type report struct {
 	load   ReportedLoad
 	others float64 // requests of other nodes
+	full   bool    // the replica refused a request
 	at     time.Time
 }
 
@@ -35,7 +38,11 @@
 		return
 	}
 	age := max(0, now.Sub(report.at))
-	*others += (report.others - *others) * halved(age, reportHalfLife)
+	halfLife := reportHalfLife
+	if report.full {
+		halfLife = fullHalfLife
+	}
+	*others += (report.others - *others) * halved(age, halfLife)
 	if report.load.Slots > 0 {
 		view.slots = float64(report.load.Slots)
 	}
