--- a/internal/backend/balancer.go
+++ b/internal/backend/balancer.go
@@ -38,8 +38,8 @@
 	replicaTTL    = time.Minute
 	evictInterval = time.Second
 	// maxReplicas bounds the replicas remembered of one service, maxServices the services.
-	maxReplicas = 4096
-	maxServices = 256
+	maxReplicas = 1024
+	maxServices = 128
 	// typicalTTL is how long the comparison of a service's replicas is valid, maxTypical how many of them are compared.
 	typicalTTL = 150 * time.Millisecond
 	maxTypical = 256
@@ -48,6 +48,10 @@
 	// slowPace is the pace relative to a replica's peers from which on it is reported as slow, notSlowPace that up to which it no longer is.
 	slowPace    = 1.9
 	notSlowPace = 1.4
+	// someFailing is how much more of a replica's answers fail than those of its peers from which on it is reported, fewFailing that up to
+	// which it no longer is.
+	someFailing = 0.25
+	fewFailing  = 0.05
 	// slowAnswers is how many answers are needed to report a replica as slow.
 	slowAnswers = 4
 	// provenTTL is how long ago a slow replica may have answered to get more than one request at a time.
@@ -94,9 +98,10 @@
 	lastAnswer  time.Time
 	lastUsed    time.Time
 	hold        *hold
-	slow        bool
-	trials      trialPlan
-	report      report
+	// slow and failing are true while the replica is reported as such.
+	slow, failing bool
+	trials        trialPlan
+	report        report
 }
 
 func (state *replicaState) evictable(now time.Time) bool {
--- a/internal/backend/decisions_test.go
+++ b/internal/backend/decisions_test.go
@@ -277,13 +277,41 @@
 	written := &strings.Builder{}
 	balancer, now := NewBalancer("a", log.New(written), nil), time.Unix(1000, 0)
 	for range 100 {
-		balancer.log(now, "replica slow")
+		balancer.log("replica slow", now)
 	}
 	must.Eq(t, linesPerWindow, strings.Count(written.String(), "\n"))
-	balancer.log(now.Add(time.Second), "replica slow")
+	balancer.log("replica slow", now.Add(time.Second))
 	must.StrContains(t, written.String(), "lines_left_out=90")
 }
 
+// That a replica is slow or fails must be logged once, and once when it no longer is.
+func TestChangesAreLoggedOnce(t *testing.T) {
+	bench, written := newBench(), &strings.Builder{}
+	bench.balancer.logger = log.New(written)
+	round := func(end measuredEnd, took time.Duration) {
+		bench.call(bench.peers[0], endServed, 100*time.Millisecond, ReportedLoad{})
+		bench.call(bench.replica, end, took, ReportedLoad{})
+	}
+	for range 10 {
+		round(endServed, 400*time.Millisecond)
+	}
+	for range 10 {
+		round(endServed, 100*time.Millisecond)
+	}
+	for range 4 {
+		round(endFailed, time.Millisecond)
+	}
+	for range 30 {
+		round(endServed, 100*time.Millisecond)
+	}
+	lines := strings.Split(strings.TrimSpace(written.String()), "\n")
+	must.Len(t, 4, lines, must.Sprint(lines))
+	for index, want := range []string{"replica slow", "replica back", "replica failing", "replica back"} {
+		must.StrContains(t, lines[index], want)
+		must.StrContains(t, lines[index], "replica=x@1")
+	}
+}
+
 // scripted answers with what the test says.
 type scripted func(ctx context.Context) (*Response, error)
 
@@ -403,6 +431,52 @@
 	must.Eq(t, probed, picker.Pick(list, nil, now.Add(time.Second)), must.Sprint("a probe that ended without an answer leaves room for the next"))
 }
 
+// A replica that has not answered for long counts as slow before its requests have run into their time limit.
+func TestSilenceCountsAsSlow(t *testing.T) {
+	bench, loads := newBench(), NewLoads()
+	loads.Balance(bench.balancer)
+	picker, list := Picker{Loads: loads, Zone: "a"}, catalog.NewReplicaList(bench.replica, bench.peers[0])
+	begin := func(replica *catalog.Replica) *measurement {
+		loads.Begin(replica.ID, bench.now)
+		return bench.balancer.begin(replica, &Request{}, bench.now)
+	}
+	begin(bench.replica)
+	for range 3 {
+		begin(bench.peers[0])
+	}
+	must.Eq(t, bench.replica, picker.Pick(list, nil, bench.now.Add(200*time.Millisecond)))
+	bench.now = bench.now.Add(400 * time.Millisecond)
+	begin(bench.peers[0]).end(endServed, ReportedLoad{}, 0, bench.now)
+	must.Eq(t, bench.peers[0], picker.Pick(list, nil, bench.now))
+}
+
+// If most replicas are held for failures, it is not the replicas: holds for failures then keep no request away, those of full replicas do.
+func TestMostReplicasHeld(t *testing.T) {
+	balancer, loads, now := NewBalancer("a", log.New(io.Discard), nil), NewLoads(), time.Unix(1000, 0)
+	loads.Balance(balancer)
+	var list []*catalog.Replica
+	for index := range 5 {
+		list = append(list, &catalog.Replica{ID: id(index), Service: "app", Slots: 6, Zone: "a"})
+	}
+	picker, service := Picker{Loads: loads, Zone: "a"}, balancer.service("app")
+	chosen := func() int {
+		now = now.Add(typicalTTL)
+		different := make(map[string]bool)
+		for range 200 {
+			different[picker.Pick(catalog.NewReplicaList(list...), nil, now).ID] = true
+		}
+		return len(different)
+	}
+	for index := range 2 {
+		service.state(list[index], "a", now).hold = &hold{reason: holdFailing, until: now.Add(time.Hour)}
+	}
+	must.Eq(t, 3, chosen())
+	service.state(list[2], "a", now).hold = &hold{reason: holdMute, until: now.Add(time.Hour)}
+	must.Eq(t, 5, chosen())
+	service.state(list[3], "a", now).hold = &hold{reason: holdFull, until: now.Add(time.Hour)}
+	must.Eq(t, 4, chosen())
+}
+
 // BenchmarkPickBalanced measures the time to place one request with a balancer and without, after each replica has answered some.
 func BenchmarkPickBalanced(b *testing.B) {
 	for _, count := range []int{39, 1000, 10_000} {
--- a/internal/backend/measure.go
+++ b/internal/backend/measure.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -171,7 +172,7 @@
 		measurement.abandoned(now)
 	case endUnknown:
 	}
-	measurement.noteSlow(now)
+	measurement.noteChange(now)
 }
 
 // answered records that the replica has shown that it works on requests.
@@ -217,7 +218,7 @@
 	}
 	state.failures = failureShare{}
 	measurement.balancer.metrics.ReplicaReturned()
-	measurement.balancer.log(now, "replica back", "replica", measurement.replica.ID, "service", measurement.replica.Service, "after", reason)
+	measurement.balancer.log("replica back", now, "replica", measurement.replica.ID, "service", measurement.replica.Service, "reason", reason)
 }
 
 // failed records a failure of the replica and holds it if its peers fail less.
@@ -234,8 +235,8 @@
 	}
 	state.hold = nextHold(state.hold, reason, now)
 	measurement.balancer.metrics.ReplicaHeld(reason.String())
-	measurement.balancer.log(now, "replica held", "replica", measurement.replica.ID, "service", measurement.replica.Service, "reason", reason, "failing", share,
-		"peers_failing", service.typical.failing, "pause_ms", state.hold.pause.Milliseconds())
+	measurement.balancer.log("replica held", now, "replica", measurement.replica.ID, "service", measurement.replica.Service, "reason", reason, "failing", rounded(share),
+		"peers_failing", rounded(service.typical.failing), "pause_ms", state.hold.pause.Milliseconds())
 }
 
 // full holds the replica until some of the requests that wait there have been worked off. That it is full says nothing about its health.
@@ -277,23 +278,41 @@
 	}
 }
 
-// noteSlow logs that the replica has become slower than its peers, or no longer is.
-func (measurement *measurement) noteSlow(now time.Time) {
-	service, state := measurement.service, measurement.state
+// noteChange logs that the replica has become slower than its peers or fails more than they do, and thus gets fewer requests, or no longer.
+func (measurement *measurement) noteChange(now time.Time) {
+	service, state, balancer := measurement.service, measurement.state, measurement.balancer
 	typicalPace := service.typical.pace(state.local)
-	pace := state.pace.at(now, typicalPace) / typicalPace
+	pace, failing := state.pace.at(now, typicalPace)/typicalPace, state.failures.at(now)-service.typical.failing
+	isSlow := pace >= slowPace && state.pace.answers >= slowAnswers
+	about := func(reason string) []any {
+		return []any{"replica", measurement.replica.ID, "service", measurement.replica.Service, "reason", reason, "pace", rounded(pace), "failing", rounded(failing), "answers", state.pace.answers}
+	}
 	switch {
-	case !state.slow && pace >= slowPace && state.pace.answers >= slowAnswers:
-		state.slow = true
-		measurement.balancer.metrics.ReplicaHeld("slow")
-		measurement.balancer.log(now, "replica slow", "replica", measurement.replica.ID, "service", measurement.replica.Service, "pace", pace, "answers", state.pace.answers)
+	case isSlow && !state.slow:
+		balancer.metrics.ReplicaHeld("slow")
+		balancer.log("replica slow", now, about("slow")...)
 	case state.slow && pace <= notSlowPace:
-		state.slow = false
-		measurement.balancer.metrics.ReplicaReturned()
-		measurement.balancer.log(now, "replica back", "replica", measurement.replica.ID, "service", measurement.replica.Service, "after", "slow", "pace", pace)
+		balancer.metrics.ReplicaReturned()
+		balancer.log("replica back", now, about("slow")...)
+	default:
+		isSlow = state.slow
 	}
+	isFailing := failing >= someFailing
+	switch {
+	case isFailing && !state.failing:
+		balancer.metrics.ReplicaHeld("errors")
+		balancer.log("replica failing", now, about("errors")...)
+	case state.failing && failing <= fewFailing:
+		balancer.metrics.ReplicaReturned()
+		balancer.log("replica back", now, about("errors")...)
+	default:
+		isFailing = state.failing
+	}
+	state.slow, state.failing = isSlow, isFailing
 }
 
+func rounded(value float64) float64 { return math.Round(100*value) / 100 }
+
 const (
 	// linesPerWindow bounds the log lines of a balancer within linesWindow: a zone that turns slow changes the state of all of its replicas.
 	linesPerWindow = 10
@@ -324,7 +343,7 @@
 	return suppressed, true
 }
 
-func (balancer *Balancer) log(now time.Time, message string, pairs ...any) {
+func (balancer *Balancer) log(message string, now time.Time, pairs ...any) {
 	if suppressed, ok := balancer.lines.allow(now); ok {
 		balancer.logger.Info(message, append(pairs, "lines_left_out", suppressed)...)
 	}
