--- a/internal/forwarding/run.go
+++ b/internal/forwarding/run.go
@@ -138,7 +138,7 @@
 
 // pick returns a replica that was not tried before; nil if none is left.
 func (run *run) pick() *catalog.Replica {
-	picker := backend.Picker{Loads: run.forwarder.Loads, Zone: run.forwarder.Zone}
+	picker := backend.Picker{Loads: run.forwarder.Loads, Zone: run.forwarder.Zone, Request: &run.call.Request}
 	return picker.Pick(run.forwarder.Catalog.Replicas().Service(run.service), run.tried, time.Now())
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -45,6 +45,9 @@
 	roomLimit         *prometheus.GaugeVec
 	roomOthers        *prometheus.GaugeVec
 	loadMessages      *prometheus.CounterVec
+	replicaHolds      *prometheus.CounterVec
+	replicaReturns    prometheus.Counter
+	loadsUnreadable   prometheus.Counter
 }
 
 // latencyBuckets are upper bounds in seconds. They cover the range from calls to the metadata store to the longest batch items.
@@ -99,6 +102,9 @@
 	metrics.roomLimit = gauge("room_limit", "Requests that this node may have in flight at a service.", "service")
 	metrics.roomOthers = gauge("room_others", "Requests that other nodes have at a service, in flight or waiting; absent while they are not known.", "service", "state")
 	metrics.loadMessages = counter("load_messages_total", "Messages on the loads of services by kind and event.", "kind", "event")
+	metrics.replicaHolds = counter("replica_holds_total", "Times that a replica of a plain service got fewer or no requests, by reason.", "reason")
+	metrics.replicaReturns = single("replica_returns_total", "Times that a replica of a plain service got its share of requests again after it failed or was slow.")
+	metrics.loadsUnreadable = single("replica_loads_unread_total", "Loads that replicas reported with answers and that could not be read.")
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
@@ -108,7 +114,8 @@
 		metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable,
 		metrics.usageSent, metrics.usageReports, metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared,
 		metrics.quarantined, metrics.suspensions, metrics.admissionWaits, metrics.admissionRefusals, metrics.admissionQueue,
-		metrics.roomLimit, metrics.roomOthers, metrics.loadMessages, metrics.replicaOrders, lines,
+		metrics.roomLimit, metrics.roomOthers, metrics.loadMessages, metrics.replicaOrders, metrics.replicaHolds, metrics.replicaReturns,
+		metrics.loadsUnreadable, lines,
 	)
 	return metrics
 }
@@ -321,6 +328,27 @@
 	}
 }
 
+// ReplicaHeld counts a replica that gets fewer or no requests for a reason.
+func (metrics *Metrics) ReplicaHeld(reason string) {
+	if metrics != nil {
+		metrics.replicaHolds.WithLabelValues(reason).Inc()
+	}
+}
+
+// ReplicaReturned counts a replica that gets its share of requests again.
+func (metrics *Metrics) ReplicaReturned() {
+	if metrics != nil {
+		metrics.replicaReturns.Inc()
+	}
+}
+
+// ReportedLoadMalformed counts a reported load that can't be decoded.
+func (metrics *Metrics) ReportedLoadMalformed() {
+	if metrics != nil {
+		metrics.loadsUnreadable.Inc()
+	}
+}
+
 func outcomeOf(ok bool) string {
 	if ok {
 		return "ok"
