--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -29,6 +29,9 @@
 	updatesApplied    *prometheus.CounterVec
 	updatesUnreadable *prometheus.CounterVec
 	entriesUnusable   prometheus.Counter
+	replicaHolds      *prometheus.CounterVec
+	replicaReturns    prometheus.Counter
+	loadsUnreadable   prometheus.Counter
 	usageSent         *prometheus.CounterVec
 	usageReports      *prometheus.HistogramVec
 	replicaCrashes    prometheus.Counter
@@ -36,9 +39,6 @@
 	suspicionsCleared prometheus.Counter
 	quarantined       prometheus.Gauge
 	suspensions       prometheus.Counter
-	replicaHolds      *prometheus.CounterVec
-	replicaReturns    prometheus.Counter
-	loadsUnreadable   prometheus.Counter
 }
 
 // latencyBuckets are upper bounds in seconds. They cover the range from calls to the metadata store to the longest batch items.
@@ -76,21 +76,20 @@
 	metrics.updatesApplied = counter("updates_taken_total", "Updates of other nodes by topic, whether they held all of it, and whether they were packed.", "topic", "whole", "packed")
 	metrics.updatesUnreadable = counter("updates_unread_total", "Updates of other nodes that this build could not read, by topic.", "topic")
 	metrics.entriesUnusable = single("replica_entries_not_usable_total", "Entries of replicas that make no sense, so that they name no replica.")
+	metrics.replicaHolds = counter("replica_holds_total", "Times that a replica of a plain service got fewer or no requests, by reason.", "reason")
+	metrics.replicaReturns = single("replica_returns_total", "Times that a replica of a plain service got its share of requests again after it failed or was slow.")
+	metrics.loadsUnreadable = single("replica_loads_unread_total", "Loads that replicas reported with answers and that could not be read.")
+	metrics.registry.MustRegister(metrics.replicaHolds, metrics.replicaReturns, metrics.loadsUnreadable)
 	metrics.replicaCrashes = single("replica_ends_under_requests_total", "Requests of this node under which a replica ended, by replica.")
 	metrics.requestsHeld = single("requests_held_total", "Requests that were not sent to a replica since others had ended under them.")
 	metrics.suspicionsCleared = single("suspicions_cleared_total", "Requests that a replica answered after others had ended under them.")
 	metrics.quarantined = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "thistlewalk", Name: "requests_quarantined", Help: "Requests that are not sent to replicas any more."})
 	metrics.suspensions = single("suspensions_total", "Times that the machine was suspended while this process ran.")
-	metrics.replicaHolds = counter("replica_holds_total", "Times that a replica of a plain service got fewer or no requests, by reason.", "reason")
-	metrics.replicaReturns = single("replica_returns_total", "Times that a replica of a plain service got its share of requests again after it failed or was slow.")
-	metrics.loadsUnreadable = single("replica_loads_unread_total", "Loads that replicas reported with answers and that could not be read.")
 	lines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
 	metrics.registry.MustRegister(metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost, metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable, metrics.usageSent, metrics.usageReports,
-		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions,
-		metrics.replicaHolds, metrics.replicaReturns, metrics.loadsUnreadable,
-		lines)
+		metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared, metrics.quarantined, metrics.suspensions, lines)
 	return metrics
 }
 
@@ -169,6 +168,27 @@
 	}
 }
 
+// ReplicaHeld counts a replica that gets fewer or no requests for a reason.
+func (metrics *Metrics) ReplicaHeld(reason string) {
+	if metrics != nil {
+		metrics.replicaHolds.WithLabelValues(reason).Inc()
+	}
+}
+
+// ReplicaReturned counts a replica that gets its share of requests again.
+func (metrics *Metrics) ReplicaReturned() {
+	if metrics != nil {
+		metrics.replicaReturns.Inc()
+	}
+}
+
+// ReportedLoadMalformed counts a reported load that can't be decoded.
+func (metrics *Metrics) ReportedLoadMalformed() {
+	if metrics != nil {
+		metrics.loadsUnreadable.Inc()
+	}
+}
+
 // Build sets the build that this process runs.
 func (metrics *Metrics) Build(id string) {
 	if metrics != nil {
@@ -260,27 +280,6 @@
 	}
 }
 
-// ReplicaHeld counts a replica that gets fewer or no requests for a reason.
-func (metrics *Metrics) ReplicaHeld(reason string) {
-	if metrics != nil {
-		metrics.replicaHolds.WithLabelValues(reason).Inc()
-	}
-}
-
-// ReplicaReturned counts a replica that gets its share of requests again.
-func (metrics *Metrics) ReplicaReturned() {
-	if metrics != nil {
-		metrics.replicaReturns.Inc()
-	}
-}
-
-// ReportedLoadMalformed counts a reported load that can't be decoded.
-func (metrics *Metrics) ReportedLoadMalformed() {
-	if metrics != nil {
-		metrics.loadsUnreadable.Inc()
-	}
-}
-
 func outcomeOf(ok bool) string {
 	if ok {
 		return "ok"
