Replica orders: an unanswered reduction is not sent once the load may have risen

A successor, and the same term after an outage, sent a stored reduction of any age up to ten minutes, and before the pause after which replicas have registered. Orders are sent once the lease has been valid for 3 s, and a decision rests on what is known after the call of its round.

--- a/internal/provisioning/pool.go
+++ b/internal/provisioning/pool.go
@@ -42,7 +42,8 @@
 	deliverySlack = 5 * time.Second
 	// missingPatience is how long registered replicas may be fewer than ordered. It is longer than a replica takes to restart after a crash.
 	missingPatience = 5 * time.Second
-	// staleAfter is the age from which an unanswered order is not sent again at the start of a term: the load that it was decided on is gone.
+	// staleAfter is the age from which an unanswered order is not sent again, as the load that it was decided on is gone. An order for fewer replicas
+	// expires after unansweredLimit, since the load may have risen.
 	staleAfter = 10 * time.Minute
 	// minUnavailable and maxUnavailable bound the time for which a pool that had none to give, or lost some, gets no order. The time doubles until
 	// an order is fulfilled.
@@ -88,9 +89,6 @@
 		return poolKey{}, nil, errors.Newf("the replica order of %s in %s is negative", key.service, key.zone)
 	}
 	pool := &poolState{order: order, revision: item.Revision, orderedAt: now.Add(-since(order.GetOrderedUnixMs(), now))}
-	if pool.unanswered() && pool.age(now) > staleAfter {
-		pool.settle(false, now)
-	}
 	if order.GetState() == provisioningv1.State_STATE_REFUSED {
 		pool.backoff = minUnavailable
 		pool.unavailableUntil = now.Add(minUnavailable - since(order.GetRefusedUnixMs(), now))
@@ -125,6 +123,22 @@
 	return pool.order != nil && pool.order.GetState() == provisioningv1.State_STATE_UNANSWERED
 }
 
+// reduces reports whether the order is for fewer replicas than before.
+func (pool *poolState) reduces() bool {
+	return pool.order != nil && pool.order.GetCount() < pool.order.GetPrevious()
+}
+
+// expired reports whether an unanswered order is too old to be sent again.
+func (pool *poolState) expired(now time.Time) bool {
+	return pool.age(now) > staleAfter || (pool.reduces() && pool.age(now) > unansweredLimit)
+}
+
+// withdraw puts the previous number in force again. Other than after a refusal, the zone can be asked at once.
+func (pool *poolState) withdraw() {
+	pool.order = proto.CloneOf(pool.order)
+	pool.order.State, pool.order.RefusedUnixMs = provisioningv1.State_STATE_REFUSED, 0
+}
+
 func (pool *poolState) age(now time.Time) time.Duration { return now.Sub(pool.orderedAt) }
 
 // delivering reports whether replicas may still be on their way.
@@ -189,7 +203,7 @@
 func (pool *poolState) describe(key poolKey, bootTime time.Duration, now time.Time) Pool {
 	return Pool{
 		Zone: key.zone, Spot: key.spot, Ordered: pool.ordered(), Expected: pool.expected(bootTime, now), Age: pool.age(now),
-		Lowered:    pool.order != nil && pool.order.GetCount() < pool.order.GetPrevious(),
+		Lowered:    pool.reduces(),
 		Unanswered: pool.unanswered(), Unsent: pool.unanswered() && pool.attempts == 0, Unavailable: now.Before(pool.unavailableUntil),
 	}
 }
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -112,7 +112,7 @@
 		}
 	}
 	for ctx.Err() == nil {
-		work.round(ctx, time.Now())
+		work.round(ctx)
 		wait.Pause(ctx, roundInterval)
 	}
 }
@@ -143,13 +143,18 @@
 	return true
 }
 
-// round observes the demand, sends an unanswered order, and decides. It neither sends nor decides unless the lease is valid: a store that does not
+// round sends an unanswered order, observes the demand, and decides. It neither sends nor decides unless the lease is valid: a store that does not
 // renew the lease would not store an order either.
-func (work *termWork) round(ctx context.Context, now time.Time) {
+func (work *termWork) round(ctx context.Context) {
 	configuration := work.Catalog.Configuration()
 	if configuration == nil {
 		return
 	}
+	if now := time.Now(); work.settled(now) {
+		work.withdrawExpired(now)
+		work.sendNext(ctx, configuration)
+	}
+	now := time.Now() // a call may have taken seconds, so the decision rests on what is known after it
 	work.countReplicas(configuration)
 	scaled := make(map[string]*demand)
 	for name, service := range configuration.Services {
@@ -157,21 +162,44 @@
 			scaled[name] = work.observe(configuration, &service, now)
 		}
 	}
+	if !work.settled(now) {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(scaled)) {
+		work.decide(ctx, scaled[name], now)
+	}
+	work.forget(ctx, configuration, now)
+}
+
+// settled reports whether the lease has been valid for settleTime. When it becomes valid again, reductions that are unanswered are withdrawn, since
+// the load may have risen meanwhile.
+func (work *termWork) settled(now time.Time) bool {
 	if !work.term.Valid(leadership.Margin) {
 		work.validSince = time.Time{}
-		return
+		return false
 	}
 	if work.validSince.IsZero() {
 		work.validSince = now
+		work.withdraw((*poolState).reduces)
 	}
-	work.sendNext(ctx, configuration)
-	if now.Sub(work.validSince) < settleTime {
-		return
-	}
-	for _, name := range slices.Sorted(maps.Keys(scaled)) {
-		work.decide(ctx, scaled[name], now)
+	return now.Sub(work.validSince) >= settleTime
+}
+
+// withdrawExpired withdraws the unanswered orders whose load is long gone.
+func (work *termWork) withdrawExpired(now time.Time) {
+	work.withdraw(func(pool *poolState) bool { return pool.expired(now) })
+}
+
+// withdraw takes the selected unanswered orders for not sent. The next order replaces their records. If the platform has accepted one after all,
+// replicas will be missing.
+func (work *termWork) withdraw(selected func(*poolState) bool) {
+	for key, pool := range work.pools {
+		if pool.unanswered() && selected(pool) {
+			pool.withdraw()
+			work.Logger.Info("replica order withdrawn", "service", key.service, "zone", key.zone, "spot", key.spot, "count", pool.order.GetCount(),
+				"previous", pool.order.GetPrevious(), "decided_in", pool.order.GetFence(), "fence", work.fence)
+		}
 	}
-	work.forget(ctx, configuration, now)
 }
 
 // countReplicas counts the registered replicas of each pool, if they have changed.
--- a/internal/provisioning/provisioner_test.go
+++ b/internal/provisioning/provisioner_test.go
@@ -181,17 +181,56 @@
 	})
 }
 
-// An unanswered order must be sent by the next holder, but not after the load that it was decided on is long gone.
+// putOrder stores an unanswered order for zone b, where two replicas are.
+func (cluster *cluster) putOrder(t *testing.T, count int32, age time.Duration) {
+	t.Helper()
+	order := &provisioningv1.ReplicaOrder{Service: service, Zone: "b", Count: count, Previous: 2, OrderedUnixMs: time.Now().Add(-age).UnixMilli()}
+	content, err := proto.Marshal(order)
+	must.NoError(t, err)
+	_, err = cluster.store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "provisioning/desk/b/on-demand", Value: content}}})
+	must.NoError(t, err)
+}
+
+// An unanswered order must be sent by the next holder, but not after the load that it was decided on is long gone, and never if it is for fewer
+// replicas than there are.
 func TestAgeOfUnansweredOrders(t *testing.T) {
-	for age, want := range map[time.Duration][]string{time.Minute: {"b5"}, time.Hour: {}} {
+	for _, test := range []struct {
+		count int32
+		age   time.Duration
+		want  []string
+	}{
+		{5, time.Minute, []string{"b5"}},
+		{5, time.Hour, []string{}},
+		{1, time.Second, []string{}},
+		{1, time.Minute, []string{}},
+	} {
 		play(t, 2, 0, func(t *testing.T, cluster *cluster) {
-			order := &provisioningv1.ReplicaOrder{Service: service, Zone: "b", Count: 5, Previous: 2, OrderedUnixMs: time.Now().Add(-age).UnixMilli()}
-			content, err := proto.Marshal(order)
-			must.NoError(t, err)
-			_, err = cluster.store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "provisioning/desk/b/on-demand", Value: content}}})
-			must.NoError(t, err)
+			cluster.putOrder(t, test.count, test.age)
 			cluster.call(80, 20*time.Second)
-			must.Eq(t, want, cluster.cloud.given(), must.Sprint(age))
+			must.Eq(t, test.want, cluster.cloud.given(), must.Sprint(test))
+		})
+	}
+}
+
+// An order for fewer replicas that the platform has not answered must not be sent once the load may have risen: neither later in the same term, nor
+// after the store was away.
+func TestReductionThatWaits(t *testing.T) {
+	for _, storeAway := range []bool{false, true} {
+		play(t, 4, 0, func(t *testing.T, cluster *cluster) {
+			cluster.cloud.set(func() { cluster.cloud.down = true })
+			for len(cluster.cloud.given()) == 0 {
+				cluster.call(20, time.Second)
+			}
+			if storeAway {
+				cluster.store.SetFaults(memstore.Faults{Down: true})
+			}
+			cluster.call(20, 18*time.Second)
+			before := len(cluster.cloud.given())
+			cluster.store.SetFaults(memstore.Faults{})
+			cluster.cloud.set(func() { cluster.cloud.down = false })
+			refused, _ := cluster.call(200, 10*time.Second)
+			must.Zero(t, refused, must.Sprint("four replicas in each zone serve 240 a second"))
+			must.Eq(t, before, len(cluster.cloud.given()), must.Sprint(cluster.cloud.given()))
 		})
 	}
 }
