--- a/internal/provisioning/decision.go
+++ b/internal/provisioning/decision.go
@@ -203,7 +203,7 @@
 	plan.startFrom(func(pool *plannedPool) int { return pool.Ordered })
 	for _, spot := range []bool{true, false} { // on-demand replicas are given up last
 		for _, pool := range plan.pools {
-			if excess := plan.zoneCount(pool.Zone) - plan.Scaling.Maximum; pool.Spot == spot && excess > 0 && pool.count > 0 && !plan.awaitsAnswer(pool.Zone) {
+			if excess := plan.zoneCount(pool.Zone) - plan.Scaling.Maximum; pool.Spot == spot && excess > 0 && pool.count > 0 && !plan.awaitsAnswer(pool.Zone) && !plan.unavailable(pool.Zone) {
 				pool.count -= min(excess, pool.count)
 				changed = true
 			}
@@ -212,6 +212,12 @@
 	return changed
 }
 
+// unavailable reports whether a zone refused an order or lost replicas a short time ago. Neither kind is given up there meanwhile: on-demand
+// replicas would go in place of spot replicas.
+func (plan *plan) unavailable(zone string) bool {
+	return slices.ContainsFunc(plan.pools, func(pool *plannedPool) bool { return pool.Zone == zone && pool.Unavailable && pool.Ordered > 0 })
+}
+
 // awaitsAnswer reports whether an order for a zone is unanswered. The sum of both kinds is uncertain until then.
 func (plan *plan) awaitsAnswer(zone string) bool {
 	return slices.ContainsFunc(plan.pools, func(pool *plannedPool) bool {
--- a/internal/provisioning/decision_test.go
+++ b/internal/provisioning/decision_test.go
@@ -119,6 +119,22 @@
 			want: "a1 b1 c0 idle"},
 		{name: "below the minimum", service: interactive, pools: settled(0, 2, 2), want: "a1 bounds"},
 		{name: "above the maximum: spot first", service: interactive, pools: settled(8, 2, 2, 3), want: "spot-a0 bounds"},
+		{
+			name: "above the maximum: refused a short time ago", service: interactive,
+			pools: change(settled(9, 2, 2), 0, func(pool *provisioning.Pool) { pool.Unavailable = true }),
+		},
+		{
+			name: "above the maximum: spot refused a short time ago", service: interactive, want: "b8 bounds",
+			pools: change(settled(8, 9, 2, 3), 3, func(pool *provisioning.Pool) { pool.Unavailable = true }),
+		},
+		{
+			name: "below the minimum: refused a short time ago", service: interactive,
+			pools: change(settled(0, 2, 2), 0, func(pool *provisioning.Pool) { pool.Unavailable = true }),
+		},
+		{
+			name: "above the maximum: the answer is awaited", service: interactive,
+			pools: change(settled(9, 2, 2), 0, func(pool *provisioning.Pool) { pool.Age, pool.Unanswered = time.Second, true }),
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			got := provisioning.Decide(provisioning.Situation{Service: test.service, Pools: test.pools, Need: test.need, Peak: test.peak, PeakKnown: test.peakKnown})
