Replica orders: no decision before the replicas have been read in the term

An empty or old table of replicas at the start of a term led to orders for replacements. The replicas count as known once their mirror's revision has reached the one at which the term began; the 3 s of observation follow.

--- a/internal/provisioning/cluster_test.go
+++ b/internal/provisioning/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"sync"
 	"testing/synctest"
 	"time"
@@ -50,6 +51,8 @@
 	// none makes orders for a zone and kind fail with ErrRefused. lost makes calls fail after the order was accepted, down before.
 	none       map[subject]bool
 	lost, down bool
+	// unread makes the replicas known as of the start of the store only.
+	unread bool
 	// onCall is called before each order is handled.
 	onCall func()
 }
@@ -105,6 +108,16 @@
 	cloud.table.SetReplicas(all, cloud.revision)
 }
 
+// readAt returns the revision of the store as of which the replicas are known: later than any term, unless they are unread.
+func (cloud *cloud) readAt() metadata.Revision {
+	cloud.mu.Lock()
+	defer cloud.mu.Unlock()
+	if cloud.unread {
+		return 0
+	}
+	return math.MaxInt64
+}
+
 // reclaim announces the end of all spot replicas of a zone, which follows after two seconds.
 func (cloud *cloud) reclaim(zone string) {
 	cloud.set(func() {
@@ -260,7 +273,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	provisioner := &provisioning.Provisioner{
 		Node: name, Store: store, Sink: cluster.cloud, Catalog: cluster.cloud.table, Loads: provisioning.NewLoads(), Logger: log.New(io.Discard),
-		CallGrace: 200 * time.Millisecond,
+		CallGrace: 200 * time.Millisecond, ReplicasRevision: cluster.cloud.readAt,
 	}
 	cluster.mu.Lock()
 	cluster.stops[name], cluster.loads[name] = stop, provisioner.Loads
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -72,6 +72,8 @@
 	Loads   *Loads
 	Logger  *log.Logger
 	Metrics *telemetry.Metrics
+	// ReplicasRevision returns the revision of the metadata store as of which the catalog's replicas are known.
+	ReplicasRevision func() metadata.Revision
 	// CallGrace is how long a call may continue after the term has ended; see leadership.CallContext.
 	CallGrace time.Duration
 }
@@ -82,7 +84,7 @@
 	fence     int64
 	term      leadership.Term
 	startedAt time.Time
-	// validSince is when the lease became valid after it had not been; zero while it is not.
+	// validSince is when the lease became valid after it had not been, or when the replicas were first read; zero while either is missing.
 	validSince time.Time
 	pools      map[poolKey]*poolState
 	services   map[string]*serviceState
@@ -171,10 +173,10 @@
 	work.forget(ctx, configuration, now)
 }
 
-// settled reports whether the lease has been valid for settleTime. When it becomes valid again, reductions that are unanswered are withdrawn, since
-// the load may have risen meanwhile.
+// settled reports whether the lease has been valid, and the replicas known as of this term, for settleTime. When it becomes valid again, reductions
+// that are unanswered are withdrawn, since the load may have risen meanwhile.
 func (work *termWork) settled(now time.Time) bool {
-	if !work.term.Valid(leadership.Margin) {
+	if !work.term.Valid(leadership.Margin) || !work.replicasRead() {
 		work.validSince = time.Time{}
 		return false
 	}
@@ -185,6 +187,12 @@
 	return now.Sub(work.validSince) >= settleTime
 }
 
+// replicasRead reports whether the replicas have been read from the store, or confirmed by a watch, since the term began. Its condition holds the
+// revision at which it began.
+func (work *termWork) replicasRead() bool {
+	return work.ReplicasRevision() >= work.term.Condition().Revision
+}
+
 // withdrawExpired withdraws the unanswered orders whose load is long gone.
 func (work *termWork) withdrawExpired(now time.Time) {
 	work.withdraw(func(pool *poolState) bool { return pool.expired(now) })
--- a/internal/provisioning/provisioner_test.go
+++ b/internal/provisioning/provisioner_test.go
@@ -267,6 +267,27 @@
 	})
 }
 
+// While the replicas have not been read in this term, an old table must not lead to orders for replacements.
+func TestReplicasNotReadInThisTerm(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		all := cluster.cloud.replicas[subject{"b", false}]
+		cluster.cloud.set(func() {
+			cluster.cloud.unread = true
+			cluster.cloud.resize(subject{"b", false}, 0)
+		})
+		cluster.call(80, 20*time.Second)
+		must.SliceEmpty(t, cluster.cloud.given())
+		cluster.cloud.set(func() {
+			cluster.cloud.unread, cluster.cloud.replicas[subject{"b", false}] = false, all
+			cluster.cloud.register()
+		})
+		cluster.call(80, 10*time.Second)
+		must.SliceEmpty(t, cluster.cloud.given())
+		_, last := cluster.call(200, 20*time.Second)
+		must.Less(t, 10*time.Second, last)
+	})
+}
+
 // A successor must not take back what was just ordered, even if it sees no load that needs it.
 func TestSuccessorRightAfterAnOrder(t *testing.T) {
 	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
@@ -365,7 +386,7 @@
 		}
 		loads := provisioning.NewLoads()
 		cluster := &cluster{store: store, cloud: cloud, loads: map[string]*provisioning.Loads{"former": loads}}
-		provisioner := &provisioning.Provisioner{Node: "former", Store: store, Sink: cloud, Catalog: cloud.table, Loads: loads, Logger: log.New(io.Discard)}
+		provisioner := &provisioning.Provisioner{Node: "former", Store: store, Sink: cloud, Catalog: cloud.table, Loads: loads, Logger: log.New(io.Discard), ReplicasRevision: cloud.readAt}
 		ctx, cancel := context.WithCancel(t.Context())
 		go provisioner.Run(ctx, 1, supersededTerm{})
 		cluster.call(200, 20*time.Second)
--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -120,7 +120,7 @@
 	if options.ReplicaSink != nil {
 		orderer.provisioner = &provisioning.Provisioner{
 			Node: options.Node, Store: options.Store, Sink: options.ReplicaSink, Catalog: options.Catalog, Loads: provisioning.NewLoads(),
-			Logger: options.Logger, Metrics: options.Metrics, CallGrace: options.CallGrace,
+			Logger: options.Logger, Metrics: options.Metrics, CallGrace: options.CallGrace, ReplicasRevision: orderer.topics.replicas.Revision,
 		}
 	}
 	return orderer
