--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -72,6 +72,8 @@
 	Loads   *Loads
 	Logger  *log.Logger
 	Metrics *telemetry.Metrics
+	// ReplicasRevision returns the revision of the metadata store as of which the catalog's replicas are known.
+	ReplicasRevision func() metadata.Revision
 	// CallGrace is how long a call may continue after the term has ended; see leadership.CallContext.
 	CallGrace time.Duration
 }
@@ -82,7 +84,7 @@
 	fence     int64
 	term      leadership.Term
 	startedAt time.Time
-	// validSince is when the lease became valid after it had not been; zero while it is not.
+	// validSince is when the lease became valid after it had not been, or when the replicas were first read; zero while either is missing.
 	validSince time.Time
 	pools      map[poolKey]*poolState
 	services   map[string]*serviceState
@@ -112,7 +114,7 @@
 		}
 	}
 	for ctx.Err() == nil {
-		work.round(ctx, time.Now())
+		work.round(ctx)
 		wait.Pause(ctx, roundInterval)
 	}
 }
@@ -143,13 +145,18 @@
 	return true
 }
 
-// round observes the demand, sends an unanswered order, and decides. It neither sends nor decides unless the lease is valid: a store that does not
+// round sends an unanswered order, observes the demand, and decides. It neither sends nor decides unless the lease is valid: a store that does not
 // renew the lease would not store an order either.
-func (work *termWork) round(ctx context.Context, now time.Time) {
+func (work *termWork) round(ctx context.Context) {
 	configuration := work.Catalog.Configuration()
 	if configuration == nil {
 		return
 	}
+	if now := time.Now(); work.settled(now) {
+		work.withdrawExpired(now)
+		work.sendNext(ctx, configuration)
+	}
+	now := time.Now() // a call may have taken seconds, so the decision rests on what is known after it
 	work.countReplicas(configuration)
 	scaled := make(map[string]*demand)
 	for name, service := range configuration.Services {
@@ -157,15 +164,7 @@
 			scaled[name] = work.observe(configuration, &service, now)
 		}
 	}
-	if !work.term.Valid(leadership.Margin) {
-		work.validSince = time.Time{}
-		return
-	}
-	if work.validSince.IsZero() {
-		work.validSince = now
-	}
-	work.sendNext(ctx, configuration)
-	if now.Sub(work.validSince) < settleTime {
+	if !work.settled(now) {
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(scaled)) {
@@ -174,6 +173,43 @@
 	work.forget(ctx, configuration, now)
 }
 
+// settled reports whether the lease has been valid, and the replicas known as of this term, for settleTime. When it becomes valid again, reductions
+// that are unanswered are withdrawn, since the load may have risen meanwhile.
+func (work *termWork) settled(now time.Time) bool {
+	if !work.term.Valid(leadership.Margin) || !work.replicasRead() {
+		work.validSince = time.Time{}
+		return false
+	}
+	if work.validSince.IsZero() {
+		work.validSince = now
+		work.withdraw((*poolState).reduces)
+	}
+	return now.Sub(work.validSince) >= settleTime
+}
+
+// replicasRead reports whether the replicas have been read from the store, or confirmed by a watch, since the term began. Its condition holds the
+// revision at which it began.
+func (work *termWork) replicasRead() bool {
+	return work.ReplicasRevision() >= work.term.Condition().Revision
+}
+
+// withdrawExpired withdraws the unanswered orders whose load is long gone.
+func (work *termWork) withdrawExpired(now time.Time) {
+	work.withdraw(func(pool *poolState) bool { return pool.expired(now) })
+}
+
+// withdraw takes the selected unanswered orders for not sent. The next order replaces their records. If the platform has accepted one after all,
+// replicas will be missing.
+func (work *termWork) withdraw(selected func(*poolState) bool) {
+	for key, pool := range work.pools {
+		if pool.unanswered() && selected(pool) {
+			pool.withdraw()
+			work.Logger.Info("replica order withdrawn", "service", key.service, "zone", key.zone, "spot", key.spot, "count", pool.order.GetCount(),
+				"previous", pool.order.GetPrevious(), "decided_in", pool.order.GetFence(), "fence", work.fence)
+		}
+	}
+}
+
 // countReplicas counts the registered replicas of each pool, if they have changed.
 func (work *termWork) countReplicas(configuration *catalog.Configuration) {
 	replicas := work.Catalog.Replicas()
