Room: limits that scarcity, dips of slots or single refusals left too low or too high

Cause: the window that goes on from the last share when word ends was renewed each time word ended, and bound on when word returned, so that an idle node kept a low limit for minutes. Shares of at least one slot lost their proportion while there were fewer slots than nodes. One refusal among few requests, or one long after others, was more than 5%.

Change: a window from the last share is assumed; it ends with the next word, and the end of word renews no window that refusals found. A scarce share may be below 1 and, when slots return, grows to the fair share at most; after a time without slots it begins at the fair share. One refusal alone weighs at most the tolerated 5% while no window binds, and what refusals told is forgotten after 5 s without one.

--- a/internal/room/exchange_test.go
+++ b/internal/room/exchange_test.go
@@ -160,3 +160,77 @@
 	}
 	must.Between(t, 46, tell(30, 0), 48)
 }
+
+// A node that was idle knows nothing of the others, and keeps its last share for a while. It must not keep it once it is told that slots are free.
+func TestAssumedLimitEndsWithTheNextWord(t *testing.T) {
+	rooms, _, manual := newRoom(64)
+	rooms.Limit("s")
+	rooms.HandleReply(sumsOf("sum", 1, 63))
+	rooms.Refresh(map[string]room.Load{"s": {InFlight: 1, Nodes: 1}}, nil)
+	manual.now += 2 * time.Second
+	rooms.Refresh(nil, nil)
+	must.LessEq(t, 4, rooms.Limit("s"))
+	rooms.HandleReply(sumsOf("sum", 2, 0))
+	must.Eq(t, 64, rooms.Limit("s"))
+}
+
+// The end of word renews no limit that refusals have found: it must not outlast them where nodes are idle now and then.
+func TestEndOfWordRenewsNoWindow(t *testing.T) {
+	rooms, _, manual := newRoom(64)
+	narrow(rooms, manual, 8)
+	for number := range int64(4) {
+		rooms.HandleReply(sumsOf("sum", number+1, 0))
+		must.LessEq(t, 64, rooms.Limit("s"))
+		if number == 0 {
+			must.LessEq(t, 8, rooms.Limit("s"), must.Sprint("word does not end a window that refusals have found"))
+		}
+		manual.now += 2 * time.Second
+		rooms.Limit("s")
+	}
+	must.Eq(t, 64, rooms.Limit("s"))
+}
+
+// Slots that go and return leave a scarce share as it was, also if there are fewer slots than nodes for a while: shares of at least one slot each would
+// be too large together once the others return.
+func TestScarceShareAfterADip(t *testing.T) {
+	rooms, table, manual := newRoom(64)
+	version, number := int64(1), int64(0)
+	rooms.Limit("s")
+	resize := func(slots ...int) {
+		version++
+		table.SetReplicas(replicasOf("s", slots...), version)
+	}
+	pass := func(own room.Load, intervals int) {
+		for range intervals {
+			number++
+			manual.now += room.Interval
+			sums := sumsOf("sum", number, 60)
+			sums.Zones[0].Services[0].Waiting, sums.Zones[0].Services[0].Nodes = 60, 19
+			rooms.HandleReply(sums)
+			rooms.Refresh(map[string]room.Load{"s": own}, nil)
+		}
+	}
+	few := room.Load{InFlight: 3, Waiting: 3, Nodes: 1}
+	pass(few, 12)
+	before := rooms.Limit("s")
+	must.Between(t, 3, before, 4)
+	for _, slots := range []int{4, 1} {
+		for _, intervals := range []int{0, 8} {
+			resize(slots)
+			must.Eq(t, 1, rooms.Limit("s"))
+			pass(few, intervals)
+			resize(64)
+			must.Between(t, before-1, rooms.Limit("s"), before, must.Sprint(slots, " slots for ", intervals, " intervals"))
+			pass(few, 8)
+		}
+	}
+
+	many := room.Load{InFlight: 30, Waiting: 64, Nodes: 1}
+	pass(many, 20)
+	before = rooms.Limit("s")
+	must.Greater(t, 20, before)
+	resize()
+	pass(many, 1)
+	resize(64)
+	must.Between(t, before-2, rooms.Limit("s"), before+2, must.Sprint("at once after a time without slots"))
+}
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -143,10 +143,14 @@
 
 // rescale brings the share up to date after a change of the slots, at once.
 func (state *service) rescale(before int, now time.Duration) {
-	if state.scarce && before > 0 {
-		state.share = max(1, state.share*float64(state.available())/float64(before))
+	if after := state.available(); state.scarce && before > 0 && after > 0 {
+		// A share may be below 1: if it were raised, all shares would be too large once the slots have returned. While there are fewer slots
+		// than nodes the fair shares are too large as well, so that the new one bounds the growth.
+		target, _ := fairShare(after, state.own, state.others)
+		state.share = min(state.share*float64(after)/float64(before), max(state.share, target))
 		return
 	}
+	state.scarce = false // without slots there is no share to begin from
 	state.calculate(now)
 }
 
@@ -195,6 +199,7 @@
 		}
 		state.mu.Lock()
 		state.update(replicas.Service(name).Slots(), now)
+		state.window.endAssumed()
 		state.others, state.heard, state.known = others, now, true
 		state.calculate(now)
 		state.balance()
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -136,3 +136,24 @@
 		rooms.Limit("s")
 	}
 }
+
+// One refusal among few requests, or long after the last ones, tells of one replica and changes nothing.
+func TestSingleRefusalsDoNotBind(t *testing.T) {
+	rooms, _, _ := newRoom(8)
+	for range 100 {
+		served(rooms, 2)
+	}
+	full(rooms, 2)
+	must.Eq(t, 8, rooms.Limit("s"))
+	full(rooms, 2)
+	must.Eq(t, 1, rooms.Limit("s"), must.Sprint("a second one does"))
+
+	rooms, _, manual := newRoom(64)
+	narrow(rooms, manual, 8)
+	manual.now += time.Hour
+	full(rooms, 2)
+	must.Eq(t, 64, rooms.Limit("s"), must.Sprint("an hour after a window"))
+	manual.now += time.Hour
+	full(rooms, 2)
+	must.Eq(t, 64, rooms.Limit("s"), must.Sprint("an hour after another single one"))
+}
--- a/internal/room/window.go
+++ b/internal/room/window.go
@@ -27,22 +27,29 @@
 	// size is the number of requests; zero if the window does not bind.
 	size float64
 	// share is the moving average of the share of refused requests.
-	share    float64
+	share float64
+	// lastFull is when a refusal last confirmed the window, or the last refusal while it did not bind.
 	lastFull time.Duration
 	// floor is the size below which the window does not fall in this epoch; calm is the number of epochs without a refusal.
 	floor      float64
 	epochStart time.Duration
 	calm       int
+	// assumed is true if the window began at the last share and no refusal has confirmed it since.
+	assumed bool
 }
 
 // observe records the end of a request that counted among inFlight requests, while the limit was the given one.
 func (window *window) observe(full bool, inFlight, limit int, epoch, now time.Duration) {
+	window.expire(now)
 	outcome := 0.0
 	if full {
 		outcome = 1
 	}
-	window.share += (outcome - window.share) * max(minWeight, 1/(2*float64(limit)))
-	window.expire(now)
+	weight := max(minWeight, 1/(2*float64(limit)))
+	if window.size == 0 {
+		weight = min(weight, toleratedFull) // a single refusal tells of one replica only
+	}
+	window.share += (outcome - window.share) * weight
 	tolerated := window.share <= toleratedFull
 	switch {
 	case full && !tolerated:
@@ -55,7 +62,9 @@
 			reached *= decrease
 		}
 		window.size = max(window.floor, reached)
-		window.lastFull, window.calm = now, 0
+		window.lastFull, window.calm, window.assumed = now, 0, false
+	case window.size == 0 && full:
+		window.lastFull = now
 	case window.size == 0:
 	case !full && tolerated && inFlight >= limit:
 		if now-window.epochStart >= epoch {
@@ -71,21 +80,29 @@
 	return min(window.size, math.Ldexp(0.125, min(window.calm, 16)))
 }
 
-// expire ends a window that no refusal has confirmed for windowTTL.
+// expire ends a window that no refusal has confirmed for windowTTL, and forgets refusals of that age.
 func (window *window) expire(now time.Duration) {
-	if window.size > 0 && now-window.lastFull > windowTTL {
-		window.size, window.floor, window.calm = 0, 0, 0
+	if now-window.lastFull > windowTTL {
+		window.size, window.share, window.floor, window.calm, window.assumed = 0, 0, 0, 0, false
 	}
 }
 
-// narrowTo makes the window bind at a size, as if it had been found by a refusal.
+// narrowTo makes the window bind at an assumed size, unless it is narrower already.
 func (window *window) narrowTo(size float64, now time.Duration) {
-	if window.size == 0 || window.size > size {
-		window.size = max(1, size)
+	if window.size > 0 && window.size <= size {
+		return
 	}
+	window.size, window.assumed = max(1, size), true
 	window.floor, window.lastFull, window.epochStart, window.calm = 0, now, now, 0
 }
 
+// endAssumed ends a window whose size was only assumed.
+func (window *window) endAssumed() {
+	if window.assumed {
+		window.size, window.floor, window.calm, window.assumed = 0, 0, 0, false
+	}
+}
+
 // scale adapts the window to a change of the service's slots.
 func (window *window) scale(before, after int) {
 	if window.size > 0 && before > 0 && after > 0 {
