Room: a new summing node knows all zones before it replies, and all nodes are answered in time

Cause: a node that is not the first of its zone is in no other zone's list of peers, so that its first replies after a failover lacked all other zones (in the model 2 in flight of 58 others). It did not settle if it had reported to itself first, nor after its process got no CPU time. Sums that it had told were not withdrawn. With more than 300 active nodes, or newcomers, nodes were answered after their word had expired.

Change: such a node tells peers its sums before they are settled, and withdraws them at the end; its own report and a pause of the process no longer count as settled. A round answers a fifth of the reporting nodes if that is more than 64.

TestFloorOfAFullService holds the least share of a full service. newSummingNode has told its place 0.5 s ago instead of an hour ago, which now counts as a pause.

--- a/internal/room/failure_test.go
+++ b/internal/room/failure_test.go
@@ -140,3 +140,29 @@
 	world.run(2 * time.Second)
 	must.Greater(t, minUse, world.use(world.measure(5*time.Second).served, 5*time.Second))
 }
+
+// The second summing node of a zone is in no other zone's registry as a receiver of sums. Its first replies after a failover must contain the other
+// zones, or its zone would take their slots.
+func TestFirstRepliesAfterAFailoverContainAllZones(t *testing.T) {
+	world := overloaded()
+	world.kill(world.nodes[0])
+	observed := world.nodes[16]
+	status := func() room.Status {
+		return observed.room.Refresh(map[string]room.Load{"s": observed.load()}, nil)[0]
+	}
+	for attempt := 0; status().Known && attempt < 1000; attempt++ {
+		world.run(step)
+	}
+	must.False(t, status().Known)
+	for attempt := 0; !status().Known && attempt < 1000; attempt++ {
+		world.run(step)
+	}
+	must.Eq(t, "front-4", observed.exchange.Target())
+	others := 0
+	for _, node := range world.nodes {
+		if node.zone != "zone-0" {
+			others += len(node.running)
+		}
+	}
+	must.Greater(t, others*3/4, status().Others.InFlight)
+}
--- a/internal/room/share_test.go
+++ b/internal/room/share_test.go
@@ -72,3 +72,15 @@
 	sum, _ = spread(10)
 	must.Between(t, 100, sum, 100+1e-6)
 }
+
+// However full a service is, a node may send some requests if there are many slots for each node, and one otherwise.
+func TestFloorOfAFullService(t *testing.T) {
+	for _, test := range []struct {
+		slots, nodes int
+		floor        float64
+	}{{256, 2, 4}, {64, 2, 2}, {64, 20, 1}} {
+		share, scarce := fairShare(test.slots, Load{}, Load{InFlight: test.slots, Waiting: 1000 * test.slots, Nodes: test.nodes - 1})
+		must.True(t, scarce)
+		must.Eq(t, test.floor, share)
+	}
+}
--- a/internal/room/summing.go
+++ b/internal/room/summing.go
@@ -15,10 +15,12 @@
 	reportTTL = 4 * Interval
 	// settleTime is how long a new summing node collects reports before it tells sums, which would lack those that have not arrived yet.
 	settleTime = 2 * Interval
-	// maxReplies bounds the nodes that are answered in one interval, and maxFirstReplies those among them that are answered at once since they
-	// were not known. The others are answered in turn.
+	// maxReplies bounds the nodes that are answered in one interval, unless more are needed to answer each node within turns rounds.
+	// maxFirstReplies bounds those among them that are answered at once since they were not known. The others are answered in turn.
 	maxReplies      = 64
 	maxFirstReplies = maxReplies / 2
+	// turns is the number of rounds in which each reporting node is answered. They are shorter than WordTTL.
+	turns = 5
 	// maxReporters and maxPeers bound the nodes whose reports and sums are kept.
 	maxReporters = 1024
 	maxPeers     = 64
@@ -78,7 +80,9 @@
 	reports map[string]*nodeReport
 	peers   map[string]*peer
 	// settled is the time from which the sums are complete.
-	settled             time.Duration
+	settled time.Duration
+	// placed is the time of the last call of setPlace.
+	placed              time.Duration
 	preferred, isolated bool
 	// after is the name of the node that was answered last.
 	after string
@@ -115,16 +119,20 @@
 	expired int
 }
 
-// setPlace records whether this node is the one that the nodes of its zone report to first, and whether it hears no other node at all.
+// setPlace records whether this node is the one that the nodes of its zone report to first, and whether it hears no other node at all. It must
+// be called before each round. If it was not for longer than reportTTL, since the process got no CPU time, reports have been lost.
 func (summing *summingNode) setPlace(preferred, isolated bool, now time.Duration) {
 	summing.mu.Lock()
 	defer summing.mu.Unlock()
-	if preferred && !isolated && (!summing.preferred || summing.isolated) {
+	if began := preferred && !isolated && (!summing.preferred || summing.isolated); began || summing.stalled(now) {
 		summing.settled = now + settleTime
 	}
-	summing.preferred, summing.isolated = preferred, isolated
+	summing.preferred, summing.isolated, summing.placed = preferred, isolated, now
 }
 
+// stalled must be called with mu held.
+func (summing *summingNode) stalled(now time.Duration) bool { return now-summing.placed > reportTTL }
+
 // informed reports whether the sums may be told. A node that is cut off, or that only reports to itself for want of another one, knows
 // nothing of the others. It must be called with mu held.
 func (summing *summingNode) informed(now time.Duration) bool {
@@ -143,7 +151,7 @@
 	if known == nil && len(summing.reports) >= maxReporters {
 		return nil
 	}
-	if len(summing.reports) == 0 && !summing.preferred {
+	if !summing.preferred && report.GetNode() != summing.node && !summing.hasReports() {
 		summing.settled = now + settleTime
 	}
 	loads := make([]NamedLoad, 0, len(report.GetServices()))
@@ -152,7 +160,7 @@
 	}
 	summing.reports[report.GetNode()] = &nodeReport{source{report.GetLife(), report.GetNumber(), from, now}, loads}
 	began := (known == nil || len(known.loads) == 0) && len(loads) > 0
-	if !began || !summing.informed(now) || summing.answered >= maxFirstReplies {
+	if !began || !summing.informed(now) || summing.stalled(now) || summing.answered >= maxFirstReplies {
 		return nil
 	}
 	summing.answered++
@@ -202,12 +210,16 @@
 	return false
 }
 
-// round removes what has expired and returns what is to be sent in this interval: nothing while no node reports.
+// round removes what has expired and returns what is to be sent in this interval: nothing while no node reports. A node that is not the first
+// choice tells its sums to peers even before they are complete, since other zones tell theirs only to nodes that they know of, and withdraws them
+// when no node reports to it any more.
 func (summing *summingNode) round(now time.Duration) round {
 	summing.mu.Lock()
 	defer summing.mu.Unlock()
 	next := round{expired: summing.expire(now)}
-	if !summing.informed(now) || (len(summing.reports) == 0 && len(summing.told) == 0) {
+	informed := summing.informed(now)
+	early := !summing.preferred && !summing.isolated && (summing.hasReports() || len(summing.told) > 0)
+	if (!informed && !early) || (len(summing.reports) == 0 && len(summing.told) == 0) {
 		return next
 	}
 	sums := summing.sum(now)
@@ -222,6 +234,10 @@
 	for name, peer := range summing.peers {
 		next.knownPeers[name] = peer.from
 	}
+	if !informed {
+		next.publisher = nil
+		return next
+	}
 	for _, name := range summing.nextNodes() {
 		next.replies = append(next.replies, summing.replies(name, sums)...)
 	}
@@ -257,7 +273,7 @@
 		return nil
 	}
 	slices.Sort(names)
-	count := min(len(names), maxReplies-summing.answered)
+	count := min(len(names), max(maxReplies-summing.answered, (len(names)+turns-1)/turns))
 	first, found := slices.BinarySearch(names, summing.after)
 	if found {
 		first++
--- a/internal/room/summing_test.go
+++ b/internal/room/summing_test.go
@@ -22,7 +22,7 @@
 // newSummingNode returns a summing node that has been the first choice of its zone for long.
 func newSummingNode() *summingNode {
 	summing := newSumming("sum", "a", 1, tenSlots)
-	summing.setPlace(true, false, -time.Hour)
+	summing.setPlace(true, false, -settleTime)
 	return summing
 }
 
@@ -286,3 +286,96 @@
 		}
 	}
 }
+
+// A node that begins to sum up, without being the first choice, tells peers before its sums are complete, so that they tell it theirs, and
+// everybody else after that. Its own report does not count as the first one of its zone.
+func TestSecondChoiceSettles(t *testing.T) {
+	summing := newSumming("sum", "a", 1, tenSlots)
+	summing.handleReport(reportOf("sum", 1, 1, 1, 0), nil, 0)
+	summing.handleReport(reportOf("sum", 1, 2, 1, 0), nil, settleTime)
+	summing.setPlace(false, false, settleTime)
+	must.SliceEmpty(t, summing.round(settleTime).peers, must.Sprint("nobody else reports to it"))
+	began := 2 * settleTime
+	must.SliceEmpty(t, summing.handleReport(reportOf("y", 1, 1, 5, 0), nil, began))
+	next := summing.round(began)
+	must.Len(t, 1, next.peers)
+	must.Eq(t, 6, othersOf(next.peers[0])["s"].InFlight)
+	must.SliceEmpty(t, next.publisher)
+	must.SliceEmpty(t, next.replies)
+	summing.setPlace(false, false, began+Interval)
+	must.SliceEmpty(t, summing.handleReport(reportOf("z", 1, 1, 5, 0), nil, began+settleTime-1))
+	must.Len(t, 1, summing.handleReport(reportOf("w", 1, 1, 5, 0), nil, began+settleTime))
+	next = summing.round(began + settleTime)
+	must.SliceNotEmpty(t, next.publisher)
+	must.SliceNotEmpty(t, next.replies)
+}
+
+// A node that is not the first choice withdraws its sums when the last node that reported to it has moved away.
+func TestSumsAreWithdrawn(t *testing.T) {
+	summing := newSumming("sum", "a", 1, tenSlots)
+	summing.handleReport(reportOf("y", 1, 1, 5, 0), nil, 0)
+	next := summing.round(0)
+	must.Len(t, 1, next.peers)
+	must.Eq(t, 5, othersOf(next.peers[0])["s"].InFlight)
+	summing.handleReport(newReport("y", 1, 2, nil), nil, Interval)
+	next = summing.round(Interval)
+	must.Len(t, 1, next.peers)
+	must.Eq(t, map[string]Load{"s": {}}, othersOf(next.peers[0]))
+	must.SliceEmpty(t, next.publisher, must.Sprint("the zone's first choice tells it"))
+	must.SliceEmpty(t, summing.round(2*Interval).peers)
+}
+
+// A process that got no CPU time for long has lost reports, and tells no sums before they have arrived again.
+func TestStalledSummingNodeSettles(t *testing.T) {
+	for _, preferred := range []bool{true, false} {
+		summing := newSumming("sum", "a", 1, tenSlots)
+		number := int64(0)
+		report := func(node string, now time.Duration) int {
+			number++
+			return len(summing.handleReport(reportOf(node, 1, number, 5, 0), nil, now))
+		}
+		for now := time.Duration(0); now <= settleTime; now += Interval {
+			summing.setPlace(preferred, false, now)
+			report("y", now)
+			summing.round(now)
+		}
+		must.Eq(t, 1, report("x", settleTime))
+		now := 10 * time.Second
+		must.Eq(t, 0, report("z", now), must.Sprint("before the first round"))
+		summing.setPlace(preferred, false, now)
+		must.SliceEmpty(t, summing.round(now).replies)
+		must.Eq(t, 0, report("w", now))
+		now += settleTime - 1
+		summing.setPlace(preferred, false, now)
+		must.Eq(t, 0, report("v", now))
+		must.SliceEmpty(t, summing.round(now).replies)
+		must.Eq(t, 1, report("u", now+1))
+	}
+}
+
+// Each of many nodes is answered before what it knows expires, also while others begin and are answered at once.
+func TestManyNodesAreAnsweredInTime(t *testing.T) {
+	for _, nodes := range []int{300, 800} {
+		summing := newSummingNode()
+		last := make(map[string]time.Duration)
+		for number := range int64(30) {
+			now := time.Duration(number) * Interval
+			summing.setPlace(true, false, now)
+			for index := range nodes {
+				summing.handleReport(reportOf(fmt.Sprint("node-", index), 1, number+1, 1, 0), nil, now)
+			}
+			for index := range maxFirstReplies {
+				name := fmt.Sprint("new-", number, "-", index)
+				summing.handleReport(reportOf(name, 1, 1, 1, 0), nil, now)
+				summing.handleReport(newReport(name, 1, 2, nil), nil, now)
+			}
+			replies := summing.round(now).replies
+			must.LessEq(t, max(maxReplies, (nodes+turns-1)/turns), len(replies))
+			for _, reply := range replies {
+				must.LessEq(t, WordTTL, now-last[reply.node])
+				last[reply.node] = now
+			}
+		}
+		must.MapLen(t, nodes, last)
+	}
+}
