Room: replies name their receiver, so that sums are not taken for replies

Cause: totals told sums and replies apart by their sender only, so that sums of the node that is reported to were applied as a reply, and late replies could be taken for sums.

Change: ServiceTotals.receiver, set in replies. A node applies replies to itself of the node to which it reports, records totals without a receiver as sums and drops all others; the record of the former target is needless. The publisher ignores replies.

Tests, each failing without its mend (trials by overlay): TestRepliesAndSumsAreToldApart; TestSumsLeaveOutTheReceiver and TestLoads have the new field as well. The late reply of TestNodeMovesFromASilentSummingNode names its receiver as replies now do, and the largest datagram is tested with a receiver of 100 bytes. scripts/mutations.sh: the lines that changed, and three more.

--- a/internal/provisioning/loads.go
+++ b/internal/provisioning/loads.go
@@ -60,8 +60,11 @@
 	}
 }
 
-// RecordTotals records the sums of zones. A message that was overtaken by a later one of its sender is ignored.
+// RecordTotals records the sums of zones. A message that was overtaken by a later one of its sender is ignored, and so is a reply to a node.
 func (loads *Loads) RecordTotals(totals *clusterv1.ServiceTotals, now time.Time) {
+	if totals.GetReceiver() != "" {
+		return
+	}
 	loads.mu.Lock()
 	defer loads.mu.Unlock()
 	loads.heard = now
--- a/internal/provisioning/loads_test.go
+++ b/internal/provisioning/loads_test.go
@@ -26,7 +26,8 @@
 	record(0, "x", 1, "a", "s", 10, 1000)
 	record(0, "y", 1, "b", "s", 30, 3000)
 	record(0, "x", 2, "a", "another", 99, 1000) // a second message of the same zone
-	must.Eq(t, provisioning.Load{InFlight: 40, Waiting: 2, Refused: 4, ServiceTime: 2500 * time.Microsecond}, read(0))
+	loads.RecordTotals(&clusterv1.ServiceTotals{Node: "x", Number: 3, Receiver: "y", Zones: []*clusterv1.ZoneLoad{{Zone: "a", Services: []*clusterv1.ServiceLoad{{Service: "s"}}}}}, start)
+	must.Eq(t, provisioning.Load{InFlight: 40, Waiting: 2, Refused: 4, ServiceTime: 2500 * time.Microsecond}, read(0), must.Sprint("a reply is no sum"))
 	record(second, "x", 5, "a", "s", 20, 1000)
 	record(second, "x", 4, "a", "s", 10, 1000)
 	must.Eq(t, 50, read(second).InFlight, must.Sprint("the overtaken message counts for nothing"))
--- a/internal/room/exchange.go
+++ b/internal/room/exchange.go
@@ -39,10 +39,9 @@
 	choice   target
 	reported bool // whether the last report had loads
 
-	mu sync.Mutex
-	// target is the node to which this one reports, former the one before, until formerEnd.
-	target, former       string
-	formerEnd, lastReply time.Duration
+	mu        sync.Mutex
+	target    string // the node to which this one reports
+	lastReply time.Duration
 }
 
 // NewExchange returns the exchange of a node, which keeps its room up to date.
@@ -100,9 +99,7 @@
 	if len(ranked) > 0 && exchange.summing.anyReports() {
 		to = exchange.node // what a node hears of others is sums, if others report to it, and replies otherwise
 	}
-	if to != former {
-		exchange.target, exchange.former, exchange.formerEnd = to, former, now+WordTTL
-	}
+	exchange.target = to
 	exchange.mu.Unlock()
 	var messages []Message
 	if to != former && former != "" {
@@ -129,19 +126,15 @@
 	return exchange.sent(exchange.summing.handleReport(report, from, exchange.clock.Elapsed()))
 }
 
-// HandleTotals applies a reply of the node to which this one reports, or records the sums of another summing node. It reports whether the room
-// may have changed.
+// HandleTotals applies a reply of the node to which this one reports, or records the sums of another summing node. It drops replies of other
+// nodes, such as late ones, and those for other nodes, since they are no sums. It reports whether the room may have changed.
 func (exchange *Exchange) HandleTotals(totals *clusterv1.ServiceTotals, from net.Addr) bool {
 	now := exchange.clock.Elapsed()
-	exchange.mu.Lock()
-	isReply := totals.GetNode() == exchange.target && exchange.target != exchange.node
-	late := totals.GetNode() == exchange.former && now < exchange.formerEnd // may be a reply, which is no sum
-	exchange.mu.Unlock()
-	if isReply {
-		return exchange.apply(totals, now)
-	}
-	if !late {
+	switch totals.GetReceiver() {
+	case "":
 		exchange.summing.handleTotals(totals, from, now)
+	case exchange.node:
+		return totals.GetNode() == exchange.Target() && exchange.apply(totals, now)
 	}
 	return false
 }
--- a/internal/room/exchange_test.go
+++ b/internal/room/exchange_test.go
@@ -32,6 +32,12 @@
 	}}
 }
 
+func replyTo(receiver, node string, number int64, inFlight int32) *clusterv1.ServiceTotals {
+	totals := sumsOf(node, number, inFlight)
+	totals.Receiver = receiver
+	return totals
+}
+
 // A node without requests sends nothing, except once after its last request.
 func TestIdleNodesSendNothing(t *testing.T) {
 	rooms, _, manual := newRoom(8)
@@ -72,7 +78,7 @@
 	_, empty := reports(moved)
 	must.Eq(t, []string{"first"}, empty)
 
-	must.False(t, exchange.HandleTotals(sumsOf("first", 1, 40), nil))
+	must.False(t, exchange.HandleTotals(replyTo("x", "first", 1, 40), nil))
 	exchange.HandleReport(&clusterv1.ServiceReport{Node: "y", Life: 1, Number: 1, Services: []*clusterv1.ServiceLoad{{Service: "s", InFlight: 2, Nodes: 1}}}, address("y"))
 	for range 2 * room.WordTTL / room.Interval {
 		manual.now += room.Interval
@@ -234,3 +240,30 @@
 	resize(64)
 	must.Between(t, before-2, rooms.Limit("s"), before+2, must.Sprint("at once after a time without slots"))
 }
+
+// Only a reply to this node of the node to which it reports is taken for one, and only totals without a receiver for sums: the two differ by the
+// receiver's own report and by the other zones.
+func TestRepliesAndSumsAreToldApart(t *testing.T) {
+	rooms, _, manual := newRoom(64)
+	rooms.Limit("s")
+	exchange := room.NewExchange("x", "a", 1, rooms)
+	nodes := room.Nodes{Ranked: []string{"first", "x"}, Peers: []string{"first"}}
+	_, _ = exchange.Tick(oneInFlight, nodes)
+	must.Eq(t, "first", exchange.Target())
+	must.False(t, exchange.HandleTotals(replyTo("y", "first", 1, 50), nil))
+	must.False(t, exchange.HandleTotals(replyTo("x", "second", 2, 50), nil))
+	must.False(t, exchange.HandleTotals(sumsOf("first", 3, 30), nil))
+	must.Eq(t, 0, others(rooms).InFlight)
+	must.True(t, exchange.HandleTotals(replyTo("x", "first", 4, 20), nil))
+	must.Eq(t, 20, others(rooms).InFlight)
+
+	for number := range int64(5) { // as a summing node it has the sums alone
+		exchange.HandleTotals(sumsOf("first", number+5, 30), nil)
+		exchange.HandleTotals(replyTo("y", "second", number+5, 50), nil)
+		exchange.HandleTotals(replyTo("x", "second", number+5, 50), nil)
+		exchange.HandleReport(&clusterv1.ServiceReport{Node: "y", Life: 1, Number: number + 1, Services: []*clusterv1.ServiceLoad{{Service: "s", InFlight: 2, Nodes: 1}}}, address("y"))
+		_, _ = exchange.Tick(oneInFlight, nodes)
+		manual.now += room.Interval
+	}
+	must.Eq(t, 32, others(rooms).InFlight)
+}
--- a/internal/room/summing_test.go
+++ b/internal/room/summing_test.go
@@ -52,6 +52,12 @@
 	must.Eq(t, Load{InFlight: 10, Waiting: 3, Nodes: 4}, heard(summing, "x", 0))
 	must.Eq(t, Load{InFlight: 9, Waiting: 11, Nodes: 4}, heard(summing, "y", 0))
 	next := summing.round(0)
+	for _, reply := range next.replies {
+		must.Eq(t, reply.node, reply.totals.GetReceiver())
+	}
+	for _, totals := range slices.Concat(next.peers, next.publisher) {
+		must.Eq(t, "", totals.GetReceiver())
+	}
 	must.Eq(t, Load{InFlight: 7, Waiting: 12, Nodes: 2}, othersOf(next.peers[0])["s"], must.Sprint("only the own reports"))
 	must.Eq(t, Load{InFlight: 7, Waiting: 502, Nodes: 2}, othersOf(next.publisher[0])["s"])
 	for _, reply := range next.replies {
@@ -173,7 +179,7 @@
 		name := fmt.Sprint(strings.Repeat("service-", 5), index)
 		loads = append(loads, NamedLoad{name, Load{InFlight: index * 1000, Waiting: 1 << 20, Nodes: 1, ServiceTime: time.Hour}})
 	}
-	report := newReport("x", time.Now().UnixNano(), 1<<40, loads)
+	report := newReport(strings.Repeat("x", 100), time.Now().UnixNano(), 1<<40, loads)
 	datagram := func(totals *clusterv1.ServiceTotals) int {
 		return proto.Size(&clusterv1.Datagram{Kind: &clusterv1.Datagram_ServiceTotals{ServiceTotals: totals}})
 	}
--- a/internal/room/totals.go
+++ b/internal/room/totals.go
@@ -122,7 +122,7 @@
 	for service, load := range loads {
 		list = append(list, NamedLoad{service, load})
 	}
-	packer := summing.newPacker()
+	packer := summing.newPacker("")
 	for _, load := range busiestFirst(list) {
 		packer.add(newZoneLoad(summing.zone, load), nil)
 	}
@@ -134,7 +134,7 @@
 // called with mu held.
 func (summing *summingNode) replies(node string, sums sums) []reply {
 	report := summing.reports[node]
-	packer := summing.newPacker()
+	packer := summing.newPacker(node)
 	for _, load := range busiestFirst(report.loads) {
 		others, own := sums.own[load.Service], summing.divided(load)
 		others.InFlight -= own.InFlight
@@ -166,12 +166,15 @@
 // added together are in one message, so that a receiver may replace what it knows of the service.
 type packer struct {
 	summing  *summingNode
+	receiver string // of replies
 	messages []*clusterv1.ServiceTotals
 	zones    map[string]*clusterv1.ZoneLoad // of the last message
 	size     int
 }
 
-func (summing *summingNode) newPacker() *packer { return &packer{summing: summing} }
+func (summing *summingNode) newPacker(receiver string) *packer {
+	return &packer{summing: summing, receiver: receiver}
+}
 
 func (packer *packer) add(own zoneLoad, remote []zoneLoad) {
 	size := own.size
@@ -204,6 +207,6 @@
 
 func (packer *packer) begin() {
 	packer.summing.number++
-	message := &clusterv1.ServiceTotals{Node: packer.summing.node, Life: packer.summing.incarnation, Number: packer.summing.number}
+	message := &clusterv1.ServiceTotals{Node: packer.summing.node, Life: packer.summing.incarnation, Number: packer.summing.number, Receiver: packer.receiver}
 	packer.messages, packer.zones, packer.size = append(packer.messages, message), make(map[string]*clusterv1.ZoneLoad), proto.Size(message)+entryOverhead
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -121,7 +121,11 @@
 mutate 'backlog of one node not bounded' internal/room/share.go 'own.Waiting = min(own.Waiting, slots)' 'own.Waiting = max(own.Waiting, 0)' ./internal/room
 mutate 'own report counted as others' internal/room/totals.go 'others.InFlight -= own.InFlight' 'others.InFlight -= 0' ./internal/room
 mutate 'incomplete sums told' internal/room/summing.go 'return now >= summing.settled && ' 'return ' ./internal/room
-mutate 'late replies taken for sums' internal/room/exchange.go 'if !late {' 'if !late || !isReply {' ./internal/room
+mutate 'replies taken for sums' internal/room/exchange.go 'case "":' 'default:' ./internal/room
+mutate 'late replies applied' internal/room/exchange.go 'totals.GetNode() == exchange.Target() && ' '' ./internal/room
+mutate 'scarce share raised by a dip of slots' internal/room/room.go 'max(state.share, target))' 'max(state.share, target, float64(after)))' ./internal/room
+mutate 'assumed window outlasts word' internal/room/window.go 'if window.assumed {' 'if false {' ./internal/room
+mutate 'sums of a failover lack other zones' internal/room/summing.go 'early := ' 'early := false && ' ./internal/room
 mutate 'windows fall without a bound' internal/room/window.go 'reached*maxDecrease' 'reached*0.1*maxDecrease' ./internal/room
 mutate 'silent summing node kept' internal/room/target.go 'if now-max(heard, target.since) > WordTTL {' 'if now-max(heard, target.since) > 100*WordTTL {' ./internal/room
 exit "$missed"
