Room: test that only fronts with the control register for the exchange

TestSummingNodesHaveTheControl fails if a front registers CAPABILITY_SERVICE_LOADS without OverloadControl, or does not with it (trials by overlay).

--- a/internal/role/room_test.go
+++ b/internal/role/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/admission"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/lab/freeport"
@@ -110,3 +112,15 @@
 		t.Fatal("not admitted")
 	}
 }
+
+// A front that takes no part in the exchange must not be chosen to sum up the reports of its zone.
+func TestSummingNodesHaveTheControl(t *testing.T) {
+	for _, front := range startFronts(t, true, false) {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			return len(front.Registry.Records(map[string]bool{front.Node: true})) == 1
+		}), wait.Timeout(10*time.Second), wait.Gap(20*time.Millisecond)))
+		own := front.Registry.Records(map[string]bool{front.Node: true})[0]
+		must.Eq(t, front.OverloadControl, slices.Contains(own.GetCapabilities(), clusterv1.Capability_CAPABILITY_SERVICE_LOADS))
+		must.SliceNotEmpty(t, own.GetCapabilities())
+	}
+}
