Balancing: wrong reports are bounded, answers without a length are measured, holds end by any answer

Cause (review): one replica that reports a million requests hid what the node itself has in flight, and drew all requests; one that sends its header and then hangs counted as fast; a hold ended by answers of 2xx only; choices summed up reports of other nodes that no build sends for plain services; with more than 128 services or 512 replicas what was learned was dropped, or most could not be held. Change: bounds on reports; bodies without a length are measured to their end unless the answer streams (Request.Streamed); any executed answer below 500 ends a hold; eviction of healthy replicas first; the report counts from the header's time.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -58,6 +58,8 @@
 	ResumeAfter int64
 	// Priority is the rank of the request at an engine, 0 first; negative leaves it to the engine.
 	Priority int
+	// Streamed is true if the answer is read at the pace of its caller.
+	Streamed bool
 	// Exclusive is true if no other node sends the request, because this node owns its batch job.
 	Exclusive bool
 	// Tenant is the name of the request's tenant; empty for none. The tenant's API key never leaves this node.
--- a/internal/backend/balancer.go
+++ b/internal/backend/balancer.go
@@ -138,7 +138,10 @@
 	service := balancer.services[name]
 	if service == nil {
 		if len(balancer.services) >= maxServices {
-			clear(balancer.services) // services that come and go; requests in flight keep the state that they began with
+			for other := range balancer.services {
+				delete(balancer.services, other)
+				break
+			} // services that come and go; requests in flight keep the state that they began with
 		}
 		service = &balancedService{replicas: make(map[string]*replicaState), typical: typical{own: 1, foreign: 1}}
 		balancer.services[name] = service
@@ -154,20 +157,29 @@
 			maps.DeleteFunc(service.replicas, func(_ string, state *replicaState) bool { return state.evictable(now) })
 			service.evictedAt = now
 		}
-		for id, other := range service.replicas {
-			if len(service.replicas) < maxReplicas {
-				break
-			}
-			if other.running == 0 {
-				delete(service.replicas, id)
-			}
-		}
+		service.makeRoom(func(other *replicaState) bool { return other.running == 0 && other.hold == nil && !other.pace.slow(1) })
+		service.makeRoom(func(other *replicaState) bool { return other.running == 0 })
 		state = &replicaState{local: replica.Zone == zone, lastUsed: now}
 		service.replicas[replica.ID] = state
 	}
 	return state
 }
 
+// makeRoom removes replicas of a kind until there is room for another one. It must be called with mu held.
+func (service *balancedService) makeRoom(removable func(*replicaState) bool) {
+	if len(service.replicas) < maxReplicas {
+		return
+	}
+	for id, other := range service.replicas {
+		if len(service.replicas) < maxReplicas {
+			return
+		}
+		if removable(other) {
+			delete(service.replicas, id)
+		}
+	}
+}
+
 // compare recomputes what is typical if the last comparison is older than typicalTTL. It must be called with mu held.
 func (service *balancedService) compare(now time.Time) {
 	if now.Sub(service.typical.at) < typicalTTL {
@@ -216,7 +228,6 @@
 	service  *balancedService
 	loads    *Loads
 	excluded []string
-	remote   bool // other nodes report their requests at replicas
 	// mostlyHeld is true if more than half of the replicas are held for failures, which then are not theirs.
 	mostlyHeld bool
 	// others is the mean number of requests that other nodes have at a replica of typical pace.
@@ -234,7 +245,7 @@
 	service.mu.Lock()
 	defer service.mu.Unlock()
 	service.compare(now)
-	place := &placement{balancer: balancer, service: service, loads: picker.Loads, excluded: excluded, remote: picker.Loads.hasRemote(), others: service.others.at(now), mostlyHeld: 2*service.typical.held > replicas.Len(), now: now}
+	place := &placement{balancer: balancer, service: service, loads: picker.Loads, excluded: excluded, others: service.others.at(now), mostlyHeld: 2*service.typical.held > min(replicas.Len(), maxTypical), now: now}
 	if replicas.Len() > maxSampled {
 		for _, id := range picker.Loads.idle(now) {
 			if replica := replicas.Find(id); replica != nil {
@@ -302,11 +313,7 @@
 
 // view returns what is known of a replica, and a penalty if it gets no requests now.
 func (place *placement) view(replica *catalog.Replica, local bool) (candidate, float64) {
-	remote := 0
-	if place.remote {
-		remote = place.loads.remoteInFlight(replica.ID, place.now)
-	}
-	reading := place.loads.read(replica.ID, remote, place.now)
+	reading := place.loads.read(replica.ID, 0, place.now)
 	service, now := place.service, place.now
 	typicalPace := service.typical.pace(local)
 	view := candidate{inFlight: float64(reading.InFlight), slots: float64(replica.Slots), pace: typicalPace, own: reading.Own, idle: reading.Idle, unproven: true}
--- a/internal/backend/balancing_test.go
+++ b/internal/backend/balancing_test.go
@@ -227,7 +227,7 @@
 		world := newWorld(10, 39, true, "a", "b", "c")
 		node := world.nodes[0]
 		for replica := range world.list.Each() {
-			node.loads.balancer.begin(replica, &Request{Target: "/score", Method: "POST"}, world.now).end(endServed, ReportedLoad{}, bytes, world.now)
+			node.loads.balancer.begin(replica, &Request{Target: "/score", Method: "POST"}, world.now).end(endServed, bytes, world.now)
 			if replica.Zone == "a" {
 				for range 5 {
 					node.loads.Begin(replica.ID, world.now)
--- a/internal/backend/decisions_test.go
+++ b/internal/backend/decisions_test.go
@@ -144,7 +144,8 @@
 func (bench *bench) call(replica *catalog.Replica, end measuredEnd, took time.Duration, load ReportedLoad) {
 	measured := bench.balancer.begin(replica, &Request{}, bench.now)
 	bench.now = bench.now.Add(took)
-	measured.end(end, load, 0, bench.now)
+	measured.report(load, bench.now)
+	measured.end(end, 0, bench.now)
 }
 
 func (bench *bench) mayTry(own int) bool {
@@ -202,7 +203,7 @@
 			measured := bench.balancer.begin(bench.replica, &Request{}, bench.now)
 			meanwhile(bench)
 			bench.now = bench.now.Add(time.Second)
-			measured.end(endAbandoned, ReportedLoad{}, 0, bench.now)
+			measured.end(endAbandoned, 0, bench.now)
 		}
 		return !bench.mayTry(0)
 	}
@@ -261,11 +262,11 @@
 	balancer, now := NewBalancer("a", log.New(io.Discard), nil), time.Unix(1000, 0)
 	for index := range 3 * maxReplicas {
 		measured := balancer.begin(&catalog.Replica{ID: fmt.Sprint(index), Service: "app"}, &Request{}, now)
-		measured.end(endServed, ReportedLoad{}, 0, now)
+		measured.end(endServed, 0, now)
 	}
 	must.LessEq(t, maxReplicas, len(balancer.service("app").replicas))
 	now = now.Add(replicaTTL)
-	balancer.begin(&catalog.Replica{ID: "new", Service: "app"}, &Request{}, now).end(endServed, ReportedLoad{}, 0, now)
+	balancer.begin(&catalog.Replica{ID: "new", Service: "app"}, &Request{}, now).end(endServed, 0, now)
 	must.MapLen(t, 1, balancer.service("app").replicas)
 	for index := range 3 * maxServices {
 		balancer.service(fmt.Sprint(index))
@@ -335,6 +336,7 @@
 	for name, check := range map[string]struct {
 		ctx             context.Context
 		script          scripted
+		streamed        bool
 		answers, failed int
 		held            bool
 	}{
@@ -354,9 +356,15 @@
 		"cut short": {failed: 1, script: func(context.Context) (*Response, error) {
 			return &Response{Status: http.StatusOK, Length: 9, Body: io.NopCloser(io.MultiReader(strings.NewReader("body"), broken{}))}, nil
 		}},
-		"stream": {answers: 1, script: func(context.Context) (*Response, error) {
+		"stream": {answers: 1, streamed: true, script: func(context.Context) (*Response, error) {
 			return &Response{Status: http.StatusOK, Length: -1, Body: io.NopCloser(broken{})}, nil
 		}},
+		"without a length": {answers: 1, script: func(context.Context) (*Response, error) {
+			return &Response{Status: http.StatusOK, Length: -1, Body: body("body")}, nil
+		}},
+		"without a length, cut short": {failed: 1, script: func(context.Context) (*Response, error) {
+			return &Response{Status: http.StatusOK, Length: -1, Body: io.NopCloser(io.MultiReader(strings.NewReader("body"), broken{}))}, nil
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			balancer := NewBalancer("a", log.New(io.Discard), nil)
@@ -364,7 +372,7 @@
 			if ctx == nil {
 				ctx = t.Context()
 			}
-			response, err := balancer.Sender(check.script).Send(ctx, &catalog.Replica{ID: "x", Service: "app", Slots: 6}, &Request{})
+			response, err := balancer.Sender(check.script).Send(ctx, &catalog.Replica{ID: "x", Service: "app", Slots: 6}, &Request{Streamed: check.streamed})
 			if err == nil {
 				_, _ = io.Copy(io.Discard, response.Body)
 				must.NoError(t, response.Body.Close())
@@ -446,7 +454,7 @@
 	}
 	must.Eq(t, bench.replica, picker.Pick(list, nil, bench.now.Add(200*time.Millisecond)))
 	bench.now = bench.now.Add(400 * time.Millisecond)
-	begin(bench.peers[0]).end(endServed, ReportedLoad{}, 0, bench.now)
+	begin(bench.peers[0]).end(endServed, 0, bench.now)
 	must.Eq(t, bench.peers[0], picker.Pick(list, nil, bench.now))
 }
 
@@ -487,7 +495,8 @@
 				for replica := range world.list.Each() {
 					if balanced {
 						measured := node.loads.balancer.begin(replica, &Request{}, world.now)
-						measured.end(endServed, ReportedLoad{Known: true, Running: 2, Slots: 6, Pace: 1}, 0, world.now.Add(time.Millisecond))
+						measured.report(ReportedLoad{Known: true, Running: 2, Slots: 6, Pace: 1}, world.now.Add(time.Millisecond))
+						measured.end(endServed, 0, world.now.Add(time.Millisecond))
 					}
 				}
 				b.ReportAllocs()
--- a/internal/backend/measure.go
+++ b/internal/backend/measure.go
@@ -14,8 +14,8 @@
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 )
 
-// maxMeasuredBody is the size in bytes up to which an answer is measured until its body has been read. Longer bodies and streams are read at
-// the pace of the caller, so their answers are measured until the header.
+// maxMeasuredBody is the size in bytes up to which an answer is measured while its body is read. What is longer, and streams, are read at the
+// pace of the caller.
 const maxMeasuredBody = 1 << 20
 
 // Sender returns a sender that measures the answers of plain services. It must enclose the sender that holds requests back.
@@ -36,31 +36,37 @@
 	measurement := measuring.balancer.begin(replica, request, time.Now())
 	response, err := measuring.sender.Send(ctx, replica, request)
 	if err != nil {
-		measurement.end(endOfError(ctx, err), ReportedLoad{}, 0, time.Now())
+		measurement.end(endOfError(ctx, err), 0, time.Now())
 		return response, err
 	}
 	end := endOfResponse(response)
-	if end != endServed || response.Length <= 0 || response.Length > maxMeasuredBody {
-		measurement.end(end, response.Load, response.Length, time.Now())
+	measurement.report(response.Load, time.Now())
+	if end != endServed || request.Streamed || response.Length == 0 || response.Length > maxMeasuredBody {
+		measurement.end(end, response.Length, time.Now())
 		return response, nil
 	}
-	response.Body = &measuredBody{ReadCloser: response.Body, ctx: ctx, measurement: measurement, load: response.Load, left: response.Length, length: response.Length}
+	body := &measuredBody{ReadCloser: response.Body, ctx: ctx, measurement: measurement, left: response.Length}
+	if response.Length < 0 { // a body without a declared length ends with its last chunk
+		body.left = maxMeasuredBody
+	}
+	response.Body = body
 	return response, nil
 }
 
 // measuredBody ends the measurement when the body has been read.
 type measuredBody struct {
 	io.ReadCloser
-	ctx          context.Context
-	measurement  *measurement
-	load         ReportedLoad
-	left, length int64
-	once         sync.Once
+	ctx         context.Context
+	measurement *measurement
+	// read counts the bytes read; left is how many more are measured.
+	read, left int64
+	once       sync.Once
 }
 
 // Read implements io.Reader.
 func (body *measuredBody) Read(buffer []byte) (int, error) {
 	count, err := body.ReadCloser.Read(buffer)
+	body.read += int64(count)
 	body.left -= int64(count)
 	switch {
 	case body.left <= 0, errors.Is(err, io.EOF):
@@ -78,7 +84,7 @@
 }
 
 func (body *measuredBody) end(end measuredEnd) {
-	body.once.Do(func() { body.measurement.end(end, body.load, body.length, time.Now()) })
+	body.once.Do(func() { body.measurement.end(end, body.read, time.Now()) })
 }
 
 // measuredEnd classifies the end of a request by what it shows about the replica.
@@ -89,6 +95,7 @@
 	endFailed                // an error of the replica's own, or no usable answer
 	endFull                  // not run, because the replica had no room
 	endAbandoned             // the time limit, or another attempt or the caller ended it; it would have taken at least as long
+	endOther                 // an answer that shows nothing of the pace
 	endUnknown               // shows nothing
 )
 
@@ -115,7 +122,7 @@
 	case response.Status >= http.StatusInternalServerError:
 		return endFailed
 	case response.Status >= http.StatusMultipleChoices:
-		return endUnknown
+		return endOther
 	}
 	return endServed
 }
@@ -146,17 +153,25 @@
 	return &measurement{balancer: balancer, service: service, replica: replica, state: state, kind: kind, started: now}
 }
 
+// report records the load that the replica reported with the answer's header.
+func (measurement *measurement) report(load ReportedLoad, now time.Time) {
+	if !load.Known {
+		return
+	}
+	service, state := measurement.service, measurement.state
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	others := min(float64(max(0, load.Running+load.Waiting-state.running)), maxReportedOthers*float64(max(1, measurement.replica.Slots)))
+	state.report = report{load: load, others: others, at: now}
+	service.others.observe(others, now)
+}
+
 // end records the end of the request. bytes is the size of the answer's body, negative if unknown.
-func (measurement *measurement) end(end measuredEnd, load ReportedLoad, bytes int64, now time.Time) {
+func (measurement *measurement) end(end measuredEnd, bytes int64, now time.Time) {
 	service, state := measurement.service, measurement.state
 	service.mu.Lock()
 	defer service.mu.Unlock()
 	service.compare(now)
-	if load.Known {
-		others := float64(max(0, load.Running+load.Waiting-state.running))
-		state.report = report{load: load, others: others, at: now}
-		service.others.observe(others, now)
-	}
 	state.running--
 	state.lastUsed = now
 	switch end {
@@ -170,6 +185,9 @@
 		measurement.full(now)
 	case endAbandoned:
 		measurement.abandoned(now)
+	case endOther:
+		state.answered(now)
+		measurement.usable(now)
 	case endUnknown:
 	}
 	measurement.noteChange(now)
@@ -189,6 +207,11 @@
 	state.pace.observe(ratio, now)
 	measurement.planTrial(ratio, now)
 	mean.observe(took, bytes)
+	measurement.usable(now)
+}
+
+func (measurement *measurement) usable(now time.Time) {
+	state := measurement.state
 	state.failures.observe(false, failureShareWeight, now)
 	if held := state.hold; held != nil && !measurement.started.Before(held.until) {
 		if held.answered++; held.answered >= held.needed() {
--- a/internal/backend/report.go
+++ b/internal/backend/report.go
@@ -19,8 +19,11 @@
 	// reportedPaceHalfLife is short because the reported pace changes many times a second.
 	reportedPaceHalfLife = 60 * time.Millisecond
 	// othersHalfLife is how long the mean load by others outlives the last report.
-	othersHalfLife = 2 * time.Second
-	othersWeight   = 0.05
+	othersHalfLife    = 2 * time.Second
+	othersWeight      = 0.05
+	maxReportedSlots  = 2.0
+	minReportedPace   = 0.5
+	maxReportedOthers = 4.0
 )
 
 // report is the last reported load of a replica.
@@ -44,10 +47,10 @@
 	}
 	*others += (report.others - *others) * halved(age, halfLife)
 	if report.load.Slots > 0 {
-		view.slots = float64(report.load.Slots)
+		view.slots = min(float64(report.load.Slots), maxReportedSlots*max(view.slots, 1))
 	}
 	if report.load.Pace > 0 {
-		view.pace *= 1 + (report.load.Pace-1)*halved(age, reportedPaceHalfLife)
+		view.pace *= 1 + (min(maxPace, max(minReportedPace, report.load.Pace))-1)*halved(age, reportedPaceHalfLife)
 	}
 }
 
--- a/internal/backend/world_test.go
+++ b/internal/backend/world_test.go
@@ -166,7 +166,8 @@
 			if server.reports && end != endAbandoned {
 				load = ReportedLoad{Known: true, Running: server.running, Waiting: len(server.waiting), Slots: worldSlots, Pace: server.pace(world.now)}
 			}
-			measured.end(end, load, 0, world.now)
+			measured.report(load, world.now)
+			measured.end(end, 0, world.now)
 		}
 		world.done = append(world.done, record{replica: replica.ID, node: node.name, at: sent, took: world.now.Sub(sent), failed: end == endFailed || end == endAbandoned, full: end == endFull})
 	}
--- a/internal/forwarding/run.go
+++ b/internal/forwarding/run.go
@@ -168,6 +168,7 @@
 	run.attempts++
 	run.pending++
 	request := run.call.Request
+	request.Streamed = run.route.Kind == catalog.Stream
 	request.Deadline = run.remaining()
 	request.Priority = -1
 	go run.runAttempt(ctx, replica, &request, grant)
