Replica orders: an undecodable record or a failed write does not block a service

A record that could not be decoded made every write of the service conflict for good, four times a second with a log line each. Its revision is kept, so that the next order replaces it. After a failed write a service pauses for 1 to 8 s, and one line says that nothing was stored.

--- a/internal/provisioning/cluster_test.go
+++ b/internal/provisioning/cluster_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"testing/synctest"
 	"time"
@@ -228,6 +230,9 @@
 	if err := store.check(); err != nil {
 		return 0, err
 	}
+	if err := store.cluster.refuse(txn); err != nil {
+		return 0, err
+	}
 	return store.Store.Commit(ctx, txn)
 }
 
@@ -256,6 +261,28 @@
 	fences   map[string]int64
 	stops    map[string]context.CancelFunc
 	number   int64
+	// refusing makes the store refuse orders and nothing else.
+	refusing      bool
+	refusedOrders int
+}
+
+// refuse returns an error and counts the attempt if orders are refused and the transaction has one.
+func (cluster *cluster) refuse(txn metadata.Txn) error {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	isOrder := slices.ContainsFunc(txn.Puts, func(put metadata.Put) bool { return strings.HasPrefix(put.Key, "provisioning/") })
+	if !isOrder || !cluster.refusing {
+		return nil
+	}
+	cluster.refusedOrders++
+	return metadata.ErrUnavailable
+}
+
+// refuseOrders makes the store refuse orders, or take them again.
+func (cluster *cluster) refuseOrders(refusing bool) {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	cluster.refusing = refusing
 }
 
 func newCluster(cloud *cloud) *cluster {
--- a/internal/provisioning/pool.go
+++ b/internal/provisioning/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,18 @@
 	return orderPrefix + url.PathEscape(key.service) + "/" + url.PathEscape(key.zone) + "/" + key.kind()
 }
 
+// parseStoreKey returns the pool whose order is stored under a key; false if there is none.
+func parseStoreKey(stored string) (poolKey, bool) {
+	parts := strings.Split(strings.TrimPrefix(stored, orderPrefix), "/")
+	if len(parts) != 3 {
+		return poolKey{}, false
+	}
+	service, serviceErr := url.PathUnescape(parts[0])
+	zone, zoneErr := url.PathUnescape(parts[1])
+	key := poolKey{service, zone, parts[2] == poolKey{spot: true}.kind()}
+	return key, serviceErr == nil && zoneErr == nil && key.storeKey() == stored
+}
+
 const (
 	// deliveryBoots and deliverySlack give the time within which ordered replicas register; until then they count as expected.
 	deliveryBoots = 2
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -101,6 +101,9 @@
 	sustained history
 	peak      history
 	loggedAt  time.Time
+	// decideNext is when the next decision may be made, storePause the last pause after orders could not be stored.
+	decideNext time.Time
+	storePause time.Duration
 }
 
 // Run orders replicas until the context ends, which it does at the end of the term.
@@ -131,12 +134,9 @@
 	}
 	unanswered := 0
 	for _, item := range listing.Items {
-		key, pool, err := decodePool(item, time.Now())
-		if err != nil {
-			work.Logger.Error("replica order cannot be decoded", "key", item.Key, "error", err)
-			continue
-		}
-		work.pools[key] = pool
+		work.adopt(item)
+	}
+	for _, pool := range work.pools {
 		if pool.unanswered() {
 			unanswered++
 		}
@@ -375,6 +375,9 @@
 
 // decide stores the orders that the situation of a service calls for. They are sent in the following rounds.
 func (work *termWork) decide(ctx context.Context, observed *demand, now time.Time) {
+	if now.Before(work.services[observed.service].decideNext) {
+		return
+	}
 	changes := Decide(observed.situation)
 	if len(changes) == 0 {
 		return
@@ -391,13 +394,20 @@
 		stored = append(stored, next)
 	}
 	revision, err := work.commit(ctx, txn)
+	if err != nil {
+		state := work.services[observed.service]
+		state.storePause = min(maxRetryPause, max(minRetryPause, 2*state.storePause))
+		state.decideNext = now.Add(state.storePause)
+		work.Logger.Warn("replica orders not stored", observed.fields("fence", work.fence, "orders", len(changes), "reason", string(changes[0].Reason),
+			"pause_ms", state.storePause.Milliseconds(), "error", err)...)
+		return
+	}
+	work.services[observed.service].storePause = 0
 	for index, change := range changes {
 		work.Logger.Info("replica order stored", observed.fields("fence", work.fence, "zone", change.Zone, "spot", change.Spot, "count", change.Count,
-			"previous", stored[index].order.GetPrevious(), "reason", string(change.Reason), "error", err)...)
-		if err == nil {
-			stored[index].revision = revision
-			work.pools[poolKey{observed.service, change.Zone, change.Spot}] = stored[index]
-		}
+			"previous", stored[index].order.GetPrevious(), "reason", string(change.Reason))...)
+		stored[index].revision = revision
+		work.pools[poolKey{observed.service, change.Zone, change.Spot}] = stored[index]
 	}
 }
 
@@ -410,19 +420,42 @@
 	if !errors.As(err, &conflict) {
 		return revision, err
 	}
-	for _, item := range conflict.Items {
-		key, stored, err := decodePool(item, time.Now())
-		if err != nil {
+	for _, condition := range txn.Conditions {
+		key, isOrder := parseStoreKey(condition.Key)
+		if !isOrder {
 			continue // the key of the lease's holder
 		}
-		if known := work.pools[key]; known != nil && known.revision != item.Revision {
-			stored.inherit(known)
-			work.pools[key] = stored
+		if item, found := conflict.Find(condition.Key); found {
+			work.adopt(item)
+		} else if known := work.pools[key]; known != nil {
+			known.order, known.revision = nil, 0
 		}
 	}
 	return 0, err
 }
 
+// adopt takes over a stored order, unless it is known. Of one that cannot be decoded, the revision is kept, so that the next order replaces it.
+func (work *termWork) adopt(item metadata.Item) {
+	key, isOrder := parseStoreKey(item.Key)
+	if !isOrder {
+		work.Logger.Error("replica order under an unknown key", "key", item.Key)
+		return
+	}
+	if known := work.pools[key]; known != nil && known.revision == item.Revision {
+		return
+	}
+	_, stored, err := decodePool(item, time.Now())
+	if err != nil {
+		work.Logger.Error("replica order cannot be decoded", "key", item.Key, "error", err)
+		work.pool(key).order, work.pool(key).revision = nil, item.Revision
+		return
+	}
+	if known := work.pools[key]; known != nil {
+		stored.inherit(known)
+	}
+	work.pools[key] = stored
+}
+
 // sendNext sends the unanswered order that has waited the longest, if one is due.
 func (work *termWork) sendNext(ctx context.Context, configuration *catalog.Configuration) {
 	due := slices.SortedFunc(maps.Keys(work.pools), func(a, b poolKey) int {
--- a/internal/provisioning/provisioner_test.go
+++ b/internal/provisioning/provisioner_test.go
@@ -267,6 +267,42 @@
 	})
 }
 
+// A stored order that can't be decoded must not keep the service from being scaled: the next order replaces it.
+func TestUndecodableOrder(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+			put := func() {
+				_, err := cluster.store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "provisioning/desk/b/on-demand", Value: []byte("\xff")}}})
+				must.NoError(t, err)
+			}
+			if before {
+				put()
+			}
+			cluster.call(80, 15*time.Second)
+			if !before {
+				put()
+			}
+			_, last := cluster.call(200, 30*time.Second)
+			must.Less(t, 10*time.Second, last)
+			must.Eq(t, []string{"a5", "b5", "c5"}, cluster.cloud.given())
+		})
+	}
+}
+
+// While orders can't be stored although the lease is renewed, attempts must become rarer.
+func TestOrdersThatCannotBeStored(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(80, 15*time.Second)
+		cluster.refuseOrders(true)
+		cluster.call(200, time.Minute)
+		must.SliceEmpty(t, cluster.cloud.given())
+		must.Between(t, 3, cluster.refusedOrders, 12)
+		cluster.refuseOrders(false)
+		_, last := cluster.call(200, 30*time.Second)
+		must.Less(t, 8*time.Second+8*time.Second, last)
+	})
+}
+
 // While the replicas have not been read in this term, an old table must not lead to orders for replacements.
 func TestReplicasNotReadInThisTerm(t *testing.T) {
 	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
