--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -41,8 +41,9 @@
 	forgetAfter    = time.Hour
 	forgetInterval = time.Minute
 	// After a count of the replicas, the next one waits for countPauseFactor times as long as it took: half a percent of a core at most, however
-	// many replicas change their versions.
+	// many replicas change their versions. A pause of this process during a count must not delay the next one for long.
 	countPauseFactor = 200
+	maxCountPause    = time.Second
 )
 
 // Order is an order for the replicas of one kind that a service has in a zone. Count is their number and not a difference, so that an order can be
@@ -217,7 +218,7 @@
 	if (replicas == work.counted && configuration == work.countedFor) || begun.Before(work.countNext) {
 		return
 	}
-	defer func() { work.countNext = time.Now().Add(countPauseFactor * time.Since(begun)) }()
+	defer func() { work.countNext = time.Now().Add(min(maxCountPause, countPauseFactor*time.Since(begun))) }()
 	work.counted, work.countedFor = replicas, configuration
 	for _, pool := range work.pools {
 		pool.present, pool.reclaimed = 0, 0
