Jobs: items leave a departing replica in the order of its end, at bounded work

Each round compared every replica for every item in random order, under the scheduler's lock, and went on when none had a free slot. Items are sorted by the end of their replica and what they would lose, a sample of replicas is compared, and a placement without a free slot is left until the next round. A later notice can bring an end forward.

--- a/internal/batchrun/departure.go
+++ b/internal/batchrun/departure.go
@@ -1,9 +1,9 @@
 package batchrun
 
 import (
+	"cmp"
+	"slices"
 	"time"
-
-	"github.com/thistlewalk/thistlewalk/internal/catalog"
 )
 
 // departureMargin is how much earlier than the announced end of its replica an item must be expected to finish to stay there.
@@ -17,8 +17,9 @@
 		if registered == nil || !registered.Draining || registered.LeavesAfter <= 0 {
 			continue
 		}
-		if _, known := scheduler.departures[registered.ID]; !known {
-			scheduler.departures[registered.ID] = now.Add(registered.LeavesAfter)
+		end := now.Add(registered.LeavesAfter)
+		if known, isKnown := scheduler.departures[registered.ID]; !isKnown || end.Before(known) {
+			scheduler.departures[registered.ID] = end
 		}
 	}
 	for id := range scheduler.departures {
@@ -28,38 +29,43 @@
 	}
 }
 
+// departure is a running item whose replica will be gone before the item is complete.
+type departure struct {
+	started *attempt
+	end     time.Time
+	rest    float64 // in seconds
+}
+
 // planDepartures moves the running items whose replica will be gone before they are complete, as soon as another has a free slot. An item that is
-// cut off instead waits until the loss is noticed, at worst for stallLimit. It must be called with mu held.
+// cut off instead waits until the loss is noticed, at worst for stallLimit. The earliest ends come first, and of these the items that would lose the
+// most. It must be called with mu held.
 func (scheduler *scheduler) planDepartures(capacity *capacity) {
 	if len(scheduler.departures) == 0 {
 		return
 	}
+	var leaving []departure
 	for started := range scheduler.running {
-		end, leaving := scheduler.departures[started.replica.ID]
-		if !leaving || started.cancel == nil || started.target != nil || started.singleVersion {
+		end, known := scheduler.departures[started.replica.ID]
+		if !known || started.cancel == nil || started.target != nil || started.singleVersion {
 			continue
 		}
-		here := scheduler.remaining(started.task, started.events.Load()) * scheduler.latencies.expected(started.replica.ID, capacity.now)
-		if here > 0 && capacity.now.Add(time.Duration(here*float64(time.Second))+departureMargin).Before(end) {
+		rest := scheduler.remaining(started.task, started.events.Load()) * scheduler.latencies.expected(started.replica.ID, capacity.now)
+		if rest > 0 && capacity.now.Add(time.Duration(rest*float64(time.Second))+departureMargin).Before(end) {
 			continue
 		}
-		if target := capacity.leastLoaded(started.task); target != nil {
-			scheduler.moveTo(started, target, capacity)
-		}
+		leaving = append(leaving, departure{started, end, rest})
 	}
-}
-
-// leastLoaded returns the replica with the lowest cost that can take an item, or nil if none has a free slot.
-func (capacity *capacity) leastLoaded(running *task) *catalog.Replica {
-	var best *catalog.Replica
-	bestCost := 0.0
-	for _, replica := range capacity.candidates(running) {
-		if !capacity.eligible(running, replica) {
+	slices.SortFunc(leaving, func(a, b departure) int { return cmp.Or(a.end.Compare(b.end), cmp.Compare(b.rest, a.rest)) })
+	full := make(map[placement]bool)
+	for _, item := range leaving {
+		key := placementOf(item.started.task)
+		if full[key] {
 			continue
 		}
-		if cost := capacity.cost(replica, "", 1); best == nil || cost < bestCost {
-			best, bestCost = replica, cost
+		if target := capacity.pick(item.started.task); target != nil {
+			scheduler.moveTo(item.started, target, capacity)
+		} else {
+			full[key] = true
 		}
 	}
-	return best
 }
