--- a/internal/provisioning/decision.go
+++ b/internal/provisioning/decision.go
@@ -32,8 +32,9 @@
 	Scaling catalog.Scaling
 	// Slots is the number of requests that a replica runs at a time.
 	Slots int
-	// BatchOnly is true if all requests of the service are items of jobs, which can move.
-	BatchOnly bool
+	// BatchOnly is true if all requests of the service are items of jobs, which can move unless Immovable is set: items of a single version
+	// stay at their replica.
+	BatchOnly, Immovable bool
 }
 
 // Situation is what a decision about one service rests on.
@@ -177,6 +178,9 @@
 
 // fixedSlots returns the part of a need that on-demand replicas have to serve.
 func (plan *plan) fixedSlots(need Need) float64 {
+	if plan.Immovable {
+		return need.Slots()
+	}
 	movable := max(0, need.Jobs-need.Reported) // the reported part may be interactive
 	if plan.BatchOnly {
 		movable = need.Slots()
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -280,11 +280,11 @@
 func (work *termWork) observe(configuration *catalog.Configuration, service *catalog.Service, now time.Time) *demand {
 	state := work.service(service)
 	state.peak.length = LowerAfter(service.Scaling.BootTime)
-	span, patience, batchOnly := expectations(configuration, service.Name)
+	span, patience, batchOnly, immovable := expectations(configuration, service.Name)
 	load := work.Loads.Read(service.Name, service.Models, span, service.Scaling.BootTime, now)
 	load.Patience = patience
 	observed := &demand{service: service.Name, load: load, situation: Situation{Service: Service{
-		Scaling: *service.Scaling, Slots: state.slots, BatchOnly: batchOnly,
+		Scaling: *service.Scaling, Slots: state.slots, BatchOnly: batchOnly, Immovable: immovable,
 	}}}
 	total := 0
 	for _, key := range work.poolsOf(service) {
@@ -332,8 +332,8 @@
 func tenths(number float64) float64 { return math.Round(10*number) / 10 }
 
 // expectations returns by when the jobs of a service are due after their submission, how long its callers wait, and whether all its requests are
-// items of jobs.
-func expectations(configuration *catalog.Configuration, service string) (span, patience time.Duration, batchOnly bool) {
+// items of jobs, and whether items are bound to their replica.
+func expectations(configuration *catalog.Configuration, service string) (span, patience time.Duration, batchOnly, immovable bool) {
 	batchOnly = true
 	for _, route := range configuration.Routes {
 		if !slices.ContainsFunc(route.Targets, func(target catalog.RouteTarget) bool { return target.Service == service && target.Weight > 0 }) {
@@ -343,12 +343,13 @@
 		if route.Kind == catalog.Batch {
 			allowed = route.JobObjective
 			span = shorter(span, allowed)
+			immovable = immovable || route.SingleVersion
 		} else {
 			batchOnly = false
 		}
 		patience = shorter(patience, allowed)
 	}
-	return span, patience, batchOnly && span > 0
+	return span, patience, batchOnly && span > 0, immovable
 }
 
 // shorter returns the shorter of two durations; zero stands for none.
--- a/internal/provisioning/provisioner_test.go
+++ b/internal/provisioning/provisioner_test.go
@@ -93,6 +93,21 @@
 	})
 }
 
+// Items that must run at a single version can't move, so no spot replicas may be ordered for them.
+func TestItemsThatCannotMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		configuration := deskConfiguration(15 * time.Second)
+		configuration.Routes[0].SingleVersion = true
+		cluster := newCluster(newCloud(1, configuration))
+		defer cluster.end()
+		time.Sleep(10 * time.Second)
+		cluster.work("job", 300, 2*time.Second)
+		must.Positive(t, len(cluster.cloud.given()))
+		spot := slices.ContainsFunc(cluster.cloud.given(), func(order string) bool { return strings.HasPrefix(order, "spot") })
+		must.False(t, spot, must.Sprint(cluster.cloud.given()))
+	})
+}
+
 // A zone that has none to give must not be asked again at once, and others must give in its place.
 func TestNoneAvailable(t *testing.T) {
 	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
