Replica orders: a successor inherits the observed number of replicas

Without a record, a new holder believed what it saw first, so that one that began while replicas restarted ordered fewer than the platform gave.

--- a/internal/provisioning/pool.go
+++ b/internal/provisioning/pool.go
@@ -236,6 +236,13 @@
 	return &next
 }
 
+// withObserved returns the pool with the observed number as an accepted order, as old as the term.
+func (pool *poolState) withObserved(key poolKey, fence int64) *poolState {
+	next := pool.withOrder(key, pool.seen, fence, pool.orderedAt)
+	next.order.State = provisioningv1.State_STATE_ACCEPTED
+	return next
+}
+
 // addTo adds the write of the pool's order to a transaction, on condition that the stored one is the one that this node knows.
 func (pool *poolState) addTo(txn *metadata.Txn, key poolKey) error {
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(pool.order)
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -169,6 +169,7 @@
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(scaled)) {
+		work.recordObserved(ctx, name, now)
 		work.decide(ctx, scaled[name], now)
 	}
 	work.forget(ctx, configuration, now)
@@ -375,6 +376,42 @@
 	return slices.SortedFunc(maps.Keys(keys), comparePoolKeys)
 }
 
+// recordObserved stores the number of replicas of the pools without an order as accepted orders, once it has lasted. A successor that begins while
+// replicas restart then orders no fewer.
+func (work *termWork) recordObserved(ctx context.Context, service string, now time.Time) {
+	state := work.services[service]
+	if now.Before(state.decideNext) {
+		return
+	}
+	txn := metadata.Txn{Conditions: []metadata.Condition{work.term.Condition()}}
+	recorded := make(map[poolKey]*poolState)
+	for key, pool := range work.pools {
+		if key.service != service || pool.order != nil || pool.seen == 0 || pool.present != pool.seen || now.Sub(work.validSince) < settleTime+missingPatience {
+			continue
+		}
+		next := pool.withObserved(key, work.fence)
+		if next.addTo(&txn, key) == nil {
+			recorded[key] = next
+		}
+	}
+	if len(recorded) == 0 {
+		return
+	}
+	revision, err := work.commit(ctx, txn)
+	if err != nil {
+		state.storePause = min(maxRetryPause, max(minRetryPause, 2*state.storePause))
+		state.decideNext = now.Add(state.storePause)
+		work.Logger.Warn("observed replicas not stored", "service", service, "pools", len(recorded), "error", err)
+		return
+	}
+	state.storePause = 0
+	for key, next := range recorded {
+		next.revision = revision
+		work.pools[key] = next
+		work.Logger.Info("observed replicas stored", "service", service, "zone", key.zone, "spot", key.spot, "count", next.seen, "fence", work.fence)
+	}
+}
+
 // decide stores the orders that the situation of a service calls for. They are sent in the following rounds.
 func (work *termWork) decide(ctx context.Context, observed *demand, now time.Time) {
 	if now.Before(work.services[observed.service].decideNext) {
--- a/internal/provisioning/provisioner_test.go
+++ b/internal/provisioning/provisioner_test.go
@@ -318,6 +318,17 @@
 	})
 }
 
+// A successor that begins while replicas restart must not take those that are left for all: an order for more would name fewer than there were.
+func TestHolderKilledWhileReplicasRestart(t *testing.T) {
+	play(t, 6, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(230, 15*time.Second)
+		cluster.kill(cluster.holder())
+		cluster.cloud.set(func() { cluster.cloud.resize(subject{"b", false}, 1) })
+		cluster.call(230, 12*time.Second)
+		must.SliceNotContains(t, cluster.cloud.given(), "b5", must.Sprint("six were there"))
+	})
+}
+
 // While the replicas have not been read in this term, an old table must not lead to orders for replacements.
 func TestReplicasNotReadInThisTerm(t *testing.T) {
 	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
