--- a/internal/provisioning/pool.go
+++ b/internal/provisioning/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,18 @@
 	return orderPrefix + url.PathEscape(key.service) + "/" + url.PathEscape(key.zone) + "/" + key.kind()
 }
 
+// parseStoreKey returns the pool whose order is stored under a key; false if there is none.
+func parseStoreKey(stored string) (poolKey, bool) {
+	parts := strings.Split(strings.TrimPrefix(stored, orderPrefix), "/")
+	if len(parts) != 3 {
+		return poolKey{}, false
+	}
+	service, serviceErr := url.PathUnescape(parts[0])
+	zone, zoneErr := url.PathUnescape(parts[1])
+	key := poolKey{service, zone, parts[2] == poolKey{spot: true}.kind()}
+	return key, serviceErr == nil && zoneErr == nil && key.storeKey() == stored
+}
+
 const (
 	// deliveryBoots and deliverySlack give the time within which ordered replicas register; until then they count as expected.
 	deliveryBoots = 2
@@ -223,6 +236,13 @@
 	return &next
 }
 
+// withObserved returns the pool with the observed number as an accepted order, as old as the term.
+func (pool *poolState) withObserved(key poolKey, fence int64) *poolState {
+	next := pool.withOrder(key, pool.seen, fence, pool.orderedAt)
+	next.order.State = provisioningv1.State_STATE_ACCEPTED
+	return next
+}
+
 // addTo adds the write of the pool's order to a transaction, on condition that the stored one is the one that this node knows.
 func (pool *poolState) addTo(txn *metadata.Txn, key poolKey) error {
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(pool.order)
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -41,8 +41,9 @@
 	forgetAfter    = time.Hour
 	forgetInterval = time.Minute
 	// After a count of the replicas, the next one waits for countPauseFactor times as long as it took: half a percent of a core at most, however
-	// many replicas change their versions.
+	// many replicas change their versions. A pause of this process during a count must not delay the next one for long.
 	countPauseFactor = 200
+	maxCountPause    = time.Second
 )
 
 // Order is an order for the replicas of one kind that a service has in a zone. Count is their number and not a difference, so that an order can be
@@ -101,6 +102,9 @@
 	sustained history
 	peak      history
 	loggedAt  time.Time
+	// decideNext is when the next decision may be made, storePause the last pause after orders could not be stored.
+	decideNext time.Time
+	storePause time.Duration
 }
 
 // Run orders replicas until the context ends, which it does at the end of the term.
@@ -131,12 +135,9 @@
 	}
 	unanswered := 0
 	for _, item := range listing.Items {
-		key, pool, err := decodePool(item, time.Now())
-		if err != nil {
-			work.Logger.Error("replica order cannot be decoded", "key", item.Key, "error", err)
-			continue
-		}
-		work.pools[key] = pool
+		work.adopt(item)
+	}
+	for _, pool := range work.pools {
 		if pool.unanswered() {
 			unanswered++
 		}
@@ -168,6 +169,7 @@
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(scaled)) {
+		work.recordObserved(ctx, name, now)
 		work.decide(ctx, scaled[name], now)
 	}
 	work.forget(ctx, configuration, now)
@@ -217,7 +219,7 @@
 	if (replicas == work.counted && configuration == work.countedFor) || begun.Before(work.countNext) {
 		return
 	}
-	defer func() { work.countNext = time.Now().Add(countPauseFactor * time.Since(begun)) }()
+	defer func() { work.countNext = time.Now().Add(min(maxCountPause, countPauseFactor*time.Since(begun))) }()
 	work.counted, work.countedFor = replicas, configuration
 	for _, pool := range work.pools {
 		pool.present, pool.reclaimed = 0, 0
@@ -279,11 +281,11 @@
 func (work *termWork) observe(configuration *catalog.Configuration, service *catalog.Service, now time.Time) *demand {
 	state := work.service(service)
 	state.peak.length = LowerAfter(service.Scaling.BootTime)
-	span, patience, batchOnly := expectations(configuration, service.Name)
+	span, patience, batchOnly, immovable := expectations(configuration, service.Name)
 	load := work.Loads.Read(service.Name, service.Models, span, service.Scaling.BootTime, now)
 	load.Patience = patience
 	observed := &demand{service: service.Name, load: load, situation: Situation{Service: Service{
-		Scaling: *service.Scaling, Slots: state.slots, BatchOnly: batchOnly,
+		Scaling: *service.Scaling, Slots: state.slots, BatchOnly: batchOnly, Immovable: immovable,
 	}}}
 	total := 0
 	for _, key := range work.poolsOf(service) {
@@ -331,8 +333,8 @@
 func tenths(number float64) float64 { return math.Round(10*number) / 10 }
 
 // expectations returns by when the jobs of a service are due after their submission, how long its callers wait, and whether all its requests are
-// items of jobs.
-func expectations(configuration *catalog.Configuration, service string) (span, patience time.Duration, batchOnly bool) {
+// items of jobs, and whether items are bound to their replica.
+func expectations(configuration *catalog.Configuration, service string) (span, patience time.Duration, batchOnly, immovable bool) {
 	batchOnly = true
 	for _, route := range configuration.Routes {
 		if !slices.ContainsFunc(route.Targets, func(target catalog.RouteTarget) bool { return target.Service == service && target.Weight > 0 }) {
@@ -342,12 +344,13 @@
 		if route.Kind == catalog.Batch {
 			allowed = route.JobObjective
 			span = shorter(span, allowed)
+			immovable = immovable || route.SingleVersion
 		} else {
 			batchOnly = false
 		}
 		patience = shorter(patience, allowed)
 	}
-	return span, patience, batchOnly && span > 0
+	return span, patience, batchOnly && span > 0, immovable
 }
 
 // shorter returns the shorter of two durations; zero stands for none.
@@ -373,8 +376,47 @@
 	return slices.SortedFunc(maps.Keys(keys), comparePoolKeys)
 }
 
+// recordObserved stores the number of replicas of the pools without an order as accepted orders, once it has lasted. A successor that begins while
+// replicas restart then orders no fewer.
+func (work *termWork) recordObserved(ctx context.Context, service string, now time.Time) {
+	state := work.services[service]
+	if now.Before(state.decideNext) {
+		return
+	}
+	txn := metadata.Txn{Conditions: []metadata.Condition{work.term.Condition()}}
+	recorded := make(map[poolKey]*poolState)
+	for key, pool := range work.pools {
+		if key.service != service || pool.order != nil || pool.seen == 0 || pool.present != pool.seen || now.Sub(work.validSince) < settleTime+missingPatience {
+			continue
+		}
+		next := pool.withObserved(key, work.fence)
+		if next.addTo(&txn, key) == nil {
+			recorded[key] = next
+		}
+	}
+	if len(recorded) == 0 {
+		return
+	}
+	revision, err := work.commit(ctx, txn)
+	if err != nil {
+		state.storePause = min(maxRetryPause, max(minRetryPause, 2*state.storePause))
+		state.decideNext = now.Add(state.storePause)
+		work.Logger.Warn("observed replicas not stored", "service", service, "pools", len(recorded), "error", err)
+		return
+	}
+	state.storePause = 0
+	for key, next := range recorded {
+		next.revision = revision
+		work.pools[key] = next
+		work.Logger.Info("observed replicas stored", "service", service, "zone", key.zone, "spot", key.spot, "count", next.seen, "fence", work.fence)
+	}
+}
+
 // decide stores the orders that the situation of a service calls for. They are sent in the following rounds.
 func (work *termWork) decide(ctx context.Context, observed *demand, now time.Time) {
+	if now.Before(work.services[observed.service].decideNext) {
+		return
+	}
 	changes := Decide(observed.situation)
 	if len(changes) == 0 {
 		return
@@ -391,13 +433,20 @@
 		stored = append(stored, next)
 	}
 	revision, err := work.commit(ctx, txn)
+	if err != nil {
+		state := work.services[observed.service]
+		state.storePause = min(maxRetryPause, max(minRetryPause, 2*state.storePause))
+		state.decideNext = now.Add(state.storePause)
+		work.Logger.Warn("replica orders not stored", observed.fields("fence", work.fence, "orders", len(changes), "reason", string(changes[0].Reason),
+			"pause_ms", state.storePause.Milliseconds(), "error", err)...)
+		return
+	}
+	work.services[observed.service].storePause = 0
 	for index, change := range changes {
 		work.Logger.Info("replica order stored", observed.fields("fence", work.fence, "zone", change.Zone, "spot", change.Spot, "count", change.Count,
-			"previous", stored[index].order.GetPrevious(), "reason", string(change.Reason), "error", err)...)
-		if err == nil {
-			stored[index].revision = revision
-			work.pools[poolKey{observed.service, change.Zone, change.Spot}] = stored[index]
-		}
+			"previous", stored[index].order.GetPrevious(), "reason", string(change.Reason))...)
+		stored[index].revision = revision
+		work.pools[poolKey{observed.service, change.Zone, change.Spot}] = stored[index]
 	}
 }
 
@@ -410,19 +459,42 @@
 	if !errors.As(err, &conflict) {
 		return revision, err
 	}
-	for _, item := range conflict.Items {
-		key, stored, err := decodePool(item, time.Now())
-		if err != nil {
+	for _, condition := range txn.Conditions {
+		key, isOrder := parseStoreKey(condition.Key)
+		if !isOrder {
 			continue // the key of the lease's holder
 		}
-		if known := work.pools[key]; known != nil && known.revision != item.Revision {
-			stored.inherit(known)
-			work.pools[key] = stored
+		if item, found := conflict.Find(condition.Key); found {
+			work.adopt(item)
+		} else if known := work.pools[key]; known != nil {
+			known.order, known.revision = nil, 0
 		}
 	}
 	return 0, err
 }
 
+// adopt takes over a stored order, unless it is known. Of one that cannot be decoded, the revision is kept, so that the next order replaces it.
+func (work *termWork) adopt(item metadata.Item) {
+	key, isOrder := parseStoreKey(item.Key)
+	if !isOrder {
+		work.Logger.Error("replica order under an unknown key", "key", item.Key)
+		return
+	}
+	if known := work.pools[key]; known != nil && known.revision == item.Revision {
+		return
+	}
+	_, stored, err := decodePool(item, time.Now())
+	if err != nil {
+		work.Logger.Error("replica order cannot be decoded", "key", item.Key, "error", err)
+		work.pool(key).order, work.pool(key).revision = nil, item.Revision
+		return
+	}
+	if known := work.pools[key]; known != nil {
+		stored.inherit(known)
+	}
+	work.pools[key] = stored
+}
+
 // sendNext sends the unanswered order that has waited the longest, if one is due.
 func (work *termWork) sendNext(ctx context.Context, configuration *catalog.Configuration) {
 	due := slices.SortedFunc(maps.Keys(work.pools), func(a, b poolKey) int {
--- a/internal/provisioning/provisioner_test.go
+++ b/internal/provisioning/provisioner_test.go
@@ -93,6 +93,21 @@
 	})
 }
 
+// Items that must run at a single version can't move, so no spot replicas may be ordered for them.
+func TestItemsThatCannotMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		configuration := deskConfiguration(15 * time.Second)
+		configuration.Routes[0].SingleVersion = true
+		cluster := newCluster(newCloud(1, configuration))
+		defer cluster.end()
+		time.Sleep(10 * time.Second)
+		cluster.work("job", 300, 2*time.Second)
+		must.Positive(t, len(cluster.cloud.given()))
+		spot := slices.ContainsFunc(cluster.cloud.given(), func(order string) bool { return strings.HasPrefix(order, "spot") })
+		must.False(t, spot, must.Sprint(cluster.cloud.given()))
+	})
+}
+
 // A zone that has none to give must not be asked again at once, and others must give in its place.
 func TestNoneAvailable(t *testing.T) {
 	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
@@ -267,6 +282,53 @@
 	})
 }
 
+// A stored order that can't be decoded must not keep the service from being scaled: the next order replaces it.
+func TestUndecodableOrder(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+			put := func() {
+				_, err := cluster.store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "provisioning/desk/b/on-demand", Value: []byte("\xff")}}})
+				must.NoError(t, err)
+			}
+			if before {
+				put()
+			}
+			cluster.call(80, 15*time.Second)
+			if !before {
+				put()
+			}
+			_, last := cluster.call(200, 30*time.Second)
+			must.Less(t, 10*time.Second, last)
+			must.Eq(t, []string{"a5", "b5", "c5"}, cluster.cloud.given())
+		})
+	}
+}
+
+// While orders can't be stored although the lease is renewed, attempts must become rarer.
+func TestOrdersThatCannotBeStored(t *testing.T) {
+	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(80, 15*time.Second)
+		cluster.refuseOrders(true)
+		cluster.call(200, time.Minute)
+		must.SliceEmpty(t, cluster.cloud.given())
+		must.Between(t, 3, cluster.refusedOrders, 12)
+		cluster.refuseOrders(false)
+		_, last := cluster.call(200, 30*time.Second)
+		must.Less(t, 8*time.Second+8*time.Second, last)
+	})
+}
+
+// A successor that begins while replicas restart must not take those that are left for all: an order for more would name fewer than there were.
+func TestHolderKilledWhileReplicasRestart(t *testing.T) {
+	play(t, 6, 0, func(t *testing.T, cluster *cluster) {
+		cluster.call(230, 15*time.Second)
+		cluster.kill(cluster.holder())
+		cluster.cloud.set(func() { cluster.cloud.resize(subject{"b", false}, 1) })
+		cluster.call(230, 12*time.Second)
+		must.SliceNotContains(t, cluster.cloud.given(), "b5", must.Sprint("six were there"))
+	})
+}
+
 // While the replicas have not been read in this term, an old table must not lead to orders for replacements.
 func TestReplicasNotReadInThisTerm(t *testing.T) {
 	play(t, 2, 0, func(t *testing.T, cluster *cluster) {
