--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -68,9 +68,11 @@
 mutate 'replica order stored by a former holder' internal/provisioning/provisioner.go 'txn := metadata.Txn{Conditions: []metadata.Condition{work.term.Condition()}}
 	var stored' 'txn := metadata.Txn{}
 	var stored' ./internal/provisioning
-mutate 'stored replica orders forgotten' internal/provisioning/provisioner.go '		work.pools[key] = pool
-		if pool.unanswered' '		_ = key
-		if pool.unanswered' ./internal/provisioning
+mutate 'stored replica orders forgotten' internal/provisioning/provisioner.go '		work.adopt(item)
+	}
+	for _, pool' '		_ = item
+	}
+	for _, pool' ./internal/provisioning
 mutate 'replica order with a lost answer taken for accepted' internal/provisioning/provisioner.go 'pool.retryLater(time.Now())' 'work.settle(ctx, key, true)' ./internal/provisioning
 mutate 'replicas given up although just ordered' internal/provisioning/decision.go 'pool.Unanswered || pool.Age < lowerAfter' 'pool.Unanswered || pool.Age < 0*lowerAfter' ./internal/provisioning
 mutate 'replicas given up in silence' internal/provisioning/provisioner.go 'now.Sub(work.Loads.LastHeard()) > maxSilence ||' '' ./internal/provisioning
