--- a/internal/provisioning/loads.go
+++ b/internal/provisioning/loads.go
@@ -19,6 +19,8 @@
 	maxReports    = 4096
 	maxJobs       = 16384
 	pruneInterval = time.Second
+	// lostZoneTTL is how long a zone counts as lost whose reports of a service ended without one that says that it is idle.
+	lostZoneTTL = 5 * time.Minute
 )
 
 // Loads collects what nodes report of services and jobs. It is safe for concurrent use.
@@ -26,6 +28,8 @@
 	mu      sync.Mutex
 	heard   time.Time // of the latest report
 	reports map[reportKey]serviceReport
+	// lostZones are reports that expired although the zone had requests at the service then, with the time of the last one.
+	lostZones map[reportKey]time.Time
 	// serviceTimes are the last known service times. They outlive the reports.
 	serviceTimes map[string]time.Duration
 	jobs         map[string]openJob
@@ -55,7 +59,7 @@
 // NewLoads returns an empty collection.
 func NewLoads() *Loads {
 	return &Loads{
-		reports: make(map[reportKey]serviceReport), serviceTimes: make(map[string]time.Duration), jobs: make(map[string]openJob),
+		reports: make(map[reportKey]serviceReport), lostZones: make(map[reportKey]time.Time), serviceTimes: make(map[string]time.Duration), jobs: make(map[string]openJob),
 		busySince: make(map[string]time.Time), lastOpen: make(map[string]time.Time), itemTimes: make(map[string]time.Duration),
 	}
 }
@@ -77,6 +81,7 @@
 			if overtaken || (!known && len(loads.reports) >= maxReports) {
 				continue
 			}
+			delete(loads.lostZones, key)
 			loads.reports[key] = serviceReport{load: load, sender: totals.GetNode(), life: totals.GetLife(), number: totals.GetNumber(), at: now}
 		}
 	}
@@ -117,7 +122,14 @@
 		return
 	}
 	loads.prunedAt = now
-	maps.DeleteFunc(loads.reports, func(_ reportKey, report serviceReport) bool { return now.Sub(report.at) > loadExpiry })
+	maps.DeleteFunc(loads.reports, func(key reportKey, report serviceReport) bool {
+		expired := now.Sub(report.at) > loadExpiry
+		if expired && report.load.GetInFlight()+report.load.GetWaiting() > 0 && len(loads.lostZones) < maxReports {
+			loads.lostZones[key] = report.at
+		}
+		return expired
+	})
+	maps.DeleteFunc(loads.lostZones, func(_ reportKey, last time.Time) bool { return now.Sub(last) > lostZoneTTL })
 	maps.DeleteFunc(loads.jobs, func(_ string, job openJob) bool { return now.Sub(job.latest) > jobExpiry })
 	maps.DeleteFunc(loads.lastOpen, func(_ string, latest time.Time) bool { return now.Sub(latest) > followGap })
 	maps.DeleteFunc(loads.busySince, func(model string, _ time.Time) bool { return loads.lastOpen[model].IsZero() })
@@ -151,6 +163,9 @@
 			weighted += weight
 		}
 	}
+	for key := range loads.lostZones {
+		load.Incomplete = load.Incomplete || key.service == service
+	}
 	if weighted > 0 {
 		load.ServiceTime = time.Duration(float64(load.ServiceTime) / weighted)
 		loads.serviceTimes[service] = load.ServiceTime
--- a/internal/provisioning/loads_test.go
+++ b/internal/provisioning/loads_test.go
@@ -59,3 +59,32 @@
 	must.Eq(t, []provisioning.Job{{Items: 100, Span: 10 * second, Left: 10 * second}}, read(30*second, "m"), must.Sprint("a long pause"))
 	must.SliceEmpty(t, loads.Read("s", []string{"m"}, 0, 4*second, start.Add(30*second)).Jobs, must.Sprint("no due time"))
 }
+
+// Guards against replicas that are given up because the reports of a zone are lost, which then counts as idle.
+func TestZoneThatFallsSilentIsUnknown(t *testing.T) {
+	const second = time.Second
+	loads, start := provisioning.NewLoads(), time.Now()
+	record := func(at time.Duration, zone string, inFlight int32) {
+		load := &clusterv1.ServiceLoad{Service: "s", InFlight: inFlight, ServiceTimeUs: 1000}
+		loads.RecordTotals(&clusterv1.ServiceTotals{
+			Node: zone, Number: int64(at), Zones: []*clusterv1.ZoneLoad{{Zone: zone, Services: []*clusterv1.ServiceLoad{load}}},
+		}, start.Add(at))
+	}
+	incomplete := func(at time.Duration) bool {
+		return loads.Read("s", nil, 0, 4*second, start.Add(at)).Incomplete
+	}
+	record(0, "a", 20)
+	record(0, "b", 20)
+	record(0, "c", 0) // the last report of an idle zone
+	for at := second; at <= 10*second; at += second {
+		record(at, "a", 20)
+	}
+	must.True(t, incomplete(10*second), must.Sprint("b had requests and is silent"))
+	record(11*second, "b", 20)
+	must.False(t, incomplete(11*second))
+	record(12*second, "b", 0)
+	for at := 13 * second; at <= 20*second; at += second {
+		record(at, "a", 20)
+	}
+	must.False(t, incomplete(20*second), must.Sprint("idle zones are silent too"))
+}
--- a/internal/provisioning/need.go
+++ b/internal/provisioning/need.go
@@ -15,6 +15,8 @@
 	// Patience is the time for which a caller of the service waits at most.
 	Patience time.Duration
 	Jobs     []Job
+	// Incomplete is true if a zone that had requests at the service has fallen silent. What it has now is unknown.
+	Incomplete bool
 }
 
 // Job is an open batch job.
--- a/internal/provisioning/provisioner.go
+++ b/internal/provisioning/provisioner.go
@@ -299,7 +299,7 @@
 	}
 	need := observed.situation.Measure(load, float64(total*max(1, state.slots)))
 	state.sustained.add(need, now)
-	if now.Sub(work.Loads.LastHeard()) > maxSilence || load.hasUnknownTimes() {
+	if now.Sub(work.Loads.LastHeard()) > maxSilence || load.Incomplete || load.hasUnknownTimes() {
 		state.peak.reset() // the need is unknown, so nothing is given up
 	} else {
 		state.peak.add(need, now)
