--- a/internal/provisioning/provisioner_test.go
+++ b/internal/provisioning/provisioner_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -401,16 +402,16 @@
 		cluster.work("first", 300, 2*time.Second)
 		time.Sleep(5 * time.Second)
 		must.Positive(t, len(cluster.cloud.replicas[subject{"a", true}]))
-		before, soon := 0, 0
+		var before, soon atomic.Int64
 		time.AfterFunc(2*time.Second, func() {
-			before = len(cluster.cloud.given())
+			before.Store(int64(len(cluster.cloud.given())))
 			cluster.cloud.reclaim("a")
 		})
-		time.AfterFunc(3*time.Second, func() { soon = len(cluster.cloud.given()) })
+		time.AfterFunc(3*time.Second, func() { soon.Store(int64(len(cluster.cloud.given()))) })
 		took := cluster.work("second", 330, 2*time.Second)
 		must.Less(t, 15*time.Second, took)
-		must.Greater(t, before, soon, must.Sprint("the notice itself leads to an order"))
-		after := cluster.cloud.given()[before:]
+		must.Greater(t, before.Load(), soon.Load(), must.Sprint("the notice itself leads to an order"))
+		after := cluster.cloud.given()[before.Load():]
 		must.False(t, slices.ContainsFunc(after, func(order string) bool { return strings.HasPrefix(order, "spot-a") }), must.Sprint(after))
 	})
 }
