--- a/internal/backend/measure.go
+++ b/internal/backend/measure.go
@@ -79,7 +79,8 @@
 
 // Close implements io.Closer.
 func (body *measuredBody) Close() error {
-	body.end(endAbandoned)
+	// The number of bytes is not read here, since a Read may be under way.
+	body.once.Do(func() { body.measurement.end(endAbandoned, 0, time.Now()) })
 	return body.ReadCloser.Close()
 }
 
