--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -27,7 +27,7 @@
 type Room struct {
 	catalog  *catalog.Table
 	clock    clock.Clock
-	fraction float64 // of all services
+	fraction float64 // with which the state of each service begins
 
 	mu       sync.RWMutex
 	services map[string]*service
