--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -238,13 +238,6 @@
 	return count
 }
 
-// hasRemote reports whether another node has reported its requests in flight.
-func (loads *Loads) hasRemote() bool {
-	loads.mu.Lock()
-	defer loads.mu.Unlock()
-	return len(loads.remote) > 0
-}
-
 // Snapshot serves decisions that compare many replicas: the reports of other nodes are summed up once, not for each replica.
 type Snapshot struct {
 	loads  *Loads
