--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// Guards against jobs that stay incomplete for a long time after the last fault since many of their scoring requests are in quarantine, where
+// they are tried one after the other.
+func TestSoakManyScoresInQuarantine(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "rollout")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "github.com/thistlewalk/thistlewalk/cmd/thistlewalk-rollout").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	plan := soak.DrawOverlapping(1796310110, 30*time.Second)
+	report, err := soak.Run(t.Context(), soak.Options{Binary: binary, Folder: t.TempDir(), Plan: plan})
+	must.NoError(t, err)
+	t.Log(report)
+	must.SliceEmpty(t, report.Violations, must.Sprint(report, "\n", plan))
+}
+
 // mixedSeeds are the plans of TestSoakMixed. A seed that failed is added with its cause.
 var mixedSeeds = []struct {
 	seed   uint64
