Mutations: three lines quote the sources as they stand

Cause: the script quoted a line of forwarding that the queue replaced, one of batchrun and one of quarantine that renames and the turns of trials changed; these three faults were not tried. Change: the lines quote what stands now, with the same faults.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -80,7 +80,7 @@
 mutate 'refusal not confirmed' internal/delivery/service.go 'if err := served.log.Append(ctx, nil, nil); err != nil {' 'if err := served.log.Failed(); err != nil {' ./internal/delivery
 mutate 'hanging probe not abandoned' internal/metadata/health.go 'if notified || health.Good() {' 'if !notified || health.Good() {' ./internal/metadata
 mutate 'slow probe abandoned repeatedly' internal/metadata/health.go 'if notified || health.Good() {' 'if health.Good() {' ./internal/metadata
-mutate 'partial results lost on submit' internal/batchrun/service.go 'runner.kept.put(partial.GetItemId(), textOf(definition.GetId(), partial, started))' '_ = textOf(definition.GetId(), partial, started)' ./internal/batchrun
+mutate 'partial results lost on submit' internal/batchrun/service.go 'runner.kept.put(partial.GetItemId(), newKeptText(definition.GetId(), definition.GetTenant(), partial, started))' '_ = newKeptText(definition.GetId(), definition.GetTenant(), partial, started)' ./internal/batchrun
 mutate 'deferred job not reclaimed' internal/batchrun/service.go 'other.delegation.reclaim()' '_ = other' ./internal/batchrun
 mutate 'no backoff for a failing replica' internal/batchrun/generate.go 'runner.scheduler.recordFailure(replica.ID, time.Now())' '_ = time.Now' ./internal/batchrun
 mutate 'item retried on its last replica' internal/batchrun/generate.go 'running.avoid, running.avoidUntil = replica.ID, now.Add(avoidAfterFailure)' '_ = avoidAfterFailure' ./internal/batchrun
@@ -100,7 +100,7 @@
 		guard.connectionRefused(replica)' 'case errors.Is(err, backend.ErrConnectionRefused):' ./internal/quarantine
 mutate 'planned stop counted as a crash' internal/quarantine/guard.go 'return registered != nil && !registered.Draining' 'return registered != nil || replica != ""' ./internal/quarantine
 mutate 'simultaneous crashes all counted' internal/quarantine/tracker.go 'interruptedAt.Sub(other.InterruptedAt).Abs() < simultaneousWindow' 'interruptedAt.Sub(other.InterruptedAt).Abs() < 0' ./internal/quarantine
-mutate 'trial runs by all nodes at once' internal/quarantine/tracker.go 'return claim.Exclusive || known.reporter == book.node ||' 'return claim.Exclusive || book.node != "" ||' ./internal/quarantine
+mutate 'trial runs by all nodes at once' internal/quarantine/tracker.go 'mayTryFirst := claim.Exclusive || entry.reporter == tracker.node' 'mayTryFirst := claim.Exclusive || tracker.node != ""' ./internal/quarantine
 mutate 'unconditional quarantine write' internal/quarantine/record_store.go 'Conditions: []metadata.Condition{{Key: key, Revision: stored.revision}}, Puts' 'Conditions: []metadata.Condition{}, Puts' ./internal/quarantine
 mutate 'items bypass the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: front.guard,
 		Decoder' 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
@@ -119,7 +119,7 @@
 		return false
 	}' ./internal/dissemination
 mutate 'usage time on the steady clock' internal/metering/clock.go 'monotonic: machine.Elapsed()}' 'monotonic: machine.Elapsed()/2}' ./internal/metering
-mutate 'call deadline on the steady clock' internal/forwarding/run.go 'remaining := run.deadline - run.clock.Elapsed()' 'remaining := run.deadline - run.clock.Elapsed() + time.Hour' ./internal/forwarding
+mutate 'call deadline on the steady clock' internal/forwarding/run.go 'return run.deadline - run.clock.Elapsed() }' 'return run.deadline - run.clock.Elapsed() + time.Hour }' ./internal/forwarding
 mutate 'backlog of one node not bounded' internal/room/share.go 'own.Waiting = min(own.Waiting, slots)' 'own.Waiting = max(own.Waiting, 0)' ./internal/room
 mutate 'own report counted as others' internal/room/totals.go 'others.InFlight -= own.InFlight' 'others.InFlight -= 0' ./internal/room
 mutate 'incomplete sums told' internal/room/summing.go 'return now >= summing.settled && ' 'return ' ./internal/room
