--- a/internal/quarantine/attribution_test.go
+++ b/internal/quarantine/attribution_test.go
@@ -229,5 +229,9 @@
 	for range 30 {
 		// Two nodes had counted different crashes and tried both requests at one replica.
 		(&history{15577, []string{killNode, killAll, noFault}, time.Second, 3, justStarted}).runWithHarmless(t, 4)
+		// The node that decides on trials had counted the fewest crashes, and what the others knew did not reach it.
+		(&history{0, []string{lossyLinks, noFault, noFault}, crashDelay / 2, 3, longRunning}).runWithHarmless(t, 3)
+		(&history{103, []string{lossyLinks, noFault, crashReplica}, time.Second, 4, longRunning}).runWithHarmless(t, 3)
+		(&history{2, []string{lossyLinks, resetReplica, noFault}, time.Second, 4, longRunning}).runWithHarmless(t, 4)
 	}
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -52,11 +52,13 @@
 	probes     probeCache
 	unanswered unanswered
 	outbox     outbox
+	reconciler reconciler
 }
 
 // Run broadcasts the crashes that this node detects. On each change of the list of replicas it records a crash for each
 // unanswered request whose replica is no longer registered. It returns when the context ends.
 func (guard *Guard) Run(ctx context.Context) {
+	defer guard.reconciler.stop()
 	go guard.runBroadcast(ctx)
 	for {
 		changed := guard.Catalog.Changed()
@@ -204,7 +206,7 @@
 	guard.Metrics.Quarantined(guard.Tracker.Quarantined())
 	guard.Logger.Warn("replica crashed while running a request", "request", lost.request, "service", lost.service, "replica", lost.replica,
 		"fingerprint", lost.fingerprint, "crashes", crashes, "evidence", evidence, "after_ms", time.Since(lost.at).Milliseconds())
-	guard.outbox.addCrashes(lost.fingerprint, guard.Tracker.Suspected(lost.fingerprint).Events)
+	guard.announceCrashes(lost.fingerprint)
 	guard.persistIfQuarantined(lost.fingerprint, crashes)
 }
 
@@ -212,6 +214,7 @@
 func (guard *Guard) persistIfQuarantined(fingerprint Fingerprint, crashes int) {
 	if crashes >= quarantineThreshold && guard.Persister != nil {
 		guard.Persister.Persist(fingerprint)
+		guard.verifyRecord(fingerprint)
 	}
 }
 
@@ -223,14 +226,15 @@
 	fingerprint := FingerprintOf(replica.Service, request)
 	guard.unanswered.drop(fingerprint)
 	crashes := guard.Tracker.Suspected(fingerprint).Crashes
-	if !guard.Tracker.Clear(fingerprint) {
+	now := time.Now()
+	if !guard.Tracker.ClearAnswered(fingerprint, now, now) {
 		return
 	}
 	guard.Metrics.SuspicionCleared()
 	guard.Metrics.Quarantined(guard.Tracker.Quarantined())
 	guard.Logger.Info("suspicion cleared", "request", request.ID, "service", replica.Service, "replica", replica.ID, "fingerprint", fingerprint,
 		"crashes", crashes, "status", status)
-	guard.outbox.addCleared(fingerprint)
+	guard.announceAnswer(fingerprint, now)
 	guard.liftIfQuarantined(fingerprint, crashes)
 }
 
@@ -241,29 +245,6 @@
 	}
 }
 
-// HandleNotice handles a notice from another node.
-func (guard *Guard) HandleNotice(notice Notice) {
-	for _, crash := range notice.Crashes {
-		crashes, added := guard.Tracker.RecordCrash(crash.Fingerprint, crash.Replica, notice.Reporter, crash.InterruptedAt, time.Now())
-		if !added {
-			continue
-		}
-		guard.Logger.Info("replica crash reported by another node", "reporter", notice.Reporter, "replica", crash.Replica, "fingerprint", crash.Fingerprint, "crashes", crashes)
-		guard.persistIfQuarantined(crash.Fingerprint, crashes)
-	}
-	for _, fingerprint := range notice.Cleared {
-		known := guard.Tracker.Suspected(fingerprint)
-		if !guard.Tracker.Clear(fingerprint) {
-			continue
-		}
-		guard.Logger.Info("suspicion cleared by another node", "reporter", notice.Reporter, "fingerprint", fingerprint, "crashes", known.Crashes)
-		if known.Reporter == guard.Node { // this node may have stored the record meanwhile
-			guard.liftIfQuarantined(fingerprint, known.Crashes)
-		}
-	}
-	guard.Metrics.Quarantined(guard.Tracker.Quarantined())
-}
-
 // watchedBody detects whether an answer is read to its end.
 type watchedBody struct {
 	io.ReadCloser
--- a/internal/quarantine/outbox.go
+++ b/internal/quarantine/outbox.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -13,14 +12,19 @@
 	// batchDelay is how long a notice waits to be batched with others: a crash interrupts all requests of a replica at
 	// once.
 	batchDelay = 5 * time.Millisecond
-	// resendDelay is when a notice is sent a second time, since a datagram may be lost.
-	resendDelay = 250 * time.Millisecond
 	// MaxNoticeEntries bounds the crashes, and the cleared requests, in one notice, which must fit into a datagram of
-	// 2,048 bytes: 100 bytes are left for each crash with the identifier of its replica, and 28 for each cleared
+	// 2,048 bytes: 100 bytes are left for each crash with the identifier of its replica, and 34 for each cleared
 	// request.
 	MaxNoticeEntries = 12
 )
 
+// crashResendDelays and answerResendDelay are when a notice is sent again, since datagrams may be lost. Crashes are repeated
+// until the request may be tried again, so that a node that is cut off for a moment learns of them before it sends the
+// request.
+var crashResendDelays = []time.Duration{250 * time.Millisecond, time.Second, 3 * time.Second}
+
+const answerResendDelay = 250 * time.Millisecond
+
 // CrashReport is the crash of a replica under a request.
 type CrashReport struct {
 	Fingerprint Fingerprint
@@ -33,6 +37,9 @@
 	Reporter string
 	Crashes  []CrashReport
 	Cleared  []Fingerprint
+	// ClearedAt are the times of the answers to the cleared requests, in the same order. It is empty in notices of earlier
+	// builds, which do not tell.
+	ClearedAt []time.Time
 }
 
 // outbox queues crashes and cleared requests to be broadcast. The zero value is empty; it is safe for concurrent use.
@@ -44,6 +51,9 @@
 
 // addCrashes queues all recorded crashes under a request, since other nodes may have missed the earlier ones.
 func (outbox *outbox) addCrashes(fingerprint Fingerprint, events []CrashEvent) {
+	if len(events) == 0 {
+		return
+	}
 	outbox.mu.Lock()
 	for _, event := range events {
 		outbox.pending.Crashes = append(outbox.pending.Crashes, CrashReport{fingerprint, event})
@@ -52,9 +62,10 @@
 	outbox.notify()
 }
 
-func (outbox *outbox) addCleared(fingerprint Fingerprint) {
+func (outbox *outbox) addCleared(fingerprint Fingerprint, answeredAt time.Time) {
 	outbox.mu.Lock()
 	outbox.pending.Cleared = append(outbox.pending.Cleared, fingerprint)
+	outbox.pending.ClearedAt = append(outbox.pending.ClearedAt, answeredAt)
 	outbox.mu.Unlock()
 	outbox.notify()
 }
@@ -82,8 +93,9 @@
 	defer outbox.mu.Unlock()
 	crashes := min(MaxNoticeEntries, len(outbox.pending.Crashes))
 	cleared := min(MaxNoticeEntries, len(outbox.pending.Cleared))
-	notice = Notice{Crashes: outbox.pending.Crashes[:crashes:crashes], Cleared: outbox.pending.Cleared[:cleared:cleared]}
-	outbox.pending.Crashes, outbox.pending.Cleared = outbox.pending.Crashes[crashes:], outbox.pending.Cleared[cleared:]
+	pending := &outbox.pending
+	notice = Notice{Crashes: pending.Crashes[:crashes:crashes], Cleared: pending.Cleared[:cleared:cleared], ClearedAt: pending.ClearedAt[:cleared:cleared]}
+	pending.Crashes, pending.Cleared, pending.ClearedAt = pending.Crashes[crashes:], pending.Cleared[cleared:], pending.ClearedAt[cleared:]
 	return notice, len(outbox.pending.Crashes)+len(outbox.pending.Cleared) > 0
 }
 
@@ -99,22 +111,32 @@
 		for more := true; more; {
 			var notice Notice
 			notice, more = guard.outbox.next()
-			guard.broadcastTwice(notice)
+			guard.broadcast(notice)
 		}
 	}
 }
 
-// broadcastTwice broadcasts a notice now and, without crashes under requests cleared meanwhile, again after resendDelay.
-func (guard *Guard) broadcastTwice(notice Notice) {
-	if guard.Broadcaster == nil {
+func (guard *Guard) broadcast(notice Notice) {
+	if guard.Broadcaster == nil || len(notice.Crashes)+len(notice.Cleared) == 0 {
 		return
 	}
 	notice.Reporter = guard.Node
+	guard.reconciler.recordMentions(notice)
 	guard.Broadcaster.Broadcast(notice)
-	time.AfterFunc(resendDelay, func() {
-		notice.Crashes = slices.DeleteFunc(slices.Clone(notice.Crashes), func(crash CrashReport) bool {
-			return guard.Tracker.Suspected(crash.Fingerprint).Crashes == 0
-		})
-		guard.Broadcaster.Broadcast(notice)
-	})
+}
+
+// announceCrashes broadcasts all recorded crashes under a request, now and again after each of crashResendDelays unless the
+// request is cleared meanwhile.
+func (guard *Guard) announceCrashes(fingerprint Fingerprint) {
+	send := func() { guard.outbox.addCrashes(fingerprint, guard.Tracker.Suspected(fingerprint).Events) }
+	send()
+	for _, delay := range crashResendDelays {
+		time.AfterFunc(delay, send)
+	}
+}
+
+// announceAnswer broadcasts that a suspected request was answered, twice.
+func (guard *Guard) announceAnswer(fingerprint Fingerprint, answeredAt time.Time) {
+	guard.outbox.addCleared(fingerprint, answeredAt)
+	time.AfterFunc(answerResendDelay, func() { guard.outbox.addCleared(fingerprint, answeredAt) })
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -81,6 +81,9 @@
 	entries map[Fingerprint]*entry
 	heads   map[head]int // heads of the entries, with the number of entries that share each
 	changes uint64       // counts additions, changes and removals of entries
+	// answered holds when requests were last known to be answered, so that a report that arrives late does not count again
+	// what an answer has disproved.
+	answered map[Fingerprint]time.Time
 }
 
 // entry is the state of one suspected request.
@@ -105,7 +108,7 @@
 
 // NewTracker returns an empty tracker for a node whose process starts now.
 func NewTracker(node string, now time.Time) *Tracker {
-	return &Tracker{node: node, started: now, entries: make(map[Fingerprint]*entry), heads: make(map[head]int)}
+	return &Tracker{node: node, started: now, entries: make(map[Fingerprint]*entry), heads: make(map[head]int), answered: make(map[Fingerprint]time.Time)}
 }
 
 // MayBeSuspected reports whether a request may be suspected, without reading its body. It takes no lock if no request is
@@ -121,16 +124,19 @@
 }
 
 // RecordCrash records the crash of a replica under a request, as seen by the reporter, and returns how many crashes count;
-// added is false if the crash was already recorded. interruptedAt is when the request was interrupted, which may be
-// seconds before the crash was detected.
+// added is false if the crash was already recorded, or the request has been answered since. interruptedAt is when the
+// request was interrupted, which may be seconds before the crash was detected.
 func (tracker *Tracker) RecordCrash(fingerprint Fingerprint, replica, reporter string, interruptedAt, now time.Time) (crashes int, added bool) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
+	if answeredAt, ok := tracker.answered[fingerprint]; ok && !interruptedAt.After(answeredAt) {
+		return tracker.countOf(fingerprint), false
+	}
 	known := tracker.getOrCreate(fingerprint, now)
 	if known.hasCrash(replica) {
 		return known.crashes, false
 	}
-	simultaneous := slices.ContainsFunc(known.events, func(other CrashEvent) bool { return interruptedAt.Sub(other.InterruptedAt).Abs() < simultaneousWindow })
+	simultaneous := known.hasSimultaneous(interruptedAt)
 	known.addEvent(CrashEvent{replica, interruptedAt})
 	if simultaneous {
 		return known.crashes, true
@@ -139,11 +145,21 @@
 	return known.crashes, true
 }
 
+// countOf returns the number of crashes that count against a request. It must be called with mu held.
+func (tracker *Tracker) countOf(fingerprint Fingerprint) int {
+	if known := tracker.entries[fingerprint]; known != nil {
+		return known.crashes
+	}
+	return 0
+}
+
 // Suspicion is a copy of what a node has recorded about a suspected request.
 type Suspicion struct {
 	// Crashes is the number of crashes that count; Events are the most recent crashes.
 	Crashes int
 	Events  []CrashEvent
+	// StoredCrashes is the number in the stored record, zero for none. The tracker sets it, Restore ignores it.
+	StoredCrashes int
 	// Reporter is the node that reported the last crash.
 	Reporter string
 	// Until is the end of the quarantine; zero if the request is not quarantined.
@@ -172,6 +188,13 @@
 	return slices.ContainsFunc(entry.events, func(event CrashEvent) bool { return event.Replica == replica })
 }
 
+// hasSimultaneous reports whether a recorded crash interrupted the request at about the given time.
+func (entry *entry) hasSimultaneous(interruptedAt time.Time) bool {
+	return slices.ContainsFunc(entry.events, func(other CrashEvent) bool {
+		return interruptedAt.Sub(other.InterruptedAt).Abs() < simultaneousWindow
+	})
+}
+
 // addEvent records a crash, and drops the oldest if there are too many.
 func (entry *entry) addEvent(event CrashEvent) {
 	if len(entry.events) == maxEvents {
@@ -269,7 +292,9 @@
 	if known == nil {
 		return Suspicion{}
 	}
-	return Suspicion{Crashes: known.crashes, Events: slices.Clone(known.events), Reporter: known.reporter, Until: known.until}
+	return Suspicion{
+		Crashes: known.crashes, Events: slices.Clone(known.events), StoredCrashes: known.storedCrashes, Reporter: known.reporter, Until: known.until,
+	}
 }
 
 // Quarantined returns the number of quarantined requests.
--- a/internal/quarantine/world_test.go
+++ b/internal/quarantine/world_test.go
@@ -50,6 +50,8 @@
 	nodes    []*node
 	created  int // the number of replicas created
 	lossy    bool
+	// cut is true while no datagram arrives.
+	cut bool
 	// disturbed is the time until which runs of no node count as late.
 	disturbed time.Time
 	// runs are the start times of runs that crash a replica, by nodes to which the bound on late runs applies; crashes are
@@ -254,12 +256,21 @@
 	world.mu.Lock()
 	defer world.mu.Unlock()
 	share := 0.02
-	if world.lossy {
+	switch {
+	case world.cut:
+		return true
+	case world.lossy:
 		share = 0.7
 	}
 	return world.random.Float64() < share
 }
 
+func (world *world) setCut(cut bool) {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	world.cut = cut
+}
+
 // Send implements backend.Sender. It simulates the network and the replica.
 func (node *node) Send(ctx context.Context, target *catalog.Replica, request *backend.Request) (*backend.Response, error) {
 	world := node.world
@@ -333,7 +344,7 @@
 		}
 		tried = target.ID
 		var response *backend.Response
-		response, err = node.guard.Send(ctx, target, &backend.Request{ID: "q", Method: http.MethodPost, Target: "/book/1", Body: []byte(body)})
+		response, err = node.guard.Send(ctx, target, callOf(body))
 		if err == nil {
 			_, err = io.Copy(io.Discard, response.Body)
 		}
@@ -344,6 +355,15 @@
 	return err
 }
 
+// callOf returns the request of a call.
+func callOf(body string) *backend.Request {
+	return &backend.Request{ID: "q", Method: http.MethodPost, Target: "/book/1", Body: []byte(body)}
+}
+
+func fingerprintOfCall(body string) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(service, callOf(body))
+}
+
 // pick returns a random registered replica other than the excluded one; nil if there is none.
 func (world *world) pick(excluded string) *catalog.Replica {
 	world.mu.Lock()
--- a/internal/role/quarantine.go
+++ b/internal/role/quarantine.go
@@ -40,6 +40,9 @@
 	for _, fingerprint := range notice.Cleared {
 		encoded.Cleared = append(encoded.Cleared, fingerprint[:])
 	}
+	for _, answeredAt := range notice.ClearedAt {
+		encoded.ClearedAgoMs = append(encoded.ClearedAgoMs, time.Since(answeredAt).Milliseconds())
+	}
 	return encoded
 }
 
@@ -50,14 +53,23 @@
 		if len(crash.GetFingerprint()) == len(quarantine.Fingerprint{}) {
 			decoded.Crashes = append(decoded.Crashes, quarantine.CrashReport{
 				Fingerprint: quarantine.Fingerprint(crash.GetFingerprint()),
-				CrashEvent:  quarantine.CrashEvent{Replica: crash.GetReplica(), InterruptedAt: time.Now().Add(-time.Duration(crash.GetAgoMs()) * time.Millisecond)},
+				CrashEvent:  quarantine.CrashEvent{Replica: crash.GetReplica(), InterruptedAt: timeAgo(crash.GetAgoMs())},
 			})
 		}
 	}
-	for _, cleared := range suspicions.GetCleared() {
-		if len(cleared) == len(quarantine.Fingerprint{}) {
-			decoded.Cleared = append(decoded.Cleared, quarantine.Fingerprint(cleared))
+	dated := len(suspicions.GetClearedAgoMs()) == len(suspicions.GetCleared())
+	for index, cleared := range suspicions.GetCleared() {
+		if len(cleared) != len(quarantine.Fingerprint{}) {
+			continue
+		}
+		decoded.Cleared = append(decoded.Cleared, quarantine.Fingerprint(cleared))
+		if dated {
+			decoded.ClearedAt = append(decoded.ClearedAt, timeAgo(suspicions.GetClearedAgoMs()[index]))
 		}
 	}
 	return decoded
 }
+
+func timeAgo(milliseconds int64) time.Time {
+	return time.Now().Add(-time.Duration(milliseconds) * time.Millisecond)
+}
--- a/internal/role/quarantine_test.go
+++ b/internal/role/quarantine_test.go
@@ -43,3 +43,21 @@
 	must.SliceEmpty(t, received.Crashes)
 	must.SliceEmpty(t, received.Cleared)
 }
+
+// Guards against answers that lose their time on the way, which would clear crashes that occurred after them. Builds that do
+// not tell the time must still be understood, as must notices of an unexpected shape.
+func TestTimesOfAnswersAreSent(t *testing.T) {
+	first, second := quarantine.Fingerprint{1}, quarantine.Fingerprint{2}
+	answeredAt := []time.Time{time.Now().Add(-2 * time.Second), time.Now()}
+	encoded := encodeNotice(quarantine.Notice{Reporter: "n", Cleared: []quarantine.Fingerprint{first, second}, ClearedAt: answeredAt})
+	received := decodeNotice(encoded)
+	must.Len(t, 2, received.ClearedAt)
+	for index, at := range received.ClearedAt {
+		must.Less(t, 100*time.Millisecond, at.Sub(answeredAt[index]).Abs())
+	}
+	encoded.ClearedAgoMs = encoded.GetClearedAgoMs()[:1]
+	must.SliceEmpty(t, decodeNotice(encoded).ClearedAt)
+	encoded.ClearedAgoMs = nil
+	must.Len(t, 2, decodeNotice(encoded).Cleared)
+	must.SliceEmpty(t, decodeNotice(encoded).ClearedAt)
+}
