--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -30,12 +30,12 @@
 // with mu held.
 //
 // Of these, only one at a time may be tried: a crash in a trial that another request spoils would use up the only trial of
-// a request. The turns are ordered by fingerprint, the most suspected last. A request whose trial is over, because it was
-// answered or has crashed a replica, no longer takes a turn. Whether the trial of another request is over is taken from its
-// stored record, which all nodes share: a node that knows of a crash that others have missed would otherwise expect no
-// trial where another node makes one.
+// a request. They take turns by fingerprint, the most suspected last (see takeTurn). A request whose trial is over, because
+// it was answered or has crashed a replica, no longer takes a turn. Whether the trial of another request is over is taken
+// from its stored record, which all nodes share: a node that knows of a crash that others have missed would otherwise expect
+// no trial where another node makes one.
 func (tracker *Tracker) compareWithOthers(fingerprint Fingerprint, entry *entry, now time.Time) {
-	entry.culprit, entry.attributed, entry.turn = Fingerprint{}, false, 0
+	entry.culprit, entry.attributed, entry.peers = Fingerprint{}, false, trialPeers{}
 	newest := entry.events[len(entry.events)-1].Replica
 	for other, suspected := range tracker.entries {
 		if other == fingerprint || !suspected.quarantined(now) || !suspected.hasCrash(newest) {
@@ -44,8 +44,8 @@
 		if moreSuspected(other, suspected, fingerprint, entry) {
 			entry.culprit, entry.attributed = other, true
 		}
-		if suspected.sharedCrashes() < trialLimit && bytes.Compare(other[:], fingerprint[:]) > 0 {
-			entry.turn++
+		if suspected.sharedCrashes() < trialLimit {
+			entry.peers.add(suspected, bytes.Compare(other[:], fingerprint[:]) > 0)
 		}
 	}
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -73,7 +73,8 @@
 
 // Send implements backend.Sender. It returns a *backend.HeldError for a request that is withheld.
 func (guard *Guard) Send(ctx context.Context, replica *catalog.Replica, request *backend.Request) (*backend.Response, error) {
-	if err := guard.admit(replica, request); err != nil {
+	trial, err := guard.admit(replica, request)
+	if err != nil {
 		return nil, err
 	}
 	runCtx, release := ctx, func() {}
@@ -87,6 +88,9 @@
 	case err != nil && !errors.Is(err, backend.ErrNotSent):
 		guard.answerLost(runCtx, replica, request)
 	}
+	if trial && trialIsOver(response, err) {
+		guard.endTrial(replica, request)
+	}
 	if err != nil {
 		release()
 		return nil, err
@@ -122,24 +126,42 @@
 	}
 }
 
-// admit returns an error if a request must not be sent now.
-func (guard *Guard) admit(replica *catalog.Replica, request *backend.Request) error {
+// admit returns an error if a request must not be sent now. trial is true if it is sent as a trial.
+func (guard *Guard) admit(replica *catalog.Replica, request *backend.Request) (trial bool, err error) {
 	if !guard.Tracker.MayBeSuspected(replica.Service, request) {
-		return nil
+		return false, nil
 	}
 	fingerprint := FingerprintOf(replica.Service, request)
 	decision := guard.Tracker.Admit(fingerprint, Claim{Exclusive: request.Exclusive, Deputy: guard.IsDeputy(fingerprint)}, time.Now())
+	if decision.Reservation.Duration > 0 {
+		guard.announceReservation(decision.Reservation)
+	}
 	switch {
 	case !decision.Allowed:
 		guard.Metrics.RequestHeld()
 		guard.Logger.Info("request held", "request", request.ID, "service", replica.Service, "fingerprint", fingerprint, "crashes", decision.Crashes,
-			"retry_after_ms", decision.RetryAfter.Milliseconds(), "put_down_to", decision.attributedTo())
-		return errors.Mark(&backend.HeldError{RetryAfter: decision.RetryAfter}, backend.ErrNotSent)
+			"retry_after_ms", decision.RetryAfter.Milliseconds(), "put_down_to", decision.attributedTo(), "blocking", decision.Blocking)
+		return false, errors.Mark(&backend.HeldError{RetryAfter: decision.RetryAfter}, backend.ErrNotSent)
 	case decision.Crashes > 0:
 		guard.Logger.Info("suspected request sent", "request", request.ID, "service", replica.Service, "replica", replica.ID, "fingerprint", fingerprint,
 			"crashes", decision.Crashes, "trial", decision.Trial, "put_down_to", decision.attributedTo())
 	}
-	return nil
+	return decision.Trial, nil
+}
+
+// trialIsOver reports whether a trial has ended without running, so that no crash can follow.
+func trialIsOver(response *backend.Response, err error) bool {
+	if err != nil {
+		return errors.Is(err, backend.ErrNotSent)
+	}
+	return response.NotExecuted
+}
+
+// endTrial lets other requests be tried after a trial that no replica has run.
+func (guard *Guard) endTrial(replica *catalog.Replica, request *backend.Request) {
+	fingerprint := FingerprintOf(replica.Service, request)
+	guard.Logger.Info("trial not run", "request", request.ID, "service", replica.Service, "replica", replica.ID, "fingerprint", fingerprint)
+	guard.announceReservation(guard.Tracker.EndTrial(fingerprint))
 }
 
 // answerLost records that a request was sent but its answer was not received in full. The replica crashed if it refuses
--- a/internal/quarantine/notice.go
+++ b/internal/quarantine/notice.go
@@ -6,21 +6,27 @@
 func (guard *Guard) HandleNotice(notice Notice) {
 	guard.reconciler.recordMentions(notice)
 	for _, crash := range notice.Crashes {
-		guard.handleCrashReport(notice.Reporter, crash)
+		guard.handleCrashReport(notice, crash)
 	}
 	for index, fingerprint := range notice.Cleared {
 		guard.handleAnswerReport(notice, index, fingerprint)
 	}
+	for _, reservation := range notice.Reservations {
+		guard.Tracker.RecordReservation(reservation, time.Now())
+	}
 	guard.reconcileWith(notice)
 	guard.Metrics.Quarantined(guard.Tracker.Quarantined())
 }
 
-func (guard *Guard) handleCrashReport(reporter string, crash CrashReport) {
-	crashes, added := guard.Tracker.RecordCrash(crash.Fingerprint, crash.Replica, reporter, crash.InterruptedAt, time.Now())
+func (guard *Guard) handleCrashReport(notice Notice, crash CrashReport) {
+	crashes, added := guard.Tracker.RecordCrash(crash.Fingerprint, crash.Replica, notice.Reporter, crash.InterruptedAt, time.Now())
 	if !added {
 		return
 	}
-	guard.Logger.Info("replica crash reported by another node", "reporter", reporter, "replica", crash.Replica, "fingerprint", crash.Fingerprint, "crashes", crashes)
+	if !notice.Reserves {
+		guard.Tracker.SetUnreserved(crash.Fingerprint)
+	}
+	guard.Logger.Info("replica crash reported by another node", "reporter", notice.Reporter, "replica", crash.Replica, "fingerprint", crash.Fingerprint, "crashes", crashes)
 	guard.persistIfQuarantined(crash.Fingerprint, crashes)
 }
 
--- a/internal/quarantine/outbox.go
+++ b/internal/quarantine/outbox.go
@@ -16,6 +16,8 @@
 	// 2,048 bytes: 100 bytes are left for each crash with the identifier of its replica, and 34 for each cleared
 	// request.
 	MaxNoticeEntries = 12
+	// MaxNoticeReservations bounds the reservations in one notice, of 36 bytes each.
+	MaxNoticeReservations = 8
 )
 
 // crashResendDelays and answerResendDelay are when a notice is sent again, since datagrams may be lost. Crashes are repeated
@@ -25,14 +27,17 @@
 
 const answerResendDelay = 250 * time.Millisecond
 
+// reservationResendDelay is when a reservation is sent again, well before it is settled.
+const reservationResendDelay = 150 * time.Millisecond
+
 // CrashReport is the crash of a replica under a request.
 type CrashReport struct {
 	Fingerprint Fingerprint
 	CrashEvent
 }
 
-// Notice is what a node broadcasts: the crashes that it has detected, and the requests that were answered after a
-// suspicion.
+// Notice is what a node broadcasts: the crashes that it has detected, the requests that were answered after a suspicion, and
+// those that it waits to try or tries.
 type Notice struct {
 	Reporter string
 	Crashes  []CrashReport
@@ -40,6 +45,13 @@
 	// ClearedAt are the times of the answers to the cleared requests, in the same order. It is empty in notices of earlier
 	// builds, which do not tell.
 	ClearedAt []time.Time
+	// Reserves is true if the reporter announces its trials by Reservations. Earlier builds do not.
+	Reserves     bool
+	Reservations []Reservation
+}
+
+func (notice *Notice) empty() bool {
+	return len(notice.Crashes)+len(notice.Cleared)+len(notice.Reservations) == 0
 }
 
 // outbox queues crashes and cleared requests to be broadcast. The zero value is empty; it is safe for concurrent use.
@@ -70,6 +82,13 @@
 	outbox.notify()
 }
 
+func (outbox *outbox) addReservation(reservation Reservation) {
+	outbox.mu.Lock()
+	outbox.pending.Reservations = append(outbox.pending.Reservations, reservation)
+	outbox.mu.Unlock()
+	outbox.notify()
+}
+
 // ready returns a channel that holds a value while something is queued.
 func (outbox *outbox) ready() chan struct{} {
 	outbox.mu.Lock()
@@ -91,12 +110,17 @@
 func (outbox *outbox) next() (notice Notice, more bool) {
 	outbox.mu.Lock()
 	defer outbox.mu.Unlock()
-	crashes := min(MaxNoticeEntries, len(outbox.pending.Crashes))
-	cleared := min(MaxNoticeEntries, len(outbox.pending.Cleared))
 	pending := &outbox.pending
-	notice = Notice{Crashes: pending.Crashes[:crashes:crashes], Cleared: pending.Cleared[:cleared:cleared], ClearedAt: pending.ClearedAt[:cleared:cleared]}
+	crashes := min(MaxNoticeEntries, len(pending.Crashes))
+	cleared := min(MaxNoticeEntries, len(pending.Cleared))
+	reservations := min(MaxNoticeReservations, len(pending.Reservations))
+	notice = Notice{
+		Crashes: pending.Crashes[:crashes:crashes], Cleared: pending.Cleared[:cleared:cleared], ClearedAt: pending.ClearedAt[:cleared:cleared],
+		Reserves: true, Reservations: pending.Reservations[:reservations:reservations],
+	}
 	pending.Crashes, pending.Cleared, pending.ClearedAt = pending.Crashes[crashes:], pending.Cleared[cleared:], pending.ClearedAt[cleared:]
-	return notice, len(outbox.pending.Crashes)+len(outbox.pending.Cleared) > 0
+	pending.Reservations = pending.Reservations[reservations:]
+	return notice, !pending.empty()
 }
 
 // runBroadcast broadcasts queued notices until the context ends.
@@ -117,7 +141,7 @@
 }
 
 func (guard *Guard) broadcast(notice Notice) {
-	if guard.Broadcaster == nil || len(notice.Crashes)+len(notice.Cleared) == 0 {
+	if guard.Broadcaster == nil || notice.empty() {
 		return
 	}
 	notice.Reporter = guard.Node
@@ -140,3 +164,9 @@
 	guard.outbox.addCleared(fingerprint, answeredAt)
 	time.AfterFunc(answerResendDelay, func() { guard.outbox.addCleared(fingerprint, answeredAt) })
 }
+
+// announceReservation broadcasts a reservation, twice.
+func (guard *Guard) announceReservation(reservation Reservation) {
+	guard.outbox.addReservation(reservation)
+	time.AfterFunc(reservationResendDelay, func() { guard.outbox.addReservation(reservation) })
+}
--- /dev/null
+++ b/internal/quarantine/reservation_test.go
@@ -0,0 +1,272 @@
+package quarantine_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
+	"github.com/thistlewalk/thistlewalk/internal/quarantine"
+)
+
+// interruption describes requests of batch jobs that three crashes of replicas interrupt together.
+type interruption struct {
+	requests int
+	// departed is how many of the callers never ask again.
+	departed int
+}
+
+// sendExclusive sends a request that no other node sends.
+func (node *node) sendExclusive(target *catalog.Replica, body string) error {
+	request := callOf(body)
+	request.Exclusive = true
+	ctx, cancel := context.WithTimeout(node.ctx, time.Second)
+	defer cancel()
+	response, err := node.guard.Send(ctx, target, request)
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	return err
+}
+
+// interrupt crashes a replica while it runs the requests of all callers.
+func (interruption interruption) interrupt(world *world) {
+	target := world.pick("")
+	for number := range interruption.requests {
+		go func() { _ = world.nodes[number%historyNodes].sendExclusive(target, bodyOf(number)) }()
+	}
+	time.Sleep(workTime / 2)
+	world.crash(target.ID)
+}
+
+// recover returns how long after the third crash each caller that asks again is served, up to a limit.
+func (interruption interruption) recover(world *world, limit time.Duration) []time.Duration {
+	const askInterval = 250 * time.Millisecond
+	begun := time.Now()
+	served := make([]time.Duration, interruption.requests-interruption.departed)
+	for index := range served {
+		served[index] = limit
+		go func() {
+			node := world.nodes[index%historyNodes]
+			for time.Since(begun) < limit {
+				if target := world.pick(""); target != nil && node.sendExclusive(target, bodyOf(index)) == nil {
+					served[index] = time.Since(begun)
+					return
+				}
+				time.Sleep(askInterval)
+			}
+		}()
+	}
+	time.Sleep(limit)
+	synctest.Wait()
+	return served
+}
+
+// Guards against steps that wait for requests in quarantine whose callers have left: each costs the requests behind it a
+// turn.
+func TestDepartedCallersHoldUpNobody(t *testing.T) {
+	for _, interruption := range []interruption{{16, 0}, {8, 4}, {16, 8}, {16, 15}, {32, 16}, {256, 240}} {
+		t.Run(fmt.Sprintf("%d of %d departed", interruption.departed, interruption.requests), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				world := newWorld(5, 6, historyNodes)
+				time.Sleep(longRunning)
+				for crash := range 3 {
+					if crash > 0 {
+						time.Sleep(5 * time.Second)
+					}
+					interruption.interrupt(world)
+				}
+				served := interruption.recover(world, 3*recoveryTime)
+				world.close()
+				synctest.Wait()
+				time.Sleep(time.Minute) // pending timers
+				first, last := served[0], served[0]
+				for _, after := range served {
+					first, last = min(first, after), max(last, after)
+				}
+				t.Logf("served %s to %s after the third crash", first, last)
+				must.LessEq(t, recoveryTime, last)
+			})
+		})
+	}
+}
+
+// newPeers returns the trackers of two nodes that know of two harmless requests which the same three crashes interrupted, in
+// the order in which they are tried, and the time from which their reporter may try them.
+func newPeers(t *testing.T) (trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) {
+	now := time.Now()
+	first, second = fingerprintOf("first"), fingerprintOf("second")
+	if first.String() < second.String() {
+		first, second = second, first
+	}
+	for index := range trackers {
+		trackers[index] = quarantine.NewTracker(fmt.Sprint("node-", index), now)
+		for crash, replica := range []string{"r1", "r2", "r3"} {
+			at := now.Add(time.Duration(crash-2) * time.Second)
+			trackers[index].RecordCrash(first, replica, "node-0", at, at)
+			trackers[index].RecordCrash(second, replica, "node-1", at, at)
+		}
+	}
+	return trackers, first, second, now.Add(holdDuration)
+}
+
+// Guards against trials of two nodes that overlap at one replica, and against turns that nobody uses.
+func TestReservationsOrderTrials(t *testing.T) {
+	const settled = 500 * time.Millisecond
+	tell := func(from quarantine.Decision, to *quarantine.Tracker, now time.Time) {
+		to.RecordReservation(from.Reservation, now)
+	}
+	for _, check := range []struct {
+		name string
+		run  func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) (got bool)
+		want bool
+	}{
+		{"the first request goes first", func(trackers [2]*quarantine.Tracker, first, _ quarantine.Fingerprint, due time.Time) bool {
+			return trackers[0].Admit(first, quarantine.Claim{Exclusive: true}, due).Trial
+		}, true},
+		{"the second waits until its reservation is settled", func(trackers [2]*quarantine.Tracker, _, second quarantine.Fingerprint, due time.Time) bool {
+			return trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due).Trial
+		}, false},
+		{"the second goes if nobody asks for the first", func(trackers [2]*quarantine.Tracker, _, second quarantine.Fingerprint, due time.Time) bool {
+			trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due)
+			return trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due.Add(settled)).Trial
+		}, true},
+		{"the second waits while the first is asked for", func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) bool {
+			trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due)
+			trackers[1].RecordReservation(quarantine.Reservation{Fingerprint: first, Duration: time.Second}, due)
+			return trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due.Add(settled)).Trial
+		}, false},
+		{"the second goes once the first is asked for no more", func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) bool {
+			trackers[1].RecordReservation(quarantine.Reservation{Fingerprint: first, Duration: time.Second}, due)
+			trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due)
+			return trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due.Add(time.Second)).Trial
+		}, true},
+		{"the first waits while the second is tried", func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) bool {
+			trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due)
+			tell(trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due.Add(settled)), trackers[0], due.Add(settled))
+			return trackers[0].Admit(first, quarantine.Claim{Exclusive: true}, due.Add(settled)).Trial
+		}, false},
+		{"the first settles if the second is reserved elsewhere", func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) bool {
+			tell(trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due), trackers[0], due)
+			return trackers[0].Admit(first, quarantine.Claim{Exclusive: true}, due).Trial
+		}, false},
+		{"a trial that was not run makes room", func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) bool {
+			trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due)
+			tell(trackers[0].Admit(first, quarantine.Claim{Exclusive: true}, due), trackers[1], due)
+			trackers[1].RecordReservation(trackers[0].EndTrial(first), due)
+			return trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due.Add(settled)).Trial
+		}, true},
+		{"a reporter of an earlier build keeps its turn", func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) bool {
+			trackers[1].SetUnreserved(first)
+			trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due)
+			return trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due.Add(settled)).Trial
+		}, false},
+		{"no turn is longer than a trial of the reporter and of the deputy", func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) bool {
+			trackers[1].SetUnreserved(first)
+			return trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due.Add(2*holdDuration)).Trial
+		}, true},
+	} {
+		trackers, first, second, due := newPeers(t)
+		must.Eq(t, check.want, check.run(trackers, first, second, due), must.Sprint(check.name))
+	}
+}
+
+// jobCaller sends the requests of one batch job, each until it is answered.
+type jobCaller struct {
+	node *node
+	name int
+	// departure is when it leaves; zero for never.
+	departure time.Time
+	// waitingSince is when it first sent the request that is not answered yet.
+	waitingSince time.Time
+}
+
+func (caller *jobCaller) run(stop <-chan struct{}) {
+	const askInterval, itemInterval = 250 * time.Millisecond, 100 * time.Millisecond
+	for item := 0; ; item++ {
+		body := fmt.Sprintf("job %d item %d", caller.name, item)
+		caller.waitingSince = time.Now()
+		for !caller.sent(body) {
+			select {
+			case <-stop:
+				return
+			case <-time.After(askInterval):
+			}
+			if !caller.departure.IsZero() && time.Now().After(caller.departure) {
+				return
+			}
+		}
+		time.Sleep(itemInterval)
+	}
+}
+
+// sent sends a request by the node's present process, if there is one.
+func (caller *jobCaller) sent(body string) bool {
+	target := caller.node.world.pick("")
+	running := caller.node.world.running()
+	if target == nil || len(running) == 0 {
+		return false
+	}
+	return running[caller.name%len(running)].sendExclusive(target, body) == nil
+}
+
+// Guards against harmless requests of jobs that stay held, and further runs of the request that crashes replicas, whichever
+// callers leave and whatever else fails meanwhile.
+func TestDrawnHistoriesOfDepartures(t *testing.T) {
+	rapid.Check(t, func(drawn *rapid.T) {
+		drawnHistory := history{
+			seed: rapid.Uint64().Draw(drawn, "seed"),
+			faults: rapid.SliceOfN(rapid.SampledFrom([]string{
+				noFault, noFault, noFault, crashReplica, crashAll, resetReplica, drainReplica, killNode, loseResponses, lossyLinks,
+			}), 3, 6).Draw(drawn, "faults"),
+			callerTimeout: time.Second,
+			replicas:      rapid.IntRange(2, 6).Draw(drawn, "replicas"),
+			uptime:        longRunning,
+		}
+		drawnHistory.runWithJobs(t, rapid.IntRange(4, 24).Draw(drawn, "callers"))
+	})
+}
+
+// runWithJobs runs a history beside callers of batch jobs, every second of which leaves, and checks that those who stay wait
+// no longer than recoveryTime.
+func (history *history) runWithJobs(t *testing.T, callers int) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(history.seed, history.replicas, historyNodes)
+		time.Sleep(history.uptime)
+		stop := make(chan struct{})
+		go world.keepCalling(stop, 130*time.Millisecond, crashingBody, history.callerTimeout)
+		var staying []*jobCaller
+		for name := range callers {
+			caller := &jobCaller{node: world.nodes[name%historyNodes], name: name}
+			if name%2 == 0 {
+				caller.departure = time.Now().Add(time.Duration(200*name) * time.Millisecond)
+			} else {
+				staying = append(staying, caller)
+			}
+			go caller.run(stop)
+		}
+		for index, fault := range history.faults {
+			world.injectFault(fault, index)
+		}
+		world.store.SetFaults(memstore.Faults{})
+		time.Sleep(recoveryTime)
+		ended := time.Now()
+		close(stop)
+		time.Sleep(2 * time.Second)
+		late, crashes := world.late()
+		world.close()
+		synctest.Wait()
+		time.Sleep(time.Minute) // pending timers
+		must.LessEq(t, 3, late, must.Sprintf("%+v, %d callers: %d crashes", history, callers, crashes))
+		for _, caller := range staying {
+			must.Less(t, recoveryTime, ended.Sub(caller.waitingSince), must.Sprintf("%+v, %d callers: caller %d", history, callers, caller.name))
+		}
+	})
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -21,8 +21,8 @@
 	// sooner, but that node may be gone, and a datagram that cleared the request may be lost.
 	deputyTrialDelay  = 2 * holdDuration
 	anyNodeTrialDelay = 3 * holdDuration
-	// trialTurn is how long a quarantined request waits for each other one that is tried before it. It covers a trial by the
-	// reporter and one by the deputy.
+	// trialTurn is how long a quarantined request waits at most for each other one that is tried before it. It covers a trial
+	// by the reporter and one by the deputy.
 	trialTurn = 2 * holdDuration
 	// quarantineThreshold is the number of crashes from which a request is quarantined.
 	quarantineThreshold = 3
@@ -61,6 +61,10 @@
 	// Attributed is true if the newest crash is attributed to another request, Culprit.
 	Attributed bool
 	Culprit    Fingerprint
+	// Blocking is the number of other requests whose trials must end first, as far as this node knows.
+	Blocking int
+	// Reservation must be broadcast unless its Duration is zero.
+	Reservation Reservation
 }
 
 // CrashEvent is the crash of a replica while it ran a request.
@@ -98,11 +102,14 @@
 	// storedCrashes is the number in the stored record, zero for none. It may be lower than crashes.
 	storedCrashes int
 
-	// Cached result of compareWithOthers, valid while the tracker's changes equals computedAt. turn is how many requests are
-	// tried before this one.
+	reserved reservations
+	// unreserved is true if the reporter of the last crash runs an earlier build, which does not reserve its trials.
+	unreserved bool
+
+	// Cached result of compareWithOthers, valid while the tracker's changes equals computedAt.
 	culprit    Fingerprint
 	attributed bool
-	turn       int
+	peers      trialPeers
 	computedAt uint64
 }
 
@@ -206,6 +213,7 @@
 // setCrashes sets the number of crashes, and quarantines the request once it reaches quarantineThreshold.
 func (entry *entry) setCrashes(crashes int, reporter string, now, until time.Time) {
 	entry.crashes, entry.reporter, entry.lastSeen = crashes, reporter, now
+	entry.reserved, entry.unreserved = reservations{}, false
 	if crashes >= quarantineThreshold {
 		entry.until = until
 	}
@@ -332,7 +340,7 @@
 	switch {
 	case known.crashes < holdThreshold:
 		decision.Allowed = true
-	case tracker.trialAllowed(known, claim, decision.Attributed, now):
+	case tracker.trialAllowed(fingerprint, known, claim, &decision, now):
 		known.lastTrial = now
 		decision.Allowed, decision.Trial = true, true
 	case known.crashes < quarantineThreshold, decision.Attributed:
@@ -347,26 +355,33 @@
 const minRetryDelay = time.Second
 
 // trialAllowed reports whether this node may try a held request now. Trials by one node are at least holdDuration apart,
-// so that a crash in one is detected before the next.
-func (tracker *Tracker) trialAllowed(entry *entry, claim Claim, attributed bool, now time.Time) bool {
+// so that a crash in one is detected before the next. It must be called with mu held.
+func (tracker *Tracker) trialAllowed(fingerprint Fingerprint, entry *entry, claim Claim, decision *Decision, now time.Time) bool {
+	afterTrial := entry.lastTrial.Add(holdDuration)
+	if entry.crashes >= quarantineThreshold {
+		due, eligible := tracker.trialDue(entry, claim, decision.Attributed)
+		return eligible && entry.takeTurn(fingerprint, max(due, afterTrial.Sub(entry.lastSeen)), decision, now)
+	}
 	sinceLastCrash := now.Sub(entry.lastSeen)
-	if sinceLastCrash < holdDuration || now.Sub(entry.lastTrial) < holdDuration {
+	if sinceLastCrash < holdDuration || now.Before(afterTrial) {
 		return false
 	}
 	mayTryFirst := claim.Exclusive || entry.reporter == tracker.node
-	if entry.crashes < quarantineThreshold {
-		return mayTryFirst || (claim.Deputy && sinceLastCrash >= deputyTrialDelay) || sinceLastCrash >= anyNodeTrialDelay
-	}
-	sinceTurn := sinceLastCrash - time.Duration(entry.turn)*trialTurn
+	return mayTryFirst || (claim.Deputy && sinceLastCrash >= deputyTrialDelay) || sinceLastCrash >= anyNodeTrialDelay
+}
+
+// trialDue returns the time after the last crash from which this node may try a quarantined request; eligible is false if it
+// may not. It must be called with mu held.
+func (tracker *Tracker) trialDue(entry *entry, claim Claim, attributed bool) (due time.Duration, eligible bool) {
+	observedLongEnough := entry.firstSeen.Sub(tracker.started) >= suspicionDuration
 	switch {
-	case sinceTurn < holdDuration:
-		return false
-	case attributed: // trials by all nodes at once would exceed the one that is allowed
-		return mayTryFirst || (claim.Deputy && sinceTurn >= deputyTrialDelay)
-	case entry.crashes < trialLimit:
-		observedLongEnough := entry.firstSeen.Sub(tracker.started) >= suspicionDuration
-		return claim.Exclusive || (claim.Deputy && observedLongEnough && sinceTurn >= quarantineTrialDelay)
+	case entry.crashes >= trialLimit:
+		return 0, false
+	case claim.Exclusive, attributed && entry.reporter == tracker.node: // trials by all nodes at once would exceed the one that is allowed
+		return holdDuration, true
+	case attributed:
+		return deputyTrialDelay, claim.Deputy
 	default:
-		return false
+		return quarantineTrialDelay, claim.Deputy && observedLongEnough
 	}
 }
--- a/internal/role/quarantine.go
+++ b/internal/role/quarantine.go
@@ -31,7 +31,7 @@
 }
 
 func encodeNotice(notice quarantine.Notice) *clusterv1.Suspicions {
-	encoded := &clusterv1.Suspicions{Reporter: notice.Reporter}
+	encoded := &clusterv1.Suspicions{Reporter: notice.Reporter, Reserves: notice.Reserves}
 	for _, crash := range notice.Crashes {
 		encoded.Crashes = append(encoded.Crashes, &clusterv1.Crash{
 			Fingerprint: crash.Fingerprint[:], Replica: crash.Replica, AgoMs: time.Since(crash.InterruptedAt).Milliseconds(),
@@ -43,12 +43,17 @@
 	for _, answeredAt := range notice.ClearedAt {
 		encoded.ClearedAgoMs = append(encoded.ClearedAgoMs, time.Since(answeredAt).Milliseconds())
 	}
+	for _, reservation := range notice.Reservations {
+		encoded.Reservations = append(encoded.Reservations, &clusterv1.TrialReservation{
+			Fingerprint: reservation.Fingerprint[:], Running: reservation.Running, ForMs: reservation.Duration.Milliseconds(),
+		})
+	}
 	return encoded
 }
 
 // decodeNotice skips fingerprints of an unexpected length, which come from another version.
 func decodeNotice(suspicions *clusterv1.Suspicions) quarantine.Notice {
-	decoded := quarantine.Notice{Reporter: suspicions.GetReporter()}
+	decoded := quarantine.Notice{Reporter: suspicions.GetReporter(), Reserves: suspicions.GetReserves()}
 	for _, crash := range suspicions.GetCrashes() {
 		if len(crash.GetFingerprint()) == len(quarantine.Fingerprint{}) {
 			decoded.Crashes = append(decoded.Crashes, quarantine.CrashReport{
@@ -57,6 +62,14 @@
 			})
 		}
 	}
+	for _, reservation := range suspicions.GetReservations() {
+		if len(reservation.GetFingerprint()) == len(quarantine.Fingerprint{}) {
+			decoded.Reservations = append(decoded.Reservations, quarantine.Reservation{
+				Fingerprint: quarantine.Fingerprint(reservation.GetFingerprint()), Running: reservation.GetRunning(),
+				Duration: time.Duration(reservation.GetForMs()) * time.Millisecond,
+			})
+		}
+	}
 	dated := len(suspicions.GetClearedAgoMs()) == len(suspicions.GetCleared())
 	for index, cleared := range suspicions.GetCleared() {
 		if len(cleared) != len(quarantine.Fingerprint{}) {
--- a/internal/role/quarantine_test.go
+++ b/internal/role/quarantine_test.go
@@ -61,3 +61,26 @@
 	must.Len(t, 2, decodeNotice(encoded).Cleared)
 	must.SliceEmpty(t, decodeNotice(encoded).ClearedAt)
 }
+
+// Guards against reservations that are lost on the way, or make a notice too large for a datagram.
+func TestReservationsAreSent(t *testing.T) {
+	const datagramSize, longName = 2048, 60
+	sent := quarantine.Notice{Reporter: strings.Repeat("n", longName), Reserves: true}
+	for index := range quarantine.MaxNoticeEntries {
+		fingerprint := quarantine.Fingerprint{byte(index), 1}
+		sent.Cleared, sent.ClearedAt = append(sent.Cleared, fingerprint), append(sent.ClearedAt, time.Now().Add(-time.Hour))
+		sent.Crashes = append(sent.Crashes, quarantine.CrashReport{Fingerprint: fingerprint, CrashEvent: quarantine.CrashEvent{
+			Replica: strings.Repeat("r", longName), InterruptedAt: time.Now().Add(-time.Hour),
+		}})
+	}
+	for index := range quarantine.MaxNoticeReservations {
+		sent.Reservations = append(sent.Reservations, quarantine.Reservation{Fingerprint: quarantine.Fingerprint{byte(index)}, Running: true, Duration: 8 * time.Second})
+	}
+	datagram := &clusterv1.Datagram{Kind: &clusterv1.Datagram_Suspicions{Suspicions: encodeNotice(sent)}}
+	must.LessEq(t, datagramSize, proto.Size(datagram))
+	received := decodeNotice(datagram.GetSuspicions())
+	must.True(t, received.Reserves)
+	must.Eq(t, sent.Reservations, received.Reservations)
+	datagram.GetSuspicions().Reservations[0].Fingerprint = []byte{1}
+	must.Len(t, len(sent.Reservations)-1, decodeNotice(datagram.GetSuspicions()).Reservations)
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -84,7 +84,7 @@
 mutate 'deferred job not reclaimed' internal/batchrun/service.go 'other.delegation.reclaim()' '_ = other' ./internal/batchrun
 mutate 'no backoff for a failing replica' internal/batchrun/generate.go 'runner.scheduler.recordFailure(replica.ID, time.Now())' '_ = time.Now' ./internal/batchrun
 mutate 'item retried on its last replica' internal/batchrun/generate.go 'running.avoid, running.avoidUntil = replica.ID, now.Add(avoidAfterFailure)' '_ = avoidAfterFailure' ./internal/batchrun
-mutate 'crashes not reported to nodes' internal/quarantine/outbox.go 'if guard.Broadcaster == nil || len(notice.Crashes)+len(notice.Cleared) == 0 {' 'if guard.Broadcaster == nil || notice.Reporter == "" {' ./internal/quarantine
+mutate 'crashes not reported to nodes' internal/quarantine/outbox.go 'if guard.Broadcaster == nil || notice.empty() {' 'if guard.Broadcaster == nil || notice.Reporter == "" {' ./internal/quarantine
 mutate 'quarantine not stored' internal/quarantine/record_store.go 'if known.Crashes < quarantineThreshold || stored.crashes >= known.Crashes {' 'if known.Crashes > 0 || stored.crashes >= known.Crashes {' ./internal/quarantine
 mutate 'quarantine not published' internal/role/topics.go '		{Mirror: topics.quarantine},
 ' '' ./cmd/thistlewalk-rollout -run EndsReplicas
@@ -95,12 +95,17 @@
 		return
 	}
 	guard.Metrics' ./internal/quarantine
-mutate 'missed crashes not told' internal/quarantine/reconcile.go 'if lacking || disproved[fingerprint] {' 'if disproved[fingerprint] {' ./internal/quarantine
+mutate 'missed crashes not told' internal/quarantine/reconcile.go 'if lacking || disproved[fingerprint] {' 'if (lacking && len(replicas) == 0) || disproved[fingerprint] {' ./internal/quarantine
 mutate 'every node replies' internal/quarantine/reconcile.go 'pending.crashes[crash.Replica] = true' '_ = pending' ./internal/quarantine
 mutate 'crashes reported once' internal/quarantine/outbox.go 'time.AfterFunc(delay, send)' '_ = delay' ./internal/quarantine
 mutate 'short record left as it is' internal/quarantine/reconcile.go 'if guard.reconciler.beginCheck(fingerprint) {' 'if fingerprint == (Fingerprint{}) {' ./internal/quarantine
-mutate 'crash from before an answer counted' internal/quarantine/tracker.go 'ok && !interruptedAt.After(answeredAt) {' 'ok && interruptedAt.IsZero() {' ./internal/quarantine
+mutate 'crash from before an answer counted' internal/quarantine/tracker.go 'ok && !interruptedAt.After(answeredAt) {' 'ok && interruptedAt.Before(answeredAt.Add(-time.Hour)) {' ./internal/quarantine
 mutate 'answer clears later crashes' internal/quarantine/answered.go 'if event.InterruptedAt.After(moment) {' 'if event.InterruptedAt.IsZero() {' ./internal/quarantine
+mutate 'reservations not told' internal/quarantine/guard.go 'if decision.Reservation.Duration > 0 {' 'if decision.Reservation.Duration < 0 {' ./internal/quarantine
+mutate 'reservations of others ignored' internal/quarantine/reservation.go 'now.Before(entry.reserved.until) || entry.reserved.elsewhere(now)' 'now.Before(entry.reserved.until)' ./internal/quarantine
+mutate 'running trial ignored' internal/quarantine/reservation.go 'sinceLastCrash >= due && running == 0 &&' 'sinceLastCrash >= due && running >= 0 &&' ./internal/quarantine
+mutate 'turn kept by a caller that left' internal/quarantine/reservation.go 'return entry.unreserved || now.Before' 'return !entry.unreserved || now.Before' ./internal/quarantine
+mutate 'trial that was not run keeps its turn' internal/quarantine/reservation.go 'known.reserved.runningUntil = time.Time{}' '_ = known' ./internal/quarantine
 mutate 'interrupted answer not noticed' internal/quarantine/guard.go 'body.guard.answerLost(body.ctx, body.replica, body.request)' '_ = body.ctx' ./internal/quarantine
 mutate 'abandoned requests not suspected' internal/quarantine/guard.go 'case errors.Is(err, backend.ErrConnectionRefused):
 		guard.connectionRefused(replica)' 'case errors.Is(err, backend.ErrConnectionRefused):' ./internal/quarantine
