--- a/internal/samplestore/store.go
+++ b/internal/samplestore/store.go
@@ -212,9 +212,11 @@
 	return errors.Wrap(bucket.Put(key, seal(content)), "sample store")
 }
 
+// removePrefix deletes all keys with a prefix. It seeks anew after each deletion: the position of a cursor is undefined once
+// an entry of a page that the transaction has changed is deleted, and Next may then skip keys.
 func removePrefix(bucket *bolt.Bucket, prefix []byte) error {
 	cursor := bucket.Cursor()
-	for key, _ := cursor.Seek(prefix); key != nil && bytes.HasPrefix(key, prefix); key, _ = cursor.Next() {
+	for key, _ := cursor.Seek(prefix); key != nil && bytes.HasPrefix(key, prefix); key, _ = cursor.Seek(prefix) {
 		if err := cursor.Delete(); err != nil {
 			return errors.Wrap(err, "sample store")
 		}
--- a/internal/samplestore/store_test.go
+++ b/internal/samplestore/store_test.go
@@ -1,6 +1,7 @@
 package samplestore
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -35,6 +36,30 @@
 	must.Eq(t, identity, store.Identity())
 }
 
+// Guards against keys that survive the removal of their prefix, and come back when the node starts again.
+func TestRemovedPrefixesLeaveNothing(t *testing.T) {
+	for _, keys := range []int{1, 20, 500} {
+		folder := t.TempDir()
+		store := openStore(t, folder)
+		prefixes := []string{"a/", "b/", "c/"}
+		var registers []partition.Register
+		for number := range keys {
+			for _, prefix := range prefixes {
+				registers = append(registers, partition.Register{Key: fmt.Sprintf("%s%03d", prefix, number), Value: []byte("x")})
+			}
+		}
+		kept := partition.Register{Key: "d/000", Value: []byte("x")}
+		must.NoError(t, store.Save(name, 4, nil, append(registers, kept)))
+		must.NoError(t, store.Save(name, 5, prefixes, []partition.Register{{Key: "b/new", Value: []byte("x")}}))
+		must.NoError(t, store.Close())
+		_, left, err := openStore(t, folder).Load(name)
+		must.NoError(t, err)
+		must.Len(t, 2, left, must.Sprint(keys, " keys under each prefix"))
+		must.Eq(t, "b/new", left[0].Key)
+		must.Eq(t, kept.Key, left[1].Key)
+	}
+}
+
 // Guards against a replica that keeps its identity after it has lost its promises and registers.
 func TestADamagedFileIsMovedAsideAndGetsANewIdentity(t *testing.T) {
 	damages := map[string]func(path string) error{
