--- a/internal/lab/platform/soak/callers.go
+++ b/internal/lab/platform/soak/callers.go
@@ -21,6 +21,8 @@
 	status int
 	header http.Header
 	body   string
+	// connectedAt is when the connection was ready and the request had not been sent; zero if there was no connection.
+	connectedAt time.Time
 	// written is true if the whole request was sent. err is set if no complete answer was received.
 	written bool
 	err     error
@@ -110,8 +112,20 @@
 func callOn(ctx context.Context, transport *http.Transport, node *Node, method, target, id, body string, limit time.Duration, headers ...string) answer {
 	ctx, cancel := context.WithTimeout(ctx, limit+callMargin)
 	defer cancel()
-	written := atomic.Bool{}
-	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { written.Store(info.Err == nil) }}
+	written, connectedAt := atomic.Bool{}, atomic.Pointer[time.Time]{}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			now := time.Now()
+			connectedAt.CompareAndSwap(nil, &now)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { written.Store(info.Err == nil) },
+	}
+	result := func(got answer) answer {
+		if at := connectedAt.Load(); at != nil {
+			got.connectedAt = *at
+		}
+		return got
+	}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, "http://"+node.Front+target, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
@@ -124,11 +138,11 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return answer{written: written.Load(), err: err}
+		return result(answer{written: written.Load(), err: err})
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(content), written: true, err: err, closing: response.Close}
+	return result(answer{status: response.StatusCode, header: response.Header, body: string(content), written: true, err: err, closing: response.Close})
 }
 
 // callMargin is how much longer than its deadline a call may take before it is abandoned.
@@ -149,9 +163,10 @@
 
 	mu            sync.Mutex
 	lastNumber    int
-	nonIdempotent []string          // identifiers of requests that may run at most once
-	refused       []string          // identifiers of requests that were refused without a run
-	tenants       map[string]string // by identifier of the request
+	nonIdempotent []string             // identifiers of requests that may run at most once
+	refused       []string             // identifiers of requests that were refused without a run
+	tenants       map[string]string    // by identifier of the request
+	sentAt        map[string]time.Time // when the caller began to send a request, by its identifier
 	served        int
 	failed        int
 	persistent    int // calls on persistent connections
@@ -238,6 +253,7 @@
 	incarnation := node.Incarnation()
 	sent := time.Now()
 	got := callOn(ctx, transport, node, http.MethodPost, target, id, "body of "+id, callTimeout, headers...)
+	callers.recordSending(id, got)
 	if ctx.Err() != nil {
 		return got
 	}
@@ -247,6 +263,15 @@
 	return got
 }
 
+func (callers *callers) recordSending(id string, got answer) {
+	if got.connectedAt.IsZero() {
+		return
+	}
+	callers.mu.Lock()
+	defer callers.mu.Unlock()
+	callers.sentAt[id] = got.connectedAt
+}
+
 func (callers *callers) record(id string, got answer) {
 	callers.mu.Lock()
 	defer callers.mu.Unlock()
--- a/internal/lab/platform/soak/checks_test.go
+++ b/internal/lab/platform/soak/checks_test.go
@@ -159,32 +159,65 @@
 	must.Len(t, 1, checkOrders([]site.ReceivedOrder{order("a", 2, 0), order("b", 2, 2*leaseDuration)}))
 }
 
-// Guards against accepting a usage report with a wrong count, and against rejecting one for a run near a boundary.
+// Guards against accepting a usage report with a wrong count, and against rejecting one for a run that its front may have counted in the window before.
 func TestUsageBounds(t *testing.T) {
-	begin := time.Unix(0, 7*int64(usageWindow))
-	ran := func(id, tenant string, after time.Duration) site.Execution {
-		return site.Execution{Request: id, Caller: site.Caller{Tenant: tenant}, Started: begin.Add(after)}
+	const window, millisecond = 7, time.Millisecond
+	begin := time.Unix(0, window*int64(usageWindow))
+	var executions []site.Execution
+	sentAt := make(map[string]time.Time)
+	run := func(id, tenant string, sent, started time.Duration) {
+		executions = append(executions, site.Execution{Request: id, Caller: site.Caller{Tenant: tenant}, Started: begin.Add(started)})
+		sentAt[id] = begin.Add(sent)
+	}
+	run("call-1", "harbour", time.Second, time.Second+millisecond)
+	run("call-2", "harbour", millisecond/2, millisecond) // sent in the same window, however soon after its begin it starts
+	run("call-3", "airport", time.Second, time.Second+millisecond)
+	run("call-4", "harbour", -2*millisecond, 50*millisecond)
+	run("call-5", "harbour", -3*millisecond, -millisecond/2) // started in the window before, however soon before its end
+	run("job-1-item", "depot", time.Second, time.Second)
+	run("score", "", time.Second, time.Second)
+	matched := func(sentAt map[string]time.Time, reports ...site.UsageReport) int {
+		compared, exact := matchUsage(runsByWindow(executions, sentAt), reports)
+		must.Eq(t, len(reports), compared)
+		return exact
+	}
+	before := func(counts map[string]int64) site.UsageReport {
+		return site.UsageReport{Window: window - 1, Counts: counts}
+	}
+	report := func(counts map[string]int64) site.UsageReport {
+		return site.UsageReport{Window: window, Counts: counts}
 	}
-	expected := usageByWindow([]site.Execution{
-		ran("call-1", "harbour", time.Second), ran("call-2", "harbour", time.Second), ran("call-3", "airport", time.Second),
-		ran("call-4", "harbour", windowMargin/2), ran("job-1-item", "depot", time.Second), ran("score", "", time.Second),
-	})
 	for _, check := range []struct {
 		name    string
 		counts  map[string]int64
 		allowed bool
 	}{
-		{"with the run near the boundary", map[string]int64{"harbour": 3, "airport": 1}, true},
+		{"with the run sent in the window before", map[string]int64{"harbour": 3, "airport": 1}, true},
 		{"without it", map[string]int64{"harbour": 2, "airport": 1}, true},
 		{"one too few", map[string]int64{"harbour": 1, "airport": 1}, false},
 		{"one too many", map[string]int64{"harbour": 4, "airport": 1}, false},
 		{"a tenant left out", map[string]int64{"harbour": 3}, false},
 		{"a tenant too many", map[string]int64{"harbour": 3, "airport": 1, "depot": 1}, false},
 	} {
-		must.Eq(t, check.allowed, expected[7].allow(check.counts), must.Sprint(check.name))
+		must.Eq(t, check.allowed, matched(sentAt, report(check.counts)) == 1, must.Sprint(check.name))
+	}
+	for _, check := range []struct {
+		name            string
+		before, counted int64 // of harbour
+		exact           int
+	}{
+		{"the run is counted before", 2, 2, 2},
+		{"the run is counted after", 1, 3, 2},
+		{"the run is counted twice", 2, 3, 1},
+		{"the run is counted nowhere", 1, 2, 1},
+		{"the run of the window before is lost", 0, 3, 1},
+		{"a run too many before", 3, 3, 1},
+	} {
+		got := matched(sentAt, before(map[string]int64{"harbour": check.before}), report(map[string]int64{"harbour": check.counted, "airport": 1}))
+		must.Eq(t, check.exact, got, must.Sprint(check.name))
 	}
-	must.True(t, expected[6].allow(map[string]int64{"harbour": 1}))
-	must.True(t, expected[6].allow(nil))
+	must.Eq(t, 0, matched(nil, report(map[string]int64{"harbour": 2, "airport": 1})), must.Sprint("without the time of sending only the start counts"))
+	must.Eq(t, 1, matched(nil, report(map[string]int64{"harbour": 3, "airport": 1})))
 }
 
 // Guards against exempting runs as delayed that arrived before or long after a link fault, or at another replica.
--- a/internal/lab/platform/soak/soak.go
+++ b/internal/lab/platform/soak/soak.go
@@ -90,7 +90,7 @@
 	entry := newIngress(deployment)
 	run := &soak{
 		options: options, deployment: deployment, violations: found, faults: faults, ingress: entry,
-		callers:  &callers{deployment: deployment, ingress: entry, faults: faults, report: found.add, tenants: make(map[string]string)},
+		callers:  &callers{deployment: deployment, ingress: entry, faults: faults, report: found.add, tenants: make(map[string]string), sentAt: make(map[string]time.Time)},
 		trainers: &trainers{deployment: deployment, ingress: entry, faults: faults, report: found.add, version: 1},
 	}
 	run.injector = newInjector(deployment, faults)
--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -141,6 +141,22 @@
 	must.Eq(t, report.ComparedWindows, report.ExactWindows, must.Sprint(report))
 }
 
+// Guards against runs that are counted wrongly, or compared wrongly, where requests take long to reach the replicas.
+func TestUsageIsExactOverSlowLinks(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "rollout")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "github.com/thistlewalk/thistlewalk/cmd/thistlewalk-rollout").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	plan := soak.Plan{Seed: 1, Length: 14 * time.Second}
+	for target := range 8 {
+		plan.Events = append(plan.Events, soak.Event{Kind: soak.KindReplicaLink, At: time.Second, For: 12 * time.Second, Target: target, Variant: 2})
+	}
+	report, err := soak.Run(t.Context(), soak.Options{Binary: binary, Folder: t.TempDir(), Plan: plan})
+	must.NoError(t, err)
+	must.SliceEmpty(t, report.Violations, must.Sprint(report))
+	must.GreaterEq(t, 3, report.ExactWindows, must.Sprint(report))
+	must.Eq(t, report.ComparedWindows, report.ExactWindows, must.Sprint(report))
+}
+
 // Guards against plans that a seed does not reproduce, and against events out of order or beyond the end of the plan.
 func TestDraw(t *testing.T) {
 	plan := soak.Draw(5, time.Minute)
--- a/internal/lab/platform/soak/tenants.go
+++ b/internal/lab/platform/soak/tenants.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -94,70 +96,99 @@
 	return list
 }
 
-// usageBounds are the minimum and maximum number of runs by tenant that the report of a window may contain.
-type usageBounds struct{ min, max map[string]int64 }
-
-// windowMargin is how close to a window's boundary a run may start and still be counted in the adjacent window. A front counts a request when it
-// sends it, which is earlier than the start at the replica.
-const windowMargin = 5 * time.Millisecond
-
 // compareUsage compares the usage reports with the callers' requests that the replicas ran. It returns how many windows it compared and how many
-// of them matched. Runs near a boundary may be counted in either window.
+// of them matched.
 func (run *soak) compareUsage() (compared, exact int) {
-	expected := usageByWindow(run.deployment.Executions.All())
-	seen := make(map[int64]bool)
-	for _, report := range run.deployment.Cloud.Reports() {
-		bounds, ran := expected[report.Window]
-		if seen[report.Window] || !ran {
-			continue
-		}
-		seen[report.Window] = true
-		compared++
-		if bounds.allow(report.Counts) {
-			exact++
-		}
-	}
-	return compared, exact
+	return matchUsage(runsByWindow(run.deployment.Executions.All(), run.callers.sentAt), run.deployment.Cloud.Reports())
 }
 
-// usageByWindow returns the bounds of each window in which requests of tenants ran.
-func usageByWindow(executions []site.Execution) map[int64]usageBounds {
-	windows := make(map[int64]usageBounds)
-	add := func(window int64, tenant string, certain bool) {
-		if windows[window].max == nil {
-			windows[window] = usageBounds{min: make(map[string]int64), max: make(map[string]int64)}
-		}
-		windows[window].max[tenant]++
-		if certain {
-			windows[window].min[tenant]++
+// windowRuns are the numbers of runs, by tenant, that belong to a window.
+type windowRuns struct {
+	// certain are counted in this window, either in this or in the next one.
+	certain, either map[string]int64
+}
+
+// runsByWindow returns the runs of tenants' requests by window. A front counts a run when it sends it, which is after the caller has begun to send
+// the request, at the time in sentAt by identifier, and before the replica starts to run it. Without a time in sentAt, only the window of the start
+// is allowed.
+func runsByWindow(executions []site.Execution, sentAt map[string]time.Time) map[int64]windowRuns {
+	windows := make(map[int64]windowRuns)
+	at := func(window int64) windowRuns {
+		if windows[window].certain == nil {
+			windows[window] = windowRuns{certain: make(map[string]int64), either: make(map[string]int64)}
 		}
+		return windows[window]
 	}
 	for _, execution := range executions {
 		tenant := execution.Caller.Tenant
 		if tenant == "" || strings.HasPrefix(execution.Request, "job-") {
 			continue // scorer requests have no tenant, and job items are not counted
 		}
-		before := execution.Started.Add(-windowMargin).UnixNano() / int64(usageWindow)
-		after := execution.Started.Add(windowMargin).UnixNano() / int64(usageWindow)
-		add(before, tenant, before == after)
-		if before != after {
-			add(after, tenant, false)
+		started := windowOf(execution.Started)
+		runs := at(started)
+		if sent, known := sentAt[execution.Request]; known && windowOf(sent) < started {
+			at(started - 1).either[tenant]++
+			continue
 		}
+		runs.certain[tenant]++
 	}
 	return windows
 }
 
-// allow reports whether the counts are within the bounds and contain no other tenant.
-func (bounds usageBounds) allow(counts map[string]int64) bool {
-	for tenant, limit := range bounds.max {
-		if counts[tenant] < bounds.min[tenant] || counts[tenant] > limit {
-			return false
+func windowOf(moment time.Time) int64 { return moment.UnixNano() / int64(usageWindow) }
+
+// span is a range of possible numbers of runs.
+type span struct{ min, max int64 }
+
+// matchUsage compares the first report of each window in which requests ran. A window matches if its report counts each run that belongs to it
+// exactly once: a run that may be counted in either of two windows must be counted in one of them.
+func matchUsage(runs map[int64]windowRuns, reports []site.UsageReport) (compared, exact int) {
+	counts := make(map[int64]map[string]int64)
+	for _, report := range reports {
+		if _, seen := counts[report.Window]; !seen {
+			counts[report.Window] = report.Counts
+		}
+	}
+	// earlier holds, by tenant, how many of the runs that the previous window shares with this one were counted there.
+	var earlier map[string]span
+	for _, window := range slices.Sorted(maps.Keys(counts)) {
+		if _, reported := counts[window-1]; !reported {
+			earlier = nil
+		}
+		matches, later := matchWindow(runs[window-1], runs[window], counts[window], earlier)
+		earlier = later
+		if _, ran := runs[window]; !ran {
+			continue
+		}
+		compared++
+		if matches {
+			exact++
+		}
+	}
+	return compared, exact
+}
+
+// matchWindow compares the report of one window. later are the numbers of runs, of those that the window shares with the next one, that the report
+// can contain.
+func matchWindow(previous, runs windowRuns, counts map[string]int64, earlier map[string]span) (matches bool, later map[string]span) {
+	matches, later = true, make(map[string]span)
+	tenants := make(map[string]bool)
+	for _, list := range [...]map[string]int64{previous.either, runs.certain, runs.either, counts} {
+		for tenant := range list {
+			tenants[tenant] = true
 		}
 	}
-	for tenant := range counts {
-		if bounds.max[tenant] == 0 {
-			return false
+	for tenant := range tenants {
+		before, known := earlier[tenant]
+		if !known {
+			before = span{0, previous.either[tenant]}
+		}
+		beyond := counts[tenant] - runs.certain[tenant] - previous.either[tenant] // before is added below: what the previous window has counted
+		possible := span{max(beyond+before.min, 0), min(beyond+before.max, runs.either[tenant])}
+		if possible.min > possible.max {
+			matches, possible = false, span{0, runs.either[tenant]}
 		}
+		later[tenant] = possible
 	}
-	return true
+	return matches, later
 }
