--- a/internal/ownership/replicas.go
+++ b/internal/ownership/replicas.go
@@ -76,6 +76,7 @@
 	}
 	accepted, promised, err := replica.Append(partition.Write{
 		Epoch: request.GetEpoch(), Registers: fromRecords(request.GetRecords()), RemovePrefixes: request.GetRemovePrefixes(),
+		RemovalSequence: request.GetRemovalSequence(),
 	})
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
@@ -134,7 +135,7 @@
 func (transport twirpTransport) Append(ctx context.Context, holder partition.Holder, name partition.Name, write partition.Write) (bool, uint64, error) {
 	answer, err := transport.serviceAt(holder).Append(ctx, &controlv1.AppendRequest{
 		Partition: nameToMessage(name), Epoch: write.Epoch, ReplicaId: holder.ReplicaID,
-		Records: toRecords(write.Registers), RemovePrefixes: write.RemovePrefixes,
+		Records: toRecords(write.Registers), RemovePrefixes: write.RemovePrefixes, RemovalSequence: write.RemovalSequence,
 	})
 	if err != nil {
 		return false, 0, err
--- a/internal/partition/log.go
+++ b/internal/partition/log.go
@@ -176,6 +176,10 @@
 		return result.New(result.NotRunNoOwner, "partition %s recovers after: %v", log.name, failure)
 	}
 	write := Write{Epoch: log.epoch, RemovePrefixes: removePrefixes, Registers: make([]Register, 0, len(values))}
+	if len(removePrefixes) > 0 {
+		log.sequence++
+		write.RemovalSequence = log.sequence
+	}
 	for _, value := range values {
 		log.sequence++
 		write.Registers = append(write.Registers, Register{Key: value.Key, Epoch: log.epoch, Sequence: log.sequence, Value: value.Value})
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -275,3 +277,82 @@
 	must.Eq(t, 1, sequence)
 	must.Error(t, first.Append(t.Context(), []Value{{Key: "k"}}, nil))
 }
+
+// Guards against writes that a removal deletes although they were sent after it, and against removed keys that a late write
+// brings back, in memory and on disk, whatever the order in which a replica receives them.
+func TestRemovalsAndWritesInAnyOrder(t *testing.T) {
+	writes := []Write{
+		{Epoch: 2, Registers: []Register{{Key: "a/old", Epoch: 2, Sequence: 1, Value: []byte("old")}, {Key: "b/kept", Epoch: 2, Sequence: 2}}},
+		{Epoch: 2, RemovePrefixes: []string{"a/"}, RemovalSequence: 3},
+		{Epoch: 2, Registers: []Register{{Key: "a/new", Epoch: 2, Sequence: 4, Value: []byte("new")}}},
+	}
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		for _, storage := range []Storage{nil, &memoryStorage{}} {
+			replica := NewReplica(Name{Kind: KindSteps}, storage)
+			for _, index := range order {
+				accepted, _, err := replica.Append(writes[index])
+				must.NoError(t, err)
+				must.True(t, accepted)
+			}
+			promise, err := replica.Promise(2)
+			must.NoError(t, err)
+			var keys []string
+			for _, register := range promise.Registers {
+				keys = append(keys, register.Key+"="+string(register.Value))
+			}
+			must.Eq(t, []string{"a/new=new", "b/kept="}, keys, must.Sprint(order, storage != nil))
+		}
+	}
+}
+
+// Guards against removals of an earlier build, which have no sequence, that delete nothing, and against remembered removals
+// that outlast their epoch.
+func TestRemovalsOfEarlierBuildsAndEpochs(t *testing.T) {
+	replica := NewReplica(Name{Kind: KindSteps}, nil)
+	append := func(write Write) {
+		accepted, _, err := replica.Append(write)
+		must.NoError(t, err)
+		must.True(t, accepted)
+	}
+	left := func() int {
+		promise, err := replica.Promise(replica.promised)
+		must.NoError(t, err)
+		return len(promise.Registers)
+	}
+	append(Write{Epoch: 1, Registers: []Register{{Key: "a/1", Epoch: 1, Sequence: 9}}})
+	append(Write{Epoch: 1, RemovePrefixes: []string{"a/"}})
+	must.Eq(t, 0, left())
+	append(Write{Epoch: 1, RemovePrefixes: []string{"a/"}, RemovalSequence: 10})
+	append(Write{Epoch: 2, Registers: []Register{{Key: "a/2", Epoch: 2, Sequence: 1}}})
+	must.Eq(t, 1, left())
+}
+
+// memoryStorage is a Storage in memory that removes by prefix whatever the registers' sequences are.
+type memoryStorage struct {
+	promised  uint64
+	registers map[string]Register
+}
+
+// Load implements Storage.
+func (storage *memoryStorage) Load(Name) (uint64, []Register, error) {
+	var list []Register
+	for _, key := range slices.Sorted(maps.Keys(storage.registers)) {
+		list = append(list, storage.registers[key])
+	}
+	return storage.promised, list, nil
+}
+
+// Save implements Storage.
+func (storage *memoryStorage) Save(_ Name, promised uint64, removePrefixes []string, registers []Register) error {
+	storage.promised = promised
+	for _, prefix := range removePrefixes {
+		maps.DeleteFunc(storage.registers, func(key string, _ Register) bool { return strings.HasPrefix(key, prefix) })
+	}
+	if storage.registers == nil {
+		storage.registers = make(map[string]Register)
+	}
+	for _, register := range registers {
+		storage.registers[register.Key] = register
+	}
+	return nil
+}
--- a/internal/partition/replica.go
+++ b/internal/partition/replica.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -27,6 +28,9 @@
 	Epoch          uint64
 	Registers      []Register
 	RemovePrefixes []string
+	// RemovalSequence orders the removal among the registers of the epoch: it removes those that are not newer. Zero, from
+	// an earlier build, removes all.
+	RemovalSequence uint64
 }
 
 // Storage is the durable state of replicas. Package samplestore implements it; a replica without storage is in memory.
@@ -47,6 +51,7 @@
 	promised uint64
 	// registers are by key. With a storage they have no values; Promise reads these from the storage.
 	registers map[string]Register
+	removals  removals
 }
 
 // NewReplica returns the replica of a partition on the given storage, or in memory only if storage is nil.
@@ -110,6 +115,7 @@
 			return Promise{}, err
 		}
 		replica.promised = epoch
+		replica.removals.reset()
 	}
 	registers, err := replica.sorted()
 	return Promise{Granted: err == nil, Epoch: epoch, Registers: registers}, err
@@ -142,30 +148,61 @@
 	}
 	fresh := make([]Register, 0, len(write.Registers))
 	for _, register := range write.Registers {
-		if present, ok := replica.registers[register.Key]; !ok || register.newer(present) {
+		present, ok := replica.registers[register.Key]
+		overtaken := write.Epoch == replica.promised && replica.removals.cover(register)
+		if (!ok || register.newer(present)) && !overtaken {
 			fresh = append(fresh, register)
 		}
 	}
-	if err := replica.save(write.Epoch, write.RemovePrefixes, fresh); err != nil {
+	removed, kept := replica.underPrefixes(write)
+	preserved, err := replica.valuesOf(kept)
+	if err != nil {
+		return false, replica.promised, err
+	}
+	if err := replica.save(write.Epoch, write.RemovePrefixes, append(preserved, fresh...)); err != nil {
 		return false, replica.promised, err
 	}
+	if write.Epoch > replica.promised {
+		replica.removals.reset()
+	}
 	replica.promised = write.Epoch
-	replica.remove(write.RemovePrefixes)
+	for _, key := range removed {
+		delete(replica.registers, key)
+	}
+	replica.removals.add(write)
 	for _, register := range fresh {
 		replica.registers[register.Key] = replica.cached(register)
 	}
 	return true, replica.promised, nil
 }
 
-// remove deletes keys by prefix. The caller must hold mu.
-func (replica *Replica) remove(prefixes []string) {
-	for _, prefix := range prefixes {
-		for key := range replica.registers {
-			if strings.HasPrefix(key, prefix) {
-				delete(replica.registers, key)
+// underPrefixes returns the keys that a write removes, and those under its prefixes that it keeps because they were written
+// after it. The caller must hold mu.
+func (replica *Replica) underPrefixes(write Write) (removed []string, kept map[string]bool) {
+	kept = make(map[string]bool)
+	removal := Register{Epoch: write.Epoch, Sequence: write.RemovalSequence}
+	for _, prefix := range write.RemovePrefixes {
+		for key, register := range replica.registers {
+			switch {
+			case !strings.HasPrefix(key, prefix):
+			case write.RemovalSequence > 0 && register.newer(removal):
+				kept[key] = true
+			default:
+				removed = append(removed, key)
 			}
 		}
 	}
+	return removed, kept
+}
+
+// valuesOf returns registers with their values. The storage removes by prefix, so that registers which are kept must be put
+// again. The caller must hold mu.
+func (replica *Replica) valuesOf(keys map[string]bool) ([]Register, error) {
+	if len(keys) == 0 || replica.storage == nil {
+		return nil, nil
+	}
+	_, stored, err := replica.storage.Load(replica.name)
+	return slices.DeleteFunc(stored, func(register Register) bool { return !keys[register.Key] }), err
 }
 
 // Merge returns the newest register of each key in several sets of registers.
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -84,6 +84,10 @@
 mutate 'deferred job not reclaimed' internal/batchrun/service.go 'other.delegation.reclaim()' '_ = other' ./internal/batchrun
 mutate 'no backoff for a failing replica' internal/batchrun/generate.go 'runner.scheduler.recordFailure(replica.ID, time.Now())' '_ = time.Now' ./internal/batchrun
 mutate 'item retried on its last replica' internal/batchrun/generate.go 'running.avoid, running.avoidUntil = replica.ID, now.Add(avoidAfterFailure)' '_ = avoidAfterFailure' ./internal/batchrun
+mutate 'late removal deletes newer registers' internal/partition/replica.go 'write.RemovalSequence > 0 && register.newer(removal)' 'write.RemovalSequence < 0 && register.newer(removal)' ./internal/partition
+mutate 'late write of a removed key stored' internal/partition/replica.go 'write.Epoch == replica.promised && replica.removals.cover(register)' 'write.Epoch < replica.promised && replica.removals.cover(register)' ./internal/partition
+mutate 'removal outlasts its epoch' internal/partition/replica.go 'write.Epoch == replica.promised && replica.removals.cover(register)' 'replica.removals.cover(register)' ./internal/partition
+mutate 'removed prefix leaves keys' internal/samplestore/store.go 'key, _ = cursor.Seek(prefix) {' 'key, _ = cursor.Next() {' ./internal/samplestore
 mutate 'crashes not reported to nodes' internal/quarantine/outbox.go 'if guard.Broadcaster == nil || notice.empty() {' 'if guard.Broadcaster == nil || notice.Reporter == "" {' ./internal/quarantine
 mutate 'quarantine not stored' internal/quarantine/record_store.go 'if known.Crashes < quarantineThreshold || stored.crashes >= known.Crashes {' 'if known.Crashes > 0 || stored.crashes >= known.Crashes {' ./internal/quarantine
 mutate 'quarantine not published' internal/role/topics.go '		{Mirror: topics.quarantine},
