--- a/internal/samplestore/store.go
+++ b/internal/samplestore/store.go
@@ -1,6 +1,6 @@
 // Package samplestore stores the registers of partitions in a bbolt file in the node's data folder. Every value has a
-// checksum. An unreadable file is renamed and replaced by an empty file with a new identity. The owners of partitions
-// then restore the registers from the other replicas.
+// checksum. A damaged file is renamed and replaced by an empty file with a new identity. The owners of partitions then
+// restore the registers from the other replicas. A file that cannot be opened for another reason is left as it is.
 package samplestore
 
 import (
@@ -43,11 +43,13 @@
 	database *bolt.DB
 	identity string
 	path     string
-	// UnreadablePath is the path that an unreadable file was renamed to, or empty if the file was readable.
+	// UnreadablePath is the path that a damaged file was renamed to, or empty if the file was intact.
 	UnreadablePath string
 }
 
-// Open opens the store in a data folder, and creates the folder and the store if they do not exist.
+// Open opens the store in a data folder, and creates the folder and the store if they do not exist. It replaces a damaged
+// file. Any other error, such as a denied permission or a lack of descriptors, may pass, and the file may be intact: the
+// node must not go on without its promises and registers.
 func Open(folder string) (*Store, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, errors.Wrap(err, "data folder")
@@ -60,6 +62,9 @@
 	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, errors.Wrapf(err, "%s is in use by another process", path)
 	}
+	if !isDamage(err) {
+		return nil, errors.Wrapf(err, "%s cannot be opened", path)
+	}
 	unreadablePath := fmt.Sprintf("%s.unreadable-%d", path, time.Now().UnixNano())
 	if renameErr := os.Rename(path, unreadablePath); renameErr != nil {
 		return nil, errors.CombineErrors(err, renameErr)
@@ -72,6 +77,11 @@
 	return store, nil
 }
 
+// isDamage reports whether an error of open says that the content of the file is damaged.
+func isDamage(err error) bool {
+	return errors.IsAny(err, ErrCorrupt, bolterrors.ErrInvalid, bolterrors.ErrVersionMismatch, bolterrors.ErrChecksum)
+}
+
 // open opens a file and verifies its whole content.
 func open(path string) (store *Store, err error) {
 	defer func() {
@@ -80,6 +90,9 @@
 			store, err = nil, errors.Mark(errors.Newf("%s: %v", path, cause), ErrCorrupt)
 		}
 	}()
+	if err := checkSize(path); err != nil {
+		return nil, err
+	}
 	database, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: openTimeout, NoFreelistSync: true})
 	if err != nil {
 		return nil, errors.Wrap(err, path)
@@ -96,6 +109,20 @@
 	return store, nil
 }
 
+// checkSize returns ErrCorrupt for a file that is cut off within its first two pages, which bbolt reports by text only.
+func checkSize(path string) error {
+	info, err := os.Stat(path)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return nil
+	case err != nil:
+		return errors.Wrap(err, "sample store")
+	case info.Mode().IsRegular() && info.Size() > 0 && info.Size() < 2*int64(os.Getpagesize()):
+		return errors.Wrapf(ErrCorrupt, "%s has %d bytes", path, info.Size())
+	}
+	return nil
+}
+
 // verify checks the page structure and every checksum.
 func (store *Store) verify() error {
 	return store.database.View(func(transaction *bolt.Tx) error {
--- a/internal/samplestore/store_test.go
+++ b/internal/samplestore/store_test.go
@@ -98,6 +98,33 @@
 	}
 }
 
+// Guards against a node that starts empty because its file could not be opened for a reason that says nothing of its content.
+func TestFileThatCannotBeOpenedIsLeftAsItIs(t *testing.T) {
+	for kind, obstruct := range map[string]func(path string) error{
+		"a folder":          func(path string) error { return os.Mkdir(path, 0o700) },
+		"a loop of links":   func(path string) error { return os.Symlink(path, path) },
+		"a missing folder":  func(path string) error { return os.Symlink(filepath.Join(path+"-away", "samples.db"), path) },
+		"not a plain file":  func(path string) error { return os.Symlink(os.DevNull, path) },
+		"no write possible": func(path string) error { return os.Symlink("/proc/version", path) },
+	} {
+		t.Run(kind, func(t *testing.T) {
+			folder := t.TempDir()
+			path := filepath.Join(folder, fileName)
+			must.NoError(t, obstruct(path))
+			before, err := os.Lstat(path)
+			must.NoError(t, err)
+			_, err = Open(folder)
+			must.Error(t, err)
+			after, err := os.Lstat(path)
+			must.NoError(t, err)
+			must.True(t, os.SameFile(before, after))
+			files, err := os.ReadDir(folder)
+			must.NoError(t, err)
+			must.Len(t, 1, files)
+		})
+	}
+}
+
 func FuzzDecodeRegister(f *testing.F) {
 	f.Add([]byte{0xa0})
 	f.Fuzz(func(t *testing.T, content []byte) { _, _ = DecodeRegister(content) })
