--- a/internal/provisioning/decision.go
+++ b/internal/provisioning/decision.go
@@ -153,6 +153,16 @@
 	return highest
 }
 
+// isKnown reports whether replicas can be had in the zone of a pool, as far as the configuration tells: where it has prices, it prices every zone. A
+// registered replica that names no zone, or a wrong one, still serves, but makes a pool that the platform does not know.
+func (plan *plan) isKnown(pool *plannedPool) bool {
+	if len(plan.Scaling.ZonePrices) == 0 {
+		return pool.Zone != ""
+	}
+	_, priced := plan.Scaling.ZonePrices[pool.Zone]
+	return priced
+}
+
 // zoneCount returns the planned number of replicas of both kinds in a zone.
 func (plan *plan) zoneCount(zone string) int {
 	return plan.sum(func(pool *plannedPool) int { return pool.count }, func(pool *plannedPool) bool { return pool.Zone == zone })
@@ -193,7 +203,7 @@
 	plan.startFrom(atLeast)
 	changed := false
 	for _, pool := range plan.pools {
-		if pool.Spot || plan.awaitsAnswer(pool.Zone) {
+		if pool.Spot || !plan.isKnown(pool) || plan.awaitsAnswer(pool.Zone) {
 			continue
 		}
 		if missing := plan.Scaling.Minimum - plan.zoneCount(pool.Zone); missing > 0 && !pool.Unavailable {
@@ -242,7 +252,7 @@
 	changed := false
 	for _, pool := range plan.pools {
 		lacking := haveTotal < wantTotal || (!pool.Spot && haveFixed < wantFixed)
-		if lost := pool.Ordered - pool.Expected; lost > 0 && lacking && !pool.Unavailable && !plan.awaitsAnswer(pool.Zone) {
+		if lost := pool.Ordered - pool.Expected; lost > 0 && lacking && plan.isKnown(pool) && !pool.Unavailable && !plan.awaitsAnswer(pool.Zone) {
 			pool.repeated, changed = true, true
 			haveTotal += lost
 			if !pool.Spot {
@@ -266,7 +276,7 @@
 	return changed
 }
 
-// addOne adds a replica in the zone that has the fewest of the kind and can give one, the cheapest first.
+// addOne adds a replica in the zone that has the fewest of the kind and can give one, the cheapest first, and in one that is not known last.
 func (plan *plan) addOne(spot bool) bool {
 	if spot && (plan.Scaling.SpotPrice <= 0 || plan.Scaling.SpotPrice >= 1) {
 		return false
@@ -277,7 +287,7 @@
 		if pool.Spot != spot || pool.Unavailable || settling || plan.awaitsAnswer(pool.Zone) || plan.zoneCount(pool.Zone) >= plan.Scaling.Maximum {
 			continue
 		}
-		if best == nil || pool.count < best.count {
+		if best == nil || plan.isBetter(pool, best) {
 			best = pool // pools are ordered by price
 		}
 	}
@@ -288,6 +298,14 @@
 	return true
 }
 
+// isBetter reports whether a replica is rather added to a pool than to another one.
+func (plan *plan) isBetter(pool, other *plannedPool) bool {
+	if known := plan.isKnown(pool); known != plan.isKnown(other) {
+		return known
+	}
+	return pool.count < other.count
+}
+
 // lower removes the replicas that the highest recent need leaves idle.
 func (plan *plan) lower() bool {
 	lowerAfter := LowerAfter(plan.Scaling.BootTime)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -89,6 +89,7 @@
 mutate 'removal outlasts its epoch' internal/partition/replica.go 'write.Epoch == replica.promised && replica.removals.cover(register)' 'replica.removals.cover(register)' ./internal/partition
 mutate 'removed prefix leaves keys' internal/samplestore/store.go 'key, _ = cursor.Seek(prefix) {' 'key, _ = cursor.Next() {' ./internal/samplestore
 mutate 'intact file set aside' internal/samplestore/store.go 'if !isDamage(err) {' 'if !isDamage(err) && folder == "" {' ./internal/samplestore
+mutate 'unknown zone ordered first' internal/provisioning/decision.go 'known != plan.isKnown(other) {' 'known && other == nil {' ./internal/provisioning
 mutate 'crashes not reported to nodes' internal/quarantine/outbox.go 'if guard.Broadcaster == nil || notice.empty() {' 'if guard.Broadcaster == nil || notice.Reporter == "" {' ./internal/quarantine
 mutate 'quarantine not stored' internal/quarantine/record_store.go 'if known.Crashes < quarantineThreshold || stored.crashes >= known.Crashes {' 'if known.Crashes > 0 || stored.crashes >= known.Crashes {' ./internal/quarantine
 mutate 'quarantine not published' internal/role/topics.go '		{Mirror: topics.quarantine},
