Quarantine: crashes known from a record, their order, and trials that fail

- A crash known from the stored record only has no time.
A report of it looked older than any answer, so that an answer from before the quarantine, told once more, could clear a request at a node that had loaded its record, and the request would run again.
Such crashes count as from when the record was read, and are not reported; other nodes have the record.
- Crashes are kept in the order of the interruptions.
What is told late was taken for the newest crash, by which requests are compared and take turns.
- A trial that a replica answers with a failure makes room for the next one, as one that is not run.
It kept its turn for 8 s.

Tests: TestAnswerBeforeARecordChangesNothing, TestNewestCrashIsTheLastInterruption, TestTrialWithoutResultMakesRoom. The package passes with the race detector.

--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -97,7 +97,7 @@
 	}
 	response.Body = &watchedBody{
 		ReadCloser: response.Body, ctx: runCtx, release: release, guard: guard, replica: replica, request: request, status: response.Status,
-		done: response.NotExecuted,
+		trial: trial, done: response.NotExecuted,
 	}
 	return response, nil
 }
@@ -157,10 +157,10 @@
 	return response.NotExecuted
 }
 
-// endTrial lets other requests be tried after a trial that no replica has run.
+// endTrial lets other requests be tried after a trial that no replica has run, or one that failed without a crash.
 func (guard *Guard) endTrial(replica *catalog.Replica, request *backend.Request) {
 	fingerprint := FingerprintOf(replica.Service, request)
-	guard.Logger.Info("trial not run", "request", request.ID, "service", replica.Service, "replica", replica.ID, "fingerprint", fingerprint)
+	guard.Logger.Info("trial without result", "request", request.ID, "service", replica.Service, "replica", replica.ID, "fingerprint", fingerprint)
 	guard.announceReservation(guard.Tracker.EndTrial(fingerprint))
 }
 
@@ -249,7 +249,7 @@
 	guard.unanswered.drop(fingerprint)
 	crashes := guard.Tracker.Suspected(fingerprint).Crashes
 	now := time.Now()
-	if !guard.Tracker.ClearAnswered(fingerprint, now, now) {
+	if !guard.Tracker.ClearAnswered(fingerprint, now) {
 		return
 	}
 	guard.Metrics.SuspicionCleared()
@@ -276,6 +276,7 @@
 	replica *catalog.Replica
 	request *backend.Request
 	status  int
+	trial   bool
 	// done is true if the end of the answer was handled or carries no evidence.
 	done bool
 }
@@ -295,6 +296,9 @@
 	body.done = true
 	if errors.Is(err, io.EOF) {
 		body.guard.answerCompleted(body.replica, body.request, body.status)
+		if body.trial && body.status >= http.StatusInternalServerError {
+			body.guard.endTrial(body.replica, body.request)
+		}
 		return count, err
 	}
 	body.guard.answerLost(body.ctx, body.replica, body.request)
--- a/internal/quarantine/notice.go
+++ b/internal/quarantine/notice.go
@@ -44,11 +44,10 @@
 // clearReported drops the crashes that a reported answer disproves: all of them if the notice does not tell when the
 // request was answered.
 func (guard *Guard) clearReported(notice Notice, index int, fingerprint Fingerprint) bool {
-	now := time.Now()
 	if index < len(notice.ClearedAt) {
-		return guard.Tracker.ClearAnswered(fingerprint, notice.ClearedAt[index], now)
+		return guard.Tracker.RecordAnswer(fingerprint, notice.ClearedAt[index])
 	}
 	cleared := guard.Tracker.Clear(fingerprint)
-	guard.Tracker.ClearAnswered(fingerprint, now, now)
+	guard.Tracker.RecordAnswer(fingerprint, time.Now())
 	return cleared
 }
--- a/internal/quarantine/outbox.go
+++ b/internal/quarantine/outbox.go
@@ -61,14 +61,14 @@
 	wake    chan struct{}
 }
 
-// addCrashes queues all recorded crashes under a request, since other nodes may have missed the earlier ones.
+// addCrashes queues all recorded crashes under a request, since other nodes may have missed the earlier ones. Those known
+// from the stored record only reach the other nodes by it.
 func (outbox *outbox) addCrashes(fingerprint Fingerprint, events []CrashEvent) {
-	if len(events) == 0 {
-		return
-	}
 	outbox.mu.Lock()
 	for _, event := range events {
-		outbox.pending.Crashes = append(outbox.pending.Crashes, CrashReport{fingerprint, event})
+		if !event.InterruptedAt.IsZero() {
+			outbox.pending.Crashes = append(outbox.pending.Crashes, CrashReport{fingerprint, event})
+		}
 	}
 	outbox.mu.Unlock()
 	outbox.notify()
--- a/internal/quarantine/reconcile.go
+++ b/internal/quarantine/reconcile.go
@@ -121,7 +121,7 @@
 			mentioned[crash.Fingerprint] = make(map[string]bool)
 		}
 		mentioned[crash.Fingerprint][crash.Replica] = true
-		if !crash.InterruptedAt.After(guard.Tracker.AnsweredAt(crash.Fingerprint)) {
+		if answeredAt := guard.Tracker.AnsweredAt(crash.Fingerprint); !answeredAt.IsZero() && !crash.InterruptedAt.After(answeredAt) {
 			disproved[crash.Fingerprint] = true
 		}
 	}
--- a/internal/quarantine/reconcile_test.go
+++ b/internal/quarantine/reconcile_test.go
@@ -40,6 +40,12 @@
 // Lift implements quarantine.Persister.
 func (recorder *recorder) Lift(quarantine.Fingerprint) {}
 
+func (recorder *recorder) persistCalls() int {
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	return recorder.persisted
+}
+
 // take returns the notices since the last call.
 func (recorder *recorder) take() []quarantine.Notice {
 	recorder.mu.Lock()
@@ -142,6 +148,35 @@
 	})
 }
 
+// Guards against a request that is sent again because an answer from before its quarantine, told once more, clears a record
+// that was read since; its crashes have no time.
+func TestAnswerBeforeARecordChangesNothing(t *testing.T) {
+	now := time.Now()
+	fingerprint := fingerprintOf(culprit)
+	tracker := quarantine.NewTracker("node", now)
+	restoreRecord(culprit, "other", now, []string{"r1", "r2", "r3"}, tracker)
+	tracker.RecordCrash(fingerprint, "r4", "other", now.Add(time.Second), now.Add(time.Second))
+	must.False(t, tracker.RecordAnswer(fingerprint, now.Add(-time.Minute)))
+	must.Eq(t, 4, tracker.Suspected(fingerprint).Crashes)
+	must.True(t, tracker.RecordAnswer(fingerprint, now.Add(500*time.Millisecond)))
+	must.Eq(t, 1, tracker.Suspected(fingerprint).Crashes, must.Sprint("one crash is newer than the answer"))
+}
+
+// Guards against a crash that is put down to the wrong request because an earlier crash is learned of later.
+func TestNewestCrashIsTheLastInterruption(t *testing.T) {
+	now := time.Now()
+	tracker := quarantine.NewTracker("node", now)
+	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds-4) * time.Second) }
+	for index, replica := range []string{"r0", "r1", "r4"} {
+		tracker.RecordCrash(fingerprintOf(culprit), replica, "node", at([]int{0, 1, 4}[index]), now)
+	}
+	tracker.RecordCrash(fingerprintOf(culprit), "r9", "node", at(3), now)
+	for _, second := range []int{4, 2, 3} { // r2 and r3 crashed earlier and not under the other request
+		tracker.RecordCrash(fingerprintOf(harmless), fmt.Sprint("r", second), "node", at(second), now)
+	}
+	must.True(t, tracker.Admit(fingerprintOf(harmless), quarantine.Claim{}, now.Add(holdDuration)).Attributed)
+}
+
 // Guards against a stored record that says too little and is left as it is: who knows more must tell, until it is put right.
 func TestRecordThatLacksCrashesIsPutRight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -151,20 +186,20 @@
 		guard.HandleNotice(report("other", "x", "r1", "r2", "r3", "r4"))
 		stored := quarantine.Suspicion{Crashes: 3, Reporter: "other", Until: time.Now().Add(time.Hour)}
 		guard.Tracker.Restore(fingerprint, stored, time.Now())
-		before := recorder.persisted
+		before := recorder.persistCalls()
 		for range 2 {
 			time.Sleep(6 * time.Second)
 			must.Eq(t, []string{"r1", "r2", "r3", "r4"}, replicasIn(recorder.take()))
 		}
-		must.Greater(t, before, recorder.persisted)
+		must.Greater(t, before, recorder.persistCalls())
 		stored.Crashes = 4
 		guard.Tracker.Restore(fingerprint, stored, time.Now())
 		time.Sleep(time.Minute)
 		recorder.take()
-		before = recorder.persisted
+		before = recorder.persistCalls()
 		time.Sleep(time.Minute)
 		must.SliceEmpty(t, recorder.take())
-		must.Eq(t, before, recorder.persisted)
+		must.Eq(t, before, recorder.persistCalls())
 	})
 }
 
@@ -235,6 +270,12 @@
 	sent   int
 }
 
+func (hub *hub) notices() int {
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	return hub.sent
+}
+
 // member is a guard's access to the hub.
 type member struct {
 	hub   *hub
@@ -277,7 +318,7 @@
 		time.Sleep(time.Second)
 		member{hub, 0}.Broadcast(report("node-0", "x", "r3"))
 		time.Sleep(replyTime)
-		replies := hub.sent - 1
+		replies := hub.notices() - 1
 		must.Between(t, 1, replies, fewReplies)
 		must.Eq(t, 3, hub.guards[0].Tracker.Suspected(fingerprintOf("x")).Crashes)
 		t.Logf("%d of %d nodes reply", replies, nodes)
--- a/internal/quarantine/reservation_test.go
+++ b/internal/quarantine/reservation_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 	"github.com/thistlewalk/thistlewalk/internal/quarantine"
@@ -178,6 +181,49 @@
 	}
 }
 
+// Guards against turns that a trial keeps which ended without a crash or an answer to the request.
+func TestTrialWithoutResultMakesRoom(t *testing.T) {
+	for _, check := range []struct {
+		name     string
+		response *backend.Response
+		err      error
+		ended    bool
+	}{
+		{"not sent", nil, errRefused, true},
+		{"not run", &backend.Response{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: io.NopCloser(strings.NewReader(""))}, nil, true},
+		{"failed", answerOf(http.StatusInternalServerError, strings.NewReader("")), nil, true},
+		{"broken off", nil, errBroken, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			fixture, recorder := newFixture(t), &recorder{}
+			fixture.guard.Broadcaster = recorder
+			fingerprint, other := quarantine.FingerprintOf(service, requested), fingerprintOf("other")
+			for index, replica := range []string{"r7", "r8", "r9"} {
+				at := time.Now().Add(time.Duration(index-2) * time.Second)
+				fixture.guard.Tracker.RecordCrash(fingerprint, replica, "node", at, at)
+				fixture.guard.Tracker.RecordCrash(other, replica, "node", at, at)
+			}
+			fixture.network.response, fixture.network.err = check.response, check.err
+			exclusive := *requested
+			exclusive.Exclusive = true
+			time.Sleep(holdDuration)
+			for range 3 { // the first ones reserve
+				if response, err := fixture.guard.Send(t.Context(), &target, &exclusive); err == nil {
+					_, _ = io.Copy(io.Discard, response.Body)
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+			ended := false
+			for _, notice := range recorder.take() {
+				for _, reservation := range notice.Reservations {
+					ended = ended || (reservation.Running && reservation.Duration == 0)
+				}
+			}
+			must.Eq(t, check.ended, ended, must.Sprint(check.name))
+		})
+	}
+}
+
 // jobCaller sends the requests of one batch job, each until it is answered.
 type jobCaller struct {
 	node *node
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -70,7 +70,7 @@
 // CrashEvent is the crash of a replica while it ran a request.
 type CrashEvent struct {
 	Replica string
-	// InterruptedAt is when the request was interrupted.
+	// InterruptedAt is when the request was interrupted; zero if the crash is known from the stored record only.
 	InterruptedAt time.Time
 }
 
@@ -87,7 +87,7 @@
 	changes uint64       // counts additions, changes and removals of entries
 	// answered holds when requests were last known to be answered, so that a report that arrives late does not count again
 	// what an answer has disproved.
-	answered map[Fingerprint]time.Time
+	answered answers
 }
 
 // entry is the state of one suspected request.
@@ -99,6 +99,8 @@
 	lastSeen  time.Time    // when this node learned of the last crash that counts
 	lastTrial time.Time    // when this node last tried the request
 	until     time.Time    // the end of the quarantine; zero outside
+	// restoredAt is when the stored record was last merged; zero for never.
+	restoredAt time.Time
 	// storedCrashes is the number in the stored record, zero for none. It may be lower than crashes.
 	storedCrashes int
 
@@ -115,7 +117,7 @@
 
 // NewTracker returns an empty tracker for a node whose process starts now.
 func NewTracker(node string, now time.Time) *Tracker {
-	return &Tracker{node: node, started: now, entries: make(map[Fingerprint]*entry), heads: make(map[head]int), answered: make(map[Fingerprint]time.Time)}
+	return &Tracker{node: node, started: now, entries: make(map[Fingerprint]*entry), heads: make(map[head]int)}
 }
 
 // MayBeSuspected reports whether a request may be suspected, without reading its body. It takes no lock if no request is
@@ -136,7 +138,7 @@
 func (tracker *Tracker) RecordCrash(fingerprint Fingerprint, replica, reporter string, interruptedAt, now time.Time) (crashes int, added bool) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	if answeredAt, ok := tracker.answered[fingerprint]; ok && !interruptedAt.After(answeredAt) {
+	if tracker.answered.disprove(fingerprint, interruptedAt) {
 		return tracker.countOf(fingerprint), false
 	}
 	known := tracker.getOrCreate(fingerprint, now)
@@ -186,7 +188,7 @@
 	if stored.Crashes > known.crashes {
 		known.setCrashes(stored.Crashes, stored.Reporter, now, stored.Until)
 	}
-	known.until = stored.Until
+	known.until, known.restoredAt = stored.Until, now
 	known.storedCrashes = max(known.storedCrashes, stored.Crashes)
 }
 
@@ -198,16 +200,21 @@
 // hasSimultaneous reports whether a recorded crash interrupted the request at about the given time.
 func (entry *entry) hasSimultaneous(interruptedAt time.Time) bool {
 	return slices.ContainsFunc(entry.events, func(other CrashEvent) bool {
-		return interruptedAt.Sub(other.InterruptedAt).Abs() < simultaneousWindow
+		return !other.InterruptedAt.IsZero() && interruptedAt.Sub(other.InterruptedAt).Abs() < simultaneousWindow
 	})
 }
 
-// addEvent records a crash, and drops the oldest if there are too many.
+// addEvent records a crash in the order of the interruptions, since reports may arrive in another order, and drops the oldest
+// if there are too many.
 func (entry *entry) addEvent(event CrashEvent) {
 	if len(entry.events) == maxEvents {
 		entry.events = slices.Delete(entry.events, 0, 1)
 	}
-	entry.events = append(entry.events, event)
+	place := len(entry.events)
+	for place > 0 && entry.events[place-1].InterruptedAt.After(event.InterruptedAt) && !event.InterruptedAt.IsZero() {
+		place--
+	}
+	entry.events = slices.Insert(entry.events, place, event)
 }
 
 // setCrashes sets the number of crashes, and quarantines the request once it reaches quarantineThreshold.
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -94,7 +94,7 @@
 mutate 'quarantine not stored' internal/quarantine/record_store.go 'if known.Crashes < quarantineThreshold || stored.crashes >= known.Crashes {' 'if known.Crashes > 0 || stored.crashes >= known.Crashes {' ./internal/quarantine
 mutate 'quarantine not published' internal/role/topics.go '		{Mirror: topics.quarantine},
 ' '' ./cmd/thistlewalk-rollout -run EndsReplicas
-mutate 'answer does not clear suspicion' internal/quarantine/guard.go 'if !guard.Tracker.ClearAnswered(fingerprint, now, now) {
+mutate 'answer does not clear suspicion' internal/quarantine/guard.go 'if !guard.Tracker.ClearAnswered(fingerprint, now) {
 		return
 	}
 	guard.Metrics' 'if fingerprint != (Fingerprint{}) {
@@ -105,13 +105,16 @@
 mutate 'every node replies' internal/quarantine/reconcile.go 'pending.crashes[crash.Replica] = true' '_ = pending' ./internal/quarantine
 mutate 'crashes reported once' internal/quarantine/outbox.go 'time.AfterFunc(delay, send)' '_ = delay' ./internal/quarantine
 mutate 'short record left as it is' internal/quarantine/reconcile.go 'if guard.reconciler.beginCheck(fingerprint) {' 'if fingerprint == (Fingerprint{}) {' ./internal/quarantine
-mutate 'crash from before an answer counted' internal/quarantine/tracker.go 'ok && !interruptedAt.After(answeredAt) {' 'ok && interruptedAt.Before(answeredAt.Add(-time.Hour)) {' ./internal/quarantine
-mutate 'answer clears later crashes' internal/quarantine/answered.go 'if event.InterruptedAt.After(moment) {' 'if event.InterruptedAt.IsZero() {' ./internal/quarantine
+mutate 'crash from before an answer counted' internal/quarantine/answered.go '!interruptedAt.IsZero() && !interruptedAt.After(answeredAt)' '!interruptedAt.IsZero() && interruptedAt.Before(answeredAt.Add(-time.Hour))' ./internal/quarantine
+mutate 'answer clears later crashes' internal/quarantine/answered.go 'if occurred.After(moment) {' 'if occurred.IsZero() {' ./internal/quarantine
 mutate 'reservations not told' internal/quarantine/guard.go 'if decision.Reservation.Duration > 0 {' 'if decision.Reservation.Duration < 0 {' ./internal/quarantine
 mutate 'reservations of others ignored' internal/quarantine/reservation.go 'now.Before(entry.reserved.until) || entry.reserved.elsewhere(now)' 'now.Before(entry.reserved.until)' ./internal/quarantine
 mutate 'running trial ignored' internal/quarantine/reservation.go 'sinceLastCrash >= due && running == 0 &&' 'sinceLastCrash >= due && running >= 0 &&' ./internal/quarantine
 mutate 'turn kept by a caller that left' internal/quarantine/reservation.go 'return entry.unreserved || now.Before' 'return !entry.unreserved || now.Before' ./internal/quarantine
 mutate 'trial that was not run keeps its turn' internal/quarantine/reservation.go 'known.reserved.runningUntil = time.Time{}' '_ = known' ./internal/quarantine
+mutate 'answer from before a record clears it' internal/quarantine/answered.go 'occurred = entry.restoredAt' '_ = entry.restoredAt' ./internal/quarantine
+mutate 'crashes in the order of reports' internal/quarantine/tracker.go 'entry.events[place-1].InterruptedAt.After(event.InterruptedAt) &&' 'entry.events[place-1].InterruptedAt.IsZero() &&' ./internal/quarantine
+mutate 'failed trial keeps its turn' internal/quarantine/guard.go 'if body.trial && body.status >=' 'if body.trial && body.status < 0 && body.status >=' ./internal/quarantine
 mutate 'interrupted answer not noticed' internal/quarantine/guard.go 'body.guard.answerLost(body.ctx, body.replica, body.request)' '_ = body.ctx' ./internal/quarantine
 mutate 'abandoned requests not suspected' internal/quarantine/guard.go 'case errors.Is(err, backend.ErrConnectionRefused):
 		guard.connectionRefused(replica)' 'case errors.Is(err, backend.ErrConnectionRefused):' ./internal/quarantine
