Quarantine: tests of reservations see whether they are told; a race in a test

Two faults put in by hand were not caught (no reservation told; a trial that was not run keeps its turn at its own node). TestTrialWithoutResultMakesRoom and TestReservationsOrderTrials catch them now. No check asks for less.

--- a/internal/quarantine/reservation_test.go
+++ b/internal/quarantine/reservation_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -122,7 +123,7 @@
 
 // Guards against trials of two nodes that overlap at one replica, and against turns that nobody uses.
 func TestReservationsOrderTrials(t *testing.T) {
-	const settled = 500 * time.Millisecond
+	const settled, reservationTTL = 500 * time.Millisecond, 3 * time.Second
 	tell := func(from quarantine.Decision, to *quarantine.Tracker, now time.Time) {
 		to.RecordReservation(from.Reservation, now)
 	}
@@ -166,6 +167,12 @@
 			trackers[1].RecordReservation(trackers[0].EndTrial(first), due)
 			return trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due.Add(settled)).Trial
 		}, true},
+		{"a trial that was not run makes room at its node", func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) bool {
+			trackers[0].Admit(second, quarantine.Claim{Exclusive: true}, due)
+			trackers[0].Admit(first, quarantine.Claim{Exclusive: true}, due)
+			trackers[0].EndTrial(first)
+			return trackers[0].Admit(second, quarantine.Claim{Exclusive: true}, due.Add(reservationTTL)).Trial
+		}, true},
 		{"a reporter of an earlier build keeps its turn", func(trackers [2]*quarantine.Tracker, first, second quarantine.Fingerprint, due time.Time) bool {
 			trackers[1].SetUnreserved(first)
 			trackers[1].Admit(second, quarantine.Claim{Exclusive: true}, due)
@@ -181,7 +188,7 @@
 	}
 }
 
-// Guards against turns that a trial keeps which ended without a crash or an answer to the request.
+// Guards against reservations that no other node learns of, and turns that a trial keeps which ended without a crash or an answer to the request.
 func TestTrialWithoutResultMakesRoom(t *testing.T) {
 	for _, check := range []struct {
 		name     string
@@ -213,12 +220,14 @@
 				}
 				time.Sleep(300 * time.Millisecond)
 			}
-			ended := false
+			told, ended := false, false
 			for _, notice := range recorder.take() {
 				for _, reservation := range notice.Reservations {
+					told = told || (reservation.Fingerprint == fingerprint && reservation.Duration > 0)
 					ended = ended || (reservation.Running && reservation.Duration == 0)
 				}
 			}
+			must.True(t, told, must.Sprint(check.name))
 			must.Eq(t, check.ended, ended, must.Sprint(check.name))
 		})
 	}
@@ -230,15 +239,15 @@
 	name int
 	// departure is when it leaves; zero for never.
 	departure time.Time
-	// waitingSince is when it first sent the request that is not answered yet.
-	waitingSince time.Time
+	// waitingSince is when it first sent the request that is not answered yet, in Unix nanoseconds.
+	waitingSince atomic.Int64
 }
 
 func (caller *jobCaller) run(stop <-chan struct{}) {
 	const askInterval, itemInterval = 250 * time.Millisecond, 100 * time.Millisecond
 	for item := 0; ; item++ {
 		body := fmt.Sprintf("job %d item %d", caller.name, item)
-		caller.waitingSince = time.Now()
+		caller.waitingSince.Store(time.Now().UnixNano())
 		for !caller.sent(body) {
 			select {
 			case <-stop:
@@ -312,7 +321,8 @@
 		time.Sleep(time.Minute) // pending timers
 		must.LessEq(t, 3, late, must.Sprintf("%+v, %d callers: %d crashes", history, callers, crashes))
 		for _, caller := range staying {
-			must.Less(t, recoveryTime, ended.Sub(caller.waitingSince), must.Sprintf("%+v, %d callers: caller %d", history, callers, caller.name))
+			waited := ended.Sub(time.Unix(0, caller.waitingSince.Load()))
+			must.Less(t, recoveryTime, waited, must.Sprintf("%+v, %d callers: caller %d", history, callers, caller.name))
 		}
 	})
 }
