--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -56,8 +56,8 @@
 mutate 'last holder replaced too early' internal/weights/election.go 'if last == "" {' 'if last != election.Node {' ./internal/weights
 mutate 'tallies not sent to the witness' internal/metering/tally_sender.go 'witness.send(ctx, sender.Recipients.Witness(), sender.isOwn)' '_ = witness' ./internal/metering
 mutate 'revoked key accepted in a retry' internal/forwarding/run.go 'return run.call.KeyValid != nil && !run.call.KeyValid()' 'return run.call.KeyValid != nil && run.attempts == 0 && !run.call.KeyValid()' ./internal/forwarding
-mutate "another tenant's job read" internal/batchrun/scope.go 'if strings.Contains(named, batch.ScopeSeparator) {' 'if strings.Contains(named, batch.ScopeSeparator) && named == "" {' ./internal/batchrun
-mutate "another tenant's text used" internal/batchrun/kept.go 'id = batch.InScopeOf(text.job, id)' '_ = batch.InScopeOf(text.job, id)' ./internal/batchrun
+mutate "another tenant's job read" internal/batchrun/scope.go 'case !batch.MayUse(tenant, owner):' 'case !batch.MayUse(tenant, owner) && id == "":' ./internal/batchrun
+mutate "another tenant's text used" internal/batchrun/kept.go 'key := keptKey{text.tenant, id}' 'key := keptKey{"", id}' ./internal/batchrun
 mutate 'key refused by a lagging node' platform/ingress.go 'if !ingress.UpToDate() {' 'if ingress.UpToDate == nil {' ./platform
 mutate 'announced newer version ignored' internal/dissemination/subscriber.go 'if _, lagging := subscriber.laggingSince(topic, now); lagging && topic.Prefix() == prefix {' 'if topic.Prefix() == "" {' ./internal/dissemination
 mutate 'API key forwarded to a replica' platform/ingress.go 'maps.DeleteFunc(header, func(name string, _ []string) bool { return identifiesCaller(name) })' '_ = maps.DeleteFunc[http.Header]' ./cmd/thistlewalk-rollout
