--- a/internal/samplestore/store.go
+++ b/internal/samplestore/store.go
@@ -109,7 +109,9 @@
 	return store, nil
 }
 
-// checkSize returns ErrCorrupt for a file that is cut off within its first two pages, which bbolt reports by text only.
+// checkSize returns ErrCorrupt for a file that is shorter than its content. bbolt reports that by text only if it is cut off
+// within its first two pages; otherwise it ends the process when it reads a missing page. A database that is opened for
+// reading reads no page but the first two.
 func checkSize(path string) error {
 	info, err := os.Stat(path)
 	switch {
@@ -117,9 +119,26 @@
 		return nil
 	case err != nil:
 		return errors.Wrap(err, "sample store")
-	case info.Mode().IsRegular() && info.Size() > 0 && info.Size() < 2*int64(os.Getpagesize()):
+	case !info.Mode().IsRegular() || info.Size() == 0:
+		return nil
+	case info.Size() < 2*int64(os.Getpagesize()):
 		return errors.Wrapf(ErrCorrupt, "%s has %d bytes", path, info.Size())
 	}
+	database, err := bolt.Open(path, fileMode, &bolt.Options{Timeout: openTimeout, ReadOnly: true})
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	content := int64(0)
+	err = database.View(func(transaction *bolt.Tx) error {
+		content = transaction.Size()
+		return nil
+	})
+	if err = errors.CombineErrors(err, database.Close()); err != nil {
+		return errors.Wrap(err, path)
+	}
+	if info.Size() < content {
+		return errors.Wrapf(ErrCorrupt, "%s has %d bytes of %d", path, info.Size(), content)
+	}
 	return nil
 }
 
--- a/internal/samplestore/store_test.go
+++ b/internal/samplestore/store_test.go
@@ -98,6 +98,33 @@
 	}
 }
 
+// Guards against a file that ends the process at each start because it was cut off, wherever that is.
+func TestFileThatIsCutOffIsReplaced(t *testing.T) {
+	folder := t.TempDir()
+	store := openStore(t, folder)
+	var registers []partition.Register
+	for number := range 2000 {
+		registers = append(registers, partition.Register{Key: fmt.Sprint("a/", number), Value: make([]byte, 40)})
+	}
+	must.NoError(t, store.Save(name, 4, nil, registers))
+	must.NoError(t, store.Close())
+	whole, err := os.ReadFile(filepath.Join(folder, fileName))
+	must.NoError(t, err)
+	const step = 3 * 1024 // within pages and at their ends
+	for size := step; size < len(whole); size += step {
+		torn := t.TempDir()
+		must.NoError(t, os.WriteFile(filepath.Join(torn, fileName), whole[:size], fileMode))
+		store, err := Open(torn)
+		must.NoError(t, err)
+		_, left, err := store.Load(name)
+		must.NoError(t, err)
+		if store.UnreadablePath == "" {
+			must.Len(t, len(registers), left, must.Sprint("only unused pages were cut off, at ", size))
+		}
+		must.NoError(t, store.Close())
+	}
+}
+
 // Guards against a node that starts empty because its file could not be opened for a reason that says nothing of its content.
 func TestFileThatCannotBeOpenedIsLeftAsItIs(t *testing.T) {
 	for kind, obstruct := range map[string]func(path string) error{
