--- a/internal/lab/platform/soak/tenants.go
+++ b/internal/lab/platform/soak/tenants.go
@@ -104,7 +104,7 @@
 
 // windowRuns are the numbers of runs, by tenant, that belong to a window.
 type windowRuns struct {
-	// certain are counted in this window, either in this or in the next one.
+	// certain are the runs that are counted in this window, either those that are counted in this window or in the next one.
 	certain, either map[string]int64
 }
 
@@ -183,8 +183,9 @@
 		if !known {
 			before = span{0, previous.either[tenant]}
 		}
-		beyond := counts[tenant] - runs.certain[tenant] - previous.either[tenant] // before is added below: what the previous window has counted
-		possible := span{max(beyond+before.min, 0), min(beyond+before.max, runs.either[tenant])}
+		// This window counts those shared runs that the previous one has not counted. What is left is shared with the next one.
+		left := counts[tenant] - runs.certain[tenant] - previous.either[tenant]
+		possible := span{max(left+before.min, 0), min(left+before.max, runs.either[tenant])}
 		if possible.min > possible.max {
 			matches, possible = false, span{0, runs.either[tenant]}
 		}
