--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,6 +18,7 @@
 	"resent-job":       resentJob,
 	"stop-in-takeover": stopInTakeover,
 	"killed-twice":     killedTwice,
+	"late-order":       lateOrder,
 }
 
 func main() {
--- a/review/standins/orphan.go
+++ b/review/standins/orphan.go
@@ -131,7 +131,7 @@
 func (all *deployment) leftAlone(sent *job, steady time.Time) bool {
 	now, load, begunAny, alone := time.Now(), 0, false, 0
 	for _, member := range all.engines {
-		load += member.load()
+		load += member.taken()
 	}
 	for _, id := range sent.items {
 		since, running, finished := steady, false, false
