--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -52,6 +52,9 @@
 // errStalled is the cause of the cancellation of an attempt whose stream had no event within stallLimit.
 var errStalled = errors.New("the stream stalled")
 
+// errListed is the cause of the cancellation of an attempt whose item is listed already.
+var errListed = errors.New("the item is listed")
+
 // runItem makes one attempt at an item and handles its outcome.
 func (runner *Runner) runItem(running *task, replica *catalog.Replica, route *catalog.Route) {
 	defer running.job.runs.Done()
@@ -185,7 +188,7 @@
 // interruptedOutcome returns the outcome of an attempt without a complete answer; ctx is the context of the attempt.
 func interruptedOutcome(ctx context.Context, running *task) outcome {
 	switch {
-	case running.job.ctx.Err() != nil:
+	case running.job.ctx.Err() != nil, errors.Is(context.Cause(ctx), errListed):
 		return outcomeCanceled
 	case errors.Is(context.Cause(ctx), errMoved):
 		return outcomeMoved
--- a/internal/batchrun/history_test.go
+++ b/internal/batchrun/history_test.go
@@ -113,11 +113,15 @@
 	case 10:
 		history.world.refuse(name, !history.world.isRefused(name))
 		time.Sleep(400 * time.Millisecond)
+	case 11:
+		history.resubmit(name)
+	case 12:
+		history.restart(name)
 	}
 }
 
 // historyEvents is the number of kinds of events that play knows.
-const historyEvents = 11
+const historyEvents = 13
 
 // end ends the newest job. The job need not complete then, but what was listed stays.
 func (history *history) end(name string) {
@@ -157,6 +161,26 @@
 	time.Sleep(150 * time.Millisecond)
 }
 
+// resubmit submits the newest job again, as a caller does whose answer was lost.
+func (history *history) resubmit(name string) {
+	runner, id := history.world.node(name), fmt.Sprint("job-", history.jobs-1)
+	if runner == nil || history.jobs == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if runner.Submit(ctx, newDefinition(id, historyItems, 1), jobRoute) == nil {
+		history.accepted[id] = true
+	}
+}
+
+// restart kills a node and starts it again before other nodes notice. The newest job is submitted again while the node starts.
+func (history *history) restart(name string) {
+	history.world.kill(name)
+	history.world.start(name)
+	history.resubmit(name)
+}
+
 // kill stops a node without notice. A live node takes over its jobs, as it does when the failure detector declares a node dead,
 // and the node restarts without state.
 func (history *history) kill(name string) {
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,21 @@
 	return created
 }
 
+// adopt applies the record of a job that another process ran, so that the results keep their positions. It is called before the job
+// counts as accepted. Items that started early may have finished since: what the log lists already is not listed again.
+func (owned *job) adopt(record *batchlog.Record) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	owned.listed = record.Results
+	listed := make(map[string]bool, len(record.Results))
+	for _, result := range record.Results {
+		owned.progress.Finish(result.GetItemId())
+		listed[result.GetItemId()] = true
+		delete(owned.tasks, result.GetItemId())
+	}
+	owned.pending = slices.DeleteFunc(owned.pending, func(result *batchv1.Result) bool { return listed[result.GetItemId()] })
+}
+
 // relativeLength returns the ratio of a number of tokens to the expected output of an average item of the job.
 func (owned *job) relativeLength(tokens int64) float64 {
 	if owned.meanTokens <= 0 {
@@ -112,6 +128,13 @@
 	return owned.ending
 }
 
+// isFinished reports whether an item has a result, listed or pending.
+func (owned *job) isFinished(itemID string) bool {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	return owned.progress.Finished(itemID)
+}
+
 // notifyReaders wakes the readers that wait for a change. It must be called with mu held.
 func (owned *job) notifyReaders() {
 	close(owned.changed)
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -163,6 +163,20 @@
 	}
 }
 
+// dropListed removes the items that started early and that the record of the job lists, from the queue and from their replicas.
+func (scheduler *scheduler) dropListed(owned *job) {
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	scheduler.waiting = slices.DeleteFunc(scheduler.waiting, func(waiting *task) bool {
+		return waiting.job == owned && owned.isFinished(waiting.item.GetId())
+	})
+	for started := range scheduler.running {
+		if started.task.job == owned && started.cancel != nil && owned.isFinished(started.task.item.GetId()) {
+			started.cancel(errListed)
+		}
+	}
+}
+
 // dispatch starts every item for which a replica has a free slot and returns the number of items that still wait.
 func (scheduler *scheduler) dispatch() int {
 	scheduler.mu.Lock()
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -40,12 +40,12 @@
 		other.delegation.reclaim()
 		return other.awaitAccepted(ctx)
 	}
-	ownership, settled, err := runner.tryAccept(owned.ctx, owned)
-	if !settled {
+	accepted, err := runner.tryAccept(owned.ctx, owned)
+	if err != nil {
 		runner.remove(owned)
 		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "not accepted"), err)
 	}
-	runner.finishAccept(owned, ownership, started, 1)
+	runner.finishAccept(owned, accepted, started, 1)
 	return &batchv1.SubmitResponse{}, nil
 }
 
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -18,6 +18,8 @@
 const (
 	acceptCallTimeout = 700 * time.Millisecond
 	acceptRetryDelay  = 60 * time.Millisecond
+	// claimOwnTimeout bounds the claim and the reading of a job that an earlier process of this node accepted.
+	claimOwnTimeout = 2 * time.Second
 	// earlyStartDelay is how long an acceptance may take before the items start without it.
 	earlyStartDelay = 150 * time.Millisecond
 	// acceptTimeout is how long a node retries to accept a job before it drops the job.
@@ -173,7 +175,7 @@
 	go runner.watchAnnouncements(ctx, settled, owned)
 	for tries := 1; owned.ctx.Err() == nil && time.Since(started) < acceptTimeout; tries++ {
 		if owned.delegation.acceptedElsewhere.Load() {
-			runner.finishAccept(owned, nil, started, tries)
+			runner.finishAccept(owned, acceptance{}, started, tries)
 			return
 		}
 		if owned.delegation.delegated.Load() {
@@ -182,15 +184,15 @@
 		}
 		if !runner.Log.Health.Good() {
 			if runner.relayToHealthyPeer(ctx, owned) {
-				runner.finishAccept(owned, nil, started, tries)
+				runner.finishAccept(owned, acceptance{}, started, tries)
 				return
 			}
 			runner.awaitGood(ctx, relayRetryDelay)
 			continue
 		}
-		ownership, settled, err := runner.tryAccept(ctx, owned)
-		if settled {
-			runner.finishAccept(owned, ownership, started, tries)
+		accepted, err := runner.tryAccept(ctx, owned)
+		if err == nil {
+			runner.finishAccept(owned, accepted, started, tries)
 			return
 		}
 		if errors.Is(err, errOtherTenant) {
@@ -201,7 +203,7 @@
 			runner.Logger.Warn("acceptance delayed", "job", owned.id(), "error", err)
 		}
 		if tries >= relayAfter && tries%relayAfter == 0 && errors.Is(err, metadata.ErrUnavailable) && runner.relay(ctx, owned.submitRequest()) == nil {
-			runner.finishAccept(owned, nil, started, tries)
+			runner.finishAccept(owned, acceptance{}, started, tries)
 			return
 		}
 		wait.Pause(ctx, acceptRetryDelay)
@@ -248,41 +250,65 @@
 	return route.JobObjective
 }
 
-// tryAccept makes one attempt to accept a job. settled is true if the job is durable; held is then nil if another node owns the
-// job or it has ended.
-func (runner *Runner) tryAccept(ctx context.Context, owned *job) (ownership *batchlog.Ownership, settled bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, acceptCallTimeout)
+// acceptance is the outcome of a successful attempt to accept a job.
+type acceptance struct {
+	// ownership is nil if another node owns the job or it has ended.
+	ownership *batchlog.Ownership
+	// record is what the log holds of a job that this node had accepted before; nil if the job is new or not owned by this node.
+	record *batchlog.Record
+}
+
+// tryAccept makes one attempt to accept a job. Without an error the job is durable.
+func (runner *Runner) tryAccept(ctx context.Context, owned *job) (acceptance, error) {
+	callCtx, cancel := context.WithTimeout(ctx, acceptCallTimeout)
 	defer cancel()
-	ownership, err = runner.Log.Accept(ctx, owned.definition)
+	ownership, err := runner.Log.Accept(callCtx, owned.definition)
 	if err != nil {
 		runner.sweeps.recordUncertainWrite()
-		return nil, false, err
+		return acceptance{}, err
 	}
 	if ownership != nil {
-		return ownership, true, nil
+		return acceptance{ownership: ownership}, nil
 	}
-	if err := runner.checkAccepted(ctx, owned.definition); err != nil {
-		return nil, false, err
+	if err := runner.checkAccepted(callCtx, owned.definition); err != nil {
+		return acceptance{}, err
 	}
-	owner, _, err := runner.Log.Owner(ctx, owned.id())
+	owner, _, err := runner.Log.Owner(callCtx, owned.id())
 	switch {
 	case errors.Is(err, batchlog.ErrNotOwner):
-		return nil, true, nil
+		return acceptance{}, nil
 	case err != nil:
-		return nil, false, err
+		return acceptance{}, err
 	case owner.GetNode() != runner.Node:
 		runner.RememberOwner(owned.id(), owner.GetNode())
-		return nil, true, nil
+		return acceptance{}, nil
+	}
+	return runner.acceptAgain(ctx, owned.id(), owner)
+}
+
+// acceptAgain claims a job that this node owns already: an earlier attempt succeeded but its response was lost, or an earlier process of
+// this node accepted the job. That process may have listed results, so that the job continues from its record.
+func (runner *Runner) acceptAgain(ctx context.Context, id string, owner *batchv1.Ownership) (acceptance, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimOwnTimeout)
+	defer cancel()
+	ownership, record, err := runner.claim(ctx, id, origin{runner.Node, batchlog.AnyIncarnation}, nil)
+	if errors.Is(err, batchlog.ErrNotOwner) {
+		return acceptance{}, nil
 	}
-	ownership, err = runner.Log.Claim(ctx, owned.id(), runner.Node, batchlog.AnyIncarnation) // an earlier attempt succeeded but its response was lost
 	if err != nil {
-		runner.sweeps.recordUncertainWrite()
+		return acceptance{}, err
 	}
-	return ownership, err == nil, err
+	runner.Logger.Info("own job accepted again", "job", id, "from_life", owner.GetLife(), "life", runner.Incarnation, "listed", len(record.Results))
+	return acceptance{ownership: ownership, record: record}, nil
 }
 
 // finishAccept completes the acceptance and runs the job here if this node owns it.
-func (runner *Runner) finishAccept(owned *job, ownership *batchlog.Ownership, started time.Time, tries int) {
+func (runner *Runner) finishAccept(owned *job, accepted acceptance, started time.Time, tries int) {
+	ownership, record := accepted.ownership, accepted.record
+	if record != nil {
+		owned.adopt(record)
+		runner.scheduler.dropListed(owned)
+	}
 	owned.mu.Lock()
 	owned.ownership = ownership
 	owned.elsewhere = ownership == nil
@@ -302,6 +328,9 @@
 	runner.Peers.AnnounceDemand(owned.definition)
 	runner.startItems(owned)
 	owned.wakeFlush()
+	if record != nil {
+		go runner.dropIfLost(runner.ctx, owned) // the job may have ended since its record was read
+	}
 }
 
 func (owned *job) wakeFlush() {
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -57,30 +57,44 @@
 	defer runner.endClaim(id)
 	ctx, cancel := context.WithTimeout(runner.ctx, takeOverTimeout)
 	defer cancel()
-	ownership, err := runner.Log.Claim(ctx, id, from.node, from.incarnation)
+	ownership, record, err := runner.claim(ctx, id, from, partials)
 	if errors.Is(err, batchlog.ErrNotOwner) {
 		return nil // the job ended or has another owner
 	}
 	if err != nil {
-		runner.sweeps.recordUncertainWrite()
 		return err
 	}
+	runner.Metrics.Job("taken_over")
+	runner.resume(ownership, record)
+	// The job may have ended since its record was read. Calls that end it later find it at this node.
+	if owned := runner.find(id); owned != nil && owned.isAccepted() {
+		go runner.dropIfLost(runner.ctx, owned)
+	}
+	return nil
+}
+
+// claim makes this node the owner of a job that another process ran, and returns what that process made durable. Everything that runs
+// such a job starts from this record: a job that is run without it would list its items anew at positions that have been read. The texts
+// that the former owner saved or backed up, and the given ones, are kept for the items.
+func (runner *Runner) claim(ctx context.Context, id string, from origin, partials []*batchv1.Partial) (*batchlog.Ownership, *batchlog.Record, error) {
+	ownership, err := runner.Log.Claim(ctx, id, from.node, from.incarnation)
+	if errors.Is(err, batchlog.ErrNotOwner) {
+		return nil, nil, err
+	}
+	if err != nil {
+		runner.sweeps.recordUncertainWrite()
+		return nil, nil, err
+	}
 	record, err := runner.Log.Resume(ctx, ownership)
 	if err != nil {
 		runner.sweeps.recordUncertainWrite()
-		return err
+		return nil, nil, err
 	}
 	now := time.Now()
 	for _, partial := range slices.Concat(record.Unfinished, runner.fetchBackups(ctx, id), partials) {
 		runner.kept.put(partial.GetItemId(), newKeptText(id, record.Job.GetTenant(), partial, now))
 	}
-	runner.Metrics.Job("taken_over")
-	runner.resume(ownership, record)
-	// The job may have ended since its record was read. Calls that end it later find it at this node.
-	if owned := runner.find(id); owned != nil && owned.isAccepted() {
-		go runner.dropIfLost(runner.ctx, owned)
-	}
-	return nil
+	return ownership, record, nil
 }
 
 // errClaiming means that this node is already claiming or accepting the job.
@@ -110,10 +124,7 @@
 	owned := newJob(runner.ctx, record.Job, objective)
 	owned.due = owned.due.Add(-min(objective, max(0, time.Since(time.UnixMilli(record.Job.GetSubmittedUnixMs())))))
 	owned.ownership = ownership
-	owned.listed = record.Results
-	for _, result := range record.Results {
-		owned.progress.Finish(result.GetItemId())
-	}
+	owned.adopt(record)
 	close(owned.accepted)
 	runner.mu.Lock()
 	if runner.jobs[owned.id()] != nil {
