Connections: closing one discards what its peer has not received

Cause: a call that is given up closes its connection, but the kernel goes on sending what was written until the peer has it.

Change: connections that the programs open are reset when they are closed (network.DiscardOnClose).

--- a/cmd/thistlewalk-rollout/main.go
+++ b/cmd/thistlewalk-rollout/main.go
@@ -163,31 +163,11 @@
 	return nil
 }
 
-// TCP keep-alive detects peers that lost power and therefore never close their connections.
-const (
-	dialTimeout       = 700 * time.Millisecond
-	keepAliveIdle     = 1000 * time.Millisecond
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
-)
-
 // instrumentedStore returns the metadata store with metrics for its calls.
 func (process *process) instrumentedStore() metadata.Store {
 	return &metadata.InstrumentedStore{Store: process.store, Metrics: process.metrics}
 }
 
-func dialer() platform.DialFunc {
-	return (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive()}).DialContext
-}
-
-func keepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-}
-
-func listen(address string) (net.Listener, error) {
-	return (&net.ListenConfig{KeepAliveConfig: keepAlive()}).Listen(context.Background(), "tcp", address)
-}
-
 // serve listens on an address and serves requests in the background until the process ends.
 func (process *process) serve(name, address string, server *http.Server) (net.Listener, error) {
 	listener, err := listen(address)
--- a/cmd/thistlewalk-rollout/orderer.go
+++ b/cmd/thistlewalk-rollout/orderer.go
@@ -36,10 +36,10 @@
 func startOrderer(process *process, portOffset int) (*role.Orderer, error) {
 	settings := process.settings
 	table := catalog.NewTable()
-	cloud := platform.NewCloud(settings.Cloud.Address, dialer())
+	cloud := platform.NewCloud(settings.Cloud.Address, holderDialer())
 	options := role.OrdererOptions{
 		Node: settings.Node, Role: settings.Role, Incarnation: process.incarnation, PeerAddress: settings.PeerAddress(portOffset), PeerClient: peerClient(),
-		Store: process.instrumentedStore(), Replicas: platform.NewReplicas(dialer()), Retire: process.store, Logger: process.logger, Metrics: process.metrics, Catalog: table,
+		Store: process.instrumentedStore(), Replicas: platform.NewReplicas(holderDialer()), Retire: process.store, Logger: process.logger, Metrics: process.metrics, Catalog: table,
 		OperatorPrefix: platform.PrefixOperator, ConfigurationPrefix: platform.KeyConfiguration, ReplicaPrefix: platform.PrefixReplicas,
 		ReplicaHandler: &platform.ReplicaHandler{Logger: process.logger, Catalog: table, Metrics: process.metrics},
 		Retention:      settings.Retention() + retentionSlack,
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -29,7 +29,7 @@
 
 // DialContext implements Network.
 func (tcp *TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	return tcp.Dialer.DialContext(ctx, network, address)
+	return DiscardOnClose(tcp.Dialer.DialContext)(ctx, network, address)
 }
 
 // Connections bounds the idle connections of a client; a zero Total means no bound.
