--- a/internal/role/orderer.go
+++ b/internal/role/orderer.go
@@ -103,7 +103,7 @@
 	options.Clock = clock.OrMonotonic(options.Clock)
 	ctx, cancel := context.WithCancel(context.Background())
 	self := &clusterv1.NodeRecord{Name: options.Node, Address: options.PeerAddress, Role: options.Role, Life: options.Incarnation}
-	weightsOrderer := weights.NewOrderer(options.Node, options.Catalog, options.Replicas, loadShare, options.Logger)
+	weightsOrderer := weights.NewOrderer(options.Node, options.Store, options.Catalog, options.Replicas, loadShare, options.Logger)
 	weightsOrderer.Metrics = options.Metrics
 	registry := cluster.NewRegistry(self, options.Store, options.PeerClient, options.Logger)
 	orderer := &Orderer{
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -18,6 +18,7 @@
 	jobs              *prometheus.CounterVec
 	storeCalls        *prometheus.HistogramVec
 	orders            *prometheus.CounterVec
+	formerOrders      *prometheus.CounterVec
 	published         *prometheus.HistogramVec
 	storeReads        *prometheus.CounterVec
 	publishedBytes    *prometheus.CounterVec
@@ -71,6 +72,7 @@
 		published:  histogram("publish_seconds", "Time of calls that bring another node up to date, by result.", "result"),
 		storeReads: counter("store_readings_total", "Times at which this node began to read the metadata store itself, by reason.", "reason"),
 	}
+	metrics.formerOrders = counter("former_orders_total", "Orders in flight at the end of a former term, by outcome.", "outcome")
 	metrics.publishedBytes = counter("published_bytes_total", "Bytes of updates to other nodes by topic, and whether they held all of it.", "topic", "whole")
 	metrics.snapshots = counter("snapshots_total", "Calls that ask a neighbour for all that it knows of a topic, by result.", "result")
 	metrics.usageSent = counter("usage_told_total", "Calls that tell tallies of usage to another node, by its role and result.", "role", "result")
@@ -109,7 +111,7 @@
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
 	metrics.registry.MustRegister(
-		metrics.scoringWaits, metrics.scoringCalls, metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders,
+		metrics.scoringWaits, metrics.scoringCalls, metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.formerOrders,
 		metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost,
 		metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable,
 		metrics.usageSent, metrics.usageReports, metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared,
@@ -174,6 +176,13 @@
 	}
 }
 
+// FormerOrder counts an order of a former holder that holds its replica back no longer, by outcome.
+func (metrics *Metrics) FormerOrder(outcome string) {
+	if metrics != nil {
+		metrics.formerOrders.WithLabelValues(outcome).Inc()
+	}
+}
+
 // Published counts a call that sends updates to another node.
 func (metrics *Metrics) Published(result string, took time.Duration) {
 	if metrics != nil {
--- a/internal/weights/election.go
+++ b/internal/weights/election.go
@@ -234,7 +234,7 @@
 			return nil, errors.Wrap(err, "commit") // if the commit succeeded after all, the lease expires
 		}
 	}
-	term := &Term{Fence: int64(revision), lease: lease, timeToLive: election.Settings.Lease, clock: election.Clock, begun: !waits}
+	term := &Term{Fence: int64(revision), lease: lease, timeToLive: election.Settings.Lease, handoverWait: election.Settings.HandoverWait, clock: election.Clock, begun: !waits}
 	term.extend(sent)
 	election.Logger.Info("orderer lease acquired", "fence", term.Fence, "last", last, "waits", waits)
 	return term, nil
--- a/internal/weights/lead.go
+++ b/internal/weights/lead.go
@@ -25,6 +25,7 @@
 	planners      map[string]*Planner // by service
 	started       time.Time
 	plannedCounts map[string]int // replicas by model, as last logged
+	ledger        *ledger
 
 	mu             sync.Mutex
 	loads          map[string]*load            // by replica
@@ -38,6 +39,10 @@
 	run := &termRun{
 		orderer: orderer, term: term, planners: make(map[string]*Planner), started: time.Now(), plannedCounts: make(map[string]int),
 		loads: make(map[string]*load), pausedUntil: make(map[string]time.Time), versions: make(map[string]map[string]int64), ordersAccepted: make(map[string]int64),
+		ledger: newLedger(orderer.Store, term),
+	}
+	if !run.loadLedger(ctx) {
+		return
 	}
 	for ctx.Err() == nil {
 		changed := orderer.Catalog.Changed()
@@ -69,6 +74,7 @@
 	run.finishLoads(ctx, replicas)
 	run.expirePauses()
 	busy := false
+	var due []dueOrder
 	for name, service := range configuration.Services {
 		if len(service.Models) == 0 {
 			continue
@@ -81,10 +87,16 @@
 		run.reportPlanned(models, planner.Counts(), targets, members.Working())
 		room := planner.Budget.Concurrency - run.loading(name)
 		for _, step := range steps[:max(0, min(room, len(steps)))] {
-			run.start(ctx, name, step)
+			if order, ready := run.prepare(ctx, name, step); ready {
+				due = append(due, order)
+			}
 		}
 		busy = busy || deferred || len(steps) > 0 || run.loading(name) > 0
 	}
+	run.send(ctx, due)
+	if !busy && run.ledger.isOutdated() {
+		go run.writeLedger(ctx)
+	}
 	return busy || run.anyPaused()
 }
 
@@ -148,7 +160,7 @@
 func (run *termRun) isBusy(id string) bool {
 	run.mu.Lock()
 	defer run.mu.Unlock()
-	return run.loads[id] != nil || time.Now().Before(run.pausedUntil[id])
+	return run.loads[id] != nil || time.Now().Before(run.pausedUntil[id]) || run.ledger.awaitsFormer(id)
 }
 
 // expirePauses drops the pauses that have ended.
@@ -220,11 +232,17 @@
 	}
 }
 
-// start sends an order in the background. If the number of orders that the replica has accepted is unknown, it queries the
-// replica instead and leaves the order to a later round.
-func (run *termRun) start(ctx context.Context, service string, step Step) {
+// dueOrder is an order to send in this round.
+type dueOrder struct {
+	step     Step
+	expected int64 // number of orders that the replica has accepted
+}
+
+// prepare makes the order of a step. If the number of orders that the replica has accepted is unknown, it queries the replica instead
+// and leaves the order to a later round.
+func (run *termRun) prepare(ctx context.Context, service string, step Step) (order dueOrder, ready bool) {
 	if !run.term.Valid(orderMargin) {
-		return
+		return dueOrder{}, false
 	}
 	run.mu.Lock()
 	defer run.mu.Unlock()
@@ -233,12 +251,58 @@
 	if !known {
 		run.pausedUntil[step.Replica.ID] = now.Add(queryPause)
 		go run.queryState(ctx, step.Replica)
-		return
+		return dueOrder{}, false
 	}
 	run.loads[step.Replica.ID] = &load{service: service, model: step.Model, version: step.Version, since: now, queried: now}
-	go run.order(ctx, step, expected)
+	return dueOrder{step, expected}, true
+}
+
+// send records orders in the ledger and then sends them, in the background.
+func (run *termRun) send(ctx context.Context, due []dueOrder) {
+	if len(due) == 0 {
+		return
+	}
+	recorded := make([]inFlight, 0, len(due))
+	for _, order := range due {
+		recorded = append(recorded, inFlight{
+			Replica: order.step.Replica.ID, Node: run.orderer.Node, Fence: run.term.Fence, ExpectedOrders: order.expected, SentUnixMS: time.Now().UnixMilli(),
+		})
+	}
+	go func() {
+		err := run.ledger.record(ctx, recorded)
+		if err != nil {
+			run.orderer.Logger.Warn("orders not recorded", "count", len(due), "fence", run.term.Fence, "error", err)
+		}
+		for index, order := range due {
+			if err != nil || !run.term.Valid(orderMargin) {
+				run.ledger.remove(recorded[index])
+				run.postpone(order.step)
+				continue
+			}
+			go func() {
+				run.order(ctx, order.step, order.expected)
+				run.ledger.remove(recorded[index])
+			}()
+		}
+	}()
+}
+
+// postpone leaves an order that was not sent to a later round.
+func (run *termRun) postpone(step Step) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	delete(run.loads, step.Replica.ID)
+	run.pausedUntil[step.Replica.ID] = time.Now().Add(retryPause)
+}
+
+// writeLedger removes the orders that are over from the store.
+func (run *termRun) writeLedger(ctx context.Context) {
+	if err := run.ledger.write(ctx); err != nil {
+		run.orderer.Logger.Warn("orders not recorded", "count", 0, "fence", run.term.Fence, "error", err)
+	}
 }
 
+// order sends an order. The order is no longer in flight when it returns: a call without an answer discards its bytes.
 func (run *termRun) order(ctx context.Context, step Step, expected int64) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -9,12 +9,15 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
 // Orderer orders replicas to load versions during the terms of this node.
 type Orderer struct {
-	Node     string
+	Node string
+	// Store keeps the orders in flight. It is the store of the election.
+	Store    metadata.Store
 	Catalog  *catalog.Table
 	Replicas Replicas
 	Logger   *log.Logger
@@ -30,9 +33,9 @@
 }
 
 // NewOrderer returns an orderer without targets.
-func NewOrderer(node string, table *catalog.Table, replicas Replicas, loadShare float64, logger *log.Logger) *Orderer {
+func NewOrderer(node string, store metadata.Store, table *catalog.Table, replicas Replicas, loadShare float64, logger *log.Logger) *Orderer {
 	return &Orderer{
-		Node: node, Catalog: table, Replicas: replicas, LoadShare: loadShare, Logger: logger,
+		Node: node, Store: store, Catalog: table, Replicas: replicas, LoadShare: loadShare, Logger: logger,
 		targets: make(Targets), published: make(map[string]publication), openItems: make(map[string]*openItems), changed: make(chan struct{}, 1),
 	}
 }
--- a/internal/weights/orderer_test.go
+++ b/internal/weights/orderer_test.go
@@ -26,6 +26,14 @@
 	// loseNext is how many orders get no answer. If late is set, the engine processes them after that time.
 	loseNext int
 	late     time.Duration
+	// silentUntil is when a partition ends that keeps all calls from the engine.
+	silentUntil time.Time
+}
+
+// receivedOrder is an order as it reached an engine.
+type receivedOrder struct {
+	weights.Order
+	at time.Time
 }
 
 // engines implements weights.Replicas.
@@ -34,10 +42,12 @@
 	table *catalog.Table
 	byID  map[string]*engine
 	taken []weights.Order
+	// received holds what reached each engine, whatever it answered.
+	received map[string][]receivedOrder
 }
 
 func newEngines(count int) *engines {
-	created := &engines{table: catalog.NewTable(), byID: make(map[string]*engine)}
+	created := &engines{table: catalog.NewTable(), byID: make(map[string]*engine), received: make(map[string][]receivedOrder)}
 	for _, replica := range newReplicas(count, []string{"m"}) {
 		created.byID[replica.ID] = &engine{service: "s", model: "m", version: 1}
 	}
@@ -97,19 +107,26 @@
 	if engine.loseNext > 0 {
 		engine.loseNext--
 		if engine.late > 0 {
-			time.AfterFunc(engine.late, func() { engines.take(engine, order) })
+			time.AfterFunc(engine.late, func() { engines.take(replica.ID, order) })
 		}
 		engines.mu.Unlock()
 		<-ctx.Done()
 		return weights.Rejected, weights.ErrOrderUnanswered
 	}
+	silent := time.Now().Before(engine.silentUntil)
 	engines.mu.Unlock()
-	return engines.take(engine, order), nil
+	if silent {
+		<-ctx.Done()
+		return weights.Rejected, weights.ErrOrderUnanswered
+	}
+	return engines.take(replica.ID, order), nil
 }
 
-func (engines *engines) take(engine *engine, order weights.Order) weights.Reply {
+func (engines *engines) take(id string, order weights.Order) weights.Reply {
 	engines.mu.Lock()
 	defer engines.mu.Unlock()
+	engine := engines.byID[id]
+	engines.received[id] = append(engines.received[id], receivedOrder{order, time.Now()})
 	if engine.loading || order.ExpectedOrders != engine.orders {
 		return weights.Conflicting
 	}
@@ -129,6 +146,9 @@
 	engines.mu.Lock()
 	defer engines.mu.Unlock()
 	engine := engines.byID[replica.ID]
+	if time.Now().Before(engine.silentUntil) {
+		return weights.Report{}, context.DeadlineExceeded
+	}
 	return weights.Report{Busy: engine.loading, Orders: engine.orders, Models: []catalog.ModelVersion{{Model: engine.model, Version: engine.version}}}, nil
 }
 
@@ -154,8 +174,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines := newEngines(replicas)
 		ctx, cancel := context.WithCancel(t.Context())
-		orderer := weights.NewOrderer("node", engines.table, engines, loadShare, log.New(io.Discard))
-		election := weights.NewElection(memstore.New(), "node", electionSettings, log.New(io.Discard))
+		store := memstore.New()
+		orderer := weights.NewOrderer("node", store, engines.table, engines, loadShare, log.New(io.Discard))
+		election := weights.NewElection(store, "node", electionSettings, log.New(io.Discard))
 		go election.Run(ctx, orderer.RunTerm)
 		time.Sleep(2 * time.Second)
 		run(t, engines, orderer)
--- a/internal/weights/suspension_test.go
+++ b/internal/weights/suspension_test.go
@@ -78,8 +78,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines, machine := newEngines(4), &suspendable{Clock: clock.Monotonic()}
 		ctx, cancel := context.WithCancel(t.Context())
-		orderer := weights.NewOrderer("node", engines.table, engines, 0.5, log.New(io.Discard))
 		store := &nodeStore{Store: memstore.New()}
+		orderer := weights.NewOrderer("node", store, engines.table, engines, 0.5, log.New(io.Discard))
 		election := weights.NewElection(store, "node", electionSettings, log.New(io.Discard))
 		election.Clock = machine
 		go election.Run(ctx, orderer.RunTerm)
--- a/internal/weights/term.go
+++ b/internal/weights/term.go
@@ -14,6 +14,8 @@
 	Fence      int64
 	lease      metadata.LeaseID
 	timeToLive time.Duration
+	// handoverWait has to lie between the last order of another node and the first one of this term.
+	handoverWait time.Duration
 
 	clock clock.Clock
 
