--- a/internal/batchrun/delegation.go
+++ b/internal/batchrun/delegation.go
@@ -167,7 +167,7 @@
 	if runner.isPartitioned() {
 		return nil, twirp.NewError(twirp.Unavailable, errNotServed.Error())
 	}
-	owned := runner.acceptOnce(request.GetJob(), runner.objectiveOf(request.GetJob()))
+	owned := runner.acceptOnce(ctx, request.GetJob(), runner.objectiveOf(request.GetJob()))
 	if owned == nil {
 		return nil, twirp.NewError(twirp.Unavailable, ErrStopping.Error())
 	}
--- a/internal/batchrun/history_test.go
+++ b/internal/batchrun/history_test.go
@@ -117,11 +117,13 @@
 		history.resubmit(name)
 	case 12:
 		history.restart(name)
+	case 13:
+		history.stopInSuccession(name)
 	}
 }
 
 // historyEvents is the number of kinds of events that play knows.
-const historyEvents = 13
+const historyEvents = 14
 
 // end ends the newest job. The job need not complete then, but what was listed stays.
 func (history *history) end(name string) {
@@ -184,16 +186,7 @@
 // kill stops a node without notice. A live node takes over its jobs, as it does when the failure detector declares a node dead,
 // and the node restarts without state.
 func (history *history) kill(name string) {
-	incarnation := history.world.kill(name)
-	time.Sleep(1300 * time.Millisecond)
-	for _, other := range []string{"a", "b", "c"} {
-		if runner := history.world.node(other); runner != nil && other != name {
-			if runner.TakeOverNode(context.Background(), name, incarnation) == nil { // otherwise the node resumes its jobs itself
-				history.world.clearLeftoverWorkKey(name)
-			}
-			break
-		}
-	}
+	history.takeOver(name, history.world.kill(name))
 	history.world.start(name)
 }
 
@@ -212,6 +205,48 @@
 	history.world.start(name)
 }
 
+// stopInSuccession stops a node, and the node that takes its jobs over while it does so. Neither comes back until the third node has had
+// time to take over what they left.
+func (history *history) stopInSuccession(name string) {
+	world := history.world
+	world.keptDelay = 200 * time.Millisecond
+	defer func() { world.keptDelay = 0 }()
+	var stopped []string
+	var outcomes []<-chan bool
+	for _, candidate := range append([]string{name}, (&worldPeers{world, name}).Nearest()...) {
+		if runner := world.node(candidate); runner != nil && len(stopped) < 2 {
+			stopped, outcomes = append(stopped, candidate), append(outcomes, handOver(runner))
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	for index, candidate := range stopped {
+		handedOver := <-outcomes[index]
+		incarnation := world.kill(candidate)
+		if handedOver {
+			world.clearLeftoverWorkKey(candidate)
+		} else {
+			history.takeOver(candidate, incarnation)
+		}
+	}
+	time.Sleep(time.Second)
+	for _, candidate := range stopped {
+		world.start(candidate)
+	}
+}
+
+// takeOver has a live node take over the jobs of a dead one, as when the failure detector declares it dead.
+func (history *history) takeOver(name string, incarnation int64) {
+	time.Sleep(1300 * time.Millisecond)
+	for _, other := range []string{"a", "b", "c"} {
+		if runner := history.world.node(other); runner != nil && other != name {
+			if runner.TakeOverNode(context.Background(), name, incarnation) == nil { // otherwise the node resumes its jobs itself
+				history.world.clearLeftoverWorkKey(name)
+			}
+			return
+		}
+	}
+}
+
 // readAllNodes reads every accepted job at every node and checks the results against earlier ones.
 func (history *history) readAllNodes() {
 	for id := range history.accepted {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -111,9 +111,9 @@
 	tenants     map[string]string // tenant by job; it never changes
 	kept        *keptItems
 	resultCache *resultCache
-	claiming    map[string]bool // jobs that this node is claiming
-	lastJob     time.Time       // when the last job was removed
-	jobAdded    chan struct{}   // closed when the next job is added; nil if nobody waits for it
+	claiming    map[string]chan struct{} // closed when the claim ends; by job
+	lastJob     time.Time                // when the last job was removed
+	jobAdded    chan struct{}            // closed when the next job is added; nil if nobody waits for it
 	stopping    bool
 	sweeps      *sweepSchedule
 }
@@ -128,7 +128,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	runner := &Runner{
 		Options: options, ctx: ctx, cancel: cancel, scoring: make(chan struct{}, maxScoringInFlight),
-		jobs: make(map[string]*job), ended: newEndedCache(), owners: make(map[string]string), tenants: make(map[string]string), kept: newKeptItems(), resultCache: newResultCache(), claiming: make(map[string]bool),
+		jobs: make(map[string]*job), ended: newEndedCache(), owners: make(map[string]string), tenants: make(map[string]string), kept: newKeptItems(), resultCache: newResultCache(), claiming: make(map[string]chan struct{}),
 		sweeps: newSweepSchedule(),
 	}
 	runner.scheduler = newScheduler(runner)
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -32,7 +32,12 @@
 		return nil, twirp.WrapError(twirp.NewError(twirp.AlreadyExists, "not accepted"), err)
 	}
 	owned := newJob(runner.ctx, definition, runner.objectiveOf(definition))
-	if other := runner.addUnlessKnown(owned); other != nil {
+	other, err := runner.addUnlessKnown(ctx, owned)
+	if err != nil {
+		owned.cancel()
+		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "not accepted"), err)
+	}
+	if other != nil {
 		owned.cancel()
 		if !batch.MayUse(definition.GetTenant(), other.definition.GetTenant()) {
 			return nil, twirp.WrapError(twirp.NewError(twirp.AlreadyExists, "not accepted"), errOtherTenant)
@@ -50,14 +55,22 @@
 }
 
 // addUnlessKnown adds a job, or returns the job with the same identifier that this node has accepted or is accepting. Two
-// concurrent acceptances at one node would claim the job from each other.
-func (runner *Runner) addUnlessKnown(owned *job) (known *job) {
+// concurrent acceptances at one node would claim the job from each other. A claim of the job that is under way comes first. An error
+// means that nothing was added.
+func (runner *Runner) addUnlessKnown(ctx context.Context, owned *job) (known *job, err error) {
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
+	runner.awaitClaim(ctx, owned.id())
+	switch {
+	case runner.stopping:
+		return nil, ErrStopping
+	case runner.claiming[owned.id()] != nil:
+		return nil, errClaiming
+	}
 	if known = runner.jobs[owned.id()]; known == nil {
 		runner.put(owned)
 	}
-	return known
+	return known, nil
 }
 
 // awaitAccepted responds once the job is accepted.
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -66,7 +66,7 @@
 	if runner.ended.has(definition.GetId()) {
 		return nil
 	}
-	owned := runner.acceptOnce(definition, route.JobObjective)
+	owned := runner.acceptOnce(ctx, definition, route.JobObjective)
 	if owned == nil {
 		return runner.relay(ctx, &batchv1.SubmitRequest{Job: definition})
 	}
@@ -219,12 +219,13 @@
 	runner.Log.Health.AwaitGood(ctx)
 }
 
-// acceptOnce returns the job that this node has accepted or is accepting, and starts the acceptance if there is none. It returns
-// nil while this node is stopping.
-func (runner *Runner) acceptOnce(definition *batchv1.Job, objective time.Duration) *job {
+// acceptOnce returns the job that this node has accepted or is accepting, and starts the acceptance if there is none. A claim of the
+// job that is under way comes first. It returns nil while this node is stopping, and if the context ends during such a claim.
+func (runner *Runner) acceptOnce(ctx context.Context, definition *batchv1.Job, objective time.Duration) *job {
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
-	if runner.stopping {
+	runner.awaitClaim(ctx, definition.GetId())
+	if runner.stopping || runner.claiming[definition.GetId()] != nil {
 		return nil
 	}
 	owned := runner.jobs[definition.GetId()]
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -45,14 +45,11 @@
 
 // takeOver makes this node the owner of a job and resumes it.
 func (runner *Runner) takeOver(id string, from origin, partials []*batchv1.Partial) error {
-	if known := runner.find(id); known != nil {
-		if known.isAccepted() {
-			return nil
-		}
-		return errClaiming // the job was submitted here as well, and its owner is not determined yet
+	if known := runner.find(id); known != nil && known.isAccepted() {
+		return nil
 	}
-	if !runner.beginClaim(id) {
-		return errClaiming
+	if err := runner.beginClaim(id); err != nil {
+		return err
 	}
 	defer runner.endClaim(id)
 	ctx, cancel := context.WithTimeout(runner.ctx, takeOverTimeout)
@@ -97,27 +94,6 @@
 	return ownership, record, nil
 }
 
-// errClaiming means that this node is already claiming or accepting the job.
-var errClaiming = errors.New("the job is being claimed by this node")
-
-// beginClaim registers a claim of a job and reports whether none was under way. Of two concurrent claims the second would
-// invalidate the first, and its result might be dropped.
-func (runner *Runner) beginClaim(id string) bool {
-	runner.mu.Lock()
-	defer runner.mu.Unlock()
-	if runner.claiming[id] {
-		return false
-	}
-	runner.claiming[id] = true
-	return true
-}
-
-func (runner *Runner) endClaim(id string) {
-	runner.mu.Lock()
-	defer runner.mu.Unlock()
-	delete(runner.claiming, id)
-}
-
 // resume runs a job that this node has claimed.
 func (runner *Runner) resume(ownership *batchlog.Ownership, record *batchlog.Record) {
 	objective := runner.objectiveOf(record.Job)
@@ -127,11 +103,6 @@
 	owned.adopt(record)
 	close(owned.accepted)
 	runner.mu.Lock()
-	if runner.jobs[owned.id()] != nil {
-		runner.mu.Unlock()
-		owned.cancel()
-		return
-	}
 	runner.put(owned)
 	delete(runner.owners, owned.id())
 	runner.mu.Unlock()
@@ -185,13 +156,23 @@
 	return list
 }
 
-// HandOver hands all jobs to other nodes for a planned stop and reports whether all were accepted. In the log this node
-// remains the owner of the jobs that were not accepted. Other nodes take these over when this node stops sending heartbeats, as long
-// as it is registered.
+// HandOver hands all jobs to other nodes for a planned stop and reports whether all were accepted, including those that this node is
+// taking over from others. In the log this node remains the owner of the jobs that were not accepted. Other nodes take these over when
+// this node stops sending heartbeats, as long as it is registered.
 func (runner *Runner) HandOver(ctx context.Context) (all bool) {
 	runner.mu.Lock()
-	runner.stopping = true
+	runner.stopping = true // no claim or acceptance begins from now on
 	runner.mu.Unlock()
+	all = runner.handOverOpenJobs(ctx)
+	if !runner.awaitClaims(ctx) {
+		runner.Logger.Warn("jobs not handed over", "reason", "still being claimed")
+		return false
+	}
+	return runner.handOverOpenJobs(ctx) && all
+}
+
+// handOverOpenJobs hands over the jobs that run here and reports whether all were accepted.
+func (runner *Runner) handOverOpenJobs(ctx context.Context) (all bool) {
 	all = true
 	for _, owned := range runner.openJobs() {
 		if !owned.isAccepted() {
