Batch jobs: a takeover claims the jobs of all processes of a dead node

Cause: the takeover claimed only jobs of the registered process. Those of the process before, which the second one had not resumed, counted as done, and the node's record was removed.

Change: a takeover claims the jobs of any process of the node, on condition that the node's record is still the one that was declared dead (batchlog.Origin). That protects a process that has registered since, which the incarnation was meant to do. The record is removed under the same condition.

Why it works: a job of a dead node belongs to its last process or an earlier one as long as no other has registered.

--- a/internal/batchlog/log.go
+++ b/internal/batchlog/log.go
@@ -25,6 +25,8 @@
 	ErrNotOwner = errors.New("the job has another owner or has ended")
 	// ErrNotFound means that the job was never accepted or has been removed.
 	ErrNotFound = errors.New("no such job")
+	// ErrProcessReplaced means that the process from which a job is claimed has been replaced: its node has registered again.
+	ErrProcessReplaced = errors.New("the node has registered again")
 )
 
 const (
@@ -110,18 +112,36 @@
 	return owner, item.Revision, nil
 }
 
-// AnyIncarnation matches every process of a node.
+// AnyIncarnation is the Incarnation of an Origin that matches every process of a node.
 const AnyIncarnation = 0
 
+// Origin tells which processes of a node a job may be claimed from.
+type Origin struct {
+	Node string
+	// Incarnation is the process, or AnyIncarnation.
+	Incarnation int64
+	// Registration, if set, is the record of the node as its last process wrote it. It protects the jobs of a process that has started
+	// since. The incarnation cannot do that for a node that is dead: its last process may have left jobs of earlier ones.
+	Registration *metadata.Condition
+}
+
+// conditions returns the conditions of a claim on a key of the owner.
+func (origin Origin) conditions(owner metadata.Condition) []metadata.Condition {
+	if origin.Registration == nil {
+		return []metadata.Condition{owner}
+	}
+	return []metadata.Condition{owner, *origin.Registration}
+}
+
 // Claim transfers a job from a process of another node, or an earlier process of this node, to this node. It returns ErrNotOwner
-// if that process does not own the job. The incarnation protects a restarted node from claims that are meant for its previous
-// process.
-func (log *Log) Claim(ctx context.Context, id, from string, incarnation int64) (*Ownership, error) {
+// if that process does not own the job, and ErrProcessReplaced if the origin has registered again.
+func (log *Log) Claim(ctx context.Context, id string, from Origin) (*Ownership, error) {
 	claim, encoded, err := log.newClaim()
 	if err != nil {
 		return nil, err
 	}
 	var ownership *Ownership
+	var refusedAt metadata.Revision // the owner's revision at the last refused attempt
 	err = log.retry(ctx, func(ctx context.Context) error {
 		owner, revision, err := log.Owner(ctx, id)
 		if err != nil {
@@ -131,17 +151,24 @@
 			ownership = &Ownership{JobID: id, revision: revision, claim: claim}
 			return nil
 		}
-		if owner.GetNode() != from || (incarnation != AnyIncarnation && owner.GetLife() != incarnation) {
+		if owner.GetNode() != from.Node || (from.Incarnation != AnyIncarnation && owner.GetLife() != from.Incarnation) {
 			return ErrNotOwner
 		}
+		if revision == refusedAt {
+			return ErrProcessReplaced // the owner is as it was, so that the other condition has failed
+		}
 		txn := metadata.Txn{
-			Conditions: []metadata.Condition{{Key: ownerKey(id), Revision: revision}},
+			Conditions: from.conditions(metadata.Condition{Key: ownerKey(id), Revision: revision}),
 			Puts:       []metadata.Put{{Key: ownerKey(id), Value: encoded}, {Key: ownedKey(log.Node, id)}, {Key: LeftoverWorkKey(log.Node)}},
 		}
 		if owner.GetNode() != log.Node {
 			txn.Deletes = []string{ownedKey(owner.GetNode(), id)}
 		}
 		newRevision, err := log.Store.Commit(ctx, txn)
+		var conflict *metadata.ConflictError
+		if errors.As(err, &conflict) {
+			refusedAt = revision
+		}
 		if err != nil {
 			return err
 		}
@@ -314,4 +341,6 @@
 	return err
 }
 
-func isPermanent(err error) bool { return errors.Is(err, ErrNotOwner) || errors.Is(err, ErrNotFound) }
+func isPermanent(err error) bool {
+	return errors.Is(err, ErrNotOwner) || errors.Is(err, ErrNotFound) || errors.Is(err, ErrProcessReplaced)
+}
--- a/internal/batchlog/log_test.go
+++ b/internal/batchlog/log_test.go
@@ -54,7 +54,7 @@
 		held, err := frozen.Accept(within(t, time.Second), newJob("job"))
 		must.NoError(t, err)
 		must.NoError(t, frozen.Append(within(t, time.Second), held, result("before"), nil))
-		claimed, err := successor.Claim(within(t, time.Second), "job", "a", batchlog.AnyIncarnation)
+		claimed, err := successor.Claim(within(t, time.Second), "job", batchlog.Origin{Node: "a"})
 		must.NoError(t, err)
 		record, err := successor.Resume(within(t, time.Second), claimed)
 		must.NoError(t, err)
@@ -117,7 +117,7 @@
 		frozen, successor := batchlog.Log{Store: store, Node: "a"}, batchlog.Log{Store: store, Node: "b"}
 		held, err := frozen.Accept(within(t, time.Second), newJob("job"))
 		must.NoError(t, err)
-		claimed, err := successor.Claim(within(t, time.Second), "job", "a", batchlog.AnyIncarnation)
+		claimed, err := successor.Claim(within(t, time.Second), "job", batchlog.Origin{Node: "a"})
 		must.NoError(t, err)
 		must.NoError(t, successor.Append(within(t, time.Second), claimed, result("x"), nil))
 		whole, err := frozen.EndOwned(within(t, time.Second), held)
@@ -243,7 +243,7 @@
 		if err != nil {
 			return
 		}
-		held, err := actor.log.Claim(ctx, "job", owner.GetNode(), batchlog.AnyIncarnation)
+		held, err := actor.log.Claim(ctx, "job", batchlog.Origin{Node: owner.GetNode()})
 		if err != nil {
 			return
 		}
--- a/internal/batchrun/directory_test.go
+++ b/internal/batchrun/directory_test.go
@@ -65,7 +65,7 @@
 		time.Sleep(300 * time.Millisecond)
 		world.refuse("b", false)
 		world.refuse("c", false)
-		must.Error(t, world.node("b").TakeOverNode(t.Context(), "a", incarnation))
+		must.Error(t, world.node("b").TakeOverNode(t.Context(), "a", incarnation, unregistered("a")))
 		world.start("a")
 		checkResults(t, await(t, world.node("c"), "job-1", 6, 8*time.Second), 1)
 	})
--- a/internal/batchrun/ended_elsewhere_test.go
+++ b/internal/batchrun/ended_elsewhere_test.go
@@ -56,7 +56,9 @@
 		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 6, 1), jobRoute))
 		incarnation := world.kill("a")
 		taken := make(chan error, 1)
-		go func() { taken <- world.node("b").TakeOverNode(context.Background(), "a", incarnation) }()
+		go func() {
+			taken <- world.node("b").TakeOverNode(context.Background(), "a", incarnation, unregistered("a"))
+		}()
 		time.Sleep(200 * time.Millisecond)
 		must.NoError(t, world.node("c").End(t.Context(), noTenant, "job"))
 		must.NoError(t, <-taken)
--- a/internal/batchrun/handover_test.go
+++ b/internal/batchrun/handover_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/batchrun"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
 
 // stopLimit is the time that a planned stop has for its handover.
@@ -32,7 +34,7 @@
 		return
 	}
 	time.Sleep(1300 * time.Millisecond)
-	_ = world.node("c").TakeOverNode(context.Background(), name, incarnation)
+	_ = world.node("c").TakeOverNode(context.Background(), name, incarnation, unregistered(name))
 }
 
 // Guards against a job with no node to run it: its owner stops and hands it over to a node that is told to stop while it takes over.
@@ -59,7 +61,9 @@
 		world.keptDelay = 300 * time.Millisecond
 		incarnation := world.kill("a")
 		taken := make(chan error, 1)
-		go func() { taken <- world.node("b").TakeOverNode(context.Background(), "a", incarnation) }()
+		go func() {
+			taken <- world.node("b").TakeOverNode(context.Background(), "a", incarnation, unregistered("a"))
+		}()
 		time.Sleep(150 * time.Millisecond)
 		stopped := handOver(world.node("b"))
 		if <-taken == nil {
@@ -69,3 +73,33 @@
 		checkResults(t, await(t, world.node("c"), "job", 30, 6*time.Second), 1)
 	})
 }
+
+// Guards against a job with no node to run it: its owner is killed, restarts, and is killed again before it has looked for the jobs of its
+// earlier process.
+func TestTakeoverOfAnEarlierProcess(t *testing.T) {
+	inWorld(t, 63, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
+		time.Sleep(300 * time.Millisecond)
+		world.kill("a")
+		world.restartWithoutSearch("a")
+		incarnation := world.kill("a")
+		must.NoError(t, world.node("b").TakeOverNode(t.Context(), "a", incarnation, unregistered("a")))
+		checkResults(t, await(t, world.node("c"), "job", 30, 6*time.Second), 1)
+	})
+}
+
+// Guards against a takeover that takes the jobs of a process which has registered since the node was declared dead.
+func TestTakeoverLeavesTheJobsOfANewProcess(t *testing.T) {
+	inWorld(t, 64, func(t *testing.T, world *world) {
+		incarnation := world.kill("a")
+		restarted := world.start("a")
+		must.NoError(t, restarted.Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
+		dead := unregistered("a")
+		_, err := world.store.CommitIgnoringFaults(metadata.Txn{Puts: []metadata.Put{{Key: dead.Key}}})
+		must.NoError(t, err)
+		must.ErrorIs(t, world.node("b").TakeOverNode(t.Context(), "a", incarnation, dead), batchlog.ErrProcessReplaced)
+		must.Eq(t, 1, restarted.OpenJobs())
+		checkResults(t, await(t, world.node("c"), "job", 30, 6*time.Second), 1)
+		must.Eq(t, 0, world.node("b").OpenJobs())
+	})
+}
--- a/internal/batchrun/history_test.go
+++ b/internal/batchrun/history_test.go
@@ -119,11 +119,13 @@
 		history.restart(name)
 	case 13:
 		history.stopInSuccession(name)
+	case 14:
+		history.killTwice(name)
 	}
 }
 
 // historyEvents is the number of kinds of events that play knows.
-const historyEvents = 14
+const historyEvents = 15
 
 // end ends the newest job. The job need not complete then, but what was listed stays.
 func (history *history) end(name string) {
@@ -205,6 +207,14 @@
 	history.world.start(name)
 }
 
+// killTwice kills a node, and kills it again when it has started and has not looked for its jobs.
+func (history *history) killTwice(name string) {
+	history.world.kill(name)
+	history.world.restartWithoutSearch(name)
+	history.takeOver(name, history.world.kill(name))
+	history.world.start(name)
+}
+
 // stopInSuccession stops a node, and the node that takes its jobs over while it does so. Neither comes back until the third node has had
 // time to take over what they left.
 func (history *history) stopInSuccession(name string) {
@@ -239,7 +249,7 @@
 	time.Sleep(1300 * time.Millisecond)
 	for _, other := range []string{"a", "b", "c"} {
 		if runner := history.world.node(other); runner != nil && other != name {
-			if runner.TakeOverNode(context.Background(), name, incarnation) == nil { // otherwise the node resumes its jobs itself
+			if runner.TakeOverNode(context.Background(), name, incarnation, unregistered(name)) == nil { // otherwise the node resumes its jobs itself
 				history.world.clearLeftoverWorkKey(name)
 			}
 			return
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -98,7 +98,7 @@
 		before, err := readAll(t.Context(), world.node("a"), "job")
 		must.NoError(t, err)
 		must.SliceNotEmpty(t, before)
-		must.NoError(t, world.node("b").TakeOverNode(t.Context(), "a", world.kill("a")))
+		must.NoError(t, world.node("b").TakeOverNode(t.Context(), "a", world.kill("a"), unregistered("a")))
 		results := await(t, world.node("c"), "job", 30, 6*time.Second)
 		checkPrefix(t, before, results)
 		checkResults(t, results, 1)
@@ -111,7 +111,7 @@
 		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition(longJob, 4, 1), jobRoute))
 		time.Sleep(1300 * time.Millisecond)
 		incarnation := world.kill("a")
-		must.NoError(t, world.node("b").TakeOverNode(t.Context(), "a", incarnation))
+		must.NoError(t, world.node("b").TakeOverNode(t.Context(), "a", incarnation, unregistered("a")))
 		checkResults(t, await(t, world.node("c"), longJob, 4, 3*time.Second), 1)
 		for item, event := range world.engines.resumed {
 			must.GreaterEq(t, longEvents/4, event, must.Sprint(item))
--- a/internal/batchrun/scoring_test.go
+++ b/internal/batchrun/scoring_test.go
@@ -344,7 +344,7 @@
 		incarnation := world.kill("a")
 		before := len(scorers.callsOf(mediumItem))
 		must.Less(t, 12, before)
-		must.NoError(t, world.node("b").TakeOverNode(t.Context(), "a", incarnation))
+		must.NoError(t, world.node("b").TakeOverNode(t.Context(), "a", incarnation, unregistered("a")))
 		checkResults(t, await(t, world.node("c"), mediumItem, 12, 8*time.Second), 1)
 		must.Eq(t, started, world.engines.started(), must.Sprint("items ran again"))
 	})
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -9,6 +9,7 @@
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/batch"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 )
 
 // Service serves the calls of other nodes. It implements batchv1.Batches.
@@ -145,7 +146,7 @@
 	if !service.Runner.Log.Health.Good() {
 		return nil, twirp.NewError(twirp.Unavailable, errNotServed.Error())
 	}
-	err := service.Runner.takeOver(request.GetJobId(), origin{request.GetFrom(), request.GetLife()}, request.GetPartials())
+	err := service.Runner.takeOver(request.GetJobId(), batchlog.Origin{Node: request.GetFrom(), Incarnation: request.GetLife()}, request.GetPartials())
 	service.Runner.Logger.Info("job taken over", "job", request.GetJobId(), "partials", len(request.GetPartials()), "error", err)
 	if err != nil {
 		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, "not taken over"), errors.Cause(err))
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -292,7 +292,7 @@
 func (runner *Runner) acceptAgain(ctx context.Context, id string, owner *batchv1.Ownership) (acceptance, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimOwnTimeout)
 	defer cancel()
-	ownership, record, err := runner.claim(ctx, id, origin{runner.Node, batchlog.AnyIncarnation}, nil)
+	ownership, record, err := runner.claim(ctx, id, batchlog.Origin{Node: runner.Node}, nil)
 	if errors.Is(err, batchlog.ErrNotOwner) {
 		return acceptance{}, nil
 	}
--- a/internal/batchrun/sweep.go
+++ b/internal/batchrun/sweep.go
@@ -122,7 +122,7 @@
 	for _, id := range ids {
 		if !runner.isStopping() && runner.find(id) == nil && !runner.ended.has(id) {
 			claims.Go(func() {
-				err := runner.takeOver(id, origin{runner.Node, batchlog.AnyIncarnation}, nil)
+				err := runner.takeOver(id, batchlog.Origin{Node: runner.Node}, nil)
 				runner.Logger.Info("job taken up", "job", id, "error", err)
 			})
 		}
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -10,6 +10,7 @@
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
 
 const (
@@ -17,16 +18,11 @@
 	handOverTimeout = 1200 * time.Millisecond
 )
 
-// origin is the process from which a job is taken over.
-type origin struct {
-	node        string
-	incarnation int64
-}
-
-// TakeOverNode takes over every job that a crashed process of a node owns. It returns once all jobs are claimed, or with the
-// errors. The caller keeps the node's record until it returns without an error, so that other nodes and the next process of the
-// node know that jobs may be left.
-func (runner *Runner) TakeOverNode(ctx context.Context, node string, incarnation int64) error {
+// TakeOverNode takes over every job that a crashed node owns, also those of processes before its last one, which may have ended before
+// it resumed them. registration is the node's record as that process wrote it, and incarnation that process. TakeOverNode returns
+// once all jobs are claimed, or with the errors. The caller keeps the node's record until it returns without an error, so that other
+// nodes and the next process of the node know that jobs may be left.
+func (runner *Runner) TakeOverNode(ctx context.Context, node string, incarnation int64, registration metadata.Condition) error {
 	ids, err := runner.owned(ctx, node, false)
 	if err != nil {
 		return err
@@ -35,7 +31,7 @@
 	var claims sync.WaitGroup
 	for index, id := range ids {
 		claims.Go(func() {
-			outcomes[index] = runner.takeOver(id, origin{node, incarnation}, nil)
+			outcomes[index] = runner.takeOver(id, batchlog.Origin{Node: node, Registration: &registration}, nil)
 			runner.Logger.Warn("job taken over", "job", id, "from", node, "life", incarnation, "error", outcomes[index])
 		})
 	}
@@ -44,7 +40,7 @@
 }
 
 // takeOver makes this node the owner of a job and resumes it.
-func (runner *Runner) takeOver(id string, from origin, partials []*batchv1.Partial) error {
+func (runner *Runner) takeOver(id string, from batchlog.Origin, partials []*batchv1.Partial) error {
 	if known := runner.find(id); known != nil && known.isAccepted() {
 		return nil
 	}
@@ -73,8 +69,8 @@
 // claim makes this node the owner of a job that another process ran, and returns what that process made durable. Everything that runs
 // such a job starts from this record: a job that is run without it would list its items anew at positions that have been read. The texts
 // that the former owner saved or backed up, and the given ones, are kept for the items.
-func (runner *Runner) claim(ctx context.Context, id string, from origin, partials []*batchv1.Partial) (*batchlog.Ownership, *batchlog.Record, error) {
-	ownership, err := runner.Log.Claim(ctx, id, from.node, from.incarnation)
+func (runner *Runner) claim(ctx context.Context, id string, from batchlog.Origin, partials []*batchv1.Partial) (*batchlog.Ownership, *batchlog.Record, error) {
+	ownership, err := runner.Log.Claim(ctx, id, from)
 	if errors.Is(err, batchlog.ErrNotOwner) {
 		return nil, nil, err
 	}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -241,6 +241,11 @@
 // ShareLoads implements batchrun.Peers.
 func (peers *worldPeers) ShareLoads(map[string]int) {}
 
+// unregistered returns the registration of a node without a record, which no node of a world has unless a test writes one.
+func unregistered(name string) metadata.Condition {
+	return metadata.Condition{Key: "cluster/nodes/" + name}
+}
+
 func newDefinition(id string, items int, minimum int64) *batchv1.Job {
 	job := &batchv1.Job{Id: id, Host: "h", Path: "/jobs/" + id, Model: "m", MinimumVersion: minimum}
 	for index := range items {
--- a/internal/cluster/monitor.go
+++ b/internal/cluster/monitor.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
@@ -34,7 +35,7 @@
 	Datagrams *Datagrams
 	Logger    *log.Logger
 	// OnDead takes over the work of a dead node. It is called again if it returns an error.
-	OnDead func(ctx context.Context, name string, incarnation int64) error
+	OnDead func(ctx context.Context, dead DeadNode) error
 	// AwaitStore blocks until the metadata store answers, because a takeover needs the store. Nil means no wait.
 	AwaitStore func(ctx context.Context)
 
@@ -42,6 +43,15 @@
 	checking map[string]bool // suspects with a check in progress
 }
 
+// DeadNode is a node that was declared dead.
+type DeadNode struct {
+	Name string
+	// Incarnation is the last registered process of the node.
+	Incarnation int64
+	// Registration holds in the metadata store as long as no later process has registered.
+	Registration metadata.Condition
+}
+
 // Run sends heartbeats and checks for failures until the context ends.
 func (monitor *Monitor) Run(ctx context.Context) {
 	go monitor.send(ctx)
@@ -128,14 +138,15 @@
 	if monitor.Registry.sinceSeen(suspect, time.Now()) < heartbeatTimeout {
 		return // a heartbeat arrived during the wait
 	}
-	if err := monitor.OnDead(ctx, suspect, monitor.Registry.incarnation(suspect)); err != nil {
+	dead := monitor.Registry.deadNode(suspect)
+	if err := monitor.OnDead(ctx, dead); err != nil {
 		monitor.Logger.Warn("take-over failed", "node", suspect, "error", err)
 		wait.Pause(ctx, takeoverBackoff)
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	monitor.Registry.removeDead(callCtx, suspect)
+	monitor.Registry.removeDead(callCtx, dead)
 	monitor.Registry.markSeen(suspect, time.Now())
 }
 
@@ -165,11 +176,14 @@
 	}
 }
 
-// incarnation returns the registered incarnation of a node, or zero if the node is not registered.
-func (registry *Registry) incarnation(name string) int64 {
+// deadNode describes a node by its current record. Without a record the incarnation is zero, and the registration that there is none.
+func (registry *Registry) deadNode(name string) DeadNode {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
-	return registry.nodes[name].GetLife()
+	return DeadNode{
+		Name: name, Incarnation: registry.nodes[name].GetLife(),
+		Registration: metadata.Condition{Key: Prefix + name, Revision: registry.revisions[name]},
+	}
 }
 
 func (registry *Registry) sinceSeen(name string, now time.Time) time.Duration {
--- a/internal/cluster/monitor_test.go
+++ b/internal/cluster/monitor_test.go
@@ -99,8 +99,8 @@
 			storeAnswers, takeovers := make(chan struct{}), make(chan string, 1)
 			monitor := &Monitor{
 				Registry: registry, Logger: log.New(io.Discard), AwaitStore: func(context.Context) { <-storeAnswers },
-				OnDead: func(_ context.Context, name string, _ int64) error {
-					takeovers <- name
+				OnDead: func(_ context.Context, dead DeadNode) error {
+					takeovers <- dead.Name
 					return errors.New("the test ends here")
 				},
 			}
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -125,11 +125,8 @@
 }
 
 // removeDead removes the record of a dead node, unless a newer incarnation of that node has rewritten it.
-func (registry *Registry) removeDead(ctx context.Context, name string) {
-	registry.mu.Lock()
-	condition := metadata.Condition{Key: Prefix + name, Revision: registry.revisions[name]}
-	registry.mu.Unlock()
-	registry.remove(ctx, []metadata.Condition{condition}, name)
+func (registry *Registry) removeDead(ctx context.Context, dead DeadNode) {
+	registry.remove(ctx, []metadata.Condition{dead.Registration}, dead.Name)
 }
 
 func (registry *Registry) remove(ctx context.Context, conditions []metadata.Condition, name string) {
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -167,7 +167,7 @@
 	front.servePeers(listener, subscriber)
 	go front.health.Run(front.ctx)
 	go front.join()
-	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.Runner.TakeOverNode, AwaitStore: front.awaitStore}
+	monitor := &cluster.Monitor{Registry: front.Registry, Datagrams: front.datagrams, Logger: front.Logger, OnDead: front.takeOver, AwaitStore: front.awaitStore}
 	handlers := cluster.Handlers{
 		Any:       func() { front.Registry.RecordContact(time.Now()) },
 		Heartbeat: monitor.HandleHeartbeat, Beacon: front.handleBeacon, RelayReport: front.handleRelayReport, Loads: front.handleLoads,
@@ -194,6 +194,11 @@
 	return nil
 }
 
+// takeOver takes over the jobs of a dead node.
+func (front *Front) takeOver(ctx context.Context, dead cluster.DeadNode) error {
+	return front.Runner.TakeOverNode(ctx, dead.Name, dead.Incarnation, dead.Registration)
+}
+
 // handleResume runs after the machine was suspended. Other nodes may have taken over this front's jobs in the meantime,
 // and its connections may be dead.
 func (front *Front) handleResume(time.Duration) {
