Batch jobs: a handover is complete only if the log lists no job of the node

What callers would see (LOST): a front that restarts and is told to stop before it has looked for the jobs of its earlier process removes its record, and nobody runs those jobs. The same after an acceptance whose answer was lost and which takes effect after the node has left: a caller that submits the job again hears that it is accepted.

Cause: a handover counted the jobs that run, not those of the log.

Why it works: a record that stays makes other nodes take over whatever the log gives to the node. Cost: a read for each planned stop.

--- a/internal/batchrun/handover_test.go
+++ b/internal/batchrun/handover_test.go
@@ -10,6 +10,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/batchrun"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 )
 
 // stopLimit is the time that a planned stop has for its handover.
@@ -103,3 +104,29 @@
 		must.Eq(t, 0, world.node("b").OpenJobs())
 	})
 }
+
+// Guards against a job with no node to run it: a node that has restarted is told to stop before it has looked for the jobs of its earlier
+// process.
+func TestStopBeforeTheSearch(t *testing.T) {
+	inWorld(t, 65, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
+		time.Sleep(300 * time.Millisecond)
+		world.kill("a")
+		world.leave("a", <-handOver(world.restartWithoutSearch("a")))
+		checkResults(t, await(t, world.node("c"), "job", 30, 6*time.Second), 1)
+	})
+}
+
+// Guards against the same after an acceptance whose answer was lost: it takes effect after the node has left, and a caller that submits the
+// job again is told that it is accepted.
+func TestStopAfterAnUncertainAcceptance(t *testing.T) {
+	inWorld(t, 66, func(t *testing.T, world *world) {
+		world.store.SetFaults(memstore.Faults{LoseResponses: 1, CommitDelay: 1500 * time.Millisecond})
+		must.Error(t, submitAtNode(t.Context(), world.node("b"), newDefinition("job", 30, 1)))
+		world.store.SetFaults(memstore.Faults{})
+		world.leave("b", <-handOver(world.node("b")))
+		time.Sleep(time.Second)
+		must.NoError(t, world.node("c").Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
+		checkResults(t, await(t, world.node("a"), "job", 30, 6*time.Second), 1)
+	})
+}
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -94,7 +94,7 @@
 	}
 	page, ok := service.Runner.readLocal(ctx, request.GetJobId(), int(request.GetFrom()), wait, limit)
 	if !ok && service.Runner.find(request.GetJobId()) == nil {
-		service.Runner.sweeps.recordUncertainWrite() // the caller regards this node as the owner, which the log may confirm
+		service.Runner.sweeps.recordInquiry() // the caller regards this node as the owner, which the log may confirm
 	}
 	return &batchv1.ReadResponse{Owned: ok, Total: int64(page.Total), Results: page.Results}, nil
 }
--- a/internal/batchrun/sweep.go
+++ b/internal/batchrun/sweep.go
@@ -25,7 +25,8 @@
 	requests chan struct{} // holds a value while a sweep is requested
 
 	mu          sync.Mutex
-	uncertainAt time.Time // when a write with an unknown outcome was last given up
+	uncertainAt time.Time // when this node last had a reason to expect a job that it does not run
+	writeAt     time.Time // when a write with an unknown outcome was last given up
 	// used is true if this node has had a job or may have had one.
 	used bool
 }
@@ -44,11 +45,26 @@
 // recordUncertainWrite records that a write with an unknown outcome may have made this node the owner of a job that it does not
 // run.
 func (sweeps *sweepSchedule) recordUncertainWrite() {
+	sweeps.mu.Lock()
+	defer sweeps.mu.Unlock()
+	now := time.Now()
+	sweeps.uncertainAt, sweeps.writeAt, sweeps.used = now, now, true
+}
+
+// recordInquiry records that another node regards this node as the owner of a job that it does not run.
+func (sweeps *sweepSchedule) recordInquiry() {
 	sweeps.mu.Lock()
 	defer sweeps.mu.Unlock()
 	sweeps.uncertainAt, sweeps.used = time.Now(), true
 }
 
+// writesUncertain reports whether a write with an unknown outcome may still take effect.
+func (sweeps *sweepSchedule) writesUncertain(now time.Time) bool {
+	sweeps.mu.Lock()
+	defer sweeps.mu.Unlock()
+	return !sweeps.writeAt.IsZero() && now.Sub(sweeps.writeAt) < uncertainSweepPeriod
+}
+
 // recordUse records that this node has a job or may have one.
 func (sweeps *sweepSchedule) recordUse() {
 	sweeps.mu.Lock()
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -164,7 +164,22 @@
 		runner.Logger.Warn("jobs not handed over", "reason", "still being claimed")
 		return false
 	}
-	return runner.handOverOpenJobs(ctx) && all
+	return runner.handOverOpenJobs(ctx) && all && runner.ownsNothing(ctx)
+}
+
+// ownsNothing reports whether the log shows no job of this node, and no write with an unknown outcome may still make it the owner of one.
+// Jobs of an earlier process that this one has not resumed would otherwise have an owner that nobody watches.
+func (runner *Runner) ownsNothing(ctx context.Context) bool {
+	if runner.sweeps.writesUncertain(time.Now()) {
+		runner.Logger.Warn("jobs not handed over", "reason", "a write may still take effect")
+		return false
+	}
+	ids, err := runner.owned(ctx, runner.Node, false)
+	if err != nil || len(ids) > 0 {
+		runner.Logger.Warn("jobs not handed over", "reason", "the log lists jobs of this node", "jobs", len(ids), "error", err)
+		return false
+	}
+	return true
 }
 
 // handOverOpenJobs hands over the jobs that run here and reports whether all were accepted.
