Stop: calls are cut in the last seventh of the grace period, not 2 s before its end

What callers would see (LOST): a call whose replica is at work 6 s after the SIGTERM of its front is cut; the rule excuses the last sixth of the grace period, from 6.67 s of 8 s on.

Cause: Front.Stop kept 2 s for the end of the process.

Change: it keeps a seventh of the grace period.

Evidence: TestStopWaitsForLongCalls failed before (the call was cut).

Why it works: the calls are cut later than the excused part begins, and an exit takes some 0.3 s.

--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -269,9 +269,11 @@
 
 const (
 	// idleTime is how long a stopping front must be without calls before it shuts its servers down.
-	idleTime   = 600 * time.Millisecond
-	stopPoll   = 50 * time.Millisecond
-	stopMargin = 2 * time.Second
+	idleTime = 600 * time.Millisecond
+	stopPoll = 50 * time.Millisecond
+	// stopMarginShare is the fraction of the grace period that is left for the end of the process. Calls are cut before it begins; in the
+	// sixth before the end of the period callers have to put up with that.
+	stopMarginShare = 1.0 / 7
 	// shutdownTime is the part of the grace period that is reserved for calls in progress after the servers stop
 	// accepting new ones.
 	shutdownTime = 2 * time.Second
@@ -284,11 +286,12 @@
 func (front *Front) Stop(grace time.Duration, servers ...Server) {
 	started := time.Now()
 	front.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
+	available := grace - time.Duration(stopMarginShare*float64(grace))
+	ctx, cancel := context.WithTimeout(context.Background(), available)
 	defer cancel()
 	handedOver := front.Runner.HandOver(ctx)
 	lastActive := time.Now()
-	deadline := started.Add(grace - stopMargin - shutdownTime)
+	deadline := started.Add(available - shutdownTime)
 	for time.Now().Before(deadline) && (time.Since(lastActive) < idleTime || time.Since(started) < minStopTime) {
 		if front.activeCalls.Load() > 0 {
 			lastActive = time.Now()
--- a/internal/role/front_test.go
+++ b/internal/role/front_test.go
@@ -135,3 +135,30 @@
 	must.NoError(t, err)
 	return pairs[0].String()
 }
+
+// Guards against cutting a call whose replica answers before the last sixth of the grace period.
+func TestStopWaitsForLongCalls(t *testing.T) {
+	const grace = 6 * time.Second
+	front := role.NewFront(role.FrontOptions{
+		Node: "front-1", PeerAddress: freeAddress(t), Store: memstore.New(), PeerClient: http.DefaultClient, Logger: log.New(io.Discard),
+		Catalog: catalog.NewTable(), ConfigurationHandler: discardHandler{}, ReplicaHandler: discardHandler{},
+	})
+	must.NoError(t, front.Start())
+	server := &http.Server{Handler: front.CountCalls(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		time.Sleep(grace*5/6 - 100*time.Millisecond)
+		_, _ = writer.Write([]byte("whole"))
+	}))}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(listener) }() // returns when the listener is closed
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	answers := make(chan int64, 1)
+	go call(connection, answers)
+	time.Sleep(50 * time.Millisecond)
+	started := time.Now()
+	front.Stop(grace, role.Server{Server: server, Listener: listener})
+	server.Close() // as at the end of the process
+	must.Less(t, grace, time.Since(started))
+	must.Greater(t, int64(0), <-answers, must.Sprint("the call was cut"))
+}
