--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -66,13 +66,13 @@
 	return nil
 }
 
-// claim makes this node the owner of a job that another process ran, and returns what that process made durable. Everything that runs
-// such a job starts from this record: a job that is run without it would list its items anew at positions that have been read. The texts
-// that the former owner saved or backed up, and the given ones, are kept for the items.
+// claim makes this node the owner of a job that has been accepted before, and returns what its former owner made durable. Whatever runs
+// such a job starts from this record: without it, the job would list its items anew at positions that have been read. The texts that
+// the former owner saved or backed up, and the given ones, are kept for the items.
 func (runner *Runner) claim(ctx context.Context, id string, from batchlog.Origin, partials []*batchv1.Partial) (*batchlog.Ownership, *batchlog.Record, error) {
 	ownership, err := runner.Log.Claim(ctx, id, from)
-	if errors.Is(err, batchlog.ErrNotOwner) {
-		return nil, nil, err
+	if errors.Is(err, batchlog.ErrNotOwner) || errors.Is(err, batchlog.ErrProcessReplaced) {
+		return nil, nil, err // nothing was written
 	}
 	if err != nil {
 		runner.sweeps.recordUncertainWrite()
