--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -150,4 +150,17 @@
 mutate 'sums of a failover lack other zones' internal/room/summing.go 'early := ' 'early := false && ' ./internal/room
 mutate 'windows fall without a bound' internal/room/window.go 'reached*maxDecrease' 'reached*0.1*maxDecrease' ./internal/room
 mutate 'silent summing node kept' internal/room/target.go 'if now-max(heard, target.since) > WordTTL {' 'if now-max(heard, target.since) > 100*WordTTL {' ./internal/room
+mutate 'own job accepted without its record' internal/batchrun/submit.go 'return acceptance{ownership: ownership, record: record}, nil' 'return acceptance{ownership: ownership}, nil' ./internal/batchrun -run 'Resubmitted|StartedEarly'
+mutate 'listed items listed again' internal/batchrun/job.go 'owned.pending = slices.DeleteFunc(owned.pending, func(result *batchv1.Result) bool { return listed[result.GetItemId()] })' '_ = slices.DeleteFunc(owned.pending, func(*batchv1.Result) bool { return false })' ./internal/batchrun -run 'StartedEarly|Histories' -rapid.checks=500
+mutate 'claims not waited for' internal/batchrun/takeover.go 'if !runner.awaitClaims(ctx) {' 'if ctx.Err() != nil {' ./internal/batchrun -run StopDuring
+mutate 'jobs in the log not looked for' internal/batchrun/takeover.go 'if err != nil || len(ids) > 0 {' 'if err != nil {' ./internal/batchrun -run StopBefore
+mutate 'uncertain writes ignored at a stop' internal/batchrun/takeover.go 'if runner.sweeps.writesUncertain(time.Now()) {' 'if runner.sweeps.writesUncertain(time.Time{}.Add(time.Hour)) && ctx.Err() != nil {' ./internal/batchrun -run StopAfter
+mutate 'earlier processes left out' internal/batchrun/takeover.go 'batchlog.Origin{Node: node, Registration: &registration}' 'batchlog.Origin{Node: node, Incarnation: incarnation, Registration: &registration}' ./internal/batchrun -run TakeoverOf
+mutate 'new process robbed' internal/batchlog/log.go 'return []metadata.Condition{owner, *origin.Registration}' 'return []metadata.Condition{owner}' ./internal/batchrun -run TakeoverLeaves
+mutate 'connection closed without a reset' internal/network/discard.go 'tcp.SetLinger(0)' 'tcp.SetLinger(-1)' ./internal/network
+mutate 'former orders not waited for' internal/weights/ledger.go 'return ledger.former[replica] > 0' 'return ledger.former[replica] < 0' ./internal/weights
+mutate 'orders sent without a record' internal/weights/lead.go 'err := run.ledger.record(ctx, recorded)' 'err := run.ledger.record(ctx, recorded[:0])' ./internal/weights
+mutate 'no pause after a former order' internal/weights/delivery.go 'awaited.pause = run.term.handoverWait' '_ = run.term.handoverWait' ./internal/weights
+mutate 'success without an ID' platform/replicas.go 'return requestID == "" || status < http.StatusOK || status >= http.StatusMultipleChoices' 'return true || status < http.StatusOK || status >= http.StatusMultipleChoices' ./platform -run Send
+mutate 'calls cut early at a stop' internal/role/front.go 'stopMarginShare = 1.0 / 7' 'stopMarginShare = 1.0 / 4' ./internal/role -run LongCalls
 exit "$missed"
