Batch jobs: the search of a restarted node waits for acceptances

What callers would see (LOST): a job that is submitted again at its owner, which has restarted in an outage, is accepted and rests for up to 30 s once the store is back.

Cause: another node answers that the job has an owner, which is the asking node; this drops the job. Its search for the jobs of its earlier process had passed over it, as it was being accepted.

Change: the search is repeated while a job of this node is being accepted.

--- a/internal/batchrun/handover_test.go
+++ b/internal/batchrun/handover_test.go
@@ -48,8 +48,9 @@
 		time.Sleep(150 * time.Millisecond)
 		second := handOver(world.node("b"))
 		must.True(t, <-first)
+		must.True(t, <-second, must.Sprint("the job that was taken over is not handed over"))
 		world.leave("a", true)
-		world.leave("b", <-second)
+		world.leave("b", true)
 		checkResults(t, await(t, world.node("c"), "job", 30, 6*time.Second), 1)
 	})
 }
@@ -70,7 +71,8 @@
 		if <-taken == nil {
 			world.clearLeftoverWorkKey("a")
 		}
-		world.leave("b", <-stopped)
+		must.True(t, <-stopped, must.Sprint("the job that was taken over is not handed over"))
+		world.leave("b", true)
 		checkResults(t, await(t, world.node("c"), "job", 30, 6*time.Second), 1)
 	})
 }
--- a/internal/batchrun/resubmit_test.go
+++ b/internal/batchrun/resubmit_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
+	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/batchrun"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 )
@@ -74,7 +75,7 @@
 	})
 }
 
-// Guards against items that are listed twice: they start early while the store is down, and the log lists them from the time before the
+// Guards against items that are listed twice: they start early, as the store's answer is lost, and the log lists them from the time before the
 // owner's restart.
 func TestItemsThatStartedEarlyAreListedOnce(t *testing.T) {
 	inWorld(t, 53, func(t *testing.T, world *world) {
@@ -85,15 +86,34 @@
 		must.SliceNotEmpty(t, before)
 		world.kill("a")
 		restarted := world.restartWithoutSearch("a")
+		world.store.SetFaults(memstore.Faults{LoseResponses: 1})
+		started := total(world.engines)
+		must.NoError(t, restarted.Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
+		must.Greater(t, started, total(world.engines), must.Sprint("no item started early"))
+		world.checkStillListed(t, "job", before)
+		results := await(t, world.node("c"), "job", 30, 8*time.Second)
+		checkPrefix(t, before, results)
+		checkResults(t, results, 1)
+	})
+}
+
+// Guards against a job with no node to run it: its restarted owner accepts it again during an outage, which keeps its search from resuming
+// the job, and then hears from another node that the job has an owner, which is itself.
+func TestResubmittedJobRunsAfterAnOutage(t *testing.T) {
+	inWorld(t, 54, func(t *testing.T, world *world) {
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
+		time.Sleep(300 * time.Millisecond)
+		world.kill("a")
 		world.store.SetFaults(memstore.Faults{Down: true})
+		restarted := world.start("a")
 		submitted := make(chan error, 1)
 		go func() { submitted <- restarted.Submit(context.Background(), newDefinition("job", 30, 1), jobRoute) }()
 		time.Sleep(1500 * time.Millisecond)
 		world.store.SetFaults(memstore.Faults{})
 		must.NoError(t, <-submitted)
-		world.checkStillListed(t, "job", before)
-		results := await(t, world.node("c"), "job", 30, 8*time.Second)
-		checkPrefix(t, before, results)
-		checkResults(t, results, 1)
+		time.Sleep(3 * time.Second)
+		record, err := (&batchlog.Log{Store: world.store, Node: "c"}).Load(t.Context(), "job")
+		must.NoError(t, err)
+		must.Len(t, 30, record.Results, must.Sprint("the job rests"))
 	})
 }
--- a/internal/batchrun/sweep.go
+++ b/internal/batchrun/sweep.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
@@ -118,31 +120,50 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err := runner.claimOwnJobs(ctx, !requested); err != nil {
+		err := runner.claimOwnJobs(ctx, !requested)
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, errClaiming):
+			runner.Logger.Info("own jobs being accepted", "asked", requested)
+		default:
 			runner.Logger.Warn("own jobs not listed", "asked", requested, "error", err)
 			runner.Log.Health.RequestProbe()
-			wait.Pause(ctx, sweepRetryDelay)
-			runner.Log.Health.AwaitGood(ctx) // calls to an unreachable store are charged as well
-			runner.sweeps.request()
 		}
+		wait.Pause(ctx, sweepRetryDelay)
+		runner.Log.Health.AwaitGood(ctx) // calls to an unreachable store are charged as well
+		runner.sweeps.request()
 	}
 }
 
-// claimOwnJobs claims and resumes this node's jobs that do not run here. A stale list may lag by some seconds and costs less.
+// claimOwnJobs claims and resumes this node's jobs that do not run here. A stale list may lag by some seconds and costs less. It returns
+// errClaiming if an acceptance of such a job is under way, which may end without the job running here: another node then told that
+// the job has an owner.
 func (runner *Runner) claimOwnJobs(ctx context.Context, stale bool) error {
 	ids, err := runner.owned(ctx, runner.Node, stale)
 	if err != nil {
 		return err
 	}
+	outcomes := make([]error, len(ids))
 	var claims sync.WaitGroup
-	for _, id := range ids {
-		if !runner.isStopping() && runner.find(id) == nil && !runner.ended.has(id) {
-			claims.Go(func() {
-				err := runner.takeOver(id, batchlog.Origin{Node: runner.Node}, nil)
-				runner.Logger.Info("job taken up", "job", id, "error", err)
-			})
+	for index, id := range ids {
+		if runner.isStopping() || runner.runsOrEnded(id) {
+			continue
 		}
+		claims.Go(func() {
+			outcomes[index] = runner.takeOver(id, batchlog.Origin{Node: runner.Node}, nil)
+			runner.Logger.Info("job taken up", "job", id, "error", outcomes[index])
+		})
 	}
 	claims.Wait()
-	return nil
+	if errors.Is(errors.Join(outcomes...), errClaiming) {
+		return errClaiming
+	}
+	return nil // a claim with another error is repeated by the sweep after an uncertain write
+}
+
+// runsOrEnded reports whether a job runs at this node, or is cached here as ended.
+func (runner *Runner) runsOrEnded(id string) bool {
+	owned := runner.find(id)
+	return owned != nil && owned.isAccepted() || runner.ended.has(id)
 }
