--- a/internal/batchrun/resubmit_test.go
+++ b/internal/batchrun/resubmit_test.go
@@ -14,6 +14,18 @@
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 )
 
+// killOwner has node a run a job, kills the node when some results are listed, and returns these.
+func (world *world) killOwner(t *testing.T) []*batchv1.Result {
+	t.Helper()
+	must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
+	time.Sleep(500 * time.Millisecond)
+	listed, err := readAll(t.Context(), world.node("b"), "job")
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, listed)
+	world.kill("a")
+	return listed
+}
+
 // restartWithoutSearch restarts a killed node as it is before it has looked for the jobs of its earlier process.
 func (world *world) restartWithoutSearch(name string) *batchrun.Runner {
 	world.clearLeftoverWorkKey(name)
@@ -46,12 +58,7 @@
 // for the jobs of its earlier process.
 func TestResubmittedJobKeepsItsResultsAfterARestart(t *testing.T) {
 	inWorld(t, 51, func(t *testing.T, world *world) {
-		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
-		time.Sleep(500 * time.Millisecond)
-		before, err := readAll(t.Context(), world.node("b"), "job")
-		must.NoError(t, err)
-		must.SliceNotEmpty(t, before)
-		world.kill("a")
+		before := world.killOwner(t)
 		must.NoError(t, submitAtNode(t.Context(), world.restartWithoutSearch("a"), newDefinition("job", 30, 1)))
 		world.checkStillListed(t, "job", before)
 		results := await(t, world.node("c"), "job", 30, 6*time.Second)
@@ -63,12 +70,7 @@
 // Guards against the same at the end of the job: the results that the ending owner caches have to be those of the log.
 func TestResubmittedJobKeepsItsResultsAfterItsEnd(t *testing.T) {
 	inWorld(t, 52, func(t *testing.T, world *world) {
-		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
-		time.Sleep(500 * time.Millisecond)
-		before, err := readAll(t.Context(), world.node("b"), "job")
-		must.NoError(t, err)
-		must.SliceNotEmpty(t, before)
-		world.kill("a")
+		before := world.killOwner(t)
 		must.NoError(t, submitAtNode(t.Context(), world.restartWithoutSearch("a"), newDefinition("job", 30, 1)))
 		must.NoError(t, world.node("b").End(t.Context(), noTenant, "job"))
 		world.checkStillListed(t, "job", before)
@@ -79,12 +81,7 @@
 // owner's restart.
 func TestItemsThatStartedEarlyAreListedOnce(t *testing.T) {
 	inWorld(t, 53, func(t *testing.T, world *world) {
-		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 30, 1), jobRoute))
-		time.Sleep(500 * time.Millisecond)
-		before, err := readAll(t.Context(), world.node("b"), "job")
-		must.NoError(t, err)
-		must.SliceNotEmpty(t, before)
-		world.kill("a")
+		before := world.killOwner(t)
 		restarted := world.restartWithoutSearch("a")
 		world.store.SetFaults(memstore.Faults{LoseResponses: 1})
 		started := total(world.engines)
