Stop: a takeover that waits for a silent store leaves time for the last calls

What callers would see: a front is told to stop while it takes jobs over and the store does not answer; its handover waits for the takeover until the grace period is used up, and the calls in progress are cut.

Cause: since the handover waits for takeovers, as long as the whole stop may last.

Change: the handover ends 2 s before calls are cut, when the front stops to wait for callers as well.

Evidence: TestStopFinishesCallsDuringATakeover failed before (a call was cut after it had begun); the six tests of stops pass.

Why it works: what the handover leaves, other nodes take over, as the record stays; the calls have their 2 s.

--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -289,9 +289,9 @@
 	available := grace - time.Duration(stopMarginShare*float64(grace))
 	ctx, cancel := context.WithTimeout(context.Background(), available)
 	defer cancel()
-	handedOver := front.Runner.HandOver(ctx)
-	lastActive := time.Now()
 	deadline := started.Add(available - shutdownTime)
+	handedOver := front.handOver(ctx, deadline)
+	lastActive := time.Now()
 	for time.Now().Before(deadline) && (time.Since(lastActive) < idleTime || time.Since(started) < minStopTime) {
 		if front.activeCalls.Load() > 0 {
 			lastActive = time.Now()
@@ -314,6 +314,14 @@
 	front.cancel()
 }
 
+// handOver hands the jobs of this front over and reports whether all were. It ends at the deadline, as a takeover that waits for a silent
+// store would use up the time of the calls in progress.
+func (front *Front) handOver(ctx context.Context, deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return front.Runner.HandOver(ctx)
+}
+
 // Server is an HTTP server with the listener that it serves.
 type Server struct {
 	*http.Server
--- a/internal/role/front_test.go
+++ b/internal/role/front_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
+	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/lab/freeport"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
@@ -51,6 +53,22 @@
 	stopUnderCalls(t, store, 7*time.Second)
 }
 
+// A takeover that waits for a store that does not answer must not use up the grace period either.
+func TestStopFinishesCallsDuringATakeover(t *testing.T) {
+	store := &silentStore{Store: memstore.New()}
+	owner, err := proto.Marshal(&batchv1.Ownership{Node: "dead"})
+	must.NoError(t, err)
+	_, err = store.CommitIgnoringFaults(metadata.Txn{Puts: []metadata.Put{{Key: "owners/dead/job"}, {Key: "batch/job/owner", Value: owner}}})
+	must.NoError(t, err)
+	store.silent.Store(true)
+	stopUnderCallsOf(t, store, 6*time.Second, func(listener net.Listener) net.Listener { return listener }, func(front *role.Front) {
+		go func() {
+			_ = front.Runner.TakeOverNode(context.Background(), "dead", 1, metadata.Condition{Key: "cluster/nodes/dead"}) // does not succeed
+		}()
+		time.Sleep(200 * time.Millisecond)
+	})
+}
+
 // slowListener returns each connection some time after it was accepted, as a process does that is interrupted in between.
 type slowListener struct{ net.Listener }
 
@@ -72,6 +90,12 @@
 }
 
 func stopUnderCallsAt(t *testing.T, store metadata.Store, grace time.Duration, wrap func(net.Listener) net.Listener) {
+	t.Helper()
+	stopUnderCallsOf(t, store, grace, wrap, func(*role.Front) {})
+}
+
+// stopUnderCallsOf calls prepare before the front is stopped.
+func stopUnderCallsOf(t *testing.T, store metadata.Store, grace time.Duration, wrap func(net.Listener) net.Listener, prepare func(*role.Front)) {
 	t.Helper()
 	front := role.NewFront(role.FrontOptions{
 		Node: "front-1", PeerAddress: freeAddress(t), Store: store, PeerClient: http.DefaultClient, Logger: log.New(io.Discard),
@@ -86,6 +110,7 @@
 	must.NoError(t, err)
 	listener = wrap(listener)
 	go func() { _ = server.Serve(listener) }() // returns when the listener is closed
+	prepare(front)
 	stopped := make(chan struct{})
 	go func() {
 		front.Stop(grace, role.Server{Server: server, Listener: listener})
