Dissemination: a new relay doesn't take processes that have just started for lower relays

Nodes behind a relay that has nothing to pass on read the store, and answer 503 for up to 1.3 s longer.

Cause: the age of a process was kept by each publisher. A node that becomes a relay creates a publisher, which sees all its nodes for the first time, so that all count as recent and are candidates. The trace: all nodes that read the store ("behind on servers/") are behind a restarted lower relay that was assigned by a relay appointed 0.25 s after the restart.

Change: the age is that in the registry, which each process follows from its start (Registry.ListedWithin). The tests of the topology give their publishers a registry.

--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -47,6 +47,8 @@
 	// lastSeen is when the heartbeat timeout of each node was last restarted, by a heartbeat, an answered ping or a new
 	// record.
 	lastSeen map[string]time.Time
+	// listings holds when the current incarnation of each node was first listed; nil before the first listing.
+	listings map[string]listing
 	// lastContact is the arrival time of the last datagram from any other node.
 	lastContact        time.Time
 	ring               *Ring
@@ -196,6 +198,7 @@
 			delete(registry.lastSeen, name)
 		}
 	}
+	registry.updateListings(time.Now())
 	before := registry.watched()
 	registry.ring = NewRing(records)
 	registry.views = views{}
--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -63,8 +63,6 @@
 	lastSentUs   int64
 	// excludedUntil holds the processes that are served directly and do not relay, and when their exclusion ends.
 	excludedUntil map[process]time.Time
-	// firstSeen is when each process was first listed.
-	firstSeen map[process]time.Time
 	// topology was built for topologyNodes; topologyStale is true if relays have changed since.
 	topology      topology
 	topologyNodes []*clusterv1.NodeRecord
@@ -75,7 +73,7 @@
 func (publisher *Publisher) initialize() {
 	publisher.mu.Lock()
 	defer publisher.mu.Unlock()
-	publisher.receivers, publisher.excludedUntil, publisher.firstSeen = make(map[process]*receiver), make(map[process]time.Time), make(map[process]time.Time)
+	publisher.receivers, publisher.excludedUntil = make(map[process]*receiver), make(map[process]time.Time)
 	publisher.wake = make(chan struct{}, 1)
 	for lane := range laneCount {
 		publisher.pushes[lane], publisher.retries[lane] = make(chan struct{}, maxConcurrentPushes), make(chan struct{}, maxConcurrentRetries)
--- a/internal/dissemination/topology.go
+++ b/internal/dissemination/topology.go
@@ -27,9 +27,8 @@
 // rebuildTopology builds the topology for nodes, drops the state of processes that are no longer served directly, and assigns nodes to the
 // relays. The caller holds mu.
 func (publisher *Publisher) rebuildTopology(nodes []*clusterv1.NodeRecord, now time.Time) {
-	publisher.recordFirstSeen(nodes, now)
 	built := buildTopology(nodes, publisher.FanOut, publisher.isExcluded, func(node *clusterv1.NodeRecord) bool {
-		return now.Sub(publisher.firstSeen[processOf(node)]) < relayWarmUp
+		return publisher.Registry.ListedWithin(node, relayWarmUp, now)
 	})
 	receivers := make(map[process]*receiver, len(built.direct))
 	for _, node := range built.direct {
@@ -46,23 +45,10 @@
 }
 
 // relayWarmUp is how long a new process is not chosen as a relay while enough others are available. It has to load the snapshot of all
-// replicas before it has anything to pass on.
+// replicas before it has anything to pass on. The age is that in the registry: a publisher that was just created, such as that of a new
+// relay, sees all processes for the first time.
 const relayWarmUp = 3 * time.Second
 
-// recordFirstSeen records when each process was first listed, and forgets processes that are no longer listed. The caller holds mu.
-func (publisher *Publisher) recordFirstSeen(nodes []*clusterv1.NodeRecord, now time.Time) {
-	firstSeen := make(map[process]time.Time, len(nodes))
-	for _, node := range nodes {
-		key := processOf(node)
-		if at, known := publisher.firstSeen[key]; known {
-			firstSeen[key] = at
-			continue
-		}
-		firstSeen[key] = now
-	}
-	publisher.firstSeen = firstSeen
-}
-
 // isExcluded reports whether a node is served directly and is not used as a relay: it failed as a relay lately, its relay did not reach it,
 // or its build does not support relays. A build without relays also takes the sender of a beacon for the publisher, and reports its jobs to
 // that sender. The caller holds mu.
--- a/internal/dissemination/topology_bench_test.go
+++ b/internal/dissemination/topology_bench_test.go
@@ -10,6 +10,7 @@
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/capability"
+	"github.com/thistlewalk/thistlewalk/internal/cluster"
 )
 
 // testNodes returns nodes in six zones.
@@ -21,11 +22,16 @@
 	return nodes
 }
 
+// unlistedRegistry returns a registry that lists no node.
+func unlistedRegistry() *cluster.Registry {
+	return cluster.NewRegistry(&clusterv1.NodeRecord{}, nil, nil, log.New(io.Discard))
+}
+
 // BenchmarkArrange measures rounds without changes of nodes or relays.
 func BenchmarkArrange(b *testing.B) {
 	for _, count := range []int{100, 985, 1970} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			publisher, nodes := &Publisher{Logger: log.New(io.Discard)}, testNodes(count)
+			publisher, nodes := &Publisher{Logger: log.New(io.Discard), Registry: unlistedRegistry()}, testNodes(count)
 			publisher.initialize()
 			for b.Loop() {
 				publisher.currentTopology(nodes, time.Now())
