Weights: an order of a former term that has arrived costs no more than the pause between two holders

Replicas that the ledger of orders in flight lists get their first order of a term 0.27 to 0.65 s after the others, so that a roll takes longer after a change of the holder, though their former order had arrived long before.

Cause: the lines show "former order over" 3.57 to 3.81 s after the lease, with a pause of 3.3 s. A candidate follows the list of replicas only once it has the lease: the first question finds no replica, the next one is asked 0.25 s later and the pause is counted from its answer; the end of the pause is seen by a poll of 0.25 s; then the number of accepted orders, which that answer had held, is asked again.

Change: the question is asked as soon as the replica is listed, the wait ends with the pause, and the answer serves the first order. The pause itself and what counts as arrived or lost are as before. An order that has arrived no longer ends as unregistered before its pause does.

--- a/internal/weights/delivery.go
+++ b/internal/weights/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
@@ -66,12 +67,21 @@
 		return deliveryArrived
 	case delivery.arrivedAt.IsZero() && !delivery.reachableSince.IsZero() && now.Sub(delivery.reachableSince) >= delivery.ageWhenReached()+deliverySlack:
 		return deliveryLost
-	case now.Sub(delivery.registeredAt) >= unregisteredLimit:
+	case delivery.arrivedAt.IsZero() && now.Sub(delivery.registeredAt) >= unregisteredLimit:
 		return deliveryUnregistered
 	}
 	return deliveryPending
 }
 
+// untilNextCheck returns when the outcome has to be looked at again: at the end of the pause if the order has arrived, otherwise after
+// the next question to the replica.
+func (delivery *delivery) untilNextCheck(now time.Time) time.Duration {
+	if delivery.arrivedAt.IsZero() {
+		return deliveryPoll
+	}
+	return delivery.arrivedAt.Add(delivery.pause).Sub(now)
+}
+
 // ageWhenReached returns how old the order was when the replica became reachable.
 func (delivery *delivery) ageWhenReached() time.Duration {
 	age := delivery.loaded.Sub(time.UnixMilli(delivery.order.SentUnixMS))
@@ -102,35 +112,53 @@
 	if order.Node != run.orderer.Node {
 		awaited.pause = run.term.handoverWait
 	}
-	for {
-		run.queryDelivery(ctx, awaited)
-		if ctx.Err() != nil {
-			return
+	for ctx.Err() == nil {
+		changed := run.orderer.Catalog.Changed()
+		replica := run.orderer.Catalog.Replicas().Find(order.Replica)
+		if awaited.arrivedAt.IsZero() {
+			run.queryDelivery(ctx, awaited, replica)
 		}
 		now := time.Now()
-		if outcome := awaited.outcome(now); outcome != deliveryPending {
-			run.ledger.remove(order)
-			run.orderer.Metrics.FormerOrder(string(outcome))
-			run.orderer.Logger.Info("former order over", "replica", order.Replica, "from", order.Node, "from_fence", order.Fence, "fence", run.term.Fence,
-				"expected_orders", order.ExpectedOrders, "outcome", string(outcome), "waited_ms", now.Sub(awaited.loaded).Milliseconds())
-			run.orderer.notify()
+		if outcome := awaited.outcome(now); outcome != deliveryPending && ctx.Err() == nil {
+			run.endDelivery(awaited, outcome, now)
 			return
 		}
-		wait.Pause(ctx, deliveryPoll)
+		if replica != nil {
+			changed = nil
+		}
+		waitForChange(ctx, changed, awaited.untilNextCheck(now))
 	}
 }
 
-// queryDelivery asks the replica of an order of a former term how many orders it has accepted.
-func (run *termRun) queryDelivery(ctx context.Context, awaited *delivery) {
-	replica := run.orderer.Catalog.Replicas().Find(awaited.order.Replica)
+// waitForChange waits for at most a duration, until a channel is closed or the context ends. A nil channel is never closed.
+func waitForChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// endDelivery lets the replica of an order of a former term get orders of this one.
+func (run *termRun) endDelivery(awaited *delivery, outcome deliveryOutcome, now time.Time) {
+	order := awaited.order
+	run.ledger.remove(order)
+	run.orderer.Metrics.FormerOrder(string(outcome))
+	run.orderer.Logger.Info("former order over", "replica", order.Replica, "from", order.Node, "from_fence", order.Fence, "fence", run.term.Fence,
+		"expected_orders", order.ExpectedOrders, "outcome", string(outcome), "waited_ms", now.Sub(awaited.loaded).Milliseconds())
+	run.orderer.notify()
+}
+
+// queryDelivery asks the replica of an order of a former term how many orders it has accepted. The replica is nil if it is not registered.
+func (run *termRun) queryDelivery(ctx context.Context, awaited *delivery, replica *catalog.Replica) {
 	if replica == nil {
 		awaited.unreachable()
 		return
 	}
 	awaited.registeredAt = time.Now()
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	report, err := run.orderer.Replicas.Report(ctx, replica)
+	report, err := run.refreshState(ctx, replica)
 	if err != nil {
 		awaited.unreachable()
 		return
--- a/internal/weights/delivery_test.go
+++ b/internal/weights/delivery_test.go
@@ -22,18 +22,37 @@
 	// late is when the order arrives, counted likewise; zero if it never does.
 	late      time.Duration
 	successor string
+	// listedAfter is how long after the start of its term the successor learns of the replica; zero if it knows it before.
+	listedAfter time.Duration
+}
+
+// outcome is what the engine received, when the first order was sent, and when the last term began.
+type outcome struct {
+	received  []receivedOrder
+	sent      time.Time
+	succeeded time.Time
 }
 
 var successions = []succession{
-	{"another node, the order arrives after its first orders are due", 4 * time.Second, 6200 * time.Millisecond, "b"},
-	{"another node, the order is lost", 4 * time.Second, 0, "b"},
-	{"the same node, the order arrives after its lease", 1500 * time.Millisecond, 2900 * time.Millisecond, "a"},
-	{"the same node, the order is lost", 1500 * time.Millisecond, 0, "a"},
+	{name: "another node, the order arrives after its first orders are due", partition: 4 * time.Second, late: 6200 * time.Millisecond, successor: "b"},
+	{name: "another node, the order is lost", partition: 4 * time.Second, successor: "b"},
+	{name: "the same node, the order arrives after its lease", partition: 1500 * time.Millisecond, late: 2900 * time.Millisecond, successor: "a"},
+	{name: "the same node, the order is lost", partition: 1500 * time.Millisecond, successor: "a"},
 }
 
-// play returns what the engine received, and the time at which its order was sent.
-func (succession succession) play(t *testing.T) (received []receivedOrder, sent time.Time) {
+// play plays a succession.
+func (succession succession) play(t *testing.T) (played outcome) {
 	engines, store := newEngines(1), memstore.New()
+	lead := func(orderer *weights.Orderer) func(context.Context, *weights.Term) {
+		return func(ctx context.Context, term *weights.Term) {
+			played.succeeded = time.Now()
+			if succession.listedAfter > 0 && !played.sent.IsZero() {
+				engines.table.SetReplicas(nil, engines.table.Replicas().Revision+1)
+				time.AfterFunc(succession.listedAfter, engines.register)
+			}
+			orderer.RunTerm(ctx, term)
+		}
+	}
 	start := func(node string, version int64) (kill func()) {
 		ctx, cancel := context.WithCancel(t.Context())
 		reached := &nodeStore{Store: store}
@@ -41,7 +60,7 @@
 		orderer.SetTarget("m", version)
 		orderer.RecordDemand(weights.Demand{Model: "m", Minimum: version})
 		election := weights.NewElection(reached, node, electionSettings, log.New(io.Discard))
-		go election.Run(ctx, orderer.RunTerm)
+		go election.Run(ctx, lead(orderer))
 		return func() {
 			reached.cut.Store(true) // a killed process does not release its lease
 			cancel()
@@ -56,8 +75,8 @@
 	for engines.pendingLosses(only) > 0 {
 		time.Sleep(10 * time.Millisecond)
 	}
-	sent = time.Now()
-	engines.silence(only, sent.Add(succession.partition))
+	played.sent = time.Now()
+	engines.silence(only, played.sent.Add(succession.partition))
 	time.Sleep(100 * time.Millisecond)
 	kill()
 	kill = start(succession.successor, 3)
@@ -65,7 +84,8 @@
 	kill()
 	time.Sleep(3 * time.Second)
 	synctest.Wait()
-	return engines.received[id], sent
+	played.received = engines.received[id]
+	return played
 }
 
 func (engines *engines) pendingLosses(engine *engine) int {
@@ -85,7 +105,8 @@
 	for _, row := range successions {
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				received, sent := row.play(t)
+				played := row.play(t)
+				received := played.received
 				must.SliceNotEmpty(t, received)
 				for index := 1; index < len(received); index++ {
 					before, after := received[index-1], received[index]
@@ -98,8 +119,22 @@
 				must.Eq(t, row.successor, last.Holder, must.Sprint("the successor gives no order"))
 				// The order is at most as late after the partition as it was old at its end; the next one follows a pause and a poll.
 				limit := 2*row.partition + electionSettings.HandoverWait + 2*time.Second
-				must.Less(t, limit, last.at.Sub(sent), must.Sprint("the replica waits longer than an order can be late"))
+				must.Less(t, limit, last.at.Sub(played.sent), must.Sprint("the replica waits longer than an order can be late"))
 			})
 		})
 	}
 }
+
+// Guards against a replica that gets its first order of a term later than others because an order of the former term was sent to it, though
+// that order had arrived before the term began. Orders are looked for every 100 ms.
+func TestArrivedOrderHoldsNothingBack(t *testing.T) {
+	const round = 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		played := succession{late: 500 * time.Millisecond, successor: "b", listedAfter: 20 * time.Millisecond}.play(t)
+		must.Len(t, 2, played.received)
+		first := played.received[1]
+		must.Eq(t, "b", first.Holder)
+		pause := electionSettings.HandoverWait + 20*time.Millisecond
+		must.Between(t, pause, first.at.Sub(played.succeeded), pause+round)
+	})
+}
--- a/internal/weights/lead.go
+++ b/internal/weights/lead.go
@@ -211,13 +211,18 @@
 	}
 }
 
-// queryState asks a replica for its state.
+// queryState asks a replica for its state. A replica that doesn't answer is asked again by a later round.
 func (run *termRun) queryState(ctx context.Context, replica *catalog.Replica) {
+	_, _ = run.refreshState(ctx, replica)
+}
+
+// refreshState asks a replica for its state, stores it and returns it.
+func (run *termRun) refreshState(ctx context.Context, replica *catalog.Replica) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := run.orderer.Replicas.Report(ctx, replica)
 	if err != nil {
-		return
+		return Report{}, err
 	}
 	run.mu.Lock()
 	defer run.mu.Unlock()
@@ -230,6 +235,7 @@
 	if current := run.loads[replica.ID]; current != nil && !report.Busy && held[current.model] < current.version {
 		delete(run.loads, replica.ID) // the order was lost; it is sent again
 	}
+	return report, nil
 }
 
 // dueOrder is an order to send in this round.
