Mutations: the age of relays and the wait for orders of a former term

Change: four lines. Measured: each is caught, by TestArrivedOrderHoldsNothingBack (two), TestNewRelayPassesOverRecentProcesses and TestListedWithin. Conclusion: the tests fail without the changes.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -161,6 +161,12 @@
 mutate 'former orders not waited for' internal/weights/ledger.go 'return ledger.former[replica] > 0' 'return ledger.former[replica] < 0' ./internal/weights
 mutate 'orders sent without a record' internal/weights/lead.go 'err := run.ledger.record(ctx, recorded)' 'err := run.ledger.record(ctx, recorded[:0])' ./internal/weights
 mutate 'no pause after a former order' internal/weights/delivery.go 'awaited.pause = run.term.handoverWait' '_ = run.term.handoverWait' ./internal/weights
+mutate 'unlisted replica asked later' internal/weights/delivery.go 'if replica != nil {
+			changed = nil' 'if replica == nil {
+			changed = nil' ./internal/weights
+mutate 'end of the pause polled' internal/weights/delivery.go 'return delivery.arrivedAt.Add(delivery.pause).Sub(now)' 'return deliveryPoll' ./internal/weights
+mutate 'recent process relays' internal/dissemination/topology.go 'return publisher.Registry.ListedWithin(node, relayWarmUp, now)' 'return publisher.Registry == nil' ./internal/dissemination
+mutate 'listed again counts as new' internal/cluster/listed.go 'if !known || listed.incarnation' 'if known || listed.incarnation' ./internal/cluster
 mutate 'success without an ID' platform/replicas.go 'return requestID == "" || status < http.StatusOK || status >= http.StatusMultipleChoices' 'return true || status < http.StatusOK || status >= http.StatusMultipleChoices' ./platform -run Send
 mutate 'calls cut early at a stop' internal/role/front.go 'stopMarginShare = 1.0 / 7' 'stopMarginShare = 1.0 / 4' ./internal/role -run LongCalls
 exit "$missed"
