Logs: why a request is held, and why an item is at no replica

A held request said neither whether it waits for its own last trial, for another node or for other requests, and an item that is not placed for any other reason wrote nothing at all.

Change: request held has reason=, since_crash_ms= and since_trial_ms=; item lines have idle_ms=; an item at no replica for 2.5 s, and again at each doubling of that time, writes item idle with its obstacle and last outcome (at most ten lines a second). thistlewalk_item_idle_seconds. The limit of lines moves from backend to logging. No decision changes.

Tests: TestIdleItemIsLoggedWithItsReason, TestIdleTimeGoesOnWhileReplicasRefuse; TestBook expects the reasons and times besides what it did. internal/batchrun, quarantine, backend, telemetry and logging pass.

--- a/internal/backend/balancer.go
+++ b/internal/backend/balancer.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/logging"
 	"github.com/thistlewalk/thistlewalk/internal/telemetry"
 )
 
@@ -25,7 +26,7 @@
 
 	mu       sync.Mutex
 	services map[string]*balancedService
-	lines    lineLimit
+	lines    logging.LineLimit
 }
 
 // NewBalancer returns a balancer for a node of a zone.
--- a/internal/backend/decisions_test.go
+++ b/internal/backend/decisions_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
+	"github.com/thistlewalk/thistlewalk/internal/logging"
 )
 
 // Each pair is a replica that must come before another.
@@ -280,7 +281,7 @@
 	for range 100 {
 		balancer.log("replica slow", now)
 	}
-	must.Eq(t, linesPerWindow, strings.Count(written.String(), "\n"))
+	must.Eq(t, logging.LinesPerWindow, strings.Count(written.String(), "\n"))
 	balancer.log("replica slow", now.Add(time.Second))
 	must.StrContains(t, written.String(), "lines_left_out=90")
 }
--- a/internal/backend/measure.go
+++ b/internal/backend/measure.go
@@ -337,38 +337,8 @@
 
 func rounded(value float64) float64 { return math.Round(100*value) / 100 }
 
-const (
-	// linesPerWindow bounds the log lines of a balancer within linesWindow: a zone that turns slow changes the state of all of its replicas.
-	linesPerWindow = 10
-	linesWindow    = time.Second
-)
-
-// lineLimit bounds log lines.
-type lineLimit struct {
-	mu         sync.Mutex
-	began      time.Time
-	written    int
-	suppressed int
-}
-
-// allow reports whether a line may be written, and how many were not since the last one.
-func (limit *lineLimit) allow(now time.Time) (suppressed int, ok bool) {
-	limit.mu.Lock()
-	defer limit.mu.Unlock()
-	if now.Sub(limit.began) >= linesWindow {
-		limit.began, limit.written = now, 0
-	}
-	if limit.written >= linesPerWindow {
-		limit.suppressed++
-		return 0, false
-	}
-	limit.written++
-	suppressed, limit.suppressed = limit.suppressed, 0
-	return suppressed, true
-}
-
 func (balancer *Balancer) log(message string, now time.Time, pairs ...any) {
-	if suppressed, ok := balancer.lines.allow(now); ok {
+	if suppressed, ok := balancer.lines.Allow(now); ok {
 		balancer.logger.Info(message, append(pairs, "lines_left_out", suppressed)...)
 	}
 }
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -59,7 +59,7 @@
 func (runner *Runner) runItem(running *task, replica *catalog.Replica, route *catalog.Route) {
 	defer running.job.runs.Done()
 	started := time.Now()
-	from := running.lastEvent
+	from, idle := running.lastEvent, started.Sub(running.idleSince)
 	current := runner.scheduler.begin(running, replica, route)
 	ended, status := runner.attempt(current, route)
 	runner.Loads.End(replica.ID, loadOutcome(ended), time.Now())
@@ -68,13 +68,19 @@
 		runner.Loads.End(target.ID, backend.Unknown, time.Now())
 	}
 	runner.scheduler.wakeUp()
+	running.attempts++
+	running.lastOutcome = ended
+	if status != 0 && ended != outcomeRefused {
+		running.setIdle(time.Now())
+	}
 	runner.Metrics.Item(ended.String(), time.Since(started))
+	runner.Metrics.ItemIdle(idle)
 	if ended == outcomeComplete && from == 0 {
 		runner.itemTimes.observe(running.item.GetModel(), time.Since(started))
 	}
 	runner.Logger.Info("item", "request", running.item.GetId(), "job", running.job.id(), "replica", replica.ID, "outcome", ended,
 		"status", status, "from", from, "events", running.lastEvent, "versions", running.versions, "minimum", running.job.definition.GetMinimumVersion(),
-		"took_ms", time.Since(started).Milliseconds())
+		"idle_ms", idle.Milliseconds(), "took_ms", time.Since(started).Milliseconds())
 	if ended == outcomeMoved {
 		runner.runAt(running, target, route)
 		return
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
 	"github.com/thistlewalk/thistlewalk/internal/forwarding"
+	"github.com/thistlewalk/thistlewalk/internal/logging"
 )
 
 // task is an unfinished item. The scheduler owns its fields while it waits, its attempt while it runs.
@@ -35,6 +36,12 @@
 	latestStart time.Time // latest start that completes the item by the job's due time; set while it waits
 	nextBackup  int64     // event from which on the text is backed up again
 	nextSave    int64     // event from which on the text is saved again
+	// idleSince is when the item was first queued or its last attempt ended; idleReportAfter is the idle time from which on it
+	// is logged.
+	idleSince       time.Time
+	idleReportAfter time.Duration
+	attempts        int
+	lastOutcome     outcome // of the last attempt, if there was one
 }
 
 // estimate returns the expected number of tokens of the item.
@@ -67,6 +74,7 @@
 	candidatesFoundAt time.Time
 	// departures are the times at which replicas that announced their end will have gone.
 	departures map[string]time.Time
+	idleLines  logging.LineLimit
 }
 
 const (
@@ -137,6 +145,9 @@
 			continue
 		}
 		scheduler.rank(added, now)
+		if added.idleSince.IsZero() {
+			added.setIdle(now)
+		}
 		scheduler.waiting = append(scheduler.waiting, added)
 	}
 	slices.SortStableFunc(scheduler.waiting, compareTasks)
@@ -192,6 +203,7 @@
 	for _, waiting := range scheduler.waiting {
 		if now.Before(waiting.notBefore) || !scheduler.place(waiting, configuration, capacity) {
 			left = append(left, waiting)
+			scheduler.reportIdle(waiting, configuration, capacity)
 		}
 	}
 	clear(scheduler.waiting[len(left):])
--- a/internal/quarantine/attribution_test.go
+++ b/internal/quarantine/attribution_test.go
@@ -105,7 +105,7 @@
 	now := time.Now()
 	tracker := quarantine.NewTracker("node", now)
 	tracker.Restore(fingerprintOf(harmless), quarantine.Suspicion{Crashes: 3, Reporter: "node", Until: now.Add(quarantineDuration)}, now)
-	must.Eq(t, quarantine.Decision{Crashes: 3, RetryAfter: quarantineDuration}, tracker.Admit(fingerprintOf(harmless), quarantine.Claim{}, now))
+	must.Eq(t, quarantine.Decision{Crashes: 3, RetryAfter: quarantineDuration, Reason: quarantine.HeldAfterCrash}, tracker.Admit(fingerprintOf(harmless), quarantine.Claim{}, now))
 }
 
 // Several harmless requests beside one that crashes replicas, on few replicas so that their trials coincide: each must be
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -61,12 +61,40 @@
 	// Attributed is true if the newest crash is attributed to another request, Culprit.
 	Attributed bool
 	Culprit    Fingerprint
+	// Reason is why a request is not allowed now.
+	Reason HoldReason
+	// SinceCrash and SinceTrial are the times since the last crash that counts and since this node's last trial; zero for never.
+	SinceCrash, SinceTrial time.Duration
 	// Blocking is the number of other requests whose trials must end first, as far as this node knows.
 	Blocking int
 	// Reservation must be broadcast unless its Duration is zero.
 	Reservation Reservation
 }
 
+// HoldReason is what a held request waits for.
+type HoldReason int
+
+// Hold reasons.
+const (
+	// NotHeld is the reason of a request that is allowed.
+	NotHeld HoldReason = iota
+	// HeldAfterCrash is a request whose last crash is so recent that its replica may not have restarted.
+	HeldAfterCrash
+	// HeldAfterTrial is a request that this node has tried so recently that a crash in the trial may not have been detected.
+	HeldAfterTrial
+	// HeldForOtherNode is a request that another node may try now, and this node later or never.
+	HeldForOtherNode
+	// HeldForOtherRequest is a request whose turn follows those of others that the same crash interrupted.
+	HeldForOtherRequest
+	// HeldForGood is a request that gets no further trial before its quarantine ends.
+	HeldForGood
+)
+
+var holdReasonNames = [...]string{"not held", "crash", "own trial", "other node", "other request", "quarantine"}
+
+// String returns the name used in logs.
+func (reason HoldReason) String() string { return holdReasonNames[reason] }
+
 // CrashEvent is the crash of a replica while it ran a request.
 type CrashEvent struct {
 	Replica string
@@ -355,9 +383,52 @@
 	default:
 		decision.RetryAfter = known.until.Sub(now)
 	}
+	if !decision.Allowed {
+		decision.explain(known, tracker.dueAfter(known, claim, decision.Attributed), now)
+	}
 	return decision
 }
 
+// explain records why the request is held. due is the time after the last crash from which this node may try it; negative if
+// it may not.
+func (decision *Decision) explain(entry *entry, due time.Duration, now time.Time) {
+	decision.SinceCrash = now.Sub(entry.lastSeen)
+	if !entry.lastTrial.IsZero() {
+		decision.SinceTrial = now.Sub(entry.lastTrial)
+	}
+	switch {
+	case entry.crashes >= trialLimit:
+		decision.Reason = HeldForGood
+	case decision.SinceCrash < holdDuration:
+		decision.Reason = HeldAfterCrash
+	case due < 0 || decision.SinceCrash < due:
+		decision.Reason = HeldForOtherNode
+	case now.Before(entry.lastTrial.Add(holdDuration)):
+		decision.Reason = HeldAfterTrial
+	default:
+		decision.Reason = HeldForOtherRequest
+	}
+}
+
+// dueAfter returns the time after the last crash from which this node may try a held request; negative if it may not. It must
+// be called with mu held.
+func (tracker *Tracker) dueAfter(entry *entry, claim Claim, attributed bool) time.Duration {
+	if entry.crashes >= quarantineThreshold {
+		due, eligible := tracker.trialDue(entry, claim, attributed)
+		if !eligible {
+			return -1
+		}
+		return due
+	}
+	switch {
+	case claim.Exclusive, entry.reporter == tracker.node:
+		return holdDuration
+	case claim.Deputy:
+		return deputyTrialDelay
+	}
+	return anyNodeTrialDelay
+}
+
 // minRetryDelay bounds RetryAfter from below for a request whose hold is over but which another node has to try.
 const minRetryDelay = time.Second
 
@@ -369,12 +440,7 @@
 		due, eligible := tracker.trialDue(entry, claim, decision.Attributed)
 		return eligible && entry.takeTurn(fingerprint, max(due, afterTrial.Sub(entry.lastSeen)), decision, now)
 	}
-	sinceLastCrash := now.Sub(entry.lastSeen)
-	if sinceLastCrash < holdDuration || now.Before(afterTrial) {
-		return false
-	}
-	mayTryFirst := claim.Exclusive || entry.reporter == tracker.node
-	return mayTryFirst || (claim.Deputy && sinceLastCrash >= deputyTrialDelay) || sinceLastCrash >= anyNodeTrialDelay
+	return !now.Before(afterTrial) && now.Sub(entry.lastSeen) >= tracker.dueAfter(entry, claim, decision.Attributed)
 }
 
 // trialDue returns the time after the last crash from which this node may try a quarantined request; eligible is false if it
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -38,14 +38,14 @@
 		{"unknown", nil, 0, false, quarantine.Decision{Allowed: true}},
 		{"one crash may have another cause", []crash{{"r1", 0}}, 0, false, quarantine.Decision{Allowed: true, Crashes: 1}},
 		{"one crash reported twice", []crash{{"r1", 0}, {"r1", apart}}, 0, false, quarantine.Decision{Allowed: true, Crashes: 1}},
-		{"two crashes", []crash{{"r1", 0}, {"r2", apart}}, 0, false, quarantine.Decision{Crashes: 2, RetryAfter: holdDuration}},
+		{"two crashes", []crash{{"r1", 0}, {"r2", apart}}, 0, false, quarantine.Decision{Crashes: 2, RetryAfter: holdDuration, Reason: quarantine.HeldAfterCrash}},
 		{"two crashes, hold over", []crash{{"r1", 0}, {"r2", apart}}, holdDuration, false, quarantine.Decision{Allowed: true, Crashes: 2, Trial: true}},
-		{"three crashes", []crash{{"r1", 0}, {"r2", apart}, {"r3", apart}}, holdDuration, false, quarantine.Decision{Crashes: 3, RetryAfter: quarantineDuration - holdDuration}},
+		{"three crashes", []crash{{"r1", 0}, {"r2", apart}, {"r3", apart}}, holdDuration, false, quarantine.Decision{Crashes: 3, RetryAfter: quarantineDuration - holdDuration, Reason: quarantine.HeldForOtherNode}},
 		{"three simultaneous crashes", []crash{{"r1", 0}, {"r2", time.Millisecond}, {"r3", time.Millisecond}}, 0, false, quarantine.Decision{Allowed: true, Crashes: 1}},
-		{"three crashes, the first expired", []crash{{"r1", 0}, {"r2", 11 * time.Minute}, {"r3", apart}}, 0, false, quarantine.Decision{Crashes: 2, RetryAfter: holdDuration}},
-		{"three crashes, batch request", []crash{{"r1", 0}, {"r2", apart}, {"r3", apart}}, holdDuration - 1, true, quarantine.Decision{Crashes: 3, RetryAfter: quarantineDuration - holdDuration + 1}},
+		{"three crashes, the first expired", []crash{{"r1", 0}, {"r2", 11 * time.Minute}, {"r3", apart}}, 0, false, quarantine.Decision{Crashes: 2, RetryAfter: holdDuration, Reason: quarantine.HeldAfterCrash}},
+		{"three crashes, batch request", []crash{{"r1", 0}, {"r2", apart}, {"r3", apart}}, holdDuration - 1, true, quarantine.Decision{Crashes: 3, RetryAfter: quarantineDuration - holdDuration + 1, Reason: quarantine.HeldAfterCrash}},
 		{"three crashes, batch request, hold over", []crash{{"r1", 0}, {"r2", apart}, {"r3", apart}}, holdDuration, true, quarantine.Decision{Allowed: true, Crashes: 3, Trial: true}},
-		{"four crashes, batch request", []crash{{"r1", 0}, {"r2", apart}, {"r3", apart}, {"r4", apart}}, holdDuration, true, quarantine.Decision{Crashes: 4, RetryAfter: quarantineDuration - holdDuration}},
+		{"four crashes, batch request", []crash{{"r1", 0}, {"r2", apart}, {"r3", apart}, {"r4", apart}}, holdDuration, true, quarantine.Decision{Crashes: 4, RetryAfter: quarantineDuration - holdDuration, Reason: quarantine.HeldForGood}},
 		{"quarantine expired", []crash{{"r1", 0}, {"r2", apart}, {"r3", apart}}, quarantineDuration + 1, false, quarantine.Decision{Allowed: true}},
 	} {
 		tracker, now := quarantine.NewTracker("node", time.Now()), time.Now()
@@ -53,6 +53,9 @@
 			now = now.Add(crash.after)
 			tracker.RecordCrash(fingerprintOf("x"), crash.replica, "node", now, now)
 		}
+		if !check.want.Allowed {
+			check.want.SinceCrash = check.after
+		}
 		must.Eq(t, check.want, tracker.Admit(fingerprintOf("x"), quarantine.Claim{Exclusive: check.exclusive}, now.Add(check.after)), must.Sprint(check.name))
 		must.True(t, tracker.Admit(fingerprintOf("y"), quarantine.Claim{}, now).Allowed, must.Sprint(check.name, ": another request"))
 	}
@@ -121,7 +124,7 @@
 	must.False(t, tracker.Clear(fingerprintOf("x")))
 	tracker.Restore(fingerprintOf("x"), quarantine.Suspicion{Crashes: 3, Events: []quarantine.CrashEvent{{Replica: "r1"}}, Reporter: "node", Until: now.Add(time.Minute)}, now)
 	decision := tracker.Admit(fingerprintOf("x"), quarantine.Claim{}, now)
-	must.Eq(t, quarantine.Decision{Crashes: 3, RetryAfter: time.Minute}, decision)
+	must.Eq(t, quarantine.Decision{Crashes: 3, RetryAfter: time.Minute, Reason: quarantine.HeldAfterCrash}, decision)
 	must.Eq(t, 1, tracker.Quarantined())
 	tracker.Restore(fingerprintOf("x"), quarantine.Suspicion{Crashes: 2, Reporter: "node", Until: now.Add(time.Minute)}, now) // a stale record
 	tracker.RecordCrash(fingerprintOf("x"), "r1", "node", now, now)                                                           // a late report
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -15,6 +15,7 @@
 	registry          *prometheus.Registry
 	forwarded         *prometheus.HistogramVec
 	items             *prometheus.HistogramVec
+	itemIdle          *prometheus.HistogramVec
 	jobs              *prometheus.CounterVec
 	storeCalls        *prometheus.HistogramVec
 	orders            *prometheus.CounterVec
@@ -66,6 +67,7 @@
 		registry:   prometheus.NewRegistry(),
 		forwarded:  histogram("forward_seconds", "Time of forwarded requests by final status.", "status", "own"),
 		items:      histogram("item_seconds", "Time of attempts at items by outcome.", "outcome"),
+		itemIdle:   histogram("item_idle_seconds", "Time that items were at no replica before an attempt."),
 		jobs:       counter("job_events_total", "Events of batch jobs.", "event"),
 		storeCalls: histogram("store_seconds", "Time of calls to the metadata store by call and result.", "call", "result"),
 		orders:     counter("orders_total", "Orders to replicas by reply.", "reply"),
@@ -111,7 +113,7 @@
 		Namespace: "thistlewalk", Name: "log_lines_dropped_total", Help: "Log lines that found the queue full.",
 	}, func() float64 { return float64(dropped()) })
 	metrics.registry.MustRegister(
-		metrics.scoringWaits, metrics.scoringCalls, metrics.forwarded, metrics.items, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.formerOrders,
+		metrics.scoringWaits, metrics.scoringCalls, metrics.forwarded, metrics.items, metrics.itemIdle, metrics.jobs, metrics.storeCalls, metrics.orders, metrics.formerOrders,
 		metrics.published, metrics.storeReads, metrics.publishedBytes, metrics.plannedReplicas, metrics.snapshots, metrics.relaysLost,
 		metrics.staleBeacons, metrics.build, metrics.updatesApplied, metrics.updatesUnreadable, metrics.entriesUnusable,
 		metrics.usageSent, metrics.usageReports, metrics.replicaCrashes, metrics.requestsHeld, metrics.suspicionsCleared,
@@ -134,6 +136,13 @@
 	}
 }
 
+// ItemIdle counts the time that an item was at no replica before an attempt.
+func (metrics *Metrics) ItemIdle(idle time.Duration) {
+	if metrics != nil {
+		metrics.itemIdle.WithLabelValues().Observe(idle.Seconds())
+	}
+}
+
 // Item counts an attempt at a batch item.
 func (metrics *Metrics) Item(outcome string, took time.Duration) {
 	if metrics != nil {
