Tests, failing: an item is never requested again after replicas crashed under it

Callers see a job that lacks one item for good: after four crashes the item is withheld for an hour, after two and three for 4 s and longer, although the replicas have restarted and have room. A request of a caller with the content of a score is refused because of crashes under the score.

The stand-in of a replica can crash a given number of times.

--- /dev/null
+++ b/cmd/thistlewalk-rollout/chance_crash_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/thistlewalk/thistlewalk/internal/lab/platform/site"
+)
+
+// longestIdle is the longest that an item may be at no replica while replicas have room. completionTime is how long the items take
+// to run and to be listed once they are at replicas.
+const (
+	longestIdle    = 5 * time.Second
+	completionTime = 2 * time.Second
+)
+
+// newUnluckyDeployment returns a deployment in which a number of replicas of a service crash while they run a certain request,
+// which is not the cause: afterwards it runs like any other.
+func newUnluckyDeployment(t *testing.T, service, model string, crashes int) (*deployment, *crashLog) {
+	limit := &atomic.Int64{}
+	limit.Store(int64(crashes))
+	return newDeploymentOf(t, service, model, func(replica *site.Replica) {
+		replica.CrashLimit, replica.EventTime = limit, 30*time.Millisecond
+	})
+}
+
+// checkCompletes submits a job under one of whose requests replicas crash, and expects it to complete after the last crash, also if
+// its owner is stopped then.
+func checkCompletes(t *testing.T, deployment *deployment, crashes *crashLog, wanted, items int, job string, stopOwner bool) {
+	t.Helper()
+	status, _, _ := deployment.call(deployment.fronts[0], http.MethodPost, "/jobs/j", "job", job)
+	must.Eq(t, http.StatusAccepted, status)
+	eventually(t, time.Duration(wanted)*longestIdle, fmt.Sprint(wanted, " replicas crash"), func() bool { return crashes.count() >= wanted })
+	reader := deployment.fronts[0]
+	if stopOwner {
+		for index, front := range deployment.fronts {
+			if front.front.Runner.OpenJobs() > 0 {
+				reader = deployment.fronts[(index+1)%len(deployment.fronts)]
+				front.front.Stop(6*time.Second, front.callerServer)
+			}
+		}
+	}
+	began := time.Now()
+	eventually(t, longestIdle+completionTime, "all items are listed", func() bool {
+		return len(deployment.results(reader, "job").Results) == items
+	})
+	t.Logf("all listed %s after the last crash", time.Since(began).Round(time.Millisecond))
+}
+
+// Guards against an item, or its score, that is never requested again since replicas crashed while they ran it.
+func TestItemIsOwedAfterReplicasCrashedUnderIt(t *testing.T) {
+	t.Parallel()
+	for _, check := range []struct {
+		service, model  string
+		crashes, others int
+		stopOwner       bool
+	}{
+		{"lm", "m", 2, 0, false},
+		{"lm", "m", 3, 0, false},
+		{"lm", "m", 4, 0, false},
+		{"lm", "m", 9, 0, false},
+		{"lm", "m", 3, 48, false},
+		{"lm", "m", 9, 48, false},
+		{"lm", "m", 4, 11, true},
+		{"app", "", 3, 11, false},
+		{"app", "", 9, 48, false},
+	} {
+		name := fmt.Sprintf("%d crashes of %s, %d other items, owner stops %t", check.crashes, check.service, check.others, check.stopOwner)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			deployment, crashes := newUnluckyDeployment(t, check.service, check.model, check.crashes)
+			job := crashingJob(t, check.others+1, check.service == "app")
+			checkCompletes(t, deployment, crashes, check.crashes, check.others+1, job, check.stopOwner)
+		})
+	}
+}
+
+// Guards against a request of a caller that is refused since replicas crashed under an item with the same content.
+func TestCrashesUnderAnItemAreNoEvidenceAgainstARequest(t *testing.T) {
+	t.Parallel()
+	deployment, crashes := newUnluckyDeployment(t, "app", "", 3)
+	front := deployment.fronts[0]
+	status, _, _ := deployment.call(front, http.MethodPost, "/jobs/j", "job", crashingJob(t, 1, true))
+	must.Eq(t, http.StatusAccepted, status)
+	eventually(t, 3*longestIdle, "three replicas crash", func() bool { return crashes.count() == 3 })
+	eventually(t, restartDelay+time.Second, "a request with the same content is served", func() bool {
+		status, _, _ := deployment.call(front, http.MethodPost, "/score/x", "direct", crashBody)
+		return status == http.StatusOK
+	})
+}
--- a/cmd/thistlewalk-rollout/crash_test.go
+++ b/cmd/thistlewalk-rollout/crash_test.go
@@ -102,6 +102,11 @@
 
 // newCrashingDeployment returns a deployment with three settled fronts, in which some requests crash the replicas of the given service.
 func newCrashingDeployment(t *testing.T, service, model string) (*deployment, *crashLog) {
+	return newDeploymentOf(t, service, model, func(*site.Replica) {})
+}
+
+// newDeploymentOf is like newCrashingDeployment. It changes the replicas of the service before they start.
+func newDeploymentOf(t *testing.T, service, model string, change func(*site.Replica)) (*deployment, *crashLog) {
 	deployment, crashes := newDeployment(t), &crashLog{}
 	for id, replica := range deployment.replicas {
 		if replica.Service == service {
@@ -111,6 +116,7 @@
 	for index := range 3 {
 		replica := site.NewReplica(fmt.Sprint(service, index), service, model)
 		replica.CrashBody, replica.CrashDelay, replica.WorkTime = crashBody, timeToCrash, 10*time.Millisecond
+		change(replica)
 		deployment.serveCrashing(replica, "127.0.0.1:0", crashes)
 	}
 	deployment.put("op/config", fmt.Appendf(nil, configurationDocument, 3))
@@ -219,9 +225,9 @@
 }
 
 // crashingJob returns a job whose first item crashes replicas, either when the item itself runs or when its scoring call does.
-func crashingJob(t *testing.T, inScoring bool) string {
+func crashingJob(t *testing.T, items int, inScoring bool) string {
 	job := make(map[string]any)
-	must.NoError(t, json.Unmarshal([]byte(jobBody(12, 1)), &job))
+	must.NoError(t, json.Unmarshal([]byte(jobBody(items, 1)), &job))
 	first := job["items"].([]any)[0].(map[string]any)
 	target := first
 	if inScoring {
@@ -253,12 +259,12 @@
 func TestItemThatEndsReplicas(t *testing.T) {
 	t.Parallel()
 	deployment, crashes := newCrashingDeployment(t, "lm", "m")
-	checkJob(t, deployment, crashes, crashingJob(t, false))
+	checkJob(t, deployment, crashes, crashingJob(t, 12, false))
 }
 
 // A scoring call that crashes replicas must be tried only a limited number of times, and the other items of its job must complete.
 func TestScoringCallThatEndsReplicas(t *testing.T) {
 	t.Parallel()
 	deployment, crashes := newCrashingDeployment(t, "app", "")
-	checkJob(t, deployment, crashes, crashingJob(t, true))
+	checkJob(t, deployment, crashes, crashingJob(t, 12, true))
 }
--- a/internal/lab/platform/site/replica.go
+++ b/internal/lab/platform/site/replica.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -40,6 +41,8 @@
 	// this text. The empty string disables crashes.
 	CrashBody  string
 	CrashDelay time.Duration
+	// CrashLimit is the number of replicas that such requests still crash, shared by several replicas; nil sets no limit.
+	CrashLimit *atomic.Int64
 	// OnCrash is called when the replica crashes. It must close all connections of the replica.
 	OnCrash func(request string)
 	// Log records executions and orders; nil disables it.
@@ -75,7 +78,7 @@
 	next.Zone, next.Slots = replica.Zone, replica.Slots
 	next.EventTime, next.LoadTime, next.WorkTime = replica.EventTime, replica.LoadTime, replica.WorkTime
 	next.version, next.Log = replica.version, replica.Log
-	next.CrashBody, next.CrashDelay = replica.CrashBody, replica.CrashDelay
+	next.CrashBody, next.CrashDelay, next.CrashLimit = replica.CrashBody, replica.CrashDelay, replica.CrashLimit
 	return next
 }
 
@@ -167,6 +170,14 @@
 	}
 }
 
+// crashes reports whether a request crashes the replica.
+func (replica *Replica) crashes(body string) bool {
+	if replica.CrashBody == "" || !strings.Contains(body, replica.CrashBody) {
+		return false
+	}
+	return replica.CrashLimit == nil || replica.CrashLimit.Add(-1) >= 0
+}
+
 func (replica *Replica) run(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("Request-Id")
 	body, err := io.ReadAll(request.Body)
@@ -194,7 +205,7 @@
 	}
 	after, _ := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
 	execution := replica.Log.recordStart(id, replica.ID, caller, after)
-	if replica.CrashBody != "" && strings.Contains(string(body), replica.CrashBody) {
+	if replica.crashes(string(body)) {
 		time.Sleep(replica.CrashDelay)
 		replica.OnCrash(id)
 		panic(http.ErrAbortHandler)
