Soak: replicas crash one after the other while they run the same items

The soak did not see the fault of the incident: its replicas crash one at a time, and rarely twice under one item.

Change: each overlapping plan has engines crash 8 to 15 times while they run one item of each open job, once at a drawn time and once at the end, when open jobs have to become whole. The events come from a random stream of their own, so that the other faults of a seed stay as they were.

--- a/internal/lab/platform/soak/crash_requests.go
+++ b/internal/lab/platform/soak/crash_requests.go
@@ -15,6 +15,8 @@
 	crashBody     = "ends its replica"
 	crashDelay    = 60 * time.Millisecond
 	crashDowntime = 2500 * time.Millisecond
+	// unluckyItem marks the items under which engines crash for a while, one of each job. The items are not the cause.
+	unluckyItem = "-item0"
 	// crashRequestInterval is the time between two attempts of such a request.
 	crashRequestInterval = 300 * time.Millisecond
 	// maxLateRuns is how many runs of such a request may start later than recoveryTime after its third crash, sent through fault-free fronts.
--- a/internal/lab/platform/soak/deployment.go
+++ b/internal/lab/platform/soak/deployment.go
@@ -100,6 +100,9 @@
 	servers    []*httptest.Server
 	report     func(violation Violation)
 
+	// crashesLeft is the number of engines that still crash while they run an unlucky item.
+	crashesLeft atomic.Int64
+
 	mu      sync.Mutex
 	version int64 // of the newest acknowledged configuration
 	// configuredAt is when that configuration was acknowledged.
@@ -163,6 +166,9 @@
 	}
 	replica.EventTime, replica.LoadTime, replica.WorkTime, replica.Log = eventTime, loadTime, workTime, deployment.Executions
 	replica.CrashBody, replica.CrashDelay = crashBody, crashDelay
+	if service == engineName {
+		replica.CrashBody, replica.CrashLimit = unluckyItem, &deployment.crashesLeft
+	}
 	member.install(replica)
 	deployment.Members = append(deployment.Members, member)
 	return nil
--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -100,6 +100,10 @@
 		injector.silence(event, node, member)
 	case KindCrashRequest:
 		injector.crashRequests.send(injector.ctx, event)
+	case KindUnluckyItems:
+		deployment.crashesLeft.Store(int64(minUnluckyCrashes + event.Variant%minUnluckyCrashes))
+		pause(injector.ctx, event.For)
+		deployment.crashesLeft.Store(0)
 	case KindConfigure:
 		deployment.Configure()
 	case KindCloudDown, KindCloudLost:
@@ -111,6 +115,9 @@
 	}
 }
 
+// minUnluckyCrashes is the least number of engines that crash under unlucky items, of which each open job has one.
+const minUnluckyCrashes = 8
+
 // noteStoreFault records that a fault of the store starts or ends now.
 func (injector *injector) noteStoreFault() {
 	injector.mu.Lock()
--- a/internal/lab/platform/soak/plan.go
+++ b/internal/lab/platform/soak/plan.go
@@ -39,6 +39,7 @@
 	KindSignalSeries Kind = "series"       // a process receives signals in quick succession, some of which shut it down gracefully
 	KindSilence      Kind = "silence"      // the open connections of a link go silent for good; new ones work
 	KindCrashRequest Kind = "ending"       // a request that crashes replicas is sent repeatedly
+	KindUnluckyItems Kind = "unlucky"      // replicas crash one after the other while they run the same items
 	KindUpgrade      Kind = "upgrade"      // a process is shut down gracefully and restarted on another build
 )
 
@@ -112,6 +113,10 @@
 	// in a plan that crash replicas.
 	maxSeriesGap         = 12 * time.Second
 	crashRequestsPerPlan = 2
+	// unluckyStream is the random stream of the crashes under items. unluckyDuration is how long they go on, the last time at the end of a plan:
+	// jobs that are open then have to be completed.
+	unluckyStream   = 0x17e3
+	unluckyDuration = 4 * time.Second
 )
 
 // Draw returns the plan of a seed. The gaps between faults are short enough for faults to overlap.
@@ -129,8 +134,8 @@
 	return plan
 }
 
-// DrawOverlapping returns the plan that Draw returns for the seed, and adds signal series, silent connections and requests that crash replicas,
-// which overlap the other faults.
+// DrawOverlapping returns the plan that Draw returns for the seed, and adds signal series, silent connections, requests that crash replicas and
+// crashes under items, which overlap the other faults.
 func DrawOverlapping(seed uint64, length time.Duration) Plan {
 	plan := Draw(seed, length)
 	random := rand.New(rand.NewPCG(seed, overlapStream))
@@ -144,10 +149,21 @@
 		at := firstFaultAt + time.Duration(random.Int64N(int64(max(1, length/2))))
 		plan.Events = append(plan.Events, Event{Kind: KindCrashRequest, At: at, For: max(0, length-at), Target: random.IntN(targetRange), Variant: random.IntN(targetRange)})
 	}
+	plan.Events = append(plan.Events, drawUnluckyItems(seed, length)...)
 	slices.SortStableFunc(plan.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// drawUnluckyItems returns crashes under items at a random time and at the end of the plan.
+func drawUnluckyItems(seed uint64, length time.Duration) []Event {
+	random := rand.New(rand.NewPCG(seed, unluckyStream))
+	var events []Event
+	for _, at := range []time.Duration{firstFaultAt + time.Duration(random.Int64N(int64(max(1, length/2)))), length - unluckyDuration} {
+		events = append(events, Event{Kind: KindUnluckyItems, At: max(0, at), For: min(unluckyDuration, length-max(0, at)), Variant: random.IntN(targetRange)})
+	}
+	return events
+}
+
 // drawCloudFaults returns the faults of the platform's usage reporting.
 func drawCloudFaults(seed uint64, length time.Duration) []Event {
 	random := rand.New(rand.NewPCG(seed, cloudStream))
--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -50,6 +50,7 @@
 }{
 	{seed: 1796245766, length: 20 * time.Second, cause: "none"},
 	{seed: 1796254798, length: 40 * time.Second, cause: "a graceful shutdown cut off a call: removing the node's record from a silent store used up the grace period"},
+	{seed: 1796700000, length: 20 * time.Second, cause: "an item was withheld for an hour since replicas had crashed while they ran it"},
 	{seed: 1796254897, length: 40 * time.Second, cause: "a SIGHUP ended a process that had just started and did not handle the signal yet"},
 }
 
