Scores: the signature of an answer without an end is not taken

Callers would get a score whose answer was never whole.

Cause: the body of a scorer's answer was read up to 1 MiB, and what was not read by then counted as read.

Change: an answer of more than 1 MiB is an error, as one that breaks off, and the score is requested again elsewhere.

--- a/internal/batchrun/score.go
+++ b/internal/batchrun/score.go
@@ -17,10 +17,13 @@
 
 const (
 	scoreRetryDelay = 40 * time.Millisecond
-	// scoreReadLimit bounds how much of a scorer's response body is read. Only its signature is used.
-	scoreReadLimit = 1 << 20
+	// maxScoreBytes bounds the body of a scorer's answer, which is read to see that the answer is whole. Only its signature is used.
+	maxScoreBytes = 1 << 20
 )
 
+// errScoreTooLong is returned for a scorer's answer of more than maxScoreBytes, which may have no end.
+var errScoreTooLong = errors.New("the scorer's answer is too long")
+
 // score requests the score of a complete text and finishes the item. It is called at the end of the item's last attempt.
 func (runner *Runner) score(done *task) {
 	signature, scored := "", true
@@ -155,7 +158,11 @@
 		return scoreAnswer{err: err}
 	}
 	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, scoreReadLimit)); err != nil {
+	read, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxScoreBytes+1))
+	if err == nil && read > maxScoreBytes {
+		err = errScoreTooLong
+	}
+	if err != nil {
 		return scoreAnswer{err: err}
 	}
 	ended = backend.Served
--- a/internal/batchrun/scoring_test.go
+++ b/internal/batchrun/scoring_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -51,6 +52,7 @@
 	hanging          string // a replica that does not answer
 	fullAt           string // a replica that refuses each call
 	unusable         bool   // calls are answered with 404 at once
+	endless          int    // the number of answers to come that have no end
 	unreachable      string // a request that reaches no replica until unreachableUntil
 	unreachableUntil time.Time
 	inFlight, most   int
@@ -83,6 +85,8 @@
 		scorers.failing--
 		status = http.StatusInternalServerError
 	}
+	endless := scorers.endless > 0
+	scorers.endless--
 	scorers.mu.Unlock()
 	defer func() {
 		scorers.mu.Lock()
@@ -98,10 +102,19 @@
 	case <-time.After(took):
 	}
 	response := answer(status, "score of "+request.ID, strings.NewReader(""))
+	if endless {
+		response.Body = io.NopCloser(endlessReader{})
+	}
 	response.NotExecuted = refused
 	return response, nil
 }
 
+// endlessReader yields bytes without end.
+type endlessReader struct{}
+
+// Read implements io.Reader.
+func (endlessReader) Read(buffer []byte) (int, error) { return len(buffer), nil }
+
 func (scorers *scorers) set(change func()) {
 	scorers.mu.Lock()
 	defer scorers.mu.Unlock()
@@ -366,6 +379,17 @@
 	})
 }
 
+// Guards against a score that is taken from an answer which has no end.
+func TestScoreOfAnAnswerWithoutEndIsNotTaken(t *testing.T) {
+	inScoringWorld(t, 4, 50*time.Millisecond, func(t *testing.T, world *world, scorers *scorers) {
+		const items, endless = 100, 20
+		scorers.set(func() { scorers.endless = endless })
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", items, 1), jobRoute))
+		checkResults(t, await(t, world.node("a"), "job", items, 8*time.Second), 1)
+		must.Len(t, items+endless, scorers.callsOf("job"))
+	})
+}
+
 // Guards against texts of a step that its trainer has given up which keep places from another step, and against losing them.
 func TestScoresOfAStepThatIsGivenUpGiveWay(t *testing.T) {
 	inScoringWorld(t, 1, 100*time.Millisecond, func(t *testing.T, world *world, scorers *scorers) {
