--- a/cmd/thistlewalk-rollout/chance_crash_test.go
+++ b/cmd/thistlewalk-rollout/chance_crash_test.go
@@ -3,13 +3,18 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
+	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
+	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/lab/platform/site"
+	"github.com/thistlewalk/thistlewalk/internal/quarantine"
 )
 
 // longestIdle is the longest that an item may be at no replica while replicas have room. completionTime is how long the items take
@@ -93,3 +98,20 @@
 		return status == http.StatusOK
 	})
 }
+
+// Guards against an item that is withheld because of the record that a node of an earlier build stored for it.
+func TestRecordsOfEarlierBuildsWithholdNoItem(t *testing.T) {
+	t.Parallel()
+	deployment, _ := newUnluckyDeployment(t, "lm", "m", 0)
+	until := time.Now().Add(time.Hour).UnixMilli()
+	record, err := proto.Marshal(&clusterv1.QuarantineRecord{Crashes: 4, Replicas: []string{"r1", "r2", "r3", "r4"}, Reporter: "gone", UntilUnixMs: until})
+	must.NoError(t, err)
+	item := &backend.Request{Method: http.MethodPost, Host: "a.example", Target: "/jobs/item", Body: []byte(crashBody)}
+	deployment.put(quarantine.Prefix+quarantine.FingerprintOf("lm", item).String(), record)
+	eventually(t, longestIdle, "all fronts know the record", func() bool {
+		return strings.Count(deployment.logs.String(), `msg="quarantine loaded"`) >= len(deployment.fronts)
+	})
+	status, _, _ := deployment.call(deployment.fronts[0], http.MethodPost, "/jobs/j", "job", crashingJob(t, 12, false))
+	must.Eq(t, http.StatusAccepted, status)
+	eventually(t, completionTime, "all items are listed", func() bool { return len(deployment.results(deployment.fronts[0], "job").Results) == 12 })
+}
