Items: a service without replicas is left for another target of the route

Callers would see items of a job that are at no replica for good, and texts that are never scored, while another target of their route has room.

Cause: an item was given a service by the weights of its route once, and kept it until the next configuration, whatever became of its replicas.

Change: a service without suitable replicas is left for a target that has some, drawn by weight; a text leaves the queue of a service without replicas. Full replicas are no reason. Routes with one target cost nothing more. New line 'item given to another service', at most ten a second.

--- a/internal/batchrun/engines_test.go
+++ b/internal/batchrun/engines_test.go
@@ -28,6 +28,7 @@
 	versions                           map[string]int64
 	running                            map[string]int // by item
 	starts                             map[string]int
+	startsAt                           map[string]int   // by replica
 	resumed                            map[string]int64 // the event after which the last run of an item resumed
 	// gaps is the time between two events of a replica; defaultGap where it is not set.
 	gaps map[string]time.Duration
@@ -51,6 +52,13 @@
 
 func failAll(string) bool { return true }
 
+// startedAt returns the number of runs at a replica.
+func (engines *engines) startedAt(replica string) int {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	return engines.startsAt[replica]
+}
+
 const defaultGap = 30 * time.Millisecond
 
 // started returns the number of runs of all items.
@@ -120,6 +128,7 @@
 	}
 	engines.mu.Lock()
 	engines.starts[request.ID]++
+	engines.startsAt[replica.ID]++
 	engines.resumed[request.ID] = request.ResumeAfter
 	engines.mu.Unlock()
 	switch {
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -74,7 +74,8 @@
 	candidatesFoundAt time.Time
 	// departures are the times at which replicas that announced their end will have gone.
 	departures map[string]time.Time
-	idleLines  logging.LineLimit
+	// idleLines and serviceLines bound the lines about items that wait, and that change their service.
+	idleLines, serviceLines logging.LineLimit
 }
 
 const (
@@ -217,8 +218,9 @@
 	if route == nil {
 		return false
 	}
-	if waiting.service == "" || waiting.configurationVersion != configuration.Version {
-		waiting.service, waiting.configurationVersion = chooseService(route, waiting.service), configuration.Version
+	if waiting.service == "" || waiting.configurationVersion != configuration.Version || len(route.Targets) > 1 {
+		waiting.configurationVersion = configuration.Version
+		scheduler.setService(waiting, route)
 	}
 	replica := capacity.pick(waiting)
 	if replica == nil {
@@ -233,14 +235,45 @@
 	return true
 }
 
-// chooseService returns the service chosen earlier if the route still has it, and otherwise a service drawn by weight.
-func chooseService(route *catalog.Route, drawn string) string {
+// setService sets the service of an item. It must be called with mu held.
+func (scheduler *scheduler) setService(waiting *task, route *catalog.Route) {
+	former := waiting.service
+	waiting.service = chooseService(route, former, func(service string) bool {
+		placing := placementOf(waiting)
+		placing.service = service
+		return len(scheduler.suitableReplicas(placing)) > 0
+	})
+	if former == "" || former == waiting.service {
+		return
+	}
+	if suppressed, allowed := scheduler.serviceLines.Allow(time.Now()); allowed {
+		scheduler.runner.Logger.Info("item given to another service", "request", waiting.item.GetId(), "job", waiting.job.id(), "service", waiting.service, "former", former,
+			"configuration", waiting.configurationVersion, "lines_left_out", suppressed)
+	}
+}
+
+// chooseService returns the service drawn earlier while the route has it and it has replicas, and otherwise one that is drawn by weight, if
+// possible from the targets with replicas.
+func chooseService(route *catalog.Route, drawn string, hasReplicas func(service string) bool) string {
+	var targets, served []catalog.RouteTarget
 	for _, target := range route.Targets {
-		if target.Service == drawn && target.Weight > 0 {
+		if target.Weight <= 0 {
+			continue
+		}
+		targets = append(targets, target)
+		if len(route.Targets) > 1 && hasReplicas(target.Service) {
+			served = append(served, target)
+		}
+	}
+	if len(served) > 0 {
+		targets = served
+	}
+	for _, target := range targets {
+		if target.Service == drawn {
 			return drawn
 		}
 	}
-	return forwarding.PickTarget(route.Targets)
+	return forwarding.PickTarget(targets)
 }
 
 // refusal is the backoff state of a replica that refused work. After the backoff the replica gets a single item as a probe until
--- a/internal/batchrun/scoreadmitted.go
+++ b/internal/batchrun/scoreadmitted.go
@@ -16,7 +16,7 @@
 const (
 	// maxScoreRetryDelay bounds the pause of a text whose calls fail again and again.
 	maxScoreRetryDelay = 640 * time.Millisecond
-	// routeCheckInterval is how often a waiting text checks that its route still leads to the service at which it waits.
+	// routeCheckInterval is how often a waiting text checks that it stays with the service at which it waits.
 	routeCheckInterval = 500 * time.Millisecond
 )
 
@@ -75,7 +75,8 @@
 	return owned.progress.WantedComplete()
 }
 
-// chooseTarget returns the scorer's route and sets the service that scores the text, which stays the same while the route has it.
+// chooseTarget returns the scorer's route and sets the service that scores the text, which stays the same while the route has it and it has
+// replicas.
 func (call *scoringCall) chooseTarget() *catalog.Route {
 	call.target = ""
 	configuration := call.runner.Catalog.Configuration()
@@ -86,15 +87,31 @@
 	if route == nil {
 		return nil
 	}
+	call.target = call.serviceOf(route)
+	return route
+}
+
+// serviceOf returns the service of a route that scores the text.
+func (call *scoringCall) serviceOf(route *catalog.Route) string {
 	drawn := ""
 	if call.service != nil {
 		drawn = call.service.name
 	}
-	call.target = chooseService(route, drawn)
-	return route
+	replicas := call.runner.Catalog.Replicas()
+	return chooseService(route, drawn, func(service string) bool { return replicas.Service(service).Working() > 0 })
+}
+
+// keepsService reports whether the text stays with the service at which it waits.
+func (call *scoringCall) keepsService() bool {
+	configuration := call.runner.Catalog.Configuration()
+	if configuration == nil {
+		return true
+	}
+	route := configuration.FindRoute(call.scorer.GetHost(), call.scorer.GetPath())
+	return route != nil && call.serviceOf(route) == call.service.name
 }
 
-// awaitPlace waits for a place. It returns false without one if the job has ended or the route leads to another service.
+// awaitPlace waits for a place. It returns false without one if the job has ended or another service scores the text.
 func (call *scoringCall) awaitPlace(ctx context.Context) (grant admission.Grant, granted bool) {
 	began := time.Now()
 	call.runner.scores.add(call)
@@ -108,7 +125,7 @@
 			return grant, true
 		case <-ctx.Done():
 		case <-ticker.C:
-			if call.routeLeadsTo(call.service.name) {
+			if call.keepsService() {
 				continue
 			}
 		}
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -92,7 +92,7 @@
 	}, 1)
 	return &world{
 		store: memstore.New(), catalog: table, nodes: make(map[string]*batchrun.Runner), stopHealth: make(map[string]context.CancelFunc), isolated: make(map[string]bool), refused: make(map[string]bool),
-		engines: &engines{random: rand.New(rand.NewPCG(seed, 1)), versions: map[string]int64{"e1": 1, "e2": 1}, running: map[string]int{}, starts: map[string]int{}, resumed: map[string]int64{}, gaps: map[string]time.Duration{}},
+		engines: &engines{random: rand.New(rand.NewPCG(seed, 1)), versions: map[string]int64{"e1": 1, "e2": 1}, running: map[string]int{}, starts: map[string]int{}, startsAt: map[string]int{}, resumed: map[string]int64{}, gaps: map[string]time.Duration{}},
 	}
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -128,6 +128,7 @@
 mutate 'head without a time limit' platform/replicas.go 'time.AfterFunc(headTimeout, trace.closeConnection)' 'time.AfterFunc(time.Hour, trace.closeConnection)' ./platform
 mutate 'informational answers without end' platform/replicas.go 'trace.informational > maxInformational' 'trace.informational < 0' ./platform
 mutate 'control answers without end' platform/replicas.go 'if len(content) > maxControlBytes {' 'if len(content) < 0 {' ./platform
+mutate 'service without replicas kept' internal/batchrun/scheduler.go 'if len(route.Targets) > 1 && hasReplicas(target.Service) {' 'if len(route.Targets) < 0 && hasReplicas(target.Service) {' ./internal/batchrun
 mutate 'scores of answers without end' internal/batchrun/score.go 'err == nil && read > maxScoreBytes' 'err == nil && read < 0' ./internal/batchrun
 mutate 'items pass the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
 		Decoder' 'Catalog: options.Catalog, Loads: loads, Sender: front.guard,
