Logs: an idle item is information; comments that had grown long

A step with more items than slots has idle items for seconds without any fault. No decision changes; the tests of idle items pass.

--- a/internal/batchrun/idle.go
+++ b/internal/batchrun/idle.go
@@ -53,7 +53,7 @@
 		return
 	}
 	suitable := scheduler.suitableReplicas(placementOf(waiting))
-	scheduler.runner.Logger.Warn("item idle", "request", waiting.item.GetId(), "job", waiting.job.id(), "service", waiting.service, "idle_ms", idle.Milliseconds(),
+	scheduler.runner.Logger.Info("item idle", "request", waiting.item.GetId(), "job", waiting.job.id(), "service", waiting.service, "idle_ms", idle.Milliseconds(),
 		"obstacle", capacity.obstacle(waiting, configuration, suitable), "suitable", len(suitable), "attempts", waiting.attempts,
 		"last_outcome", waiting.lastOutcomeName(), "events", waiting.lastEvent, "minimum", waiting.job.definition.GetMinimumVersion(), "lines_left_out", suppressed)
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -27,8 +27,9 @@
 	// quarantineThreshold is the number of crashes from which a request is quarantined.
 	quarantineThreshold = 3
 	// trialLimit is the number of crashes from which a request gets no further trial. A quarantined request gets one,
-	// since each crash may have had another cause. It is tried by the deputy after quarantineTrialDelay, and only if its process had been running for suspicionDuration before the first
-	// crash: a younger process may have missed earlier crashes if all nodes were killed before the quarantine was stored.
+	// since each crash may have had another cause. It is tried by the deputy after quarantineTrialDelay, and only if its
+	// process had been running for suspicionDuration before the first crash: a younger process may have missed earlier
+	// crashes if all nodes were killed before the quarantine was stored.
 	trialLimit           = quarantineThreshold + 1
 	quarantineTrialDelay = 30 * time.Second
 	// simultaneousWindow is the time within which crashes under one request count as one. Machines that fail together
