Quarantine: the node that ranks first makes its trial however young its process is

A caller whose harmless request ran beside three crashes by chance was refused for an hour in a fleet that had just started or been rolled: no node was old enough for the trial that takes the verdict back.

Cause: the trial was left to processes that had run for ten minutes before the first crash, so that they know of all earlier ones. Since nodes that know of more crashes tell them, and the stored record counts them, that condition keeps harmless requests only.

Change: the condition is gone, and with it the age of processes and entries.

TestQuarantineIsTriedOnce expects one trial at any age, and none after a fourth crash, as before.

--- a/internal/quarantine/answered.go
+++ b/internal/quarantine/answered.go
@@ -41,7 +41,7 @@
 // replaceEvents adds an entry that holds only the given crashes of the former one. It must be called with mu held.
 func (tracker *Tracker) replaceEvents(fingerprint Fingerprint, former *entry, events []CrashEvent) {
 	replaced := tracker.getOrCreate(fingerprint, former.lastSeen)
-	replaced.firstSeen, replaced.lastTrial = former.firstSeen, former.lastTrial
+	replaced.lastTrial = former.lastTrial
 	replaced.storedCrashes, replaced.restoredAt = former.storedCrashes, former.restoredAt
 	for _, event := range events {
 		simultaneous := replaced.hasSimultaneous(event.InterruptedAt)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -27,9 +27,7 @@
 	// quarantineThreshold is the number of crashes from which a request is quarantined.
 	quarantineThreshold = 3
 	// trialLimit is the number of crashes from which a request gets no further trial. A quarantined request gets one,
-	// since each crash may have had another cause. It is tried by the deputy after quarantineTrialDelay, and only if its
-	// process had been running for suspicionDuration before the first crash: a younger process may have missed earlier
-	// crashes if all nodes were killed before the quarantine was stored.
+	// since each crash may have had another cause. It is tried by the deputy after quarantineTrialDelay.
 	trialLimit           = quarantineThreshold + 1
 	quarantineTrialDelay = 30 * time.Second
 	// simultaneousWindow is the time within which crashes under one request count as one. Machines that fail together
@@ -104,9 +102,8 @@
 // Tracker holds the requests that this node suspects of crashing replicas. It is safe for concurrent use. Callers pass in
 // the current time; a clock that stops while the machine is suspended only lengthens a hold.
 type Tracker struct {
-	node    string
-	started time.Time
-	size    atomic.Int64
+	node string
+	size atomic.Int64
 
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
@@ -119,7 +116,6 @@
 
 // entry is the state of one suspected request.
 type entry struct {
-	firstSeen time.Time    // when this node learned of the first crash
 	events    []CrashEvent // the most recent crashes, at most maxEvents
 	crashes   int          // the number that counts; simultaneous crashes count once
 	reporter  string       // the node that reported the last crash
@@ -142,9 +138,9 @@
 	computedAt uint64
 }
 
-// NewTracker returns an empty tracker for a node whose process starts now.
-func NewTracker(node string, now time.Time) *Tracker {
-	return &Tracker{node: node, started: now, entries: make(map[Fingerprint]*entry), heads: make(map[head]int)}
+// NewTracker returns an empty tracker for a node.
+func NewTracker(node string) *Tracker {
+	return &Tracker{node: node, entries: make(map[Fingerprint]*entry), heads: make(map[head]int)}
 }
 
 // MayBeSuspected reports whether a request may be suspected, without reading its body. It takes no lock if no request is
@@ -264,7 +260,7 @@
 	}
 	if known == nil {
 		tracker.evict(now)
-		known = &entry{firstSeen: now}
+		known = &entry{}
 		tracker.entries[fingerprint] = known
 		tracker.heads[fingerprint.head()]++
 		tracker.size.Store(int64(len(tracker.entries)))
@@ -443,7 +439,6 @@
 // trialDue returns the time after the last crash from which this node may try a quarantined request; eligible is false if it
 // may not. It must be called with mu held.
 func (tracker *Tracker) trialDue(entry *entry, claim Claim, attributed bool) (due time.Duration, eligible bool) {
-	observedLongEnough := entry.firstSeen.Sub(tracker.started) >= suspicionDuration
 	switch {
 	case entry.crashes >= trialLimit:
 		return 0, false
@@ -452,6 +447,6 @@
 	case attributed:
 		return deputyTrialDelay, claim.Deputy
 	default:
-		return quarantineTrialDelay, claim.Deputy && observedLongEnough
+		return quarantineTrialDelay, claim.Deputy
 	}
 }
--- a/internal/role/quarantine.go
+++ b/internal/role/quarantine.go
@@ -10,7 +10,7 @@
 // newGuard returns the guard, which withholds requests that crash replicas, and the record store, which stores such
 // requests in the metadata store.
 func (front *Front) newGuard() (*quarantine.Guard, *quarantine.RecordStore) {
-	tracker := quarantine.NewTracker(front.Node, time.Now())
+	tracker := quarantine.NewTracker(front.Node)
 	recordStore := quarantine.NewRecordStore(front.ctx, front.Store, front.health, tracker, front.Node, front.Logger)
 	recordStore.IsDeputy = func(fingerprint quarantine.Fingerprint) bool {
 		return front.Registry.PreferredAnywhere(fingerprint.String()) == front.Node
