--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -6,6 +6,8 @@
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
 missed=0
+# Tests of KNOWN-RED.txt fail without a mutation too.
+known=$(sed -n 's/^[^.]*\.\(Test[A-Za-z0-9_]*\),.*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 # mutate NAME FILE 'PATTERN' 'REPLACEMENT' ARGUMENT...: PATTERN is fixed text that must occur exactly once in FILE. The arguments are those of
 # go test.
 mutate() {
@@ -23,7 +25,7 @@
   if ! (cd "$copy/tree" && go vet ./... >"$copy/out" 2>&1); then
     printf '%-34s DOES NOT BUILD\n' "$name"
     missed=1
-  elif (cd "$copy/tree" && ! go test "$@" >"$copy/out" 2>&1); then
+  elif (cd "$copy/tree" && ! go test -skip "^(${known:-none})\$" "$@" >"$copy/out" 2>&1); then
     printf '%-34s caught by %s\n' "$name" "$(grep -m1 -o -- '--- FAIL: [A-Za-z_/]*' "$copy/out" | cut -c11-)"
   else
     printf '%-34s NOT CAUGHT\n' "$name"
