--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 root=../..
 [ -x "$root/target/review-2/harness2" ] && [ -x "$root/target/thistlewalk-rollout" ] || { echo "build first: the deploy file's build, then review/build-2.sh" >&2; exit 2; }
-exec "$root/target/review-2/harness2" -case usage -record record.txt -binary "$root/target/thistlewalk-rollout"
+exec "$root/target/review-2/harness2" -case leave -record record.txt -binary "$root/target/thistlewalk-rollout"
--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -91,6 +91,7 @@
 	Results []struct {
 		ID    string `json:"id"`
 		State string `json:"state"`
+		Text  string `json:"text"`
 	} `json:"results"`
 }
 
@@ -123,17 +124,18 @@
 // progress is what a trainer has read of a batch job.
 type progress struct {
 	listed map[string]string // state by item
+	texts  map[string]string // text by item
 	next   int
 }
 
 // follow reads a batch job twice a second until all its items are listed or the deadline has passed.
 func (client *client) follow(address string, followed *job, until time.Time) *progress {
-	read := &progress{listed: make(map[string]string)}
+	read := &progress{listed: make(map[string]string), texts: make(map[string]string)}
 	for time.Now().Before(until) && len(read.listed) < len(followed.items) {
 		got, answered := client.read(address, followed.id, read.next)
 		if answered.status == http.StatusOK && answered.err == nil {
 			for _, result := range got.Results {
-				read.listed[result.ID] = result.State
+				read.listed[result.ID], read.texts[result.ID] = result.State, result.Text
 			}
 			read.next = max(read.next, got.Next)
 		}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -30,6 +30,7 @@
 	"acceptance": {sizes{fronts: 3, orderers: 3, engines: 3, applications: 3}, lostAcceptance},
 	"leave":      {sizes{fronts: 3, orderers: 3, engines: 3, applications: 3}, lateLeave},
 	"usage":      {sizes{fronts: 3, orderers: 3, engines: 1, applications: 3, tenants: true}, usageTwice},
+	"text":       {sizes{fronts: 2, orderers: 1, engines: 2, applications: 3}, lineFeeds},
 	"stop":       {sizes{fronts: 2, orderers: 3, engines: 2, applications: 3}, plannedStop},
 }
 
--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -31,6 +32,24 @@
 type runs struct {
 	mu   sync.Mutex
 	list []*run
+	// pieces are the data of the events of each stream; without them an event says its number.
+	pieces []string
+}
+
+func (runs *runs) setPieces(pieces []string) {
+	runs.mu.Lock()
+	defer runs.mu.Unlock()
+	runs.pieces = pieces
+}
+
+// dataOf returns the data of an event.
+func (runs *runs) dataOf(id string, event int) string {
+	runs.mu.Lock()
+	defer runs.mu.Unlock()
+	if len(runs.pieces) > 0 {
+		return runs.pieces[event-1]
+	}
+	return fmt.Sprintf("%s/%d", id, event)
 }
 
 func (runs *runs) begin(id, replica string, after int) *run {
@@ -179,12 +198,13 @@
 		if !pause() {
 			return false
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", event, eventData(id, event)); err != nil {
+		written := &strings.Builder{}
+		fmt.Fprintf(written, "id: %d\n", event)
+		writeData(written, replica.runs.dataOf(id, event))
+		if _, err := fmt.Fprintf(writer, "%s\n", written); err != nil {
 			return false
 		}
 		writer.(http.Flusher).Flush()
 	}
 	return true
 }
-
-func eventData(id string, event int) string { return fmt.Sprintf("%s/%d", id, event) }
