--- a/review/harness2/acceptance.go
+++ b/review/harness2/acceptance.go
@@ -68,7 +68,7 @@
 		at = other.frontAddress()
 		answered = client.submit(at, step, (trainerDeadline-time.Since(sent))/3)
 	}
-	record.note("store: %d writes since the case began, %v of them without an answer", deployment.store.writeCount()-before, trouble)
+	record.note("store: %d writes since the case began; lost answer: %v", deployment.store.writeCount()-before, trouble)
 	if answered.status != 202 {
 		return held, "the batch job was never accepted"
 	}
--- a/review/harness2/usage.go
+++ b/review/harness2/usage.go
@@ -19,8 +19,6 @@
 	usageWindow = 5 * time.Second
 	// beforeReport is when after the end of a window the next write of its report is awaited. It is stored 2.5 s after the end.
 	beforeReport = 2300 * time.Millisecond
-	// wakeAt is when after the end of the window the front wakes. It takes it a second to find the holder again.
-	wakeAt = 2 * time.Second
 	// reportLate is how long after its arrival the unanswered write is done.
 	reportLate = 5600 * time.Millisecond
 )
@@ -100,8 +98,6 @@
 	}
 	if trouble {
 		frozen.signal(syscall.SIGSTOP)
-		time.Sleep(time.Until(end.Add(wakeAt)))
-		frozen.signal(syscall.SIGCONT)
 		time.Sleep(time.Until(end.Add(beforeReport)))
 		unanswered := &lostAnswer{matches: func(written txn) bool {
 			return len(written.Put) == 1 && strings.HasSuffix(written.Put[0].Key, strconv.FormatInt(window, 10))
@@ -112,6 +108,7 @@
 		case <-time.After(4 * time.Second):
 			record.note("no write of the window's report was seen")
 		}
+		frozen.signal(syscall.SIGCONT)
 	}
 	time.Sleep(time.Until(end.Add(usageWindow + beforeReport + 2*time.Second)))
 	if trouble {
