--- a/review/harness2/deployment.go
+++ b/review/harness2/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -9,6 +10,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -60,11 +63,15 @@
 	orderers []*node
 	servers  []*http.Server
 	sizes    sizes
+	stopping sync.Once
+	stopped  atomic.Bool // no process is started any more
 }
 
 // slots returns the number of places of all engines.
 func (deployment *deployment) slots() int { return deployment.sizes.engines * engineSlots }
 
+var errStopped = errors.New("the case has been broken off")
+
 // loopbackPrefix returns the first three bytes of loopback addresses whose ports are free.
 func loopbackPrefix() (string, error) {
 	for range 50 {
@@ -171,6 +178,9 @@
 	node.command = exec.Command(deployment.binary, node.role, "--metrics-port", fmt.Sprint(metricsPort))
 	node.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "THISTLEWALK_NODE_FILE=" + node.settings}
 	node.command.Stdout, node.command.Stderr = output, output
+	if deployment.stopped.Load() {
+		return errStopped
+	}
 	if err := node.command.Start(); err != nil {
 		return err
 	}
@@ -246,7 +256,10 @@
 }
 
 // stop ends all processes that were started.
-func (deployment *deployment) stop() {
+func (deployment *deployment) stop() { deployment.stopping.Do(deployment.endProcesses) }
+
+func (deployment *deployment) endProcesses() {
+	deployment.stopped.Store(true)
 	for _, list := range [][]*node{deployment.fronts, deployment.orderers} {
 		for _, one := range list {
 			if one.command == nil || one.command.Process == nil {
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -87,6 +87,7 @@
 	}
 	code, reason := chosen.run(deployment, trouble)
 	record.note("verdict %d: %s", code, reason)
+	deployment.stop() // before the output, whose reader may have gone
 	fmt.Println(code, reason)
 	return code
 }
