--- a/review/harness2/acceptance.go
+++ b/review/harness2/acceptance.go
@@ -12,7 +12,8 @@
 	trainerDeadline = 12 * time.Second
 	// acceptanceLate is how long after its arrival the unanswered write is done.
 	acceptanceLate = 2800 * time.Millisecond
-	powerLossAt    = 500 * time.Millisecond
+	// powerLossAt is within the 5 to 400 ms after a client's work was sent that the pages name.
+	powerLossAt = 350 * time.Millisecond
 	// contact is contact-ms, idleBound the time that an item may be at no replica in steady state.
 	contact   = 3 * time.Second
 	idleBound = 5 * time.Second
