--- a/review/harness2/deployment.go
+++ b/review/harness2/deployment.go
@@ -279,7 +279,7 @@
 	_ = os.RemoveAll(deployment.folder)
 }
 
-// settingsOf returns the settings file of a node, with the figures of the site kptu-dispatch.
+// settingsOf returns the settings file of a node, with the figures of the site kptu-dispatch, or of kptu-dispatch-now-grown with tenants.
 func settingsOf(node *node, class string, listen map[string]string, first bool) map[string]any {
 	zones := map[string]string{}
 	for _, zone := range zoneNames {
@@ -315,7 +315,10 @@
 		settings["contracts"] = []string{
 			"base", "drain", "config", "cost", "recover", "health", "pool", "samples", "stream", "engine", "batch", "tenants", "leader", "platform",
 		}
+		settings["fault-tolerance"] = map[string]any{"machines": 2, "zones": 0, "regions": 0}
 		bounds := settings["bounds"].(map[string]any)
+		bounds["contact-ms"], bounds["ack-ms"], bounds["catch-up-s"], bounds["drain-ms"] = 4000, 6000, 6, 3000
+		bounds["config-apply-ms"], bounds["outer-ms"], bounds["recovery-s"] = 3000, 6000, 15
 		bounds["report-window-s"], bounds["usage-tolerance"], bounds["usage-late-s"] = int(usageWindow.Seconds()), 0.05, 10
 		settings["cloud"] = map[string]any{
 			"address": fmt.Sprintf("%s201:%d", node.deployment.prefix, storePort), "rate-per-s": 50.0, "duties": []string{"usage"}, "duty-per-s": 50.0,
