Jobs: only a registered process becomes the owner of a job

Cause: the store applied the acceptance of a front seconds late, after the front was lost for good. Its monitors had listed its jobs and removed its record by then, and only nodes with a record are monitored. Another front to which the trainer submitted the job again read that it has an owner and answered 202.

Change: the record of the own process is a condition of every acceptance and claim, and the removal of a dead node's record has as a condition that the node has acquired no work since its work was listed. A process whose record is gone or overwritten registers again, and leaves jobs to other nodes until then. A chunk of a job is 730 KiB, as the condition takes one of the 32 entries of a transaction.

New with the interface: TestTakeoverIsRepeatedAfterLateWork, TestRegistrationCondition, TestUnregisteredNodeAcquiresNothing. The tests of batchlog, batchrun, cluster, role, dissemination and of the program pass.

--- a/internal/batchlog/log.go
+++ b/internal/batchlog/log.go
@@ -1,6 +1,7 @@
 // Package batchlog stores batch jobs in the metadata store. One transaction writes a job and its owner. Results are appended in
 // pages on condition that the owner has not changed, and the end of a job removes its owner. This fences former owners: they can
-// neither append results nor undo an end.
+// neither append results nor undo an end. A process becomes the owner of a job only while it is registered, so that every owner is
+// monitored.
 package batchlog
 
 import (
@@ -27,15 +28,26 @@
 	ErrNotFound = errors.New("no such job")
 	// ErrProcessReplaced means that the process from which a job is claimed has been replaced: its node has registered again.
 	ErrProcessReplaced = errors.New("the node has registered again")
+	// ErrNotRegistered means that this process is not registered, so that it can own no further job at the moment. Nothing was written.
+	ErrNotRegistered = errors.Mark(errors.New("this process is not registered"), metadata.ErrUnavailable)
 )
 
 const (
-	chunkBytes        = 700 << 10
+	// chunkBytes allows for jobs of 20 MB in the 32 entries of a transaction, five of which are not chunks.
+	chunkBytes        = 730 << 10
 	initialRetryDelay = 40 * time.Millisecond
 	maxRetryDelay     = 300 * time.Millisecond
 	callTimeout       = 600 * time.Millisecond
 )
 
+// Registration is the record of this process among the nodes. Another node removes it once it has taken over the jobs of this node.
+type Registration interface {
+	// RegistrationCondition returns the condition that holds as long as this process is registered. registered is false if it is not.
+	RegistrationCondition() (condition metadata.Condition, registered bool)
+	// HandleRegistrationConflict is called when the condition did not hold, with the current record, if there is one.
+	HandleRegistrationConflict(failed metadata.Condition, current metadata.Item, found bool)
+}
+
 // Log reads and writes batch jobs. It is safe for concurrent use.
 type Log struct {
 	Store metadata.Store
@@ -47,6 +59,32 @@
 	// OnEndedForOwner is called after this node has ended a job that another claim owned, with the owner's node. That owner does not know of
 	// the end before its next append. Nil disables the call.
 	OnEndedForOwner func(job, owner string)
+	// Registration is a condition of every write by which this node becomes the owner of a job. A write that the store applies after
+	// another node has taken this node over therefore fails. Nil means no condition, for tests.
+	Registration Registration
+}
+
+// ownerConditions returns the conditions under which this process may become the owner of a job.
+func (log *Log) ownerConditions() ([]metadata.Condition, error) {
+	if log.Registration == nil {
+		return nil, nil
+	}
+	condition, registered := log.Registration.RegistrationCondition()
+	if !registered {
+		return nil, ErrNotRegistered
+	}
+	return []metadata.Condition{condition}, nil
+}
+
+// checkOwnerConditions returns ErrNotRegistered if one of the conditions has caused a conflict.
+func (log *Log) checkOwnerConditions(conditions []metadata.Condition, conflict *metadata.ConflictError) error {
+	for _, condition := range conditions {
+		if current, found := conflict.Find(condition.Key); current.Revision != condition.Revision {
+			log.Registration.HandleRegistrationConflict(condition, current, found)
+			return ErrNotRegistered
+		}
+	}
+	return nil
 }
 
 // Ownership is this node's ownership of a job, fenced by the revision of the owner's key. Except for InDoubt it must be used by
@@ -62,7 +100,8 @@
 }
 
 // Accept makes a job durable with this node as its owner. If the job was accepted before, held is nil, and Owner returns its
-// owner. After an error that is metadata.ErrUncertain the job may have been accepted.
+// owner. After an error that is metadata.ErrUncertain the job may have been accepted. It returns ErrNotRegistered if this process is
+// not registered.
 func (log *Log) Accept(ctx context.Context, job *batchv1.Job) (ownership *Ownership, err error) {
 	encoded, err := proto.Marshal(job)
 	if err != nil {
@@ -72,7 +111,11 @@
 	if err != nil {
 		return nil, err
 	}
-	txn := metadata.Txn{Conditions: []metadata.Condition{{Key: chunkKey(job.GetId(), 0)}}}
+	registered, err := log.ownerConditions()
+	if err != nil {
+		return nil, err
+	}
+	txn := metadata.Txn{Conditions: append([]metadata.Condition{{Key: chunkKey(job.GetId(), 0)}}, registered...)}
 	for n := 0; n*chunkBytes < len(encoded); n++ {
 		chunk := encoded[n*chunkBytes : min(len(encoded), (n+1)*chunkBytes)]
 		txn.Puts = append(txn.Puts, metadata.Put{Key: chunkKey(job.GetId(), n), Value: chunk})
@@ -84,7 +127,10 @@
 	case err == nil:
 		return &Ownership{JobID: job.GetId(), revision: revision, claim: claim}, nil
 	case errors.As(err, &conflict):
-		return nil, nil
+		if _, accepted := conflict.Find(chunkKey(job.GetId(), 0)); accepted {
+			return nil, nil
+		}
+		return nil, log.checkOwnerConditions(registered, conflict)
 	default:
 		return nil, err
 	}
@@ -157,8 +203,12 @@
 		if revision == refusedAt {
 			return ErrProcessReplaced // the owner is as it was, so that the other condition has failed
 		}
+		registered, err := log.ownerConditions()
+		if err != nil {
+			return err
+		}
 		txn := metadata.Txn{
-			Conditions: from.conditions(metadata.Condition{Key: ownerKey(id), Revision: revision}),
+			Conditions: append(from.conditions(metadata.Condition{Key: ownerKey(id), Revision: revision}), registered...),
 			Puts:       []metadata.Put{{Key: ownerKey(id), Value: encoded}, {Key: ownedKey(log.Node, id)}, {Key: LeftoverWorkKey(log.Node)}},
 		}
 		if owner.GetNode() != log.Node {
@@ -167,6 +217,9 @@
 		newRevision, err := log.Store.Commit(ctx, txn)
 		var conflict *metadata.ConflictError
 		if errors.As(err, &conflict) {
+			if err := log.checkOwnerConditions(registered, conflict); err != nil {
+				return err
+			}
 			refusedAt = revision
 		}
 		if err != nil {
--- a/internal/batchlog/log_test.go
+++ b/internal/batchlog/log_test.go
@@ -7,11 +7,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
+	"github.com/thistlewalk/thistlewalk/internal/metadata"
 	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 )
 
@@ -46,6 +48,52 @@
 	})
 }
 
+// registration is a registration whose record is a key of the store.
+type registration struct {
+	condition  metadata.Condition
+	conflicted int
+}
+
+func (registered *registration) RegistrationCondition() (metadata.Condition, bool) {
+	return registered.condition, true
+}
+
+func (registered *registration) HandleRegistrationConflict(metadata.Condition, metadata.Item, bool) {
+	registered.conflicted++
+}
+
+// Guards against acceptances and claims that the store applies after the node was declared dead and its record was removed.
+func TestUnregisteredNodeAcquiresNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		revision, err := store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "node-b"}}})
+		must.NoError(t, err)
+		registered := &registration{condition: metadata.Condition{Key: "node-b", Revision: revision}}
+		first, second := batchlog.Log{Store: store, Node: "a"}, batchlog.Log{Store: store, Node: "b", Registration: registered}
+		_, err = first.Accept(within(t, time.Second), newJob("of-a"))
+		must.NoError(t, err)
+		held, err := second.Accept(within(t, time.Second), newJob("of-b"))
+		must.NoError(t, err)
+		must.NotNil(t, held)
+		_, err = store.Commit(t.Context(), metadata.Txn{Deletes: []string{"node-b"}})
+		must.NoError(t, err)
+
+		_, err = second.Accept(within(t, time.Second), newJob("new"))
+		must.ErrorIs(t, err, batchlog.ErrNotRegistered)
+		must.True(t, errors.Is(err, metadata.ErrUnavailable), must.Sprint("nothing was written"))
+		must.Eq(t, 1, registered.conflicted)
+		held, err = second.Accept(within(t, time.Second), newJob("of-a"))
+		must.NoError(t, err, must.Sprint("the job was accepted before"))
+		must.Nil(t, held)
+		_, err = second.Claim(within(t, time.Second), "of-a", batchlog.Origin{Node: "a"})
+		must.Error(t, err)
+		must.False(t, errors.Is(err, batchlog.ErrProcessReplaced))
+		owner, _, err := first.Owner(within(t, time.Second), "of-a")
+		must.NoError(t, err)
+		must.Eq(t, "a", owner.GetNode())
+	})
+}
+
 // Guards against appends by a former owner that was suspended while another node claimed its job.
 func TestFormerOwnerCannotAppend(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -264,6 +264,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, acceptCallTimeout)
 	defer cancel()
 	ownership, err := runner.Log.Accept(callCtx, owned.definition)
+	if errors.Is(err, batchlog.ErrNotRegistered) {
+		return acceptance{}, err // nothing was written
+	}
 	if err != nil {
 		runner.sweeps.recordUncertainWrite()
 		return acceptance{}, err
--- a/internal/cluster/monitor.go
+++ b/internal/cluster/monitor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
@@ -138,18 +139,37 @@
 	if monitor.Registry.sinceSeen(suspect, time.Now()) < heartbeatTimeout {
 		return // a heartbeat arrived during the wait
 	}
-	dead := monitor.Registry.deadNode(suspect)
-	if err := monitor.OnDead(ctx, dead); err != nil {
+	if err := monitor.takeOver(ctx, monitor.Registry.deadNode(suspect)); err != nil {
 		monitor.Logger.Warn("take-over failed", "node", suspect, "error", err)
 		wait.Pause(ctx, takeoverBackoff)
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	monitor.Registry.removeDead(callCtx, dead)
 	monitor.Registry.markSeen(suspect, time.Now())
 }
 
+// errAcquiredWork means that the store has applied a write by which a dead node acquired work during its takeover.
+var errAcquiredWork = errors.New("the dead node has acquired work meanwhile")
+
+// takeOver takes over the work of a dead node and removes its record. A write of the dead node that the store applies late makes it the
+// owner of further work; it is either found here, or fails because the record is gone.
+func (monitor *Monitor) takeOver(ctx context.Context, dead DeadNode) error {
+	readCtx, cancelRead := context.WithTimeout(ctx, registerTimeout)
+	defer cancelRead()
+	unchanged, err := monitor.Registry.leftoverWorkCondition(readCtx, dead.Name)
+	if err != nil {
+		return err
+	}
+	if err := monitor.OnDead(ctx, dead); err != nil {
+		return err
+	}
+	removeCtx, cancelRemove := context.WithTimeout(ctx, registerTimeout)
+	defer cancelRemove()
+	if monitor.Registry.removeDead(removeCtx, dead, unchanged) {
+		return errAcquiredWork
+	}
+	return nil
+}
+
 func (monitor *Monitor) ping(ctx context.Context, name string) bool {
 	client := monitor.Registry.NodeClient(name)
 	if client == nil {
--- a/internal/cluster/monitor_test.go
+++ b/internal/cluster/monitor_test.go
@@ -17,6 +17,7 @@
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/metadata/memstore"
 )
 
 // ringOf returns the registry of node-0 in a cluster and the nodes that node-0 watches, ordered by its rank among their
@@ -124,6 +125,40 @@
 	}
 }
 
+// Guards against removing the record of a dead node that has acquired work since its work was listed, by a write that the store applied
+// late.
+func TestTakeoverIsRepeatedAfterLateWork(t *testing.T) {
+	store := memstore.New()
+	leftover := func(node string) string { return "left/" + node }
+	register := func(name string) *Registry {
+		registry := NewRegistry(&clusterv1.NodeRecord{Name: name, Address: "127.0.0.1:1"}, store, http.DefaultClient, log.New(io.Discard))
+		registry.LeftoverWorkKey = leftover
+		registry.Register(t.Context())
+		return registry
+	}
+	register("dead")
+	registry, takeovers := register("a"), 0
+	monitor := &Monitor{Registry: registry, Logger: log.New(io.Discard), OnDead: func(context.Context, DeadNode) error {
+		if takeovers++; takeovers == 1 {
+			_, err := store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: leftover("dead")}}})
+			must.NoError(t, err)
+		}
+		return nil
+	}}
+	listing, err := store.List(t.Context(), Prefix)
+	must.NoError(t, err)
+	registry.Reset(listing.Items, listing.Revision)
+	must.ErrorIs(t, monitor.takeOver(t.Context(), registry.deadNode("dead")), errAcquiredWork)
+	_, found, err := store.Get(t.Context(), Prefix+"dead")
+	must.NoError(t, err)
+	must.True(t, found)
+	must.NoError(t, monitor.takeOver(t.Context(), registry.deadNode("dead")))
+	listing, err = store.List(t.Context(), "")
+	must.NoError(t, err)
+	must.Len(t, 1, listing.Items)
+	must.Eq(t, Prefix+"a", listing.Items[0].Key)
+}
+
 // refusingTransport fails every request.
 type refusingTransport struct{}
 
--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -53,7 +53,7 @@
 	lastContact        time.Time
 	ring               *Ring
 	views              views
-	registeredRevision metadata.Revision // revision of this process's own registration; zero before
+	registeredRevision metadata.Revision // revision of this process's own record; zero while it is not registered
 	leaving            bool
 }
 
@@ -92,7 +92,7 @@
 		cancel()
 		if err == nil {
 			registry.mu.Lock()
-			registry.registeredRevision = revision
+			registry.registeredRevision = max(registry.registeredRevision, revision)
 			registry.mu.Unlock()
 			registry.logger.Info("node registered", "node", registry.self.GetName(), "address", registry.self.GetAddress(), "life", registry.self.GetLife(), "earlier", earlier)
 			return earlier
@@ -118,20 +118,82 @@
 	return registry.LeftoverWorkKey(node)
 }
 
+// RegistrationCondition returns the condition that the store holds this process's own record. registered is false while the record is
+// not written, has been removed, or is being removed by Leave.
+func (registry *Registry) RegistrationCondition() (condition metadata.Condition, registered bool) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	condition = metadata.Condition{Key: Prefix + registry.self.GetName(), Revision: registry.registeredRevision}
+	return condition, registry.registeredRevision > 0 && !registry.leaving
+}
+
+// HandleRegistrationConflict takes in the record that a failed condition of RegistrationCondition met, and registers this process again
+// if the record is not its own.
+func (registry *Registry) HandleRegistrationConflict(failed metadata.Condition, current metadata.Item, found bool) {
+	registry.mu.Lock()
+	var record *clusterv1.NodeRecord
+	if found {
+		record = &clusterv1.NodeRecord{}
+		if err := proto.Unmarshal(current.Value, record); err != nil {
+			registry.logger.Error("node record not readable", "key", current.Key, "error", err)
+		}
+	}
+	expelled := failed.Revision == registry.registeredRevision && registry.checkRegistration(record, current.Revision, failed.Revision)
+	registry.mu.Unlock()
+	registry.reregister(expelled)
+}
+
+// checkRegistration updates the revision of this process's own record, given the record of this node at a revision of the store, nil if
+// there is none, and the revision at which the record was written. It reports whether the process is not registered any more and has to
+// register again. The caller must hold mu.
+func (registry *Registry) checkRegistration(record *clusterv1.NodeRecord, written, revision metadata.Revision) (expelled bool) {
+	switch {
+	case registry.registeredRevision == 0 || registry.leaving:
+		return false
+	case record == nil && revision < registry.registeredRevision, record != nil && written < registry.registeredRevision:
+		return false // from before the registration
+	case record != nil && record.GetLife() == registry.self.GetLife():
+		registry.registeredRevision = written // an attempt of Register whose response was lost may have written the record again
+		return false
+	}
+	registry.registeredRevision = 0
+	return record == nil || record.GetLife() < registry.self.GetLife() // a later process of the node has replaced this one
+}
+
 // Leave removes this node's record, so that other nodes do not treat the shutdown as a failure.
 func (registry *Registry) Leave(ctx context.Context) {
 	registry.mu.Lock()
 	registry.leaving = true
 	registry.mu.Unlock()
-	registry.remove(ctx, nil, registry.self.GetName())
+	_ = registry.remove(ctx, nil, registry.self.GetName()) // logged; the other nodes take this one over
+}
+
+// leftoverWorkCondition returns the condition that a node acquires no work from now on.
+func (registry *Registry) leftoverWorkCondition(ctx context.Context, name string) ([]metadata.Condition, error) {
+	if registry.LeftoverWorkKey == nil {
+		return nil, nil
+	}
+	key := registry.LeftoverWorkKey(name)
+	item, _, err := registry.store.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	return []metadata.Condition{{Key: key, Revision: item.Revision}}, nil
 }
 
-// removeDead removes the record of a dead node, unless a newer incarnation of that node has rewritten it.
-func (registry *Registry) removeDead(ctx context.Context, dead DeadNode) {
-	registry.remove(ctx, []metadata.Condition{dead.Registration}, dead.Name)
+// removeDead removes the record of a dead node, unless a newer incarnation of that node has rewritten it. acquiredWork is true if the
+// record remains because a further condition does not hold.
+func (registry *Registry) removeDead(ctx context.Context, dead DeadNode, further []metadata.Condition) (acquiredWork bool) {
+	err := registry.remove(ctx, append([]metadata.Condition{dead.Registration}, further...), dead.Name)
+	var conflict *metadata.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	current, _ := conflict.Find(dead.Registration.Key)
+	return current.Revision == dead.Registration.Revision
 }
 
-func (registry *Registry) remove(ctx context.Context, conditions []metadata.Condition, name string) {
+func (registry *Registry) remove(ctx context.Context, conditions []metadata.Condition, name string) error {
 	deletes := []string{Prefix + name}
 	if registry.LeftoverWorkKey != nil {
 		deletes = append(deletes, registry.LeftoverWorkKey(name))
@@ -140,6 +202,7 @@
 	if err != nil {
 		registry.logger.Warn("node record not removed", "node", name, "error", err)
 	}
+	return err
 }
 
 // Reset implements metadata.Handler.
@@ -186,8 +249,8 @@
 	registry.revisions[record.GetName()] = item.Revision
 }
 
-// rebuild recomputes the ring after a change of the records. It reports whether this node's own record is missing at a
-// revision at or after its registration. The caller must hold mu.
+// rebuild recomputes the ring after a change of the records. It reports whether this process has to register again. The caller must hold
+// mu.
 func (registry *Registry) rebuild(revision metadata.Revision) (expelled bool) {
 	records := make([]*clusterv1.NodeRecord, 0, len(registry.nodes))
 	for _, record := range registry.nodes {
@@ -207,7 +270,8 @@
 			registry.lastSeen[name] = time.Now() // the node starts sending heartbeats to this node now
 		}
 	}
-	return registry.registeredRevision > 0 && revision >= registry.registeredRevision && !registry.leaving && registry.nodes[registry.self.GetName()] == nil
+	self := registry.self.GetName()
+	return registry.checkRegistration(registry.nodes[self], registry.revisions[self], revision)
 }
 
 func (registry *Registry) reregister(expelled bool) {
--- a/internal/cluster/registry_test.go
+++ b/internal/cluster/registry_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	clusterv1 "github.com/thistlewalk/thistlewalk/api/cluster/v1"
 	"github.com/thistlewalk/thistlewalk/internal/cluster"
@@ -102,3 +104,50 @@
 		synctest.Wait()
 	})
 }
+
+// The condition of a registration holds exactly while the store has the record of this process: also if the record was written again by a
+// repeated attempt, and again after it was removed, or overwritten by a late attempt of an earlier process.
+func TestRegistrationCondition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		record := func(incarnation int64) []byte {
+			value, err := proto.Marshal(&clusterv1.NodeRecord{Name: "a", Address: "127.0.0.1:1", Role: "front", Life: incarnation})
+			must.NoError(t, err)
+			return value
+		}
+		registry := cluster.NewRegistry(&clusterv1.NodeRecord{Name: "a", Address: "127.0.0.1:1", Role: "front", Life: 5}, store, http.DefaultClient, log.New(io.Discard))
+		_, registered := registry.RegistrationCondition()
+		must.False(t, registered)
+		registry.Register(t.Context())
+		for _, change := range []struct {
+			name       string
+			txn        metadata.Txn
+			registered bool // immediately after the change is known
+			ends       bool
+		}{
+			{"written again", metadata.Txn{Puts: []metadata.Put{{Key: cluster.Prefix + "a", Value: record(5)}}}, true, false},
+			{"removed", metadata.Txn{Deletes: []string{cluster.Prefix + "a"}}, false, false},
+			{"overwritten by an earlier process", metadata.Txn{Puts: []metadata.Put{{Key: cluster.Prefix + "a", Value: record(4)}}}, false, false},
+			{"overwritten by a later process", metadata.Txn{Puts: []metadata.Put{{Key: cluster.Prefix + "a", Value: record(6)}}}, false, true},
+		} {
+			_, err := store.Commit(t.Context(), change.txn)
+			must.NoError(t, err)
+			failed, registered := registry.RegistrationCondition()
+			must.True(t, registered)
+			_, err = store.Commit(t.Context(), metadata.Txn{Conditions: []metadata.Condition{failed}})
+			var conflict *metadata.ConflictError
+			must.True(t, errors.As(err, &conflict), must.Sprint(change.name))
+			current, found := conflict.Find(failed.Key)
+			registry.HandleRegistrationConflict(failed, current, found)
+			_, registered = registry.RegistrationCondition()
+			must.Eq(t, change.registered, registered, must.Sprint(change.name))
+			time.Sleep(time.Second)
+			condition, registered := registry.RegistrationCondition()
+			must.Eq(t, !change.ends, registered, must.Sprint(change.name))
+			if registered {
+				_, err = store.Commit(t.Context(), metadata.Txn{Conditions: []metadata.Condition{condition}})
+				must.NoError(t, err)
+			}
+		}
+	})
+}
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -122,7 +122,7 @@
 	front.Forwarder = &forwarding.Forwarder{Catalog: options.Catalog, Loads: loads, Sender: front.guard, Zone: options.Zone, Logger: options.Logger, Metrics: options.Metrics, Admission: admitted, Clock: options.Clock}
 	front.Runner = batchrun.New(batchrun.Options{
 		Node: options.Node, Incarnation: options.Incarnation, Zone: options.Zone, Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
-		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node, Incarnation: options.Incarnation}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
+		Decoder: options.Decoder, Log: &batchlog.Log{Store: options.Store, Health: front.health, Node: options.Node, Incarnation: options.Incarnation, Registration: front.Registry}, Peers: peers{front}, Logger: options.Logger, Metrics: options.Metrics,
 		Flush: batch.FlushPolicy{MinInterval: flushInterval, MaxWait: flushMaxDelay, FinalMinInterval: flushFinalInterval}, Admission: admitted,
 	})
 	if options.OverloadControl {
