Registry: a late removal keeps the record of the next process

Cause: a planned stop deleted the node's record and its mark of leftover work without a condition. The store applied that seconds late, when the next process of the node had registered and accepted the job. The process after that one found no mark, and did not look for jobs.

Change: the removal has the record of the own process as a condition. A record that an attempt of Register wrote again is recognized and removed.

--- a/internal/cluster/registry.go
+++ b/internal/cluster/registry.go
@@ -123,8 +123,12 @@
 func (registry *Registry) RegistrationCondition() (condition metadata.Condition, registered bool) {
 	registry.mu.Lock()
 	defer registry.mu.Unlock()
-	condition = metadata.Condition{Key: Prefix + registry.self.GetName(), Revision: registry.registeredRevision}
-	return condition, registry.registeredRevision > 0 && !registry.leaving
+	return registry.registrationCondition(), registry.registeredRevision > 0 && !registry.leaving
+}
+
+// The caller must hold mu.
+func (registry *Registry) registrationCondition() metadata.Condition {
+	return metadata.Condition{Key: Prefix + registry.self.GetName(), Revision: registry.registeredRevision}
 }
 
 // HandleRegistrationConflict takes in the record that a failed condition of RegistrationCondition met, and registers this process again
@@ -160,12 +164,31 @@
 	return record == nil || record.GetLife() < registry.self.GetLife() // a later process of the node has replaced this one
 }
 
-// Leave removes this node's record, so that other nodes do not treat the shutdown as a failure.
+// Leave removes this node's record, so that other nodes do not treat the shutdown as a failure. The store may apply the removal after the
+// next process of the node has registered, whose record and leftover work must stay.
 func (registry *Registry) Leave(ctx context.Context) {
 	registry.mu.Lock()
 	registry.leaving = true
+	condition := registry.registrationCondition()
 	registry.mu.Unlock()
-	_ = registry.remove(ctx, nil, registry.self.GetName()) // logged; the other nodes take this one over
+	for condition.Revision > 0 {
+		err := registry.remove(ctx, []metadata.Condition{condition}, registry.self.GetName())
+		var conflict *metadata.ConflictError
+		if !errors.As(err, &conflict) {
+			return
+		}
+		condition.Revision = registry.ownRevision(conflict)
+	}
+}
+
+// ownRevision returns the revision of this process's own record in a conflict, or zero if the record is missing or of another process.
+func (registry *Registry) ownRevision(conflict *metadata.ConflictError) metadata.Revision {
+	current, _ := conflict.Find(Prefix + registry.self.GetName())
+	record := &clusterv1.NodeRecord{}
+	if err := proto.Unmarshal(current.Value, record); err != nil || record.GetLife() != registry.self.GetLife() {
+		return 0
+	}
+	return current.Revision
 }
 
 // leftoverWorkCondition returns the condition that a node acquires no work from now on.
--- a/internal/cluster/registry_test.go
+++ b/internal/cluster/registry_test.go
@@ -105,6 +105,35 @@
 	})
 }
 
+// Guards against a job that the next process of a node does not look for: the store applies the removal of the former process's record
+// late, after the next process has registered and accepted the job.
+func TestLateRemovalKeepsTheNextProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		leftKey := func(node string) string { return "left/" + node }
+		start := func(incarnation int64) *cluster.Registry {
+			registry := cluster.NewRegistry(&clusterv1.NodeRecord{Name: "a", Address: "127.0.0.1:1", Role: "front", Life: incarnation}, store, http.DefaultClient, log.New(io.Discard))
+			registry.LeftoverWorkKey = leftKey
+			return registry
+		}
+		former := start(1)
+		former.Register(t.Context())
+		store.SetFaults(memstore.Faults{LoseResponses: 1, CommitDelay: 5 * time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		former.Leave(ctx)
+		store.SetFaults(memstore.Faults{})
+		start(2).Register(t.Context())
+		_, err := store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: leftKey("a")}}})
+		must.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		listing, err := store.List(t.Context(), "")
+		must.NoError(t, err)
+		must.Len(t, 2, listing.Items)
+		must.True(t, start(3).Register(t.Context()), must.Sprint("the next process does not look for the job"))
+	})
+}
+
 // The condition of a registration holds exactly while the store has the record of this process: also if the record was written again by a
 // repeated attempt, and again after it was removed, or overwritten by a late attempt of an earlier process.
 func TestRegistrationCondition(t *testing.T) {
