Usage: a late attempt can't store a report that has been removed

Cause: a report was stored on condition that its window has none and that the term goes on. An attempt without an answer stayed pending while a later one, with further counts, was stored, accepted and removed; then its condition held again, the store applied it, and the next holder sent what it found.

Change: a report is stored on condition that the newest report before it is still there. Reports are removed in order and only beside storing a later one, so that a late attempt finds the report before it gone. The key usage-first stands for that report where none is stored; a new term reads it.

--- a/internal/metering/history_test.go
+++ b/internal/metering/history_test.go
@@ -210,3 +210,67 @@
 		})
 	}
 }
+
+// fixedTerm is a term that stays valid until its holder's key changes.
+type fixedTerm struct{ condition metadata.Condition }
+
+func (fixedTerm) Valid(time.Duration) bool { return true }
+
+func (fixedTerm) Remaining() time.Duration { return time.Hour }
+
+func (term fixedTerm) Condition() metadata.Condition { return term.condition }
+
+// newTerm starts a term in the store.
+func newTerm(t *testing.T, store metadata.Store, holder string) fixedTerm {
+	t.Helper()
+	revision, err := store.Commit(t.Context(), metadata.Txn{Puts: []metadata.Put{{Key: "holder", Value: []byte(holder)}}})
+	must.NoError(t, err)
+	return fixedTerm{metadata.Condition{Key: "holder", Revision: revision}}
+}
+
+// Guards against a window that is reported with two contents: the store applies the first attempt to store its report after a later attempt,
+// with further counts, was stored, accepted by the platform and removed. The next holder must not find the first one.
+func TestLateReportIsNotStoredAgain(t *testing.T) {
+	for earlier := range int64(3) {
+		for _, late := range []time.Duration{0, 2 * time.Second, 6 * time.Second, 11 * time.Second} {
+			t.Run(fmt.Sprint(earlier, " reports before, ", late), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { lateReport(t, earlier, late) })
+			})
+		}
+	}
+}
+
+// lateReport loses the answer of the first attempt to store a window's report, which is applied late.
+func lateReport(t *testing.T, earlier int64, late time.Duration) {
+	store, taken := memstore.New(), &sink{contents: make(map[int64]string)}
+	clock, windows := metering.NewClock(clock.Monotonic()), metering.Windows{Length: windowLength}
+	ledger := metering.NewLedger(windows, clock)
+	run := func(holder string) context.CancelFunc {
+		ctx, cancel := context.WithCancel(t.Context())
+		term := newTerm(t, store, holder)
+		reporter := &metering.Reporter{Node: holder, Windows: windows, Clock: clock, Ledger: ledger, Store: store, Sink: taken, Logger: log.New(io.Discard)}
+		go reporter.Run(ctx, int64(term.condition.Revision), term)
+		return cancel
+	}
+	window := windows.At(time.Now()) + earlier
+	stop := run("first")
+	count := func(sequence, count int64) {
+		ledger.Merge(&meteringv1.Tally{Node: "front", Life: 1, Window: window, Sequence: sequence, Counts: []*meteringv1.TenantCount{{Tenant: "harbour", Count: count}}})
+	}
+	time.Sleep(time.Until(windows.End(window)))
+	count(1, 3)
+	time.Sleep(2450 * time.Millisecond) // the report is due 50 ms later
+	store.SetFaults(memstore.Faults{LoseResponses: 1, CommitDelay: late})
+	time.Sleep(300 * time.Millisecond)
+	count(2, 4)
+	time.Sleep(20 * time.Second)
+	_, reported := taken.contents[window]
+	must.True(t, reported)
+	stop()
+	time.Sleep(minHolderGap)
+	stop = run("second")
+	time.Sleep(20 * time.Second)
+	stop()
+	synctest.Wait()
+	must.SliceEmpty(t, taken.violations)
+}
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -18,9 +18,13 @@
 )
 
 // reportPrefix is the prefix of the stored reports in the metadata store. A report is stored before it is first sent. It is removed after
-// it has been accepted, in the transaction that stores a later report.
+// it has been accepted, in the transaction that stores a later report. Each is stored on condition that the one before is still there, and
+// reports are removed in order, so that a late attempt to store a report fails once that report has been removed.
 const reportPrefix = "usage/"
 
+// firstReportKey stands for the report before one that is stored while no other is. It is written again with each such report.
+const firstReportKey = "usage-first"
+
 func reportKey(window int64) string { return fmt.Sprintf("%s%016d", reportPrefix, window) }
 
 const (
@@ -81,6 +85,8 @@
 	unsent []*meteringv1.Report
 	// removable holds the windows whose stored reports can be removed together with the next write.
 	removable []int64
+	// newest is the condition that the newest stored report is still there, or that of firstReportKey.
+	newest metadata.Condition
 }
 
 // Run sends reports until the context ends, which it does at the end of the term.
@@ -107,9 +113,16 @@
 		work.Logger.Warn("usage reports not read", "fence", work.fence, "error", err)
 		return false
 	}
+	first, _, err := work.Store.Get(callCtx, firstReportKey)
+	if err != nil {
+		work.Logger.Warn("usage reports not read", "fence", work.fence, "error", err)
+		return false
+	}
+	work.newest = metadata.Condition{Key: firstReportKey, Revision: first.Revision}
 	present := work.Windows.At(work.Clock.Now())
 	work.next = present
 	for index, item := range listing.Items {
+		work.newest = metadata.Condition{Key: item.Key, Revision: item.Revision}
 		report, err := decodeReport(item)
 		if err != nil {
 			work.Logger.Error("usage report cannot be decoded", "key", item.Key, "error", err)
@@ -174,19 +187,22 @@
 	}
 	removed := work.removable[:min(len(work.removable), maxRemovedKeys)]
 	txn := metadata.Txn{
-		Conditions: []metadata.Condition{work.term.Condition(), {Key: reportKey(work.next)}},
+		Conditions: []metadata.Condition{work.term.Condition(), {Key: reportKey(work.next)}, work.newest},
 		Puts:       []metadata.Put{{Key: reportKey(work.next), Value: encoded}},
 	}
+	if work.newest.Key == firstReportKey {
+		txn.Puts = append(txn.Puts, metadata.Put{Key: firstReportKey})
+	}
 	for _, window := range removed {
 		txn.Deletes = append(txn.Deletes, reportKey(window))
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err = work.Store.Commit(callCtx, txn)
+	revision, err := work.Store.Commit(callCtx, txn)
 	var conflict *metadata.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		report, err = storedReport(conflict, work.next)
+		report, revision, err = work.storedReport(conflict)
 	case err == nil:
 		work.removable = work.removable[len(removed):]
 	}
@@ -195,18 +211,22 @@
 	if err != nil {
 		return false
 	}
+	work.newest = metadata.Condition{Key: reportKey(work.next), Revision: revision}
 	work.unsent = append(work.unsent, report)
 	return true
 }
 
-// storedReport returns the report of the window that is already stored. It may stem from an earlier attempt of this node whose response was
-// lost.
-func storedReport(conflict *metadata.ConflictError, window int64) (*meteringv1.Report, error) {
-	item, found := conflict.Find(reportKey(window))
-	if !found {
-		return nil, metadata.ErrUncertain
+// storedReport returns the report of the next window that is already stored, and its revision. It may stem from an earlier attempt of this
+// node whose response was lost.
+func (work *termWork) storedReport(conflict *metadata.ConflictError) (*meteringv1.Report, metadata.Revision, error) {
+	if item, found := conflict.Find(reportKey(work.next)); found {
+		report, err := decodeReport(item)
+		return report, item.Revision, err
 	}
-	return decodeReport(item)
+	// Unless the term is over, something else has changed the newest stored report.
+	current, _ := conflict.Find(work.newest.Key)
+	work.newest.Revision = current.Revision
+	return nil, 0, metadata.ErrUncertain
 }
 
 func total(report *meteringv1.Report) int64 {
