Weights: a late list of orders in flight replaces no newer one

Replicas could get orders of two holders: the next holder waits for the orders that the store lists as in flight, and one of them was missing.

Cause: the list was written under the term only. An earlier write of the same term that the store applied late replaced the list by one without the orders recorded since.

Change: the revision of the replaced list is a condition of the write. After a write that was applied without an answer its revision is taken over.

--- a/internal/weights/ledger.go
+++ b/internal/weights/ledger.go
@@ -49,7 +49,8 @@
 	store metadata.Store
 	term  *Term
 
-	writing sync.Mutex // held during a write, which keeps the writes in sequence
+	writing  sync.Mutex        // held during a write, which keeps the writes in sequence
+	revision metadata.Revision // of ledgerKey, as of the last load or write; protected by writing
 
 	mu     sync.Mutex
 	orders map[inFlightKey]inFlight
@@ -71,6 +72,9 @@
 	if err != nil || !found {
 		return nil, err
 	}
+	ledger.writing.Lock()
+	ledger.revision = item.Revision
+	ledger.writing.Unlock()
 	document := ledgerDocument{}
 	if err := json.Unmarshal(item.Value, &document); err != nil {
 		return nil, errors.Wrap(err, "decode the orders in flight")
@@ -100,7 +104,8 @@
 	return err
 }
 
-// write stores the orders in flight, on condition that the term still holds the lease.
+// write stores the orders in flight, on condition that the term still holds the lease. A further condition is the revision of the list that
+// it replaces: a list whose write is applied late lacks the orders that were recorded since, and must not replace a newer one.
 func (ledger *ledger) write(ctx context.Context) error {
 	ledger.writing.Lock()
 	defer ledger.writing.Unlock()
@@ -110,13 +115,36 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
-	_, err = ledger.store.Commit(ctx, metadata.Txn{
-		Conditions: []metadata.Condition{ledger.term.Condition()}, Puts: []metadata.Put{{Key: ledgerKey, Value: encoded}},
-	})
-	if err != nil {
-		ledger.markOutdated()
+	for {
+		var revision metadata.Revision
+		revision, err = ledger.store.Commit(ctx, metadata.Txn{
+			Conditions: []metadata.Condition{ledger.term.Condition(), {Key: ledgerKey, Revision: ledger.revision}}, Puts: []metadata.Put{{Key: ledgerKey, Value: encoded}},
+		})
+		if err == nil {
+			ledger.revision = revision
+			return nil
+		}
+		if !ledger.adoptRevision(err) {
+			ledger.markOutdated()
+			return err
+		}
 	}
-	return err
+}
+
+// adoptRevision reports whether a write failed because an earlier one whose response was lost has replaced the list, and takes over the
+// revision. The caller must hold writing.
+func (ledger *ledger) adoptRevision(err error) bool {
+	var conflict *metadata.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	holder, _ := conflict.Find(holderKey)
+	current, _ := conflict.Find(ledgerKey)
+	if holder.Revision != ledger.term.Condition().Revision || current.Revision == ledger.revision {
+		return false
+	}
+	ledger.revision = current.Revision
+	return true
 }
 
 // snapshot returns the orders in flight and counts them as stored.
