Front: a planned stop begins no call that it has to cut

Cause: a stopping front forwarded whatever arrived until it closed its listeners, and reserved 2 s for the last call, however long the route lets a call take. Idle connections stayed open while other calls were in progress.

Change: once load balancers have noticed the stop, 2.2 s after its start, idle connections are closed, and a call is begun only if its time limit ends before calls are cut. Earlier calls are served as before.

The tests of role, platform, forwarding, batchrun and of the program pass.

--- a/cmd/thistlewalk-rollout/front.go
+++ b/cmd/thistlewalk-rollout/front.go
@@ -57,7 +57,7 @@
 	})
 	ingress := &platform.Ingress{
 		Catalog: table, Forwarder: front.Forwarder, Runner: front.Runner, BodyReader: forwarding.NewBodyReader(), Logger: process.logger,
-		Stopping: front.Stopping, UpToDate: front.UpToDate,
+		Stopping: front.Stopping, MayBeCut: front.MayBeCut, UpToDate: front.UpToDate,
 	}
 	if err := front.Start(); err != nil {
 		return nil, role.Server{}, err
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -101,13 +101,18 @@
 	return ""
 }
 
+// TimeLimit returns how long the call may take on a route; zero if neither sets a limit.
+func (call *Call) TimeLimit(route *catalog.Route) time.Duration {
+	if call.Deadline > 0 && (route.Timeout <= 0 || call.Deadline < route.Timeout) {
+		return call.Deadline
+	}
+	return route.Timeout
+}
+
 // Forward runs a call and returns its result. The context ends when the caller disconnects.
 func (forwarder *Forwarder) Forward(ctx context.Context, route *catalog.Route, call *Call) Result {
 	started := time.Now()
-	timeout := route.Timeout
-	if call.Deadline > 0 && (timeout <= 0 || call.Deadline < timeout) {
-		timeout = call.Deadline
-	}
+	timeout := call.TimeLimit(route)
 	callerClock := forwarder.clock()
 	run := &run{
 		forwarder: forwarder, route: route, call: call, started: started, clock: callerClock, deadline: callerClock.Elapsed() + timeout - answerMargin,
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -84,6 +84,8 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	stopping      atomic.Bool
+	// plannedStop is nil before a planned stop.
+	plannedStop atomic.Pointer[plannedStop]
 	// waitingTakeovers is the number of takeovers that wait for the metadata store.
 	waitingTakeovers atomic.Int64
 	activeCalls      atomic.Int64
@@ -278,18 +280,35 @@
 	// shutdownTime is the part of the grace period that is reserved for calls in progress after the servers stop
 	// accepting new ones.
 	shutdownTime = 2 * time.Second
-	// minStopTime gives load balancers time to notice that the front is not ready.
+	// minStopTime gives load balancers time to notice that the front is not ready. New connections go to other nodes by then.
 	minStopTime = 2200 * time.Millisecond
 )
 
+// plannedStop holds the times of a planned stop.
+type plannedStop struct {
+	// unusedFrom is when load balancers have noticed the stop. callsCut is when the calls in progress are cut.
+	unusedFrom, callsCut time.Time
+}
+
+// MayBeCut reports whether a planned stop may cut a call that begins now and takes up to limit, or any time if limit is zero, though another
+// node could serve the call in full. Callers that use the front until load balancers have noticed the stop are served in any case.
+func (front *Front) MayBeCut(limit time.Duration) bool {
+	stop := front.plannedStop.Load()
+	now := time.Now()
+	return stop != nil && now.After(stop.unusedFrom) && (limit <= 0 || now.Add(limit).After(stop.callsCut))
+}
+
 // Stop shuts the front down within the grace period. The front reports itself as not ready, hands its jobs over, and
-// serves calls until none arrive any more; then it shuts the servers down gracefully.
+// serves calls until none arrive any more; then it shuts the servers down gracefully. Connections that have been idle are closed as
+// soon as new ones go to other nodes, since a call that arrives on them late would be cut.
 func (front *Front) Stop(grace time.Duration, servers ...Server) {
 	started := time.Now()
-	front.stopping.Store(true)
 	available := grace - time.Duration(stopMarginShare*float64(grace))
+	front.plannedStop.Store(&plannedStop{unusedFrom: started.Add(minStopTime), callsCut: started.Add(available)})
+	front.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), available)
 	defer cancel()
+	defer time.AfterFunc(minStopTime, func() { closeIdleConnections(servers) }).Stop()
 	deadline := started.Add(available - shutdownTime)
 	handedOver := front.handOver(ctx, deadline)
 	lastActive := time.Now()
@@ -329,6 +348,13 @@
 	Listener net.Listener
 }
 
+// closeIdleConnections closes the connections that have no call in progress, and the others after their call.
+func closeIdleConnections(servers []Server) {
+	for _, server := range servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+}
+
 // acceptSlack is the time within which a server reads the first request of a connection that it has accepted.
 const acceptSlack = 150 * time.Millisecond
 
--- a/internal/role/front_test.go
+++ b/internal/role/front_test.go
@@ -1,6 +1,7 @@
 package role_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -187,3 +188,82 @@
 	must.Less(t, grace, time.Since(started))
 	must.Greater(t, int64(0), <-answers, must.Sprint("the call was cut"))
 }
+
+// Guards against a call that arrives late in a planned stop, on a connection that was idle since, and that is begun and then cut: callers
+// have to put up with that for calls sent within 3 s of the stop only.
+func TestStopBeginsNoCallThatItCuts(t *testing.T) {
+	const grace = 6 * time.Second
+	front := role.NewFront(role.FrontOptions{
+		Node: "front-1", PeerAddress: freeAddress(t), Store: memstore.New(), PeerClient: http.DefaultClient, Logger: log.New(io.Discard),
+		Catalog: catalog.NewTable(), ConfigurationHandler: discardHandler{}, ReplicaHandler: discardHandler{},
+	})
+	must.NoError(t, front.Start())
+	var begun atomic.Int64
+	server := &http.Server{Handler: front.CountCalls(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		begun.Add(1)
+		if request.URL.Path == "/long" {
+			time.Sleep(grace - 2*time.Second)
+		}
+		_, _ = writer.Write([]byte("whole"))
+	}))}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(listener) }() // returns when the listener is closed
+	kept, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	defer kept.Close()
+	reader := bufio.NewReader(kept)
+	send := func(path string) (content []byte, err error) {
+		if _, err := io.WriteString(kept, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return nil, err
+		}
+		defer response.Body.Close()
+		return io.ReadAll(response.Body)
+	}
+	_, err = send("/short")
+	must.NoError(t, err)
+	busy := &http.Client{Transport: &http.Transport{}}
+	go func() { // keeps the front waiting, as it does while callers use it
+		response, err := busy.Get("http://" + listener.Addr().String() + "/long")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		front.Stop(grace, role.Server{Server: server, Listener: listener})
+		server.Close() // as at the end of the process
+	}()
+	time.Sleep(3200 * time.Millisecond)
+	before := begun.Load()
+	content, err := send("/long")
+	must.True(t, begun.Load() == before || err == nil && string(content) == "whole", must.Sprintf("a call was begun and cut: %v", err))
+	<-ended
+}
+
+// A call that may outlast the process is not begun from the time on at which load balancers have noticed the stop.
+func TestCallsThatMayBeCut(t *testing.T) {
+	front := role.NewFront(role.FrontOptions{
+		Node: "front-1", PeerAddress: freeAddress(t), Store: memstore.New(), PeerClient: http.DefaultClient, Logger: log.New(io.Discard),
+		Catalog: catalog.NewTable(), ConfigurationHandler: discardHandler{}, ReplicaHandler: discardHandler{},
+	})
+	must.NoError(t, front.Start())
+	must.False(t, front.MayBeCut(time.Hour))
+	stopped := make(chan struct{})
+	go func() {
+		front.Stop(7 * time.Second) // calls are cut after 6 s
+		close(stopped)
+	}()
+	time.Sleep(time.Second)
+	must.False(t, front.MayBeCut(time.Hour))
+	<-stopped // after 2.2 s without calls
+	must.False(t, front.MayBeCut(2*time.Second))
+	must.True(t, front.MayBeCut(5*time.Second))
+	must.True(t, front.MayBeCut(0))
+}
