--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -50,8 +50,8 @@
 mutate 'refutation skipped' internal/membership/table.go 'own.member.Incarnation = update.Incarnation + 1' 'own.member.Incarnation = update.Incarnation' ./internal/membership/...
 mutate 'claims skipped' internal/gateway/completion.go 'if prepared.repeatable {' 'if prepared.requestID != "" {' ./internal/lab/simulation -rapid.shrinktime=1s
 mutate 'engine fence not checked' internal/lab/platform/orders.go 'return next.Holder == present.Holder && next.Revision >= present.Revision' 'return true' ./internal/replicacontrol/...
-mutate 'report sent before it is stored' internal/metering/reporter.go '_, err = work.Store.Commit(callCtx, txn)' '_, err = work.Store.Commit(callCtx, metadata.Txn{Deletes: txn.Deletes})' ./internal/metering
-mutate 'report stored by a former holder' internal/metering/reporter.go 'Conditions: []metadata.Condition{work.term.Condition(), {Key: reportKey(work.next)}},' 'Conditions: []metadata.Condition{{Key: reportKey(work.next)}},' ./internal/metering
+mutate 'report sent before it is stored' internal/metering/reporter.go 'revision, err := work.Store.Commit(callCtx, txn)' 'revision, err := work.Store.Commit(callCtx, metadata.Txn{Deletes: txn.Deletes})' ./internal/metering
+mutate 'report stored by a former holder' internal/metering/reporter.go 'Conditions: []metadata.Condition{work.term.Condition(), {Key: reportKey(work.next)}, work.newest},' 'Conditions: []metadata.Condition{{Key: reportKey(work.next)}, work.newest},' ./internal/metering
 mutate 'older tally wins' internal/metering/ledger.go 'known.GetSequence() < tally.GetSequence()' 'known.GetSequence() != tally.GetSequence()' ./internal/metering
 mutate 'refused run counted as usage' internal/forwarding/run.go 'return result.response.NotExecuted' 'return false' ./internal/forwarding
 mutate 'successor does not wait' internal/weights/election.go 'wait.Pause(ctx, election.Settings.HandoverWait)' '_ = election.Settings.HandoverWait' ./internal/weights
@@ -179,4 +179,20 @@
 mutate 'listed again counts as new' internal/cluster/listed.go 'if !known || listed.incarnation' 'if known || listed.incarnation' ./internal/cluster
 mutate 'success without an ID' platform/replicas.go 'return requestID == "" || status < http.StatusOK || status >= http.StatusMultipleChoices' 'return true || status < http.StatusOK || status >= http.StatusMultipleChoices' ./platform -run Send
 mutate 'calls cut early at a stop' internal/role/front.go 'stopMarginShare = 1.0 / 7' 'stopMarginShare = 1.0 / 4' ./internal/role -run LongCalls
+mutate 'late acceptance of an unregistered node' internal/batchlog/log.go 'Conditions: append([]metadata.Condition{{Key: chunkKey(job.GetId(), 0)}}, registered...)' 'Conditions: append([]metadata.Condition{{Key: chunkKey(job.GetId(), 0)}}, registered[:0]...)' ./internal/role ./internal/batchlog -run 'LateAcceptance|UnregisteredNode'
+mutate 'late claim of an unregistered node' internal/batchlog/log.go 'append(from.conditions(metadata.Condition{Key: ownerKey(id), Revision: revision}), registered...)' 'append(from.conditions(metadata.Condition{Key: ownerKey(id), Revision: revision}), registered[:0]...)' ./internal/batchlog
+mutate 'record removed despite late work' internal/cluster/registry.go 'append([]metadata.Condition{dead.Registration}, further...)' 'append([]metadata.Condition{dead.Registration}, further[:0]...)' ./internal/cluster
+mutate 'overwritten record ignored' internal/cluster/registry.go 'return record == nil || record.GetLife() < registry.self.GetLife()' 'return record == nil && registry.self.GetLife() >= 0' ./internal/cluster
+mutate 'late removal of a record' internal/cluster/registry.go 'registry.remove(ctx, []metadata.Condition{condition}, registry.self.GetName())' 'registry.remove(ctx, nil, registry.self.GetName())' ./internal/cluster
+mutate 'late report stored again' internal/metering/reporter.go '{Key: reportKey(work.next)}, work.newest},' '{Key: reportKey(work.next)}},' ./internal/metering -run LateReport
+mutate 'late first report stored again' internal/metering/reporter.go 'txn.Puts = append(txn.Puts, metadata.Put{Key: firstReportKey})' '_ = firstReportKey' ./internal/metering -run LateReport
+mutate 'late list of orders' internal/weights/ledger.go 'ledger.term.Condition(), {Key: ledgerKey, Revision: ledger.revision}}' 'ledger.term.Condition()}' ./internal/weights
+mutate 'idle connections kept in a stop' internal/role/front.go 'server.SetKeepAlivesEnabled(false)' 'server.SetKeepAlivesEnabled(true)' ./internal/role -run BeginsNoCall
+mutate 'call begun that a stop may cut' platform/ingress.go 'if ingress.MayBeCut(call.TimeLimit(route)) {' 'if ingress.MayBeCut == nil {' ./platform -run StopMayCut
+mutate 'reset taken for an end' internal/network/reset.go 'return controlErr != nil || err != nil || state != tcpCloseWait' 'return controlErr != nil' ./platform -run ResetDuring
+mutate 'end taken for a reset' internal/network/reset.go 'return controlErr != nil || err != nil || state != tcpCloseWait' 'return true' ./platform -run EndsWithItsConnection -count 5
+mutate 'status that is none' platform/answerhead.go 'response.StatusCode < http.StatusOK ||' 'response.StatusCode < 0 ||' ./platform -run Malformed
+mutate 'blank in a name' platform/answerhead.go 'if strings.Contains(name, " ") {' 'if name == "" {' ./platform -run Malformed
+mutate 'folded line' platform/answerhead.go "case line[0] == ' ' || line[0] == '\t':" "case line[0] == 0:" ./platform -run Malformed
+mutate 'encoding under HTTP/1.0' platform/answerhead.go 'case conn.http10 && line == "transfer-encoding:":' 'case conn.http10 && line == "-":' ./platform -run Malformed
 exit "$missed"
