--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -189,8 +189,8 @@
 mutate 'late list of orders' internal/weights/ledger.go 'ledger.term.Condition(), {Key: ledgerKey, Revision: ledger.revision}}' 'ledger.term.Condition()}' ./internal/weights
 mutate 'idle connections kept in a stop' internal/role/front.go 'server.SetKeepAlivesEnabled(false)' 'server.SetKeepAlivesEnabled(true)' ./internal/role -run BeginsNoCall
 mutate 'call begun that a stop may cut' platform/ingress.go 'if ingress.MayBeCut(call.TimeLimit(route)) {' 'if ingress.MayBeCut == nil {' ./platform -run StopMayCut
-mutate 'reset taken for an end' internal/network/reset.go 'return controlErr != nil || err != nil || state != tcpCloseWait' 'return controlErr != nil' ./platform -run ResetDuring
-mutate 'end taken for a reset' internal/network/reset.go 'return controlErr != nil || err != nil || state != tcpCloseWait' 'return true' ./platform -run EndsWithItsConnection -count 5
+mutate 'reset taken for an end' internal/network/reset.go 'return controlErr != nil || err != nil || state != tcpCloseWait' 'return controlErr != nil || err != nil || state == 0' ./platform -run ResetDuring
+mutate 'end taken for a reset' internal/network/reset.go 'return controlErr != nil || err != nil || state != tcpCloseWait' 'return controlErr != nil || err != nil || state != 0' ./platform -run EndsWithItsConnection -count 5
 mutate 'status that is none' platform/answerhead.go 'response.StatusCode < http.StatusOK ||' 'response.StatusCode < 0 ||' ./platform -run Malformed
 mutate 'blank in a name' platform/answerhead.go 'if strings.Contains(name, " ") {' 'if name == "" {' ./platform -run Malformed
 mutate 'folded line' platform/answerhead.go "case line[0] == ' ' || line[0] == '\t':" "case line[0] == 0:" ./platform -run Malformed
