--- a/internal/metering/history_test.go
+++ b/internal/metering/history_test.go
@@ -264,7 +264,9 @@
 	time.Sleep(300 * time.Millisecond)
 	count(2, 4)
 	time.Sleep(20 * time.Second)
+	taken.mu.Lock()
 	_, reported := taken.contents[window]
+	taken.mu.Unlock()
 	must.True(t, reported)
 	stop()
 	time.Sleep(minHolderGap)
