Tests: replicas that crash listen on ports that no connection takes

A replica listened on an ephemeral port and on the same one again 0.5 s after its crash; an outgoing connection had taken it. Shown by a program: a port that a connection has as its source can't be listened on, with this error, and connections to any loopback address have 127.0.0.1 as their source. The ports now come from internal/lab/freeport, below those of connections. No check changes.

--- a/cmd/thistlewalk-rollout/crash_test.go
+++ b/cmd/thistlewalk-rollout/crash_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/thistlewalk/thistlewalk/internal/lab/freeport"
 	"github.com/thistlewalk/thistlewalk/internal/lab/platform/site"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
 )
@@ -68,15 +69,14 @@
 	must.LessEq(t, maxLateCrashes, late, must.Sprintf("%d replicas crashed, %d later than %s after the third", len(log.times), late, detectionTime))
 }
 
-// serveCrashing serves a replica that some requests crash, at a given address or, for port 0, at a new one. After a crash it serves a new
-// incarnation of the replica at the same address.
+// serveCrashing serves a replica that some requests crash. After a crash it serves a new incarnation of the replica at the same address, whose
+// port must lie below those that outgoing connections take.
 func (deployment *deployment) serveCrashing(replica *site.Replica, address string, crashes *crashLog) {
 	listener, err := net.Listen("tcp", address)
 	must.NoError(deployment.t, err)
 	server := &http.Server{Handler: replica}
 	go func() { _ = server.Serve(listener) }() // returns when the replica crashes or the test ends
 	deployment.t.Cleanup(func() { server.Close() })
-	address = listener.Addr().String()
 	register := func() { deployment.put("servers/"+replica.ID, replica.RegistryEntry(address)) }
 	replica.OnChange = register
 	var once sync.Once
@@ -117,7 +117,9 @@
 		replica := site.NewReplica(fmt.Sprint(service, index), service, model)
 		replica.CrashBody, replica.CrashDelay, replica.WorkTime = crashBody, timeToCrash, 10*time.Millisecond
 		change(replica)
-		deployment.serveCrashing(replica, "127.0.0.1:0", crashes)
+		pairs, err := freeport.Pairs(1)
+		must.NoError(deployment.t, err)
+		deployment.serveCrashing(replica, pairs[0].String(), crashes)
 	}
 	deployment.put("op/config", fmt.Appendf(nil, configurationDocument, 3))
 	deployment.startOrderer("orderer-1")
