Logs: where an item is that is unfinished at the end of its job

Cause: an item without a result left no line at the end of its job unless it was running, so that the incident's record can't tell an item that waits for its score from one that its owner has lost, nor whether the owner knew that the trainer waits for its group. Change: each task records its stage (waiting, running, scoring) as it enters it; the end of a job writes a line for each item without a result, at most ten. No logic is changed.

--- a/internal/batchrun/end.go
+++ b/internal/batchrun/end.go
@@ -143,7 +143,9 @@
 	}
 	owned.ending = true
 	owned.notifyReaders()
+	unfinished := owned.unfinishedItems()
 	owned.mu.Unlock()
+	logUnfinished(runner.Logger, owned.id(), unfinished, time.Now())
 	owned.cancel()
 	<-owned.flushed
 	runner.scheduler.drop(owned)
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -57,6 +57,7 @@
 	defer running.job.runs.Done()
 	started := time.Now()
 	from, idle := running.lastEvent, started.Sub(running.idleSince)
+	running.enter(stageRunning, started)
 	current := runner.scheduler.begin(running, replica, route)
 	ended, status := runner.attempt(current, route)
 	runner.Loads.End(replica.ID, loadOutcome(ended), time.Now())
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
@@ -42,6 +43,8 @@
 	idleReportAfter time.Duration
 	attempts        int
 	lastOutcome     outcome // of the last attempt, if there was one
+	// current is where the item is; nil before it is queued. It is read without the scheduler's mu.
+	current atomic.Pointer[stageEntry]
 }
 
 // estimate returns the expected number of tokens of the item.
@@ -149,6 +152,7 @@
 		if added.idleSince.IsZero() {
 			added.setIdle(now)
 		}
+		added.enter(stageWaiting, now)
 		scheduler.waiting = append(scheduler.waiting, added)
 	}
 	slices.SortStableFunc(scheduler.waiting, compareTasks)
--- a/internal/batchrun/score.go
+++ b/internal/batchrun/score.go
@@ -28,6 +28,7 @@
 func (runner *Runner) score(done *task) {
 	signature, scored := "", true
 	started := time.Now()
+	done.enter(stageScoring, started)
 	switch {
 	case done.item.GetScorer() == nil:
 	case runner.Admission != nil:
--- a/internal/batchrun/targets_test.go
+++ b/internal/batchrun/targets_test.go
@@ -61,3 +61,14 @@
 		checkResults(t, await(t, world.node("a"), "job", 20, 5*time.Second), 1)
 	})
 }
+
+// removeService removes the replicas of a service.
+func (world *world) removeService(service string) {
+	var left []catalog.Replica
+	for registered := range world.catalog.Replicas().All().Each() {
+		if registered.Service != service {
+			left = append(left, *registered)
+		}
+	}
+	world.catalog.SetReplicas(left, world.catalog.Replicas().Revision+1)
+}
