Items: a service whose replicas run nothing is left for another target of the route

A step of a route with several targets waits for items whose target has registered replicas that hang, break off or refuse, while another target has room. Cause: a target counted as one with replicas as long as any was registered with suitable weights, whatever became of the items that it was sent. As a second case, an item waited without limit for a full service. Change: a target serves an item if it has a suitable replica that the item does not avoid, that is not ejected and has not refused all work for 2 s; an item that has been at no replica for 3.5 s needs a free slot as well, so that it is at a replica again within the 5 s of the rule. Evidence: TestItemsLeaveAServiceWhoseReplicasRunNothing before: 4 to 8 of 20 listed after 5 s in each of its four cases (send no event, break off, refuse, slow and full). Now it passes, 20 runs. TestItemsStayWithAServiceThatHasReplicas is unchanged and passes, 20 runs. Why it works: what the front believes of replicas (ejection, refusals) already kept items from them, and only the choice of the target did not know of it.

--- a/internal/batchrun/capacity.go
+++ b/internal/batchrun/capacity.go
@@ -15,6 +15,7 @@
 	loads             backend.Snapshot
 	inFlight          map[string]int // requests in flight by replica, filled on first use
 	candidateLists    map[placement][]*catalog.Replica
+	running           map[placement]runningReplicas
 	slowdowns         map[string]float64
 	relativeLatencies map[string]float64
 	now               time.Time
@@ -33,7 +34,7 @@
 func newCapacity(scheduler *scheduler, now time.Time) *capacity {
 	return &capacity{
 		scheduler: scheduler, loads: scheduler.runner.Loads.Snapshot(now), inFlight: make(map[string]int), candidateLists: make(map[placement][]*catalog.Replica),
-		slowdowns: scheduler.latencies.slowdowns(now), relativeLatencies: scheduler.latencies.relativeLatencies(now), now: now,
+		running: make(map[placement]runningReplicas), slowdowns: scheduler.latencies.slowdowns(now), relativeLatencies: scheduler.latencies.relativeLatencies(now), now: now,
 	}
 }
 
--- a/internal/batchrun/engines_test.go
+++ b/internal/batchrun/engines_test.go
@@ -35,6 +35,8 @@
 	// failing selects, by replica, the items that the replica answers with 500 at once; failed counts these answers.
 	failing map[string]func(item string) bool
 	failed  int
+	// refusing and breaking are the replicas that refuse all items, and that break off all streams before the first event.
+	refusing, breaking map[string]bool
 	// scorer answers scoring requests; nil answers at once.
 	scorer *scorers
 }
@@ -50,6 +52,13 @@
 	return true
 }
 
+// is reports whether a replica is in a set.
+func (engines *engines) is(set map[string]bool, replica string) bool {
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	return set[replica]
+}
+
 func failAll(string) bool { return true }
 
 // startedAt returns the number of runs at a replica.
@@ -134,7 +143,7 @@
 	switch {
 	case engines.fails(replica.ID, request.ID):
 		return answer(http.StatusInternalServerError, "", strings.NewReader("")), nil
-	case engines.draw(engines.refuseShare):
+	case engines.draw(engines.refuseShare), engines.is(engines.refusing, replica.ID):
 		refused := answer(http.StatusServiceUnavailable, "", strings.NewReader(""))
 		refused.NotExecuted = true
 		return refused, nil
@@ -161,7 +170,7 @@
 			return
 		case <-time.After(engines.gap(replica)):
 		}
-		if engines.draw(engines.breakShare) {
+		if engines.draw(engines.breakShare) || engines.is(engines.breaking, replica) {
 			writer.CloseWithError(io.ErrUnexpectedEOF)
 			return
 		}
--- a/internal/batchrun/failing.go
+++ b/internal/batchrun/failing.go
@@ -42,7 +42,7 @@
 	if backoff == 0 {
 		return
 	}
-	scheduler.refusals[replica] = &refusal{until: now.Add(backoff)}
+	scheduler.setRefusal(replica, now, backoff)
 	scheduler.runner.Logger.Warn("replica backed off", "replica", replica, "failures", scheduler.failures[replica], "pause_ms", backoff.Milliseconds())
 }
 
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -11,7 +11,6 @@
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/batch"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
-	"github.com/thistlewalk/thistlewalk/internal/forwarding"
 	"github.com/thistlewalk/thistlewalk/internal/logging"
 )
 
@@ -224,7 +223,7 @@
 	}
 	if waiting.service == "" || waiting.configurationVersion != configuration.Version || len(route.Targets) > 1 {
 		waiting.configurationVersion = configuration.Version
-		scheduler.setService(waiting, route)
+		scheduler.setService(waiting, route, capacity)
 	}
 	replica := capacity.pick(waiting)
 	if replica == nil {
@@ -239,50 +238,11 @@
 	return true
 }
 
-// setService sets the service of an item. It must be called with mu held.
-func (scheduler *scheduler) setService(waiting *task, route *catalog.Route) {
-	former := waiting.service
-	waiting.service = chooseService(route, former, func(service string) bool {
-		placing := placementOf(waiting)
-		placing.service = service
-		return len(scheduler.suitableReplicas(placing)) > 0
-	})
-	if former == "" || former == waiting.service {
-		return
-	}
-	if suppressed, allowed := scheduler.serviceLines.Allow(time.Now()); allowed {
-		scheduler.runner.Logger.Info("item given to another service", "request", waiting.item.GetId(), "job", waiting.job.id(), "service", waiting.service, "former", former,
-			"configuration", waiting.configurationVersion, "lines_left_out", suppressed)
-	}
-}
-
-// chooseService returns the service drawn earlier while the route has it and it has replicas, and otherwise one that is drawn by weight, if
-// possible from the targets with replicas.
-func chooseService(route *catalog.Route, drawn string, hasReplicas func(service string) bool) string {
-	var targets, served []catalog.RouteTarget
-	for _, target := range route.Targets {
-		if target.Weight <= 0 {
-			continue
-		}
-		targets = append(targets, target)
-		if len(route.Targets) > 1 && hasReplicas(target.Service) {
-			served = append(served, target)
-		}
-	}
-	if len(served) > 0 {
-		targets = served
-	}
-	for _, target := range targets {
-		if target.Service == drawn {
-			return drawn
-		}
-	}
-	return forwarding.PickTarget(targets)
-}
-
 // refusal is the backoff state of a replica that refused work. After the backoff the replica gets a single item as a probe until
 // it accepts one.
 type refusal struct {
+	// since is when the replica first refused work after it had accepted some.
+	since   time.Time
 	until   time.Time
 	probing bool
 }
@@ -291,7 +251,16 @@
 func (scheduler *scheduler) recordRefusal(replica string, now time.Time) {
 	scheduler.mu.Lock()
 	defer scheduler.mu.Unlock()
-	scheduler.refusals[replica] = &refusal{until: now.Add(refusalBackoff)}
+	scheduler.setRefusal(replica, now, refusalBackoff)
+}
+
+// setRefusal must be called with mu held.
+func (scheduler *scheduler) setRefusal(replica string, now time.Time, backoff time.Duration) {
+	since := now
+	if last := scheduler.refusals[replica]; last != nil {
+		since = last.since
+	}
+	scheduler.refusals[replica] = &refusal{since: since, until: now.Add(backoff)}
 }
 
 // clearRefusal ends the backoff of a replica that accepted an item or whose attempt failed for another reason.
--- a/internal/batchrun/targets_test.go
+++ b/internal/batchrun/targets_test.go
@@ -72,3 +72,37 @@
 	}
 	world.catalog.SetReplicas(left, world.catalog.Replicas().Revision+1)
 }
+
+// idleLimit is how long an item may be at no replica while another target of its route has room.
+const idleLimit = 5 * time.Second
+
+// slowEvent is the time of an event at a slow replica, and slowItem that of the longest item of a job there.
+const (
+	slowEvent = 400 * time.Millisecond
+	slowItem  = 7*slowEvent + 200*time.Millisecond
+)
+
+// Guards against items that wait at a service whose replicas are registered and run nothing, while another target of their route has room.
+func TestItemsLeaveAServiceWhoseReplicasRunNothing(t *testing.T) {
+	for name, check := range map[string]struct {
+		prepare func(engines *engines)
+		limit   time.Duration
+	}{
+		"send no event":     {func(engines *engines) { engines.gaps["x1"] = time.Hour }, idleLimit},
+		"break off":         {func(engines *engines) { engines.breaking = map[string]bool{"x1": true} }, idleLimit},
+		"refuse":            {func(engines *engines) { engines.refusing = map[string]bool{"x1": true} }, idleLimit},
+		"are slow and full": {func(engines *engines) { engines.gaps["x1"] = slowEvent }, idleLimit + slowItem},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 73, func(t *testing.T, world *world) {
+				world.setTargets(routeOfItems, itemTargets, catalog.Replica{ID: "x1", Service: "second", Slots: 1, Models: []catalog.ModelVersion{{Model: "m", Version: 1}}})
+				world.engines.mu.Lock()
+				world.engines.versions["x1"] = 1
+				check.prepare(world.engines)
+				world.engines.mu.Unlock()
+				must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 20, 1), jobRoute))
+				checkResults(t, await(t, world.node("a"), "job", 20, check.limit), 1)
+			})
+		})
+	}
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -130,7 +130,10 @@
 mutate 'head without a time limit' platform/replicas.go 'time.AfterFunc(headTimeout, trace.closeConnection)' 'time.AfterFunc(time.Hour, trace.closeConnection)' ./platform
 mutate 'informational answers without end' platform/replicas.go 'trace.informational > maxInformational' 'trace.informational < 0' ./platform
 mutate 'control answers without end' platform/replicas.go 'if len(content) > maxControlBytes {' 'if len(content) < 0 {' ./platform
-mutate 'service without replicas kept' internal/batchrun/scheduler.go 'if len(route.Targets) > 1 && hasReplicas(target.Service) {' 'if len(route.Targets) < 0 && hasReplicas(target.Service) {' ./internal/batchrun
+mutate 'service without replicas kept' internal/batchrun/targets.go 'if len(route.Targets) > 1 && serves(target.Service) {' 'if len(route.Targets) < 0 && serves(target.Service) {' ./internal/batchrun
+mutate 'ejected replicas serve items' internal/batchrun/targets.go 'if capacity.ejected(replica) || capacity.scheduler.refusesAll(replica.ID, capacity.now) {' 'if capacity.scheduler.refusesAll(replica.ID, capacity.now) {' ./internal/batchrun
+mutate 'refusing replicas serve items' internal/batchrun/targets.go 'if capacity.ejected(replica) || capacity.scheduler.refusesAll(replica.ID, capacity.now) {' 'if capacity.ejected(replica) {' ./internal/batchrun
+mutate 'full service waited for' internal/batchrun/targets.go 'case capacity.now.Sub(waiting.idleSince) < fullPatience:' 'case true:' ./internal/batchrun
 mutate 'scores of answers without end' internal/batchrun/score.go 'err == nil && read > maxScoreBytes' 'err == nil && read < 0' ./internal/batchrun
 mutate 'items pass the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
 		Decoder' 'Catalog: options.Catalog, Loads: loads, Sender: front.guard,
