Soak: items that come again in the next step, and times without faults in which nothing may stay behind

Cause: the soak's trainers never brought an item back, its faults left no time in which an idle item could be judged, and its engines ran any number of requests at once. Change: plans of pulses (--pulses), groups that are brought back and waited for, engines that queue, and two checks: a step sent after the last fault does not run out of time, and none of its unfinished items is at no replica for 5 s.

--- a/cmd/thistlewalk-lab/soak.go
+++ b/cmd/thistlewalk-lab/soak.go
@@ -19,6 +19,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "binary", Required: true, Usage: "the built thistlewalk-rollout"},
 			&cli.StringFlag{Name: "production", Usage: "the program that runs in production: machines start again on the one or the other in each plan"},
+			&cli.BoolFlag{Name: "pulses", Usage: "faults come in pulses, and trainers bring incomplete groups back"},
 			&cli.IntFlag{Name: "seconds", Value: 60, Usage: "length of a plan of faults"},
 			&cli.IntFlag{Name: "seed", Usage: "seed of the first plan; 0 takes the time"},
 			&cli.IntFlag{Name: "plans", Value: 1, Usage: "how many plans, with seeds that follow each other"},
@@ -40,6 +41,9 @@
 	failed := 0
 	for index := range command.Int("plans") {
 		length, draw := time.Duration(command.Int("seconds"))*time.Second, soak.DrawOverlapping
+		if command.Bool("pulses") {
+			draw = soak.DrawPulses
+		}
 		if command.String("production") != "" {
 			draw = soak.DrawMixed
 		}
--- a/internal/batchrun/stage.go
+++ b/internal/batchrun/stage.go
@@ -33,7 +33,7 @@
 	events      int64
 }
 
-// enter records that the item is in a stage from now on. Only the owner of the task's fields calls it.
+// enter records that the item is in a stage from now on, with its attempts and events at this moment. Only the owner of the task's fields calls it.
 func (entering *task) enter(stage stage, now time.Time) {
 	entering.current.Store(&stageEntry{
 		stage: stage, since: now, attempts: entering.attempts, lastOutcome: entering.lastOutcomeName(), events: entering.lastEvent,
--- a/internal/lab/platform/site/executions.go
+++ b/internal/lab/platform/site/executions.go
@@ -9,7 +9,9 @@
 type Execution struct {
 	Request, Replica string
 	Started          time.Time
-	Caller           Caller
+	// Ended is when the replica stopped working on the request; zero while it works.
+	Ended  time.Time
+	Caller Caller
 	// ResumedAfter is the ID of the last event before this execution; zero if it started from the beginning.
 	ResumedAfter int64
 	// Events holds the events that this execution generated, by event ID.
@@ -52,6 +54,16 @@
 	return execution
 }
 
+// recordEnd records that a replica has stopped working on a request.
+func (log *Executions) recordEnd(execution *Execution) {
+	if log == nil {
+		return
+	}
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	execution.Ended = time.Now()
+}
+
 // recordEvent records an event of an execution.
 func (log *Executions) recordEvent(execution *Execution, event, version int64) {
 	if log == nil {
--- a/internal/lab/platform/site/replica.go
+++ b/internal/lab/platform/site/replica.go
@@ -24,7 +24,10 @@
 	// EventTime is the interval between two events of a stream. LoadTime is the duration of a version change. WorkTime is the
 	// time from the request to the start of the response.
 	EventTime, LoadTime, WorkTime time.Duration
+	// Queues makes requests for a model wait until one of the Slots is free.
+	Queues bool
 
+	busySlots  chan struct{}
 	mu         sync.Mutex
 	version    int64
 	orderCount int64
@@ -76,6 +79,9 @@
 	defer replica.mu.Unlock()
 	next := NewReplica(id, replica.Service, replica.Model)
 	next.Zone, next.Slots = replica.Zone, replica.Slots
+	if replica.Queues {
+		next.SetSlots(replica.Slots)
+	}
 	next.EventTime, next.LoadTime, next.WorkTime = replica.EventTime, replica.LoadTime, replica.WorkTime
 	next.version, next.Log = replica.version, replica.Log
 	next.CrashBody, next.CrashDelay, next.CrashLimit = replica.CrashBody, replica.CrashDelay, replica.CrashLimit
@@ -203,8 +209,13 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !replica.acquireSlot(request) {
+		return
+	}
+	defer replica.releaseSlot()
 	after, _ := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
 	execution := replica.Log.recordStart(id, replica.ID, caller, after)
+	defer replica.Log.recordEnd(execution)
 	if replica.crashes(string(body)) {
 		time.Sleep(replica.CrashDelay)
 		replica.OnCrash(id)
@@ -226,6 +237,32 @@
 	replica.stream(writer, request, execution, id, faults)
 }
 
+// acquireSlot waits for a free slot if the replica queues requests. It returns false if the caller leaves before.
+func (replica *Replica) acquireSlot(request *http.Request) bool {
+	if !replica.queues() {
+		return true
+	}
+	select {
+	case replica.busySlots <- struct{}{}:
+		return true
+	case <-request.Context().Done():
+		return false
+	}
+}
+
+func (replica *Replica) releaseSlot() {
+	if replica.queues() {
+		<-replica.busySlots
+	}
+}
+
+func (replica *Replica) queues() bool { return replica.Queues && replica.Model != "" }
+
+// SetSlots sets the number of slots and makes requests wait for one. It must be called before the replica gets requests.
+func (replica *Replica) SetSlots(slots int) {
+	replica.Slots, replica.Queues, replica.busySlots = slots, true, make(chan struct{}, slots)
+}
+
 // workTime returns the duration in the request's work-ms parameter, or WorkTime if there is none.
 func (replica *Replica) workTime(request *http.Request) time.Duration {
 	if milliseconds, err := strconv.Atoi(request.URL.Query().Get("work-ms")); err == nil {
--- a/internal/lab/platform/soak/deployment.go
+++ b/internal/lab/platform/soak/deployment.go
@@ -41,6 +41,10 @@
 	eventTime = 60 * time.Millisecond
 	loadTime  = 400 * time.Millisecond
 	workTime  = 25 * time.Millisecond
+
+	// queuedSlots and queuedEventTime replace the slots and eventTime of engines that queue requests. Two steps fill them for some seconds.
+	queuedSlots     = 2
+	queuedEventTime = 150 * time.Millisecond
 )
 
 // Bounds that the checks use. gracePeriod, leaseDuration and usageWindow are also in the settings of the processes.
@@ -89,7 +93,9 @@
 	programs map[Build]string
 	builds   []Build
 	// tenants is true if the deployment has tenants, usage reports and orders for replicas, which the build in production does not support.
-	tenants    bool
+	tenants bool
+	// queues is true if engines make requests wait for one of queuedSlots.
+	queues     bool
 	Store      *memstore.Store
 	Executions *site.Executions
 	Cloud      *site.CloudEndpoint
@@ -114,7 +120,7 @@
 	store, cloud := memstore.New(), &site.CloudEndpoint{MaxReplicas: maxReplicas - 1}
 	deployment := &Deployment{
 		folder: options.Folder, programs: map[Build]string{BuildCurrent: options.Binary, BuildProduction: options.Production}, builds: options.Plan.Builds,
-		tenants: len(options.Plan.Builds) == 0, Store: store, Executions: site.NewExecutions(), report: report,
+		tenants: len(options.Plan.Builds) == 0, queues: options.Plan.Resubmits, Store: store, Executions: site.NewExecutions(), report: report,
 		storeHTTP: httptest.NewServer(&site.StoreServer{Store: store}), Cloud: cloud, cloudHTTP: httptest.NewServer(cloud),
 	}
 	for index := range engineCount {
@@ -166,6 +172,10 @@
 	}
 	replica.EventTime, replica.LoadTime, replica.WorkTime, replica.Log = eventTime, loadTime, workTime, deployment.Executions
 	replica.CrashBody, replica.CrashDelay = crashBody, crashDelay
+	if deployment.queues && service == engineName {
+		replica.SetSlots(queuedSlots)
+		replica.EventTime = queuedEventTime
+	}
 	if service == engineName {
 		replica.CrashBody, replica.CrashLimit = unluckyItem, &deployment.crashesLeft
 	}
--- a/internal/lab/platform/soak/plan.go
+++ b/internal/lab/platform/soak/plan.go
@@ -79,6 +79,8 @@
 	Events []Event
 	// Builds are the builds on which the nodes start, by index; empty if all start on the current one.
 	Builds []Build
+	// Resubmits makes trainers bring the incomplete groups of a step back in the next one and wait for them, and engines queue requests.
+	Resubmits bool
 }
 
 // String returns a summary line and a line for each event.
--- a/internal/lab/platform/soak/soak.go
+++ b/internal/lab/platform/soak/soak.go
@@ -91,7 +91,7 @@
 	run := &soak{
 		options: options, deployment: deployment, violations: found, faults: faults, ingress: entry,
 		callers:  &callers{deployment: deployment, ingress: entry, faults: faults, report: found.add, tenants: make(map[string]string), sentAt: make(map[string]time.Time)},
-		trainers: &trainers{deployment: deployment, ingress: entry, faults: faults, report: found.add, version: 1},
+		trainers: &trainers{deployment: deployment, ingress: entry, faults: faults, report: found.add, version: 1, resubmits: options.Plan.Resubmits},
 	}
 	run.injector = newInjector(deployment, faults)
 	run.crashRequests = &crashRequests{deployment: deployment, ingress: entry, report: found.add, faultFree: run.injector.faultFree, sent: make(map[string][]crashAttempt)}
@@ -214,7 +214,7 @@
 }
 
 // verifyEndedJobs checks that no item of a job started later than cancelBound after the job's end was acknowledged. Requests that a faulty link
-// may have delayed are exempt, since the sender cannot recall them.
+// may have delayed are exempt, since the sender cannot recall them, and runs after the next step with the same items was sent.
 func (run *soak) verifyEndedJobs() {
 	for _, job := range run.trainers.jobs {
 		if job.endedAt.IsZero() {
@@ -222,6 +222,9 @@
 		}
 		for _, id := range job.items {
 			for _, execution := range run.deployment.Executions.Of(id) {
+				if job.mayHaveRunAgain(execution.Started) {
+					continue
+				}
 				if late := execution.Started.Sub(job.endedAt); late > cancelBound && !run.deployment.mayBeDelayed(execution) {
 					run.violations.add(Violation{Promise: PromiseEnded, Subject: job.id, Detail: fmt.Sprintf("%s began at %s %s after the end", id, execution.Replica, late)})
 				}
@@ -230,6 +233,11 @@
 	}
 }
 
+// mayHaveRunAgain reports whether a run of an item at the given time may be one of the next step that has the item.
+func (job *trainerJob) mayHaveRunAgain(at time.Time) bool {
+	return !job.resubmittedAt.IsZero() && !at.Before(job.resubmittedAt)
+}
+
 // checkOrders checks that only one node at a time sends orders to a replica: a new holder has a higher fence and starts no earlier than a lease
 // duration after the last order of the previous holder.
 func checkOrders(orders []site.ReceivedOrder) []Violation {
--- a/internal/lab/platform/soak/soak_test.go
+++ b/internal/lab/platform/soak/soak_test.go
@@ -170,3 +170,27 @@
 		before = event.At
 	}
 }
+
+// pulseSeeds are the plans of TestSoakPulses. A seed that failed is added with its cause.
+var pulseSeeds = []struct {
+	seed   uint64
+	length time.Duration
+	cause  string
+}{
+	{seed: 1797001000, length: 40 * time.Second, cause: "none"},
+}
+
+// Guards against items and steps that stay behind after faults, where trainers bring incomplete groups back and replicas queue requests.
+func TestSoakPulses(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "rollout")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "github.com/thistlewalk/thistlewalk/cmd/thistlewalk-rollout").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	for _, fixed := range pulseSeeds {
+		plan := soak.DrawPulses(fixed.seed, fixed.length)
+		report, err := soak.Run(t.Context(), soak.Options{Binary: binary, Folder: t.TempDir(), Plan: plan})
+		must.NoError(t, err)
+		t.Log(report)
+		must.SliceEmpty(t, report.Violations, must.Sprint(report, "\n", plan))
+		must.Positive(t, report.Items)
+	}
+}
--- a/internal/lab/platform/soak/violation.go
+++ b/internal/lab/platform/soak/violation.go
@@ -20,6 +20,7 @@
 	PromiseScore         Promise = "a score is the signature of a call made after the text"
 	PromiseEnded         Promise = "an ended job runs nothing more"
 	PromiseFinished      Promise = "jobs become whole once faults are over"
+	PromiseAtReplica     Promise = "an item of an open step is at a replica again in time"
 	PromiseConfiguration Promise = "a configuration is in force in time and never reverts"
 	PromiseOneOrders     Promise = "one node at a time orders a replica"
 	PromiseTenant        Promise = "a request runs for the tenant of its key, and a tenant's jobs are its own"
