Logs: attempts without an event no longer hide that an item is at no replica

What on-call saw: no 'item idle' line for an item that goes from one replica to the next, each of which accepts it and sends no event; 'idle_ms' of its 'item' lines is 0. Cause: each attempt with a status ended the idle time, however little came of it. The users' rule doesn't count a run that its sender ends within a second. Change: an attempt ends the idle time if the replica answered it, made an event, or worked on it for a second. Evidence: TestIdleItemIsLoggedWithItsReason with replicas that send no event found no line before. Why it works: the time now counts what the rule counts; nothing but lines, the histogram of idle times and the patience with full services depends on it.

--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -34,6 +34,21 @@
 // String returns the name used in logs and metrics.
 func (outcome outcome) String() string { return outcomeNames[outcome] }
 
+// minCountedRun is the duration from which on an attempt without an event counts as a run at a replica.
+const minCountedRun = time.Second
+
+// countsAsRun reports whether an attempt ends the time for which its item has been at no replica: the replica answered it, made events, or worked on
+// it for long. A replica that takes each attempt and does nothing would otherwise hide that the item waits.
+func (outcome outcome) countsAsRun(events int64, took time.Duration) bool {
+	switch outcome {
+	case outcomeComplete, outcomeFailed, outcomeRejected:
+		return true
+	case outcomeRefused:
+		return false
+	}
+	return events > 0 || took >= minCountedRun
+}
+
 const (
 	pauseAfterFailure = 60 * time.Millisecond
 	pauseAfterRefusal = 15 * time.Millisecond
@@ -68,7 +83,7 @@
 	runner.scheduler.wakeUp()
 	running.attempts++
 	running.lastOutcome = ended
-	if status != 0 && ended != outcomeRefused {
+	if ended.countsAsRun(running.lastEvent-from, time.Since(started)) {
 		running.setIdle(time.Now())
 	}
 	runner.Metrics.Item(ended.String(), time.Since(started))
--- a/internal/batchrun/idle_test.go
+++ b/internal/batchrun/idle_test.go
@@ -17,6 +17,7 @@
 	}{
 		{`obstacle="no replica" suitable=0 attempts=0 last_outcome=""`, 2, func(*world) {}},
 		{"last_outcome=refused", 1, func(world *world) { world.engines.refuseShare = 1 }},
+		{"last_outcome=broken", 1, func(world *world) { world.engines.gaps["e1"], world.engines.gaps["e2"] = time.Hour, time.Hour }},
 	} {
 		inWorld(t, 1, func(t *testing.T, world *world) {
 			check.prepare(world)
--- a/internal/batchrun/scheduler.go
+++ b/internal/batchrun/scheduler.go
@@ -36,8 +36,8 @@
 	latestStart time.Time // latest start that completes the item by the job's due time; set while it waits
 	nextBackup  int64     // event from which on the text is backed up again
 	nextSave    int64     // event from which on the text is saved again
-	// idleSince is when the item was first queued or when its last attempt ended that a replica did not refuse; idleReportAfter
-	// is the idle time from which on it is logged.
+	// idleSince is when the item was first queued or when its last attempt ended that counts as a run; idleReportAfter is the idle
+	// time from which on it is logged.
 	idleSince       time.Time
 	idleReportAfter time.Duration
 	attempts        int
