Soak and histories: acceptances that kill, jobs that are sent again, replicas that hang, and items that nobody has

Cause: neither the soak nor the drawn histories had a front die as it accepts a job, a job sent again at another front while it is new, or a step that brings items back to another front; and nothing checked that an owner still has each unfinished item. Change: the soak kills the front that accepts a job, or all processes, and its readers send new jobs again (pulses only). TestItemBroughtBackAfterCrashesRunsAtAnotherFront is the incident's test.

--- a/cmd/thistlewalk-rollout/chance_crash_test.go
+++ b/cmd/thistlewalk-rollout/chance_crash_test.go
@@ -115,3 +115,36 @@
 	must.Eq(t, http.StatusAccepted, status)
 	eventually(t, completionTime, "all items are listed", func() bool { return len(deployment.results(deployment.fronts[0], "job").Results) == 12 })
 }
+
+// Guards against an item that replicas crashed under and that another front withholds when a later job brings it back.
+func TestItemBroughtBackAfterCrashesRunsAtAnotherFront(t *testing.T) {
+	t.Parallel()
+	const items, wanted = 12, 4
+	deployment, crashes := newUnluckyDeployment(t, "lm", "m", wanted)
+	job := crashingJob(t, items, false)
+	status, _, _ := deployment.call(deployment.fronts[0], http.MethodPost, "/jobs/j", "former", job)
+	must.Eq(t, http.StatusAccepted, status)
+	eventually(t, wanted*longestIdle, "replicas crash", func() bool { return crashes.count() >= wanted })
+	for _, front := range deployment.fronts {
+		if front.front.Runner.OpenJobs() == 0 {
+			continue
+		}
+		status, _, _ = deployment.call(front, http.MethodDelete, "/thistlewalk/lots/former", "end", "")
+		must.Eq(t, http.StatusOK, status)
+		front.front.Stop(6*time.Second, front.callerServer)
+		break
+	}
+	began := time.Now()
+	var reader *runningFront
+	eventually(t, longestIdle, "another front accepts the next job", func() bool {
+		for _, front := range deployment.fronts {
+			if status, _, _ := deployment.call(front, http.MethodPost, "/jobs/j", "next", job); status == http.StatusAccepted {
+				reader = front
+				return true
+			}
+		}
+		return false
+	})
+	eventually(t, longestIdle+completionTime, "all items are listed", func() bool { return len(deployment.results(reader, "next").Results) == items })
+	t.Logf("all listed %s after the next job was sent", time.Since(began).Round(time.Millisecond))
+}
--- a/internal/batchrun/engines_test.go
+++ b/internal/batchrun/engines_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/batchrun"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
@@ -37,6 +39,8 @@
 	failed  int
 	// refusing and breaking are the replicas that refuse all items, and that break off all streams before the first event.
 	refusing, breaking map[string]bool
+	// unreachable are the replicas that refuse connections.
+	unreachable map[string]bool
 	// scorer answers scoring requests; nil answers at once.
 	scorer *scorers
 }
@@ -135,6 +139,9 @@
 	if replica.Service == "scorer" {
 		return answer(http.StatusOK, "score of "+request.ID, strings.NewReader("")), nil
 	}
+	if engines.is(engines.unreachable, replica.ID) {
+		return nil, errors.Mark(backend.ErrConnectionRefused, backend.ErrNotSent)
+	}
 	engines.mu.Lock()
 	engines.starts[request.ID]++
 	engines.startsAt[replica.ID]++
--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -21,6 +21,8 @@
 
 	ctx context.Context
 	mu  sync.Mutex
+	// acceptance is the fault that the next acceptance of a job causes; nil if it causes none.
+	acceptance *Event
 	// lastStoreFault is when a fault of the store last started or ended.
 	lastStoreFault time.Time
 	busy           map[any]bool // targets that have a fault now; a second fault of the same target is skipped
@@ -104,6 +106,8 @@
 		deployment.crashesLeft.Store(int64(minUnluckyCrashes + event.Variant%minUnluckyCrashes))
 		pause(injector.ctx, event.For)
 		deployment.crashesLeft.Store(0)
+	case KindAcceptKill:
+		injector.armAcceptance(event)
 	case KindConfigure:
 		deployment.Configure()
 	case KindCloudDown, KindCloudLost:
@@ -115,6 +119,47 @@
 	}
 }
 
+// armAcceptance makes the next acceptance within the event's time kill processes.
+func (injector *injector) armAcceptance(event Event) {
+	injector.setAcceptance(&event)
+	pause(injector.ctx, event.For)
+	injector.setAcceptance(nil)
+}
+
+func (injector *injector) setAcceptance(event *Event) {
+	injector.mu.Lock()
+	defer injector.mu.Unlock()
+	injector.acceptance = event
+}
+
+// maxAcceptKillDelay bounds the time between the acceptance of a job and the kill that it causes.
+const maxAcceptKillDelay = 400 * time.Millisecond
+
+// accepted is called when a node has accepted a job. If a fault waits for that, it kills the node, or all, soon after.
+func (injector *injector) accepted(node *Node) {
+	injector.mu.Lock()
+	event := injector.acceptance
+	injector.acceptance = nil
+	injector.mu.Unlock()
+	if event == nil {
+		return
+	}
+	injector.faults.begin()
+	go func() {
+		defer injector.faults.end()
+		if event.Variant%2 == 0 {
+			pause(injector.ctx, time.Duration(event.Target)*maxAcceptKillDelay/targetRange)
+		}
+		if event.Variant%3 == 0 {
+			injector.killMany(*event, func(int) bool { return true })
+			return
+		}
+		killed := *event
+		killed.Kind = KindKill
+		injector.injectNodeFault(killed, node)
+	}()
+}
+
 // minUnluckyCrashes is the least number of engines that crash under unlucky items, of which each open job has one.
 const minUnluckyCrashes = 8
 
--- a/internal/lab/platform/soak/plan.go
+++ b/internal/lab/platform/soak/plan.go
@@ -40,6 +40,7 @@
 	KindSilence      Kind = "silence"      // the open connections of a link go silent for good; new ones work
 	KindCrashRequest Kind = "ending"       // a request that crashes replicas is sent repeatedly
 	KindUnluckyItems Kind = "unlucky"      // replicas crash one after the other while they run the same items
+	KindAcceptKill   Kind = "accept-kill"  // the process that has just accepted a job is killed, or all processes are
 	KindUpgrade      Kind = "upgrade"      // a process is shut down gracefully and restarted on another build
 )
 
--- a/internal/lab/platform/soak/pulses.go
+++ b/internal/lab/platform/soak/pulses.go
@@ -18,7 +18,7 @@
 )
 
 // pulseKinds are the kinds that DrawPulses draws beside those of Draw: what ends many processes or loses many writes at one time.
-var pulseKinds = []Kind{KindKillAll, KindKillMany, KindStoreLost, KindStoreDown, KindCut, KindStop, KindFreeze, KindSilence, KindSignalSeries}
+var pulseKinds = []Kind{KindKillAll, KindKillMany, KindStoreLost, KindStoreDown, KindCut, KindStop, KindFreeze, KindSilence, KindSignalSeries, KindAcceptKill, KindAcceptKill}
 
 // DrawPulses returns the plan of a seed in which overlapping faults come in short pulses. After each pulse nothing fails for calmDuration, so that what
 // the faults left behind shows.
--- a/internal/lab/platform/soak/soak.go
+++ b/internal/lab/platform/soak/soak.go
@@ -96,6 +96,7 @@
 	run.injector = newInjector(deployment, faults)
 	run.crashRequests = &crashRequests{deployment: deployment, ingress: entry, report: found.add, faultFree: run.injector.faultFree, sent: make(map[string][]crashAttempt)}
 	run.injector.crashRequests = run.crashRequests
+	run.trainers.onAccepted = run.injector.accepted
 	if err := run.start(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/lab/platform/soak/trainer.go
+++ b/internal/lab/platform/soak/trainer.go
@@ -26,7 +26,9 @@
 	readTimeout       = 1500 * time.Millisecond
 	concurrentSteps   = 2
 	concurrentReaders = 2
-	maxEndAttempts    = 40
+	// resendTime is how long after its acceptance readers send a job again.
+	resendTime     = 3 * time.Second
+	maxEndAttempts = 40
 )
 
 // trainerJob is the job of a step, with what the trainer and the readers have observed of it.
@@ -75,6 +77,8 @@
 	report     func(Violation)
 	// resubmits is true if the incomplete groups of a step are brought back in the next one.
 	resubmits bool
+	// onAccepted is called with the node that has accepted a job; nil if nobody asks.
+	onAccepted func(node *Node)
 
 	mu      sync.Mutex
 	jobs    []*trainerJob
@@ -173,8 +177,11 @@
 // submit submits a job repeatedly until it is accepted. It returns false if that does not happen before the deadline.
 func (trainers *trainers) submit(ctx context.Context, job *trainerJob, deadline time.Time) bool {
 	for ctx.Err() == nil && time.Now().Before(deadline) {
-		got := call(ctx, trainers.ingress.pick(), http.MethodPost, "/job/"+job.id, job.id, job.document(), submitTimeout, append(job.key(), "Content-Type", "application/json")...)
-		if got.err == nil && got.status == http.StatusAccepted {
+		node := trainers.ingress.pick()
+		if trainers.send(ctx, node, job) {
+			if trainers.onAccepted != nil {
+				trainers.onAccepted(node)
+			}
 			job.mu.Lock()
 			job.acceptedAt = time.Now()
 			job.mu.Unlock()
@@ -185,6 +192,12 @@
 	return false
 }
 
+// send submits a job to a node and reports whether the node has accepted it.
+func (trainers *trainers) send(ctx context.Context, node *Node, job *trainerJob) bool {
+	got := call(ctx, node, http.MethodPost, "/job/"+job.id, job.id, job.document(), submitTimeout, append(job.key(), "Content-Type", "application/json")...)
+	return got.err == nil && got.status == http.StatusAccepted
+}
+
 // end requests the end of a job repeatedly until it is acknowledged.
 func (trainers *trainers) end(ctx context.Context, job *trainerJob) {
 	job.mu.Lock()
@@ -213,6 +226,9 @@
 		if len(jobs) == 0 {
 			continue
 		}
+		if newest := jobs[len(jobs)-1]; trainers.resubmits && index%2 == 0 && newest.acceptedWithin(resendTime) {
+			trainers.send(ctx, trainers.ingress.pick(), newest) // the job has been accepted, so that nothing is expected of the answer
+		}
 		chosen := jobs[index%len(jobs)]
 		if !chosen.isReplicated() {
 			continue
@@ -424,6 +440,13 @@
 	}
 }
 
+// acceptedWithin reports whether the job was accepted at most the given time ago.
+func (job *trainerJob) acceptedWithin(limit time.Duration) bool {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	return !job.acceptedAt.IsZero() && time.Since(job.acceptedAt) <= limit
+}
+
 func (job *trainerJob) readCount() int {
 	job.mu.Lock()
 	defer job.mu.Unlock()
