Jobs: a node that did not run the earlier job asks for its texts

Where scores wait for room, the scores of such groups lay as spare behind those of other jobs. Cause: which groups come again was known only to the front that had run the earlier job, by the texts that it keeps (startItems, markResubmitted). It is one more belief that only one front holds. Change: a front that has ended no job of the model for 30 s asks the fronts that announced jobs lately for their texts (Kept, at most eight jobs, 150 ms), before the items start. A front lists what it keeps at the end of a job under that job. Evidence: TestGroupsBroughtBackAreKnownAtAnotherNode before: the items began anew (event 0), required=false. TestScoresOfGroupsBroughtBackAreNotSpareAtAnotherNode before: not listed after 3 s, behind 60 scores of 100 ms of another job. Both pass now, 10 runs. TestNothingIsAskedOfAnotherTenantsJob passes before and after. Why it works: the owner learns by the same texts that make the groups known at the front that kept them. Conclusion: after a loss of all processes nobody has the texts, and the groups are unknown as before.

--- a/internal/batchrun/kept.go
+++ b/internal/batchrun/kept.go
@@ -29,7 +29,7 @@
 type keptItems struct {
 	mu    sync.Mutex
 	items map[keptKey]*keptText
-	// byJob holds the keys of the texts that other nodes stored here, by job.
+	// byJob holds the keys of the texts of a job: those that other nodes stored here, and those that this node kept at its end.
 	byJob map[string]map[keptKey]bool
 }
 
@@ -43,23 +43,30 @@
 // putForJob stores texts that the owner of a job backs up at this node.
 func (kept *keptItems) putForJob(job, tenant string, partials []*batchv1.Partial) {
 	now := time.Now()
+	keys := make([]keptKey, 0, len(partials))
 	for _, partial := range partials {
 		kept.put(partial.GetItemId(), newKeptText(job, tenant, partial, now))
+		keys = append(keys, keptKey{tenant, partial.GetItemId()})
 	}
+	kept.index(job, keys)
+}
+
+// index lists texts as those of a job.
+func (kept *keptItems) index(job string, keys []keptKey) {
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
 	if len(kept.byJob) >= maxKeptJobs {
 		clear(kept.byJob)
 	}
 	if kept.byJob[job] == nil {
-		kept.byJob[job] = make(map[keptKey]bool, len(partials))
+		kept.byJob[job] = make(map[keptKey]bool, len(keys))
 	}
-	for _, partial := range partials {
-		kept.byJob[job][keptKey{tenant, partial.GetItemId()}] = true
+	for _, key := range keys {
+		kept.byJob[job][key] = true
 	}
 }
 
-// forJob returns the texts that the owner of a job backed up at this node.
+// forJob returns the texts of a job that its owner backed up at this node, or that this node kept at its end.
 func (kept *keptItems) forJob(job string) []*batchv1.Partial {
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
@@ -153,9 +160,11 @@
 }
 
 // keep stores the text of an item whose job ended or left this node. An empty text is stored as well: it marks the item as seen
-// if a later job submits it again.
+// if a later job submits it again, here or at a node that asks for the texts of this job.
 func (runner *Runner) keep(stopped *task, complete bool) {
-	runner.kept.put(stopped.item.GetId(), &keptText{
-		job: stopped.job.id(), tenant: stopped.job.definition.GetTenant(), text: stopped.text, lastEvent: stopped.lastEvent, versions: stopped.versions, complete: complete, at: time.Now(),
+	job, tenant, id := stopped.job.id(), stopped.job.definition.GetTenant(), stopped.item.GetId()
+	runner.kept.put(id, &keptText{
+		job: job, tenant: tenant, text: stopped.text, lastEvent: stopped.lastEvent, versions: stopped.versions, complete: complete, at: time.Now(),
 	})
+	runner.kept.index(job, []keptKey{{tenant, id}})
 }
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -112,6 +112,7 @@
 	owners      map[string]string // last known owner by job; a hint that may be stale
 	tenants     map[string]string // tenant by job; it never changes
 	kept        *keptItems
+	former      *formerJobs
 	resultCache *resultCache
 	claiming    map[string]chan struct{} // closed when the claim ends; by job
 	lastJob     time.Time                // when the last job was removed
@@ -130,7 +131,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	runner := &Runner{
 		Options: options, ctx: ctx, cancel: cancel, scoring: make(chan struct{}, maxScoringInFlight),
-		jobs: make(map[string]*job), ended: newEndedCache(options.Retention), owners: make(map[string]string), tenants: make(map[string]string), kept: newKeptItems(), resultCache: newResultCache(options.Retention), claiming: make(map[string]chan struct{}),
+		jobs: make(map[string]*job), ended: newEndedCache(options.Retention), owners: make(map[string]string), tenants: make(map[string]string), kept: newKeptItems(), former: newFormerJobs(), resultCache: newResultCache(options.Retention), claiming: make(map[string]chan struct{}),
 		sweeps: newSweepSchedule(),
 	}
 	runner.scheduler = newScheduler(runner)
@@ -212,6 +213,9 @@
 		delete(runner.jobs, owned.id())
 		if owned.isAccepted() {
 			runner.setTenant(owned.id(), owned.definition.GetTenant())
+			if !owned.isLeaving() {
+				runner.former.recordEnded(owned.definition.GetModel(), time.Now())
+			}
 		}
 		runner.lastJob = time.Now()
 	}
--- a/internal/batchrun/submit.go
+++ b/internal/batchrun/submit.go
@@ -346,6 +346,7 @@
 
 // startItems queues the items of a job unless that has been done already.
 func (runner *Runner) startItems(owned *job) {
+	runner.fetchFormerTexts(owned.ctx, owned)
 	owned.mu.Lock()
 	if owned.itemsQueued || owned.ending || owned.ctx.Err() != nil {
 		owned.mu.Unlock()
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -230,7 +230,8 @@
 	}
 	for _, name := range peers.Nearest() {
 		if runner := peers.world.node(name); runner != nil {
-			runner.RememberOwner(job.GetId(), peers.self)
+			runner.RememberTenant(job.GetId(), job.GetTenant())
+			runner.JobAnnounced(job.GetId(), peers.self)
 		}
 	}
 }
--- a/internal/role/front.go
+++ b/internal/role/front.go
@@ -237,7 +237,7 @@
 	if owner.Tenant != nil {
 		front.Runner.RememberTenant(owner.GetJobId(), owner.GetTenant())
 	}
-	front.Runner.RememberOwner(owner.GetJobId(), owner.GetNode())
+	front.Runner.JobAnnounced(owner.GetJobId(), owner.GetNode())
 }
 
 // handleLoads records the requests that another node has in flight. It matches replicas by name, because nodes of other
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -133,6 +133,8 @@
 mutate 'service without replicas kept' internal/batchrun/targets.go 'if len(route.Targets) > 1 && serves(target.Service) {' 'if len(route.Targets) < 0 && serves(target.Service) {' ./internal/batchrun
 mutate 'ejected replicas serve items' internal/batchrun/targets.go 'if capacity.ejected(replica) || capacity.scheduler.refusesAll(replica.ID, capacity.now) {' 'if capacity.scheduler.refusesAll(replica.ID, capacity.now) {' ./internal/batchrun
 mutate 'refusing replicas serve items' internal/batchrun/targets.go 'if capacity.ejected(replica) || capacity.scheduler.refusesAll(replica.ID, capacity.now) {' 'if capacity.ejected(replica) {' ./internal/batchrun
+mutate 'texts of earlier jobs not fetched' internal/batchrun/submit.go 'runner.fetchFormerTexts(owned.ctx, owned)' '_ = owned.ctx' ./internal/batchrun -run 'AtAnotherNode'
+mutate 'texts of any tenant fetched' internal/batchrun/former.go 'former.node == runner.Node || !runner.isOfTenant(former.id, owned.definition.GetTenant())' 'former.node == runner.Node' ./internal/batchrun -run 'AnotherTenantsJob'
 mutate 'full service waited for' internal/batchrun/targets.go 'case capacity.now.Sub(waiting.idleSince) < fullPatience:' 'case true:' ./internal/batchrun
 mutate 'scores of answers without end' internal/batchrun/score.go 'err == nil && read > maxScoreBytes' 'err == nil && read < 0' ./internal/batchrun
 mutate 'items pass the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
