Scores: a service whose replicas hang is left for another target of the route

What callers saw: nothing yet; looked for after the items' fault of the same kind. Cause: a text that waits for a place stayed with its service as long as that had a replica that does not drain, whatever became of its calls. Without admission each call drew its target by weight, and waited 1.5 s each time it met the hanging one. Change: both paths choose among the targets that have a replica which is neither draining nor ejected, if there is one. Evidence: TestScoresLeaveAServiceWhoseReplicasHang before: 5 of 20 listed after 5 s with admission, 15 of 20 without. Now it passes, 10 runs each. Why it works: calls that run into their limit eject the replica, which the choice of the target did not ask for.

--- a/internal/batchrun/score.go
+++ b/internal/batchrun/score.go
@@ -11,7 +11,6 @@
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/backend"
 	"github.com/thistlewalk/thistlewalk/internal/catalog"
-	"github.com/thistlewalk/thistlewalk/internal/forwarding"
 	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
@@ -123,7 +122,7 @@
 		return nil, nil
 	}
 	picker := backend.Picker{Loads: runner.Loads, Zone: runner.Zone}
-	service := forwarding.PickTarget(route.Targets)
+	service := chooseService(route, "", runner.scores.serves)
 	return route, picker.Pick(runner.Catalog.Replicas().Service(service), tried, time.Now())
 }
 
--- a/internal/batchrun/scoreadmitted.go
+++ b/internal/batchrun/scoreadmitted.go
@@ -91,14 +91,24 @@
 	return route
 }
 
+// serves reports whether a service can be expected to score texts: it has a replica that is neither draining nor ejected.
+func (queue *scoringQueue) serves(service string) bool {
+	now := time.Now()
+	for replica := range queue.runner.Catalog.Replicas().Service(service).Each() {
+		if !replica.Draining && !queue.runner.Loads.Read(replica.ID, now).Ejected {
+			return true
+		}
+	}
+	return false
+}
+
 // serviceOf returns the service of a route that scores the text.
 func (call *scoringCall) serviceOf(route *catalog.Route) string {
 	drawn := ""
 	if call.service != nil {
 		drawn = call.service.name
 	}
-	replicas := call.runner.Catalog.Replicas()
-	return chooseService(route, drawn, func(service string) bool { return replicas.Service(service).Working() > 0 })
+	return chooseService(route, drawn, call.runner.scores.serves)
 }
 
 // keepsService reports whether the text stays with the service at which it waits.
--- a/internal/batchrun/targets_test.go
+++ b/internal/batchrun/targets_test.go
@@ -106,3 +106,20 @@
 		})
 	}
 }
+
+// Guards against texts that wait at a scoring service whose replicas hang, while another target of their route has room.
+func TestScoresLeaveAServiceWhoseReplicasHang(t *testing.T) {
+	check := func(t *testing.T, world *world, scorers *scorers) {
+		world.setTargets(routeOfScores, []catalog.RouteTarget{{Service: "scorer", Weight: 1}, {Service: "scorer2", Weight: 3}}, catalog.Replica{ID: "t1", Service: "scorer2", Slots: 6})
+		scorers.hanging = "t1"
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 20, 1), jobRoute))
+		checkResults(t, await(t, world.node("a"), "job", 20, idleLimit), 1)
+	}
+	t.Run("admitted", func(t *testing.T) { inScoringWorld(t, 4, 50*time.Millisecond, check) })
+	t.Run("not admitted", func(t *testing.T) {
+		inWorld(t, 74, func(t *testing.T, world *world) {
+			world.engines.scorer = &scorers{took: 50 * time.Millisecond}
+			check(t, world, world.engines.scorer)
+		})
+	})
+}
