Requests: a target without replicas that serve is left for another one of the route

What callers saw: nothing yet; looked for after the items' fault of the same kind. A route has two targets, and the replicas of one are gone, drain or have all just failed: the share of the requests that its weight draws fails, while the other target has room. Cause: the target of a call was drawn by weight alone. Change: it is drawn among the targets that have a replica which is neither draining nor ejected, if there is one. Items, scores and requests choose in one place (forwarding.ServingTargets). Evidence: TestRequestsLeaveAServiceThatDoesNotServe, weights 1 and 99, failed before in its three cases (503 without replicas and while the only one drains; sent to the one that fails). Tests of items and scores pass unchanged. Why it works: what the front knows of replicas reaches the choice of the target. A route with one target costs nothing more.

--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -295,6 +295,16 @@
 	}
 }
 
+// AnyWorking reports whether any of the replicas is neither draining nor ejected.
+func (loads *Loads) AnyWorking(replicas catalog.ReplicaList, now time.Time) bool {
+	for replica := range replicas.Each() {
+		if !replica.Draining && !loads.read(replica.ID, 0, now).Ejected {
+			return true
+		}
+	}
+	return false
+}
+
 // Picker selects the replica for a request.
 type Picker struct {
 	Loads *Loads
--- a/internal/batchrun/scoreadmitted.go
+++ b/internal/batchrun/scoreadmitted.go
@@ -93,13 +93,7 @@
 
 // serves reports whether a service can be expected to score texts: it has a replica that is neither draining nor ejected.
 func (queue *scoringQueue) serves(service string) bool {
-	now := time.Now()
-	for replica := range queue.runner.Catalog.Replicas().Service(service).Each() {
-		if !replica.Draining && !queue.runner.Loads.Read(replica.ID, now).Ejected {
-			return true
-		}
-	}
-	return false
+	return queue.runner.Loads.AnyWorking(queue.runner.Catalog.Replicas().Service(service), time.Now())
 }
 
 // serviceOf returns the service of a route that scores the text.
--- a/internal/batchrun/targets.go
+++ b/internal/batchrun/targets.go
@@ -38,19 +38,7 @@
 // chooseService returns the service drawn earlier while the route has it and it serves, and otherwise one that is drawn by weight, if
 // possible from the targets that serve.
 func chooseService(route *catalog.Route, drawn string, serves func(service string) bool) string {
-	var targets, served []catalog.RouteTarget
-	for _, target := range route.Targets {
-		if target.Weight <= 0 {
-			continue
-		}
-		targets = append(targets, target)
-		if len(route.Targets) > 1 && serves(target.Service) {
-			served = append(served, target)
-		}
-	}
-	if len(served) > 0 {
-		targets = served
-	}
+	targets := forwarding.ServingTargets(route.Targets, serves)
 	for _, target := range targets {
 		if target.Service == drawn {
 			return drawn
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -101,6 +101,29 @@
 	return ""
 }
 
+// ServingTargets returns the targets of a route that have a weight and serve; those that have a weight if none serves.
+func ServingTargets(targets []catalog.RouteTarget, serves func(service string) bool) []catalog.RouteTarget {
+	var weighted, serving []catalog.RouteTarget
+	for _, target := range targets {
+		if target.Weight <= 0 {
+			continue
+		}
+		weighted = append(weighted, target)
+		if len(targets) > 1 && serves(target.Service) {
+			serving = append(serving, target)
+		}
+	}
+	if len(serving) > 0 {
+		return serving
+	}
+	return weighted
+}
+
+// serves reports whether a service has a replica that can be expected to serve a request.
+func (forwarder *Forwarder) serves(service string) bool {
+	return forwarder.Loads.AnyWorking(forwarder.Catalog.Replicas().Service(service), time.Now())
+}
+
 // TimeLimit returns how long the call may take on a route; zero if neither sets a limit.
 func (call *Call) TimeLimit(route *catalog.Route) time.Duration {
 	if call.Deadline > 0 && (route.Timeout <= 0 || call.Deadline < route.Timeout) {
@@ -116,7 +139,7 @@
 	callerClock := forwarder.clock()
 	run := &run{
 		forwarder: forwarder, route: route, call: call, started: started, clock: callerClock, deadline: callerClock.Elapsed() + timeout - answerMargin,
-		service: PickTarget(route.Targets), results: make(chan attemptResult, max(route.MaxAttempts, 1)),
+		service: PickTarget(ServingTargets(route.Targets, forwarder.serves)), results: make(chan attemptResult, max(route.MaxAttempts, 1)),
 	}
 	timedCtx, cancelTimer := context.WithTimeout(ctx, timeout-answerMargin)
 	attemptCtx, cancelCause := context.WithCancelCause(timedCtx)
--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -199,6 +199,34 @@
 	must.Eq(t, "", forwarding.PickTarget(nil))
 }
 
+// Guards against requests that fail at a service whose replicas are gone or have all just failed, while another target of their route serves.
+func TestRequestsLeaveAServiceThatDoesNotServe(t *testing.T) {
+	for name, replicas := range map[string][]catalog.Replica{
+		"without replicas":       nil,
+		"whose replica drains":   {{ID: "b1", Service: "b", Slots: 6, Draining: true}},
+		"whose replica is stuck": {{ID: "b1", Service: "b", Slots: 6}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table, loads, now := catalog.NewTable(), backend.NewLoads(), time.Now()
+				table.SetReplicas(append(replicas, catalog.Replica{ID: "a1", Service: "a", Slots: 6}), 1)
+				for range 2 {
+					loads.Begin("b1", now)
+					loads.End("b1", backend.Failed, now)
+				}
+				sender := &scripted{script: []behaviour{{status: http.StatusOK}}}
+				forwarder := &forwarding.Forwarder{Catalog: table, Loads: loads, Sender: sender, Logger: log.New(io.Discard)}
+				route := &catalog.Route{Kind: catalog.Unsafe, Targets: []catalog.RouteTarget{{Service: "a", Weight: 1}, {Service: "b", Weight: 99}}, Timeout: time.Second, MaxAttempts: 2}
+				for range 20 {
+					result := forwarder.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q"}})
+					must.Eq(t, http.StatusOK, result.Status)
+				}
+				must.SliceNotContains(t, sender.sent, "b1")
+			})
+		})
+	}
+}
+
 // No attempt starts after the API key was revoked, and a request that has not run is then refused as unauthorized.
 func TestRevokedWhileHeld(t *testing.T) {
 	refused := behaviour{after: 20 * time.Millisecond, status: http.StatusServiceUnavailable, notExecuted: true}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -130,7 +130,8 @@
 mutate 'head without a time limit' platform/replicas.go 'time.AfterFunc(headTimeout, trace.closeConnection)' 'time.AfterFunc(time.Hour, trace.closeConnection)' ./platform
 mutate 'informational answers without end' platform/replicas.go 'trace.informational > maxInformational' 'trace.informational < 0' ./platform
 mutate 'control answers without end' platform/replicas.go 'if len(content) > maxControlBytes {' 'if len(content) < 0 {' ./platform
-mutate 'service without replicas kept' internal/batchrun/targets.go 'if len(route.Targets) > 1 && serves(target.Service) {' 'if len(route.Targets) < 0 && serves(target.Service) {' ./internal/batchrun
+mutate 'service without replicas kept' internal/forwarding/forwarding.go 'if len(targets) > 1 && serves(target.Service) {' 'if len(targets) < 0 && serves(target.Service) {' ./internal/batchrun
+mutate 'ejected replicas serve callers' internal/backend/load.go 'if !replica.Draining && !loads.read(replica.ID, 0, now).Ejected {' 'if !replica.Draining {' ./internal/forwarding
 mutate 'ejected replicas serve items' internal/batchrun/targets.go 'if capacity.ejected(replica) || capacity.scheduler.refusesAll(replica.ID, capacity.now) {' 'if capacity.scheduler.refusesAll(replica.ID, capacity.now) {' ./internal/batchrun
 mutate 'refusing replicas serve items' internal/batchrun/targets.go 'if capacity.ejected(replica) || capacity.scheduler.refusesAll(replica.ID, capacity.now) {' 'if capacity.ejected(replica) {' ./internal/batchrun
 mutate 'texts of earlier jobs not fetched' internal/batchrun/submit.go 'runner.fetchFormerTexts(owned.ctx, owned)' '_ = owned.ctx' ./internal/batchrun -run 'AtAnotherNode'
