Tests: items leave a service whose replicas run nothing before they would leave a full one

Cause: two mutations of the fix were not caught, as the patience with full services covered both within the bound of 5 s. Change: the cases of replicas that hang, break off or refuse have a bound of 3 s, below that patience. The check asks for more than before.

--- a/internal/batchrun/targets_test.go
+++ b/internal/batchrun/targets_test.go
@@ -76,6 +76,9 @@
 // idleLimit is how long an item may be at no replica while another target of its route has room.
 const idleLimit = 5 * time.Second
 
+// leaveLimit is how long the items of a job take where replicas run nothing. It is shorter than items wait for a full service.
+const leaveLimit = 3 * time.Second
+
 // slowEvent is the time of an event at a slow replica, and slowItem that of the longest item of a job there.
 const (
 	slowEvent = 400 * time.Millisecond
@@ -88,9 +91,9 @@
 		prepare func(engines *engines)
 		limit   time.Duration
 	}{
-		"send no event":     {func(engines *engines) { engines.gaps["x1"] = time.Hour }, idleLimit},
-		"break off":         {func(engines *engines) { engines.breaking = map[string]bool{"x1": true} }, idleLimit},
-		"refuse":            {func(engines *engines) { engines.refusing = map[string]bool{"x1": true} }, idleLimit},
+		"send no event":     {func(engines *engines) { engines.gaps["x1"] = time.Hour }, leaveLimit},
+		"break off":         {func(engines *engines) { engines.breaking = map[string]bool{"x1": true} }, leaveLimit},
+		"refuse":            {func(engines *engines) { engines.refusing = map[string]bool{"x1": true} }, leaveLimit},
 		"are slow and full": {func(engines *engines) { engines.gaps["x1"] = slowEvent }, idleLimit + slowItem},
 	} {
 		t.Run(name, func(t *testing.T) {
