Jobs: a former owner that runs a job on learns of its successor

It would answer for the next job of that identifier. Cause: a node back from a cut takes its living peers for dead and claims their jobs. The former owner learned of it by an append only, and with nothing left to append it kept the job for good. Change: the successor's announcement makes a front that runs the same job ask the log who owns it; the regular search for own jobs asks for those that run here for 5 s and that the list lacks. Why it works: each way by which the successor becomes known leads to the same question to the log.

--- a/internal/batchrun/former.go
+++ b/internal/batchrun/former.go
@@ -58,10 +58,13 @@
 	return slices.DeleteFunc(slices.Clone(former.announced), func(job announcedJob) bool { return now.Sub(job.at) > keptTTL })
 }
 
-// JobAnnounced records that another node has announced that it runs a job.
+// JobAnnounced records that another node has announced that it runs a job. If the job runs here too, one of the two is a former owner.
 func (runner *Runner) JobAnnounced(id, node string) {
 	runner.former.recordAnnounced(id, node, time.Now())
 	runner.RememberOwner(id, node)
+	if owned := runner.find(id); owned != nil && owned.isAccepted() && node != runner.Node {
+		go runner.dropIfLost(runner.ctx, owned)
+	}
 }
 
 // fetchFormerTexts gets the texts that other nodes keep of the unfinished items of earlier jobs. A trainer may bring such items back in any job; the
--- a/internal/batchrun/sweep.go
+++ b/internal/batchrun/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -144,6 +145,7 @@
 	if err != nil {
 		return err
 	}
+	runner.dropUnlisted(ctx, ids)
 	outcomes := make([]error, len(ids))
 	var claims sync.WaitGroup
 	for index, id := range ids {
@@ -162,6 +164,29 @@
 	return nil // a claim with another error is repeated by the sweep after an uncertain write
 }
 
+// maxListLag is how old a job must be for its absence from a list, which may lag, to mean anything.
+const maxListLag = 5 * time.Second
+
+// dropUnlisted drops the jobs that run here and have another owner. A former owner without results to append learns of its successor in no other way
+// if the successor's announcement is lost.
+func (runner *Runner) dropUnlisted(ctx context.Context, listed []string) {
+	for _, owned := range runner.openJobs() {
+		if owned.isAccepted() && !slices.Contains(listed, owned.id()) && owned.runsFor(time.Now()) >= maxListLag {
+			runner.dropIfLost(ctx, owned)
+		}
+	}
+}
+
+// runsFor returns how long the items of the job have been running or waiting here.
+func (owned *job) runsFor(now time.Time) time.Duration {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	if owned.itemsQueuedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(owned.itemsQueuedAt)
+}
+
 // runsOrEnded reports whether a job runs at this node, or is cached here as ended.
 func (runner *Runner) runsOrEnded(id string) bool {
 	owned := runner.find(id)
