Jobs: a takeover is announced for some seconds

Cause: the announcement that makes a former owner ask the log is sent once, as a datagram. Change: a node that has taken a job over announces it four times within 7 s, while it runs the job. Why it works: it outlasts a cut that is shorter than that; a longer one is left to the search for own jobs.

--- a/internal/batchrun/cutoff_test.go
+++ b/internal/batchrun/cutoff_test.go
@@ -12,8 +12,8 @@
 // owner took the job over from it.
 func TestJobIsTakenBackFromALostOwner(t *testing.T) {
 	inWorld(t, 43, func(t *testing.T, world *world) {
-		world.noAnnouncements = true // a is cut off
-		world.setEngines(false, 2)   // nothing is listed, so that a does not learn of the loss by an append
+		world.silence(time.Hour)   // a is cut off
+		world.setEngines(false, 2) // nothing is listed, so that a does not learn of the loss by an append
 		former := world.node("a")
 		must.NoError(t, former.Submit(t.Context(), newDefinition("job", 2, 1), jobRoute))
 		must.NoError(t, world.node("b").TakeOverNode(context.Background(), "a", former.Incarnation, unregistered("a")))
@@ -31,15 +31,15 @@
 // Guards against a former owner that keeps a job, with nothing left to append: it would answer for the next job of that identifier.
 func TestFormerOwnerLearnsOfItsSuccessor(t *testing.T) {
 	for name, check := range map[string]struct {
-		announced bool
-		limit     time.Duration
+		silence, limit time.Duration // no announcement arrives during the silence
 	}{
-		"by its announcement":         {true, time.Second},
-		"by the list of its own jobs": {false, 40 * time.Second},
+		"by its announcement":         {0, time.Second},
+		"by a repeated announcement":  {2500 * time.Millisecond, 8 * time.Second},
+		"by the list of its own jobs": {time.Minute, 40 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, 44, func(t *testing.T, world *world) {
-				world.noAnnouncements = !check.announced
+				world.silence(check.silence)
 				world.setEngines(false, 2)
 				former := world.node("a")
 				must.NoError(t, former.Submit(t.Context(), newDefinition("job", 2, 1), jobRoute))
--- a/internal/batchrun/delegation_test.go
+++ b/internal/batchrun/delegation_test.go
@@ -189,7 +189,9 @@
 func TestAcceptanceIsHeardOfAtOnce(t *testing.T) {
 	for after := time.Duration(0); after < 400*time.Millisecond; after += 20 * time.Millisecond {
 		inWorld(t, 49, func(t *testing.T, world *world) {
-			world.noAnnouncements = after%(40*time.Millisecond) == 0
+			if after%(40*time.Millisecond) == 0 {
+				world.silence(time.Hour)
+			}
 			world.preferred = "b"
 			world.store.SetFaults(memstore.Faults{Down: true})
 			time.Sleep(1500 * time.Millisecond)
--- a/internal/batchrun/ended_elsewhere_test.go
+++ b/internal/batchrun/ended_elsewhere_test.go
@@ -38,7 +38,7 @@
 // Guards against a successor that runs a job on after its former owner, which did not know of the successor yet, has ended it.
 func TestFormerOwnerEndsAJobThatWasTakenOver(t *testing.T) {
 	inWorld(t, 41, func(t *testing.T, world *world) {
-		world.noAnnouncements = true
+		world.silence(time.Hour)
 		world.setEngines(false, 2)
 		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 6, 1), jobRoute))
 		request := &batchv1.TakeOverRequest{JobId: "job", From: "a", Life: world.node("a").Incarnation}
--- a/internal/batchrun/takeover.go
+++ b/internal/batchrun/takeover.go
@@ -11,6 +11,7 @@
 	batchv1 "github.com/thistlewalk/thistlewalk/api/batch/v1"
 	"github.com/thistlewalk/thistlewalk/internal/batchlog"
 	"github.com/thistlewalk/thistlewalk/internal/metadata"
+	"github.com/thistlewalk/thistlewalk/internal/wait"
 )
 
 const (
@@ -107,11 +108,25 @@
 	runner.mu.Unlock()
 	go runner.flushLoop(owned)
 	go runner.backUp(owned)
-	runner.Peers.AnnounceJob(owned.definition)
+	go runner.announceTakenOver(owned)
 	runner.Peers.AnnounceDemand(owned.definition)
 	runner.startItems(owned)
 }
 
+// takeOverNotices are the pauses before the announcements of a job that was taken over. Its former owner may live and be cut off for a while.
+var takeOverNotices = [...]time.Duration{0, time.Second, 2 * time.Second, 4 * time.Second}
+
+// announceTakenOver announces a job several times while it runs here.
+func (runner *Runner) announceTakenOver(owned *job) {
+	for _, pause := range takeOverNotices {
+		wait.Pause(owned.ctx, pause)
+		if owned.ctx.Err() != nil {
+			return
+		}
+		runner.Peers.AnnounceJob(owned.definition)
+	}
+}
+
 // owned lists the jobs of a node.
 func (runner *Runner) owned(ctx context.Context, node string, stale bool) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
--- a/internal/batchrun/world_test.go
+++ b/internal/batchrun/world_test.go
@@ -51,8 +51,8 @@
 	refusesTakeOver string
 	// room is the room of each node at the services; nil if scoring is not admitted.
 	room admission.Room
-	// noAnnouncements suppresses the announcements of jobs.
-	noAnnouncements bool
+	// silentUntil is the time before which announcements of jobs are lost.
+	silentUntil time.Time
 }
 
 // slowClient calls a node with delayed responses or rejected takeovers.
@@ -225,7 +225,7 @@
 
 // AnnounceJob implements batchrun.Peers.
 func (peers *worldPeers) AnnounceJob(job *batchv1.Job) {
-	if peers.world.noAnnouncements {
+	if peers.world.isSilent() {
 		return
 	}
 	for _, name := range peers.Nearest() {
@@ -236,6 +236,19 @@
 	}
 }
 
+// silence makes the announcements of jobs get lost for some time.
+func (world *world) silence(duration time.Duration) {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	world.silentUntil = time.Now().Add(duration)
+}
+
+func (world *world) isSilent() bool {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	return time.Now().Before(world.silentUntil)
+}
+
 // AnnounceDemand implements batchrun.Peers.
 func (peers *worldPeers) AnnounceDemand(*batchv1.Job) {}
 
