--- a/internal/batchrun/former.go
+++ b/internal/batchrun/former.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,8 +23,8 @@
 	at       time.Time
 }
 
-// formerJobs tracks which jobs may have been the earlier ones of a trainer: those that ended here, by model, and those that other nodes announced
-// lately. It is safe for concurrent use.
+// formerJobs tracks which jobs may have been the earlier ones of a trainer: those that ended here, by model, and those that other nodes announced,
+// each within keptTTL. It is safe for concurrent use.
 type formerJobs struct {
 	mu        sync.Mutex
 	announced []announcedJob       // oldest first
@@ -45,6 +46,7 @@
 func (former *formerJobs) recordEnded(model string, now time.Time) {
 	former.mu.Lock()
 	defer former.mu.Unlock()
+	maps.DeleteFunc(former.ended, func(_ string, at time.Time) bool { return now.Sub(at) > keptTTL })
 	former.ended[model] = now
 }
 
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -18,6 +18,7 @@
 	// foreign is true if the job is not accepted because a job of another tenant has its identifier.
 	foreign    atomic.Bool
 	items      map[string]*batchv1.Item
+	createdAt  time.Time // at this node
 	due        time.Time
 	meanTokens float64 // expected output of an item in tokens, on average
 	ctx        context.Context
@@ -62,8 +63,9 @@
 	if objective <= 0 {
 		objective = defaultObjective
 	}
+	now := time.Now()
 	created := &job{
-		definition: definition, items: make(map[string]*batchv1.Item, len(definition.GetItems())), due: time.Now().Add(objective),
+		definition: definition, items: make(map[string]*batchv1.Item, len(definition.GetItems())), createdAt: now, due: now.Add(objective),
 		ctx: ctx, cancel: cancel, accepted: make(chan struct{}), delegation: delegation{announced: make(chan struct{}, 1)}, progress: batch.NewProgress(definition), tasks: make(map[string]*task),
 		grown: make(map[string]*batchv1.Partial), unfinished: make(map[string]*batchv1.Partial), changed: make(chan struct{}), flush: make(chan struct{}, 1), flushed: make(chan struct{}),
 	}
--- a/internal/batchrun/stage.go
+++ b/internal/batchrun/stage.go
@@ -57,7 +57,7 @@
 		if owned.progress.Finished(item.GetId()) {
 			continue
 		}
-		unfinished := unfinishedItem{item: item, entry: stageEntry{since: owned.itemsQueuedAt}}
+		unfinished := unfinishedItem{item: item, entry: stageEntry{since: owned.createdAt}}
 		if created := owned.tasks[item.GetId()]; created != nil {
 			if entry := created.current.Load(); entry != nil {
 				unfinished.entry = *entry
--- a/internal/batchrun/sweep.go
+++ b/internal/batchrun/sweep.go
@@ -137,7 +137,7 @@
 	}
 }
 
-// claimOwnJobs claims and resumes this node's jobs that do not run here. A stale list may lag by some seconds and costs less. It returns
+// claimOwnJobs claims and resumes this node's jobs that do not run here, and drops those that run here and have another owner. A stale list may lag by some seconds and costs less. It returns
 // errClaiming if an acceptance of such a job is under way, which may end without the job running here: another node then told that
 // the job has an owner.
 func (runner *Runner) claimOwnJobs(ctx context.Context, stale bool) error {
@@ -145,7 +145,6 @@
 	if err != nil {
 		return err
 	}
-	runner.dropUnlisted(ctx, ids)
 	outcomes := make([]error, len(ids))
 	var claims sync.WaitGroup
 	for index, id := range ids {
@@ -158,6 +157,7 @@
 		})
 	}
 	claims.Wait()
+	runner.dropUnlisted(ctx, ids)
 	if errors.Is(errors.Join(outcomes...), errClaiming) {
 		return errClaiming
 	}
@@ -171,22 +171,12 @@
 // if the successor's announcement is lost.
 func (runner *Runner) dropUnlisted(ctx context.Context, listed []string) {
 	for _, owned := range runner.openJobs() {
-		if owned.isAccepted() && !slices.Contains(listed, owned.id()) && owned.runsFor(time.Now()) >= maxListLag {
+		if owned.isAccepted() && !slices.Contains(listed, owned.id()) && time.Since(owned.createdAt) >= maxListLag {
 			runner.dropIfLost(ctx, owned)
 		}
 	}
 }
 
-// runsFor returns how long the items of the job have been running or waiting here.
-func (owned *job) runsFor(now time.Time) time.Duration {
-	owned.mu.Lock()
-	defer owned.mu.Unlock()
-	if owned.itemsQueuedAt.IsZero() {
-		return 0
-	}
-	return now.Sub(owned.itemsQueuedAt)
-}
-
 // runsOrEnded reports whether a job runs at this node, or is cached here as ended.
 func (runner *Runner) runsOrEnded(id string) bool {
 	owned := runner.find(id)
--- a/internal/batchrun/targets.go
+++ b/internal/batchrun/targets.go
@@ -90,8 +90,9 @@
 	return false
 }
 
-// refusesAll reports whether a replica has refused all work for refusalPatience. It must be called with mu held.
+// refusesAll reports whether a replica has refused all work for refusalPatience. A refusal that is older than that says nothing any more: without
+// an item, the replica could not show that it accepts work again. It must be called with mu held.
 func (scheduler *scheduler) refusesAll(replica string, now time.Time) bool {
 	last := scheduler.refusals[replica]
-	return last != nil && now.Sub(last.since) >= refusalPatience
+	return last != nil && now.Sub(last.since) >= refusalPatience && now.Sub(last.until) < refusalPatience
 }
--- a/internal/batchrun/targets_test.go
+++ b/internal/batchrun/targets_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// Guards against a service that gets no items for good since all of its replicas refused work some time ago.
+func TestItemsComeBackToAServiceThatRefusedWork(t *testing.T) {
+	inWorld(t, 75, func(t *testing.T, world *world) {
+		world.setTargets(routeOfItems, itemTargets, catalog.Replica{ID: "x1", Service: "second", Slots: 4, Models: []catalog.ModelVersion{{Model: "m", Version: 1}}})
+		setRefusing := func(refusing bool) {
+			world.engines.mu.Lock()
+			defer world.engines.mu.Unlock()
+			world.engines.versions["x1"], world.engines.refusing = 1, map[string]bool{"x1": refusing}
+		}
+		setRefusing(true)
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("first", 20, 1), jobRoute))
+		await(t, world.node("a"), "first", 20, idleLimit)
+		setRefusing(false)
+		refused := world.engines.startedAt("x1")
+		time.Sleep(refusalMemory)
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("second", 20, 1), jobRoute))
+		await(t, world.node("a"), "second", 20, idleLimit)
+		must.Greater(t, refused, world.engines.startedAt("x1"))
+	})
+}
+
+// refusalMemory is longer than refusals of a replica that gets nothing to do are believed.
+const refusalMemory = 5 * time.Second
+
 // Guards against texts that wait at a scoring service whose replicas hang, while another target of their route has room.
 func TestScoresLeaveAServiceWhoseReplicasHang(t *testing.T) {
 	check := func(t *testing.T, world *world, scorers *scorers) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -136,6 +136,8 @@
 mutate 'refusing replicas serve items' internal/batchrun/targets.go 'if capacity.ejected(replica) || capacity.scheduler.refusesAll(replica.ID, capacity.now) {' 'if capacity.ejected(replica) {' ./internal/batchrun
 mutate 'texts of earlier jobs not fetched' internal/batchrun/submit.go 'runner.fetchFormerTexts(owned.ctx, owned)' '_ = owned.ctx' ./internal/batchrun -run 'AtAnotherNode'
 mutate 'texts of any tenant fetched' internal/batchrun/former.go 'former.node == runner.Node || !runner.isOfTenant(former.id, owned.definition.GetTenant())' 'former.node == runner.Node' ./internal/batchrun -run 'AnotherTenantsJob'
+mutate 'old refusals believed' internal/batchrun/targets.go 'now.Sub(last.since) >= refusalPatience && now.Sub(last.until) < refusalPatience' 'now.Sub(last.since) >= refusalPatience' ./internal/batchrun -run 'ComeBack'
+mutate 'former owner not told' internal/batchrun/former.go 'if owned := runner.find(id); owned != nil && owned.isAccepted() && node != runner.Node {' 'if owned := runner.find(id); owned == nil && node == id {' ./internal/batchrun -run 'FormerOwnerLearns'
 mutate 'full service waited for' internal/batchrun/targets.go 'case capacity.now.Sub(waiting.idleSince) < fullPatience:' 'case true:' ./internal/batchrun
 mutate 'scores of answers without end' internal/batchrun/score.go 'err == nil && read > maxScoreBytes' 'err == nil && read < 0' ./internal/batchrun
 mutate 'items pass the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
