Soak: only items that come again may run after the end of their job; kills at acceptances are awaited

Every item of a step whose groups come again was exempt from the check that an ended job runs nothing more, also those of groups that were whole. A kill at an acceptance could outlast its plan, and start a process again after the soak had ended. Change: the exemption names the items, from the moment at which the next step was first sent; the injector waits for the kills. Figures: TestIncompleteGroupsAreBroughtBack has three more checks, and fails with the former exemption.

--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -23,6 +23,8 @@
 	mu  sync.Mutex
 	// acceptance is the fault that the next acceptance of a job causes; nil if it causes none.
 	acceptance *Event
+	// kills are the faults that acceptances have caused.
+	kills sync.WaitGroup
 	// lastStoreFault is when a fault of the store last started or ended.
 	lastStoreFault time.Time
 	busy           map[any]bool // targets that have a fault now; a second fault of the same target is skipped
@@ -47,6 +49,7 @@
 		})
 	}
 	events.Wait()
+	injector.kills.Wait()
 }
 
 // pause waits for the duration. It returns false if the context ends first.
@@ -138,26 +141,27 @@
 // accepted is called when a node has accepted a job. If a fault waits for that, it kills the node, or all, soon after.
 func (injector *injector) accepted(node *Node) {
 	injector.mu.Lock()
-	event := injector.acceptance
-	injector.acceptance = nil
-	injector.mu.Unlock()
-	if event == nil {
+	defer injector.mu.Unlock()
+	if injector.acceptance == nil {
 		return
 	}
+	event := *injector.acceptance
+	injector.acceptance = nil
+	injector.kills.Go(func() { injector.killAfterAcceptance(event, node) })
+}
+
+func (injector *injector) killAfterAcceptance(event Event, node *Node) {
 	injector.faults.begin()
-	go func() {
-		defer injector.faults.end()
-		if event.Variant%2 == 0 {
-			pause(injector.ctx, time.Duration(event.Target)*maxAcceptKillDelay/targetRange)
-		}
-		if event.Variant%3 == 0 {
-			injector.killMany(*event, func(int) bool { return true })
-			return
-		}
-		killed := *event
-		killed.Kind = KindKill
-		injector.injectNodeFault(killed, node)
-	}()
+	defer injector.faults.end()
+	if event.Variant%2 == 0 {
+		pause(injector.ctx, time.Duration(event.Target)*maxAcceptKillDelay/targetRange)
+	}
+	if event.Variant%3 == 0 {
+		injector.killMany(event, func(int) bool { return true })
+		return
+	}
+	event.Kind = KindKill
+	injector.injectNodeFault(event, node)
 }
 
 // minUnluckyCrashes is the least number of engines that crash under unlucky items, of which each open job has one.
--- a/internal/lab/platform/soak/pulses_test.go
+++ b/internal/lab/platform/soak/pulses_test.go
@@ -63,7 +63,13 @@
 			former.results = append(former.results, result{ID: id})
 		}
 	}
-	job.bringBack(former.incompleteGroups())
+	left := former.incompleteGroups()
+	job.bringBack(left)
+	sent := time.Now()
+	former.setResubmitted(left.items, sent)
+	must.True(t, former.mayHaveRunAgain(former.items[3], sent))
+	must.False(t, former.mayHaveRunAgain(former.items[3], sent.Add(-time.Second)))
+	must.False(t, former.mayHaveRunAgain(former.items[0], sent.Add(time.Second)), must.Sprint("an item that did not come again"))
 	must.Eq(t, former.items[3:6], job.items[:3])
 	must.Eq(t, len(job.items), len(job.bodies))
 	must.Eq(t, former.bodies[former.items[4]], job.bodies[job.items[1]])
--- a/internal/lab/platform/soak/soak.go
+++ b/internal/lab/platform/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -223,7 +224,7 @@
 		}
 		for _, id := range job.items {
 			for _, execution := range run.deployment.Executions.Of(id) {
-				if job.mayHaveRunAgain(execution.Started) {
+				if job.mayHaveRunAgain(id, execution.Started) {
 					continue
 				}
 				if late := execution.Started.Sub(job.endedAt); late > cancelBound && !run.deployment.mayBeDelayed(execution) {
@@ -235,8 +236,8 @@
 }
 
 // mayHaveRunAgain reports whether a run of an item at the given time may be one of the next step that has the item.
-func (job *trainerJob) mayHaveRunAgain(at time.Time) bool {
-	return !job.resubmittedAt.IsZero() && !at.Before(job.resubmittedAt)
+func (job *trainerJob) mayHaveRunAgain(id string, at time.Time) bool {
+	return slices.Contains(job.resubmitted, id) && !at.Before(job.resubmittedAt)
 }
 
 // checkOrders checks that only one node at a time sends orders to a replica: a new holder has a higher fence and starts no earlier than a lease
--- a/internal/lab/platform/soak/trainer.go
+++ b/internal/lab/platform/soak/trainer.go
@@ -45,7 +45,8 @@
 	results      []result  // by position, as first read
 	endedAt      time.Time // when the end was acknowledged; zero before
 	endRequested bool
-	// resubmittedAt is when the next step that has the incomplete groups of this one was first sent; zero if none was.
+	// resubmitted are the items that the next step has again, and resubmittedAt is when that was first sent.
+	resubmitted   []string
 	resubmittedAt time.Time
 }
 
@@ -140,8 +141,9 @@
 	sentAt := time.Now()
 	if trainers.resubmits && former != nil {
 		job.tenant = former.tenant
-		job.bringBack(former.incompleteGroups())
-		former.setResubmitted(sentAt)
+		left := former.incompleteGroups()
+		job.bringBack(left)
+		former.setResubmitted(left.items, sentAt)
 	}
 	deadline := sentAt.Add(stepTimeout)
 	if !trainers.submit(ctx, job, deadline) {
@@ -166,11 +168,11 @@
 	return job
 }
 
-func (job *trainerJob) setResubmitted(at time.Time) {
+func (job *trainerJob) setResubmitted(items []string, at time.Time) {
 	job.mu.Lock()
 	defer job.mu.Unlock()
 	if job.resubmittedAt.IsZero() {
-		job.resubmittedAt = at
+		job.resubmitted, job.resubmittedAt = items, at
 	}
 }
 
