Soak: trainers in files of their jobs

Change: what belongs to resubmission and to tenants moves to those files, as it was. Conclusion: no behaviour is changed.

--- a/internal/lab/platform/soak/resubmission.go
+++ b/internal/lab/platform/soak/resubmission.go
@@ -47,11 +47,27 @@
 	job.required = left.items
 }
 
+// setResubmitted records the items that the next step has again, and when it was first sent.
+func (job *trainerJob) setResubmitted(items []string, at time.Time) {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	if job.resubmittedAt.IsZero() {
+		job.resubmitted, job.resubmittedAt = items, at
+	}
+}
+
 // hasRequiredItems reports whether all items that the trainer waits for in any case have a result. It must be called with mu held.
 func (job *trainerJob) hasRequiredItems() bool {
 	return !slices.ContainsFunc(job.required, func(id string) bool { return !job.hasResult(id) })
 }
 
+// acceptedWithin reports whether the job was accepted at most the given time ago.
+func (job *trainerJob) acceptedWithin(limit time.Duration) bool {
+	job.mu.Lock()
+	defer job.mu.Unlock()
+	return !job.acceptedAt.IsZero() && time.Since(job.acceptedAt) <= limit
+}
+
 // Bounds of the checks on steps that run out of time.
 const (
 	// idleBound is how long an unfinished item may be at no replica while nothing fails.
--- a/internal/lab/platform/soak/tenants.go
+++ b/internal/lab/platform/soak/tenants.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -193,3 +195,27 @@
 	}
 	return matches, later
 }
+
+// readAsOtherTenant reads a job with the key of another tenant, and checks that the job is not disclosed.
+func (trainers *trainers) readAsOtherTenant(ctx context.Context, job *trainerJob) {
+	other := tenantNames[0]
+	if other == job.tenant {
+		other = tenantNames[1]
+	}
+	node := trainers.ingress.pick()
+	got := call(ctx, node, http.MethodGet, "/thistlewalk/lots/"+job.id+"?after-rev=0", "pry-"+job.id, "", readTimeout, authorization(keyOf(other))...)
+	if got.err == nil && got.status != http.StatusNotFound && got.status != http.StatusServiceUnavailable {
+		trainers.report(Violation{Promise: PromiseTenant, Subject: job.id, Detail: fmt.Sprintf("%s answered tenant %s, which does not own the job, with %d", node.Name, other, got.status)})
+	}
+}
+
+// verifyTenants checks that all items ran for the tenants of their jobs, and all scorer requests without a tenant.
+func (trainers *trainers) verifyTenants() {
+	for _, job := range trainers.jobs {
+		for _, id := range job.items {
+			for _, violation := range append(checkCallers(trainers.deployment.Executions, id, job.tenant), checkCallers(trainers.deployment.Executions, scorerOf(id), "")...) {
+				trainers.report(violation)
+			}
+		}
+	}
+}
--- a/internal/lab/platform/soak/trainer.go
+++ b/internal/lab/platform/soak/trainer.go
@@ -168,14 +168,6 @@
 	return job
 }
 
-func (job *trainerJob) setResubmitted(items []string, at time.Time) {
-	job.mu.Lock()
-	defer job.mu.Unlock()
-	if job.resubmittedAt.IsZero() {
-		job.resubmitted, job.resubmittedAt = items, at
-	}
-}
-
 // submit submits a job repeatedly until it is accepted. It returns false if that does not happen before the deadline.
 func (trainers *trainers) submit(ctx context.Context, job *trainerJob, deadline time.Time) bool {
 	for ctx.Err() == nil && time.Now().Before(deadline) {
@@ -277,30 +269,6 @@
 // key returns the header with the permanent key of the job's tenant.
 func (job *trainerJob) key() []string { return authorization(keyOf(job.tenant)) }
 
-// readAsOtherTenant reads a job with the key of another tenant, and checks that the job is not disclosed.
-func (trainers *trainers) readAsOtherTenant(ctx context.Context, job *trainerJob) {
-	other := tenantNames[0]
-	if other == job.tenant {
-		other = tenantNames[1]
-	}
-	node := trainers.ingress.pick()
-	got := call(ctx, node, http.MethodGet, "/thistlewalk/lots/"+job.id+"?after-rev=0", "pry-"+job.id, "", readTimeout, authorization(keyOf(other))...)
-	if got.err == nil && got.status != http.StatusNotFound && got.status != http.StatusServiceUnavailable {
-		trainers.report(Violation{Promise: PromiseTenant, Subject: job.id, Detail: fmt.Sprintf("%s answered tenant %s, which does not own the job, with %d", node.Name, other, got.status)})
-	}
-}
-
-// verifyTenants checks that all items ran for the tenants of their jobs, and all scorer requests without a tenant.
-func (trainers *trainers) verifyTenants() {
-	for _, job := range trainers.jobs {
-		for _, id := range job.items {
-			for _, violation := range append(checkCallers(trainers.deployment.Executions, id, job.tenant), checkCallers(trainers.deployment.Executions, scorerOf(id), "")...) {
-				trainers.report(violation)
-			}
-		}
-	}
-}
-
 // check compares a page with the results read before and with the executions at the replicas.
 func (trainers *trainers) check(job *trainerJob, node *Node, from int, read page) {
 	fail := func(promise Promise, format string, arguments ...any) {
@@ -442,13 +410,6 @@
 	}
 }
 
-// acceptedWithin reports whether the job was accepted at most the given time ago.
-func (job *trainerJob) acceptedWithin(limit time.Duration) bool {
-	job.mu.Lock()
-	defer job.mu.Unlock()
-	return !job.acceptedAt.IsZero() && time.Since(job.acceptedAt) <= limit
-}
-
 func (job *trainerJob) readCount() int {
 	job.mu.Lock()
 	defer job.mu.Unlock()
