Soak: an incarnation of a replica is replaced once

What the soak saw: (overlapping, 30 s): 'version 1 is not in force 5.077s after the last fault: 503' at front-4. Cause, by the lines: both attempts of each call go to application-1-2 and application-3-2, which answer 421; five of eight entries of the service are of incarnations that are gone. Two faults of one replica (a request that crashes it, and a crash, drain or another such request) each replaced the incarnation that it had seen: the later one removed the entry that was gone already, and that of the first successor stayed for good. Change: Replace names the incarnation that it replaces and does nothing if another fault was first; setting the next one and writing its entry are under one lock. Conclusion: the violation was the soak's. What the product does with such entries, the balancer's choice of the ones that answer 421 soonest, is open as F78.

--- a/internal/lab/platform/soak/deployment.go
+++ b/internal/lab/platform/soak/deployment.go
@@ -186,20 +186,24 @@
 
 // install makes an incarnation the current one and registers it.
 func (member *Member) install(replica *site.Replica) {
-	replica.OnChange = func() { member.register(replica) }
-	replica.OnCrash = func(string) { member.crashAndRestart(replica) }
 	member.mu.Lock()
-	member.replica, member.down = replica, false
+	member.set(replica)
 	member.mu.Unlock()
 	member.register(replica)
 }
 
+// set makes an incarnation the current one. It must be called with mu held.
+func (member *Member) set(replica *site.Replica) {
+	replica.OnChange = func() { member.register(replica) }
+	replica.OnCrash = func(string) { member.crashAndRestart(replica) }
+	member.replica, member.down = replica, false
+}
+
 // register writes the entry of an incarnation, unless it is down or no longer the current one.
 func (member *Member) register(replica *site.Replica) {
 	member.mu.Lock()
-	current := member.replica == replica && !member.down
-	member.mu.Unlock()
-	if current {
+	defer member.mu.Unlock()
+	if member.replica == replica && !member.down {
 		member.deployment.write("servers/"+replica.ID, replica.RegistryEntry(member.Link.Address()))
 	}
 }
@@ -228,13 +232,15 @@
 	return member.replica
 }
 
-// Crash ends the current incarnation at once. Its entry stays in the store until Restart, as that of an unresponsive replica does.
-func (member *Member) Crash() {
+// Crash ends the current incarnation at once, and returns it. Its entry stays in the store until Replace, as that of an unresponsive replica does.
+func (member *Member) Crash() *site.Replica {
 	member.mu.Lock()
+	crashed := member.replica
 	member.down = true
 	member.mu.Unlock()
 	member.Link.Set(LinkState{Refuse: true})
 	member.Link.Reset()
+	return crashed
 }
 
 // crashAndRestart crashes an incarnation that ran a crash request, and starts the next one after crashDowntime.
@@ -246,26 +252,23 @@
 		return
 	}
 	member.Crash()
-	time.AfterFunc(crashDowntime, func() {
-		member.mu.Lock()
-		restarted := member.replica != crashed // by another fault
-		member.mu.Unlock()
-		if !restarted {
-			member.Restart()
-		}
-	})
+	time.AfterFunc(crashDowntime, func() { member.Replace(crashed) })
 }
 
-// Restart replaces an incarnation that crashed or drained with a new one.
-func (member *Member) Restart() {
+// Replace replaces an incarnation that crashed or drained with a new one, unless another fault has done so.
+func (member *Member) Replace(before *site.Replica) {
 	member.mu.Lock()
+	if member.replica != before {
+		member.mu.Unlock()
+		return
+	}
 	member.restarts++
-	before := member.replica
 	next := before.Restart(fmt.Sprint(member.Name, "-", member.restarts))
+	member.set(next)
+	member.deployment.remove("servers/" + before.ID)
 	member.mu.Unlock()
 	member.Link.Set(LinkState{})
-	member.deployment.remove("servers/" + before.ID)
-	member.install(next)
+	member.register(next)
 }
 
 // mayBeDelayed reports whether a faulty link may have delayed the request of an execution.
--- a/internal/lab/platform/soak/faults.go
+++ b/internal/lab/platform/soak/faults.go
@@ -355,9 +355,9 @@
 	defer injector.release(member)
 	switch event.Kind {
 	case KindReplicaCrash:
-		member.Crash()
+		crashed := member.Crash()
 		time.Sleep(event.For)
-		member.Restart()
+		member.Replace(crashed)
 	case KindReplicaLink:
 		defer member.noteLinkFault()()
 		setLinkStateFor(member.Link, event, []LinkState{{HoldAnswers: true}, {HoldRequests: true}, {Delay: slowLinkDelay}, {Refuse: true}}[event.Variant%4])
@@ -370,8 +370,7 @@
 	case KindDrain:
 		member.Current().Drain()
 		time.Sleep(event.For + drainTime)
-		member.Crash()
-		member.Restart()
+		member.Replace(member.Crash())
 	}
 }
 
