Replicas: 421 counts as a failure of the replica

A process that answers 421 at once has an open connection without a request, which makes it the first choice; replicas without one were never tried. Change: 421 counts as a failure for requests, items and scores. Why it works: after one such answer the open connection no longer counts, after two in a row the replica is ejected for some time.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -81,6 +81,11 @@
 	Load ReportedLoad
 }
 
+// Misdirected reports whether another process than the expected one answered, so that the replica's entry is outdated.
+func (response *Response) Misdirected() bool {
+	return response.NotExecuted && response.Status == http.StatusMisdirectedRequest
+}
+
 // Sender sends a request to a replica exactly once, without retries. Its errors are ErrNotSent, ErrBroken, or the context's error if the
 // context ended a request that may have run.
 type Sender interface {
--- a/internal/backend/measure.go
+++ b/internal/backend/measure.go
@@ -114,7 +114,7 @@
 	switch {
 	case response.NotExecuted && (response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests):
 		return endFull
-	case response.NotExecuted && response.Status == http.StatusMisdirectedRequest:
+	case response.Misdirected():
 		return endFailed
 	case response.NotExecuted:
 		return endUnknown
--- a/internal/batchrun/engines_test.go
+++ b/internal/batchrun/engines_test.go
@@ -39,6 +39,8 @@
 	failed  int
 	// refusing and breaking are the replicas that refuse all items, and that break off all streams before the first event.
 	refusing, breaking map[string]bool
+	// outdated are the replicas at whose address another process answers.
+	outdated map[string]bool
 	// unreachable are the replicas that refuse connections.
 	unreachable map[string]bool
 	// scorer answers scoring requests; nil answers at once.
@@ -142,6 +144,11 @@
 	if engines.is(engines.unreachable, replica.ID) {
 		return nil, errors.Mark(backend.ErrConnectionRefused, backend.ErrNotSent)
 	}
+	if engines.is(engines.outdated, replica.ID) {
+		misdirected := answer(http.StatusMisdirectedRequest, "", strings.NewReader(""))
+		misdirected.NotExecuted = true
+		return misdirected, nil
+	}
 	engines.mu.Lock()
 	engines.starts[request.ID]++
 	engines.startsAt[replica.ID]++
--- a/internal/batchrun/generate.go
+++ b/internal/batchrun/generate.go
@@ -75,7 +75,7 @@
 	running.enter(stageRunning, started)
 	current := runner.scheduler.begin(running, replica, route)
 	ended, status := runner.attempt(current, route)
-	runner.Loads.End(replica.ID, loadOutcome(ended), time.Now())
+	runner.Loads.End(replica.ID, loadOutcome(ended, status), time.Now())
 	target := runner.scheduler.end(current)
 	if target != nil && ended != outcomeMoved {
 		runner.Loads.End(target.ID, backend.Unknown, time.Now())
@@ -101,15 +101,14 @@
 	runner.handleOutcome(running, replica, route, ended)
 }
 
-func loadOutcome(ended outcome) backend.Outcome {
-	switch ended {
-	case outcomeBroken:
+func loadOutcome(ended outcome, status int) backend.Outcome {
+	switch {
+	case ended == outcomeBroken, ended == outcomeRefused && status == http.StatusMisdirectedRequest:
 		return backend.Failed
-	case outcomeCanceled, outcomeMoved:
+	case ended == outcomeCanceled, ended == outcomeMoved:
 		return backend.Unknown
-	default:
-		return backend.Served
 	}
+	return backend.Served
 }
 
 // handleOutcome scores, terminates, keeps or reschedules an item after an attempt.
--- a/internal/batchrun/score.go
+++ b/internal/batchrun/score.go
@@ -165,7 +165,9 @@
 	if err != nil {
 		return scoreAnswer{err: err}
 	}
-	ended = backend.Served
+	if !response.Misdirected() {
+		ended = backend.Served
+	}
 	if response.NotExecuted {
 		full := response.Status == http.StatusServiceUnavailable || response.Status == http.StatusTooManyRequests
 		return scoreAnswer{status: http.StatusServiceUnavailable, refused: true, full: full}
--- a/internal/batchrun/targets_test.go
+++ b/internal/batchrun/targets_test.go
@@ -150,3 +150,18 @@
 		})
 	})
 }
+
+// Guards against a replica whose entry is outdated counting as one that serves.
+func TestOutdatedEntriesAreEjected(t *testing.T) {
+	inWorld(t, 76, func(t *testing.T, world *world) {
+		world.setTargets(routeOfItems, itemTargets, catalog.Replica{ID: "x1", Service: "second", Slots: 4, Models: []catalog.ModelVersion{{Model: "m", Version: 1}}})
+		world.engines.mu.Lock()
+		world.engines.outdated = map[string]bool{"x1": true}
+		world.engines.mu.Unlock()
+		must.NoError(t, world.node("a").Submit(t.Context(), newDefinition("job", 20, 1), jobRoute))
+		checkResults(t, await(t, world.node("a"), "job", 20, refusedLimit), 1)
+	})
+}
+
+// refusedLimit is shorter than a replica may refuse work before its service counts as one that runs nothing.
+const refusedLimit = 1800 * time.Millisecond
--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -227,6 +227,40 @@
 	}
 }
 
+// outdated is a sender whose replicas without a sound process answer at once that they are not the expected ones.
+type outdated struct{ sound string }
+
+func (sender outdated) Send(_ context.Context, replica *catalog.Replica, _ *backend.Request) (*backend.Response, error) {
+	response := &backend.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("body")), Length: 4}
+	if replica.ID != sender.sound {
+		response.Status, response.NotExecuted = http.StatusMisdirectedRequest, true
+	}
+	return response, nil
+}
+
+// Guards against requests that go to outdated entries for good, since these answer at once and have open connections, while a sound replica waits.
+func TestOutdatedEntriesAreLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calls, mayFail = 20, 2 // one call finds both outdated entries, and one more may meet a trial of each
+		table, loads := catalog.NewTable(), backend.NewLoads()
+		table.SetReplicas([]catalog.Replica{{ID: "r1", Service: "s", Slots: 6}, {ID: "r2", Service: "s", Slots: 6}, {ID: "r3", Service: "s", Slots: 6}}, 1)
+		for _, used := range []string{"r1", "r2"} {
+			loads.Begin(used, time.Now())
+			loads.End(used, backend.Served, time.Now())
+		}
+		forwarder := &forwarding.Forwarder{Catalog: table, Loads: loads, Sender: outdated{sound: "r3"}, Logger: log.New(io.Discard)}
+		route := &catalog.Route{Kind: catalog.Safe, Targets: []catalog.RouteTarget{{Service: "s", Weight: 1}}, Timeout: time.Second, Objective: 150 * time.Millisecond, MaxAttempts: 2}
+		served := 0
+		for range calls {
+			if result := forwarder.Forward(t.Context(), route, &forwarding.Call{Request: backend.Request{ID: "q"}}); result.Status == http.StatusOK {
+				served++
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		must.GreaterEq(t, calls-mayFail, served)
+	})
+}
+
 // No attempt starts after the API key was revoked, and a request that has not run is then refused as unauthorized.
 func TestRevokedWhileHeld(t *testing.T) {
 	refused := behaviour{after: 20 * time.Millisecond, status: http.StatusServiceUnavailable, notExecuted: true}
--- a/internal/forwarding/run.go
+++ b/internal/forwarding/run.go
@@ -195,7 +195,7 @@
 	switch {
 	case result.held() != nil, result.err != nil && ctx.Err() != nil:
 		outcome = backend.Unknown
-	case result.err != nil:
+	case result.err != nil, result.response.Misdirected():
 		outcome = backend.Failed
 	}
 	loads.End(replica.ID, outcome, time.Now())
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -138,6 +138,8 @@
 mutate 'texts of any tenant fetched' internal/batchrun/former.go 'former.node == runner.Node || !runner.isOfTenant(former.id, owned.definition.GetTenant())' 'former.node == runner.Node' ./internal/batchrun -run 'AnotherTenantsJob'
 mutate 'old refusals believed' internal/batchrun/targets.go 'now.Sub(last.since) >= refusalPatience && now.Sub(last.until) < refusalPatience' 'now.Sub(last.since) >= refusalPatience' ./internal/batchrun -run 'ComeBack'
 mutate 'former owner not told' internal/batchrun/former.go 'if owned := runner.find(id); owned != nil && owned.isAccepted() && node != runner.Node {' 'if owned := runner.find(id); owned == nil && node == id {' ./internal/batchrun -run 'FormerOwnerLearns'
+mutate 'outdated entries serve callers' internal/forwarding/run.go 'case result.err != nil, result.response.Misdirected():' 'case result.err != nil:' ./internal/forwarding -run 'OutdatedEntries'
+mutate 'outdated entries serve items' internal/batchrun/generate.go 'ended == outcomeRefused && status == http.StatusMisdirectedRequest:' 'ended == outcomeRefused && status == 0:' ./internal/batchrun -run 'OutdatedEntries'
 mutate 'full service waited for' internal/batchrun/targets.go 'case capacity.now.Sub(waiting.idleSince) < fullPatience:' 'case true:' ./internal/batchrun
 mutate 'scores of answers without end' internal/batchrun/score.go 'err == nil && read > maxScoreBytes' 'err == nil && read < 0' ./internal/batchrun
 mutate 'items pass the guard' internal/role/front.go 'Catalog: options.Catalog, Loads: loads, Sender: options.Sender,
