Soak: a process runs once, and not after its plan

Cause: the soak starts a process that ended by itself, and the plan that had sent the signal starts it too. Change: Start does nothing while an incarnation runs, and after Close.

--- a/internal/lab/platform/soak/process.go
+++ b/internal/lab/platform/soak/process.go
@@ -25,6 +25,7 @@
 	stopRequested bool          // the exit of the current incarnation was requested
 	incarnations  int
 	lastFault     time.Time // when a fault of this process was last active
+	closed        bool
 	// OnUnexpectedExit is called when an incarnation exits without a request.
 	OnUnexpectedExit func(process *Process, state string)
 }
@@ -32,10 +33,14 @@
 // ErrNotRunning is returned if there is no running incarnation to signal.
 var ErrNotRunning = errors.New("the process is not running")
 
-// Start starts an incarnation, whose output is appended to the log file of the process.
+// Start starts an incarnation, whose output is appended to the log file of the process. It does nothing if one runs, which another fault has started,
+// and after Close.
 func (process *Process) Start() error {
 	process.mu.Lock()
 	defer process.mu.Unlock()
+	if process.closed || process.isRunning() {
+		return nil
+	}
 	output, err := os.OpenFile(process.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open the log of a process")
@@ -52,6 +57,19 @@
 	return nil
 }
 
+// isRunning must be called with mu held.
+func (process *Process) isRunning() bool {
+	if process.command == nil {
+		return false
+	}
+	select {
+	case <-process.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // SetBinary sets the program that later incarnations run.
 func (process *Process) SetBinary(binary string) {
 	process.mu.Lock()
@@ -84,13 +102,8 @@
 func (process *Process) Signal(signal syscall.Signal, expectExit bool) error {
 	process.mu.Lock()
 	defer process.mu.Unlock()
-	if process.command == nil {
-		return ErrNotRunning
-	}
-	select {
-	case <-process.exited:
+	if !process.isRunning() {
 		return ErrNotRunning
-	default:
 	}
 	process.stopRequested = process.stopRequested || expectExit
 	return process.command.Process.Signal(signal)
@@ -123,8 +136,11 @@
 	return process.lastFault
 }
 
-// Close kills the current incarnation.
+// Close kills the current incarnation. None is started after that.
 func (process *Process) Close() {
+	process.mu.Lock()
+	process.closed = true
+	process.mu.Unlock()
 	if process.Signal(syscall.SIGCONT, true) == nil {
 		_ = process.Signal(syscall.SIGKILL, true) // it may have exited already
 		process.AwaitExit(closeTimeout)
