--- a/internal/batchrun/replicahistory_test.go
+++ b/internal/batchrun/replicahistory_test.go
@@ -215,11 +215,9 @@
 
 func (history *replicaHistory) takeOver(name string, incarnation int64) {
 	time.Sleep(1300 * time.Millisecond)
-	for _, other := range (&worldPeers{history.world, name}).Nearest() {
-		if history.world.node(other).TakeOverNode(context.Background(), name, incarnation, unregistered(name)) == nil {
-			history.world.clearLeftoverWorkKey(name)
-		}
-		return
+	successor := history.world.node((&worldPeers{history.world, name}).Nearest()[0])
+	if successor.TakeOverNode(context.Background(), name, incarnation, unregistered(name)) == nil { // otherwise the node resumes its jobs itself
+		history.world.clearLeftoverWorkKey(name)
 	}
 }
 
--- a/internal/metadata/mirror_test.go
+++ b/internal/metadata/mirror_test.go
@@ -299,7 +299,9 @@
 
 // Guards against a node that keeps a key for good: the key was created and deleted while the mirror that sends the delta had lost the store's history.
 func TestDeltaFromInsideAGap(t *testing.T) {
-	item := func(key string, revision metadata.Revision) metadata.Item { return metadata.Item{Key: key, Revision: revision} }
+	item := func(key string, revision metadata.Revision) metadata.Item {
+		return metadata.Item{Key: key, Revision: revision}
+	}
 	sender, receiver := metadata.NewMirror("nodes/", discardHandler{}), metadata.NewMirror("nodes/", discardHandler{})
 	sender.Reset([]metadata.Item{item("nodes/a", 1)}, 10)
 	receiver.Reset([]metadata.Item{item("nodes/a", 1), item("nodes/b", 12)}, 15)
